Set down the frame and one path from caller to upstream

Cause: the repository was empty. Conclusion: the shape holds; membership, bundle distribution, limits and at-most-once execution are to be built into it.

--- /dev/null
+++ b/caller/refusal.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"fmt"
+	"time"
+)
+
+// Ran says whether a request ran at an upstream.
+type Ran uint8
+
+// Values of Ran. NotRun is only used when it is certain.
+const (
+	Unknown Ran = iota
+	NotRun
+	Answered
+)
+
+// String returns the form used in headers: "unknown", "not-run" or "answered".
+func (r Ran) String() string {
+	switch r {
+	case NotRun:
+		return "not-run"
+	case Answered:
+		return "answered"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseRan returns the value whose String is text. Anything else is Unknown, the safe reading.
+func ParseRan(text string) Ran {
+	switch text {
+	case "not-run":
+		return NotRun
+	case "answered":
+		return Answered
+	default:
+		return Unknown
+	}
+}
+
+// Reason names why a request was refused. Each reason has a counter of its own.
+type Reason string
+
+// Reasons for refusing a request.
+const (
+	BadRequest          Reason = "bad-request"
+	NoService           Reason = "no-service"
+	NoRoute             Reason = "no-route"
+	NoBundle            Reason = "no-bundle"
+	NoUpstream          Reason = "no-upstream"
+	Draining            Reason = "draining"
+	ColdUpstream        Reason = "cold"
+	NotReady            Reason = "not-ready"
+	StaleIncarnation    Reason = "stale-incarnation"
+	StaleBundle         Reason = "stale-bundle"
+	QueueFull           Reason = "queue-full"
+	DeadlineUnmeetable  Reason = "deadline-unmeetable"
+	DeadlinePassed      Reason = "deadline-passed"
+	Cancelled           Reason = "cancelled"
+	Overload            Reason = "overload"
+	DepthExceeded       Reason = "depth-exceeded"
+	RetryBudget         Reason = "retry-budget"
+	Quarantined         Reason = "quarantined"
+	KeyMissing          Reason = "key-missing"
+	KeyInvalid          Reason = "key-invalid"
+	KeyExpired          Reason = "key-expired"
+	KeyInProgress       Reason = "key-in-progress"
+	KeyUnknown          Reason = "key-unknown"
+	KeyAlreadyRun       Reason = "key-already-run"
+	NoKeeper            Reason = "no-keeper"
+	PeerUnreachable     Reason = "peer-unreachable"
+	PeerLost            Reason = "peer-lost"
+	UpstreamUnreachable Reason = "upstream-unreachable"
+	UpstreamLost        Reason = "upstream-lost"
+	AnswerMismatch      Reason = "answer-mismatch"
+	BodyCut             Reason = "body-cut"
+)
+
+// Reasons lists every reason, in the order of the constants.
+var Reasons = []Reason{
+	BadRequest, NoService, NoRoute, NoBundle, NoUpstream, Draining, ColdUpstream, NotReady,
+	StaleIncarnation, StaleBundle, QueueFull, DeadlineUnmeetable, DeadlinePassed, Cancelled,
+	Overload, DepthExceeded, RetryBudget, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
+	KeyInProgress, KeyUnknown, KeyAlreadyRun, NoKeeper, PeerUnreachable, PeerLost,
+	UpstreamUnreachable, UpstreamLost, AnswerMismatch, BodyCut,
+}
+
+// Known reports whether r is one of Reasons.
+func (r Reason) Known() bool {
+	for _, known := range Reasons {
+		if r == known {
+			return true
+		}
+	}
+	return false
+}
+
+// Refusal is the error of a request that got no answer from an upstream.
+type Refusal struct {
+	Reason     Reason
+	Ran        Ran
+	RetryAfter time.Duration // 0 when a resend is not expected to help
+	Step       string        // step at which the refusal arose
+	Peer       string        // instance or address at which it arose, "" for this node
+	Cause      error
+}
+
+// Refuse returns a refusal of a request that certainly did not run.
+func Refuse(reason Reason, step, peer string) *Refusal {
+	return &Refusal{Reason: reason, Ran: NotRun, Step: step, Peer: peer}
+}
+
+// Lost returns a refusal of a request that may have run.
+func Lost(reason Reason, step, peer string, cause error) *Refusal {
+	return &Refusal{Reason: reason, Ran: Unknown, Step: step, Peer: peer, Cause: cause}
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	text := fmt.Sprintf("%s: %s (%s)", r.Step, r.Reason, r.Ran)
+	if r.Peer != "" {
+		text = fmt.Sprintf("%s at %s: %s (%s)", r.Step, r.Peer, r.Reason, r.Ran)
+	}
+	if r.Cause != nil {
+		text += ": " + r.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,42 @@
+// Package caller describes the calls that callers make: the request with its class, deadline and
+// idempotency key, the refusal with its reason, and the rules for retrying.
+package caller
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxDepth is the longest supported chain of calls between services.
+const MaxDepth = 6
+
+// Request is one call on its way through the system. It does not change between attempts, except
+// for Attempt.
+type Request struct {
+	ID            string // unique per call; each hop echoes it and the entry node compares it
+	Service       string
+	Route         string // name of the matched route of the contract
+	Class         string // traffic class of the contract
+	Method        string
+	Path          string              // path and query as sent to the upstream
+	Header        map[string][]string // end-to-end header fields; canonical names
+	Body          *Body
+	Key           string // idempotency key, "" when absent
+	Fingerprint   uint64 // identifies the content of the request across resends
+	Deadline      time.Time
+	Attempt       int // 1 for the first; counted over the whole chain of calls
+	Depth         int // number of services' calls above this one
+	BundleVersion uint64
+}
+
+// Fingerprint returns the hash that identifies a request across resends by its caller: two calls
+// with equal service, method, path and idempotency key have the same fingerprint.
+func Fingerprint(service, method, path, key string) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{service, method, path, key} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/node/home.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/link"
+	"github.com/magnoliawharf/magnoliawharf/upstream"
+)
+
+const homeStep = "home"
+
+// UpstreamClient sends one admitted request to the upstream at addr. The error is a
+// *caller.Refusal.
+type UpstreamClient interface {
+	Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error)
+}
+
+// Home is the node beside an upstream: it admits requests to it.
+type Home struct {
+	ID          string
+	Incarnation uint64
+	Bundles     *bundle.InForce
+	Upstream    *upstream.Upstream
+	Client      UpstreamClient
+}
+
+// Serve admits the request, sends it to the upstream and returns the answer. The slot is given
+// back when the body of the answer is closed. incarnation is the life of the node that the sender
+// meant. The error is a *caller.Refusal.
+func (h *Home) Serve(ctx context.Context, req *caller.Request, incarnation uint64) (*caller.Answer, error) {
+	class, refusal := h.check(req, incarnation)
+	if refusal != nil {
+		return nil, refusal
+	}
+	release, err := h.Upstream.Admit(ctx, upstream.Ticket{
+		ID: req.ID, Class: class, Deadline: req.Deadline, Fingerprint: req.Fingerprint,
+	})
+	if err != nil {
+		return nil, err
+	}
+	announced, _ := h.Upstream.Announced(req.Deadline)
+	answer, err := h.Client.Send(ctx, req, announced.Addr)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	answer.Upstream = h.ID
+	answer.Body = &releasingBody{ReadCloser: answer.Body, release: release}
+	return answer, nil
+}
+
+func (h *Home) check(req *caller.Request, incarnation uint64) (bundle.Class, *caller.Refusal) {
+	if incarnation != h.Incarnation {
+		return bundle.Class{}, caller.Refuse(caller.StaleIncarnation, homeStep, h.ID)
+	}
+	current := h.Bundles.Load()
+	if current == nil {
+		return bundle.Class{}, caller.Refuse(caller.NoBundle, homeStep, h.ID)
+	}
+	contract, ok := current.Contracts[req.Service]
+	if !ok {
+		return bundle.Class{}, caller.Refuse(caller.NoService, homeStep, h.ID)
+	}
+	class, ok := contract.Class(req.Class)
+	if !ok {
+		return bundle.Class{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
+	}
+	return class, nil
+}
+
+// Report returns the state of the upstream for the nodes of callers.
+func (h *Home) Report() link.Report { return h.Upstream.Report() }
--- /dev/null
+++ b/transport/callerhttp/handler.go
@@ -0,0 +1,123 @@
+// Package callerhttp is the adapter towards callers: it reads HTTP/1.1 and HTTP/2 requests, finds
+// their contract and writes answers and refusals.
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/transport"
+)
+
+const acceptStep = "accept"
+
+// maxKeyLength bounds an idempotency key, in bytes.
+const maxKeyLength = 128
+
+// Dispatcher takes a request to an upstream. The error is a *caller.Refusal.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, req *caller.Request) (*caller.Answer, error)
+}
+
+// Handler is the http.Handler of the callers' listener.
+type Handler struct {
+	Bundles    *bundle.InForce
+	Dispatcher Dispatcher
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req, refusal := h.accept(r)
+	if refusal != nil {
+		refuse(w, refusal)
+		return
+	}
+	w.Header().Set(transport.HeaderRequestID, req.ID)
+	w.Header().Set(transport.HeaderVersion, strconv.FormatUint(req.BundleVersion, 10))
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	answer, err := h.Dispatcher.Dispatch(ctx, req)
+	if err != nil {
+		refuse(w, asRefusal(err))
+		return
+	}
+	w.Header().Set(transport.HeaderUpstream, answer.Upstream)
+	transport.WriteAnswer(w, answer)
+}
+
+func (h *Handler) accept(r *http.Request) (*caller.Request, *caller.Refusal) {
+	current := h.Bundles.Load()
+	if current == nil {
+		return nil, caller.Refuse(caller.NoBundle, acceptStep, "")
+	}
+	contract, path, ok := current.Resolve(hostOf(r), r.URL.EscapedPath())
+	if !ok {
+		return nil, caller.Refuse(caller.NoService, acceptStep, "")
+	}
+	route, ok := contract.Match(r.Method, path)
+	if !ok {
+		return nil, caller.Refuse(caller.NoRoute, acceptStep, contract.Service)
+	}
+	timeout, ok := timeoutOf(r, route.Timeout)
+	key := r.Header.Get(transport.HeaderIdempotency)
+	if !ok || len(key) > maxKeyLength {
+		return nil, caller.Refuse(caller.BadRequest, acceptStep, "")
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return &caller.Request{
+		ID: uuid.NewString(), Service: contract.Service, Route: route.Name, Class: route.Class,
+		Method: r.Method, Path: path, Header: transport.EndToEnd(r.Header),
+		Body: caller.NewBody(r.Body, r.ContentLength), Key: key,
+		Fingerprint: caller.Fingerprint(contract.Service, r.Method, path, key),
+		Deadline:    time.Now().Add(timeout), Attempt: 1, BundleVersion: current.Version,
+	}, nil
+}
+
+// timeoutOf returns the time the caller gives, at most longest. Both a Go duration and a whole
+// number of milliseconds are understood.
+func timeoutOf(r *http.Request, longest time.Duration) (time.Duration, bool) {
+	text := r.Header.Get(transport.HeaderTimeout)
+	if text == "" {
+		return longest, true
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil {
+		milliseconds, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return 0, false
+		}
+		timeout = time.Duration(milliseconds) * time.Millisecond
+	}
+	return min(timeout, longest), timeout > 0
+}
+
+func hostOf(r *http.Request) string {
+	if host, _, err := net.SplitHostPort(r.Host); err == nil {
+		return host
+	}
+	return r.Host
+}
+
+func refuse(w http.ResponseWriter, refusal *caller.Refusal) {
+	metrics.Refusal(refusal.Reason)
+	transport.WriteRefusal(w, refusal)
+}
+
+func asRefusal(err error) *caller.Refusal {
+	var refusal *caller.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return caller.Lost(caller.PeerLost, acceptStep, "", err)
+}
--- /dev/null
+++ b/transport/peerhttp/client.go
@@ -0,0 +1,100 @@
+package peerhttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/link"
+	"github.com/magnoliawharf/magnoliawharf/transport"
+	"github.com/magnoliawharf/magnoliawharf/transport/upstreamhttp"
+)
+
+const (
+	forwardStep     = "forward"
+	dialTimeout     = time.Second
+	idleTimeout     = 90 * time.Second
+	idleConnections = 64
+)
+
+// Client forwards requests to other nodes.
+type Client struct{ transport *http.Transport }
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// Forward implements node.Forwarder.
+func (c *Client) Forward(ctx context.Context, req *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
+	peer := string(target.ID)
+	body, err := req.Body.Attempt()
+	if err != nil {
+		return nil, nil, &caller.Refusal{Reason: caller.BodyCut, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
+	}
+	out, err := upstreamhttp.NewRequest(ctx, req, "http://"+target.PeerAddr+ForwardPrefix, body)
+	if err != nil {
+		return nil, nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
+	}
+	out.Header.Set(headerCall, encodeCall(req, target.Incarnation, time.Now()))
+	response, err := c.transport.RoundTrip(out)
+	if err != nil {
+		return nil, nil, refusalOf(ctx, err, peer)
+	}
+	return c.answer(req, response, peer)
+}
+
+func (c *Client) answer(req *caller.Request, response *http.Response, peer string) (*caller.Answer, *link.Report, error) {
+	report, err := decodeReport(response.Header.Get(headerReport))
+	if err != nil {
+		report = nil
+	}
+	if reason := response.Header.Get(transport.HeaderRefusal); reason != "" {
+		_ = response.Body.Close()
+		return nil, report, decodeRefusal(response.Header, peer)
+	}
+	if got := response.Header.Get(transport.HeaderRequestID); got != req.ID {
+		_ = response.Body.Close()
+		return nil, nil, caller.Lost(caller.AnswerMismatch, forwardStep, peer, nil)
+	}
+	answer := transport.AnswerOf(response)
+	answer.Upstream = peer
+	return answer, report, nil
+}
+
+func decodeRefusal(header http.Header, peer string) *caller.Refusal {
+	refusal := &caller.Refusal{
+		Reason: caller.Reason(header.Get(transport.HeaderRefusal)),
+		Ran:    caller.ParseRan(header.Get(transport.HeaderRan)),
+		Step:   forwardStep, Peer: peer,
+	}
+	if !refusal.Reason.Known() || refusal.Ran == caller.Answered {
+		return caller.Lost(caller.PeerLost, forwardStep, peer, errors.New("peer sent an unknown refusal"))
+	}
+	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil && seconds > 0 {
+		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refusal
+}
+
+func refusalOf(ctx context.Context, err error, peer string) *caller.Refusal {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &caller.Refusal{Reason: caller.PeerUnreachable, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
+	}
+	if ctx.Err() != nil {
+		return caller.Lost(caller.Cancelled, forwardStep, peer, err)
+	}
+	return caller.Lost(caller.PeerLost, forwardStep, peer, err)
+}
--- /dev/null
+++ b/transport/wire.go
@@ -0,0 +1,80 @@
+// Package transport holds what the HTTP adapters share: header names, the copying of end-to-end
+// header fields and the streaming of bodies.
+package transport
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"sync"
+)
+
+// Header fields of magnoliawharf. Callers may set HeaderTimeout and HeaderChain; all others with
+// the prefix are removed from what callers and upstreams send.
+const (
+	HeaderPrefix      = "Magnoliawharf-"
+	HeaderTimeout     = "Magnoliawharf-Timeout"
+	HeaderChain       = "Magnoliawharf-Chain"
+	HeaderRefusal     = "Magnoliawharf-Refusal"
+	HeaderRan         = "Magnoliawharf-Ran"
+	HeaderUpstream    = "Magnoliawharf-Upstream"
+	HeaderVersion     = "Magnoliawharf-Version"
+	HeaderRequestID   = "Magnoliawharf-Request-Id"
+	HeaderIdempotency = "Idempotency-Key"
+)
+
+// copyBufferSize bounds the memory of one body in one direction.
+const copyBufferSize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+// hopByHop are the fields that end at each connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// EndToEnd returns a copy of the fields that go on to the next hop: all but the hop-by-hop fields
+// and those with HeaderPrefix.
+func EndToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !strings.HasPrefix(name, HeaderPrefix) {
+			out[name] = values
+		}
+	}
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// Stream copies src to w and flushes after each read, so that a caller sees bytes as they come.
+func Stream(w http.ResponseWriter, src io.Reader) error {
+	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(buffer)
+	controller := http.NewResponseController(w)
+	for {
+		n, err := src.Read(buffer[:])
+		if n > 0 {
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return writeErr
+			}
+			if flushErr := controller.Flush(); flushErr != nil {
+				return flushErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
