Keep membership with neighbours on a ring and a few border nodes

Cause: nodes had no way to learn of each other, and Fleet.Service scanned every record at each call. Two records with the same state version are ordered by state, so that a change of state and a declared failure that cross do not leave two views.

--- /dev/null
+++ b/datacentre/membership_test.go
@@ -0,0 +1,241 @@
+package datacentre
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+)
+
+const spreadBound = 3 * time.Second
+
+func centres(count, perRegion int) [][2]string {
+	var names [][2]string
+	for i := range count {
+		names = append(names, [2]string{fmt.Sprintf("dc%d", i), fmt.Sprintf("region%d", i/perRegion)})
+	}
+	return names
+}
+
+// Guards against failures and changes that reach some members late or never.
+func TestChangesAreKnownEverywhereInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		size, centres int
+		change        func(n *network, members []*member)
+	}{
+		"crash in a centre of 188":    {188, 1, func(n *network, m []*member) { n.kill(m[70], false) }},
+		"silent loss in 188":          {188, 1, func(n *network, m []*member) { n.kill(m[71], true) }},
+		"rack of 40 of 188 lost":      {188, 1, func(n *network, m []*member) { loseRack(n, m[:40]) }},
+		"drain in one of 17 centres":  {12, 17, func(_ *network, m []*member) { m[5].Announce("catalogue", instance.Draining, 12) }},
+		"silent loss in 17 centres":   {12, 17, func(n *network, m []*member) { n.kill(m[6], true) }},
+		"border nodes of a centre":    {12, 17, loseBorders},
+		"restart at the same address": {12, 4, restart},
+		"polite leave": {12, 4, func(n *network, m []*member) {
+			m[3].Leave(context.Background())
+			n.kill(m[3], false)
+		}},
+		"refutation of a false failure": {12, 4, func(_ *network, m []*member) { m[4].declareFailed(m[9].Self()) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(n *network) {
+				members := n.fill(c.size, centres(c.centres, 3)...)
+				n.agreeWithin(0)
+				c.change(n, members)
+				t.Logf("known everywhere after %s", n.agreeWithin(spreadBound))
+			})
+		})
+	}
+}
+
+func loseRack(n *network, rack []*member) {
+	for _, m := range rack {
+		n.kill(m, true)
+	}
+}
+
+func loseBorders(n *network, members []*member) {
+	for _, r := range members[0].home.Borders() {
+		n.kill(n.members[r.PeerAddr], true)
+	}
+}
+
+func restart(n *network, members []*member) {
+	n.kill(members[2], false)
+	<-members[2].done
+	n.seeds = []string{members[20].config.Self.PeerAddr}
+	n.start(record("dc0", "region0", 2), nil)
+}
+
+// Guards against live members that are declared failed because of the network, and against tables
+// that differ afterwards.
+func TestFaultsOfTheNetworkDeclareNobodyFailed(t *testing.T) {
+	oneWay := func(from, to string) func(a, b *member) bool {
+		return func(a, b *member) bool { return string(a.config.Self.ID) == from && string(b.config.Self.ID) == to }
+	}
+	for name, c := range map[string]struct {
+		size, centres int
+		fault         func(n *network, m []*member)
+	}{
+		"a tenth of messages lost":       {60, 1, func(n *network, _ []*member) { n.loss = 0.1 }},
+		"messages repeated":              {20, 3, func(n *network, _ []*member) { n.repeat = 0.3 }},
+		"messages delayed and reordered": {20, 3, func(n *network, _ []*member) { n.jitter = 120 * time.Millisecond }},
+		"all regions cut from each other": {10, 6, func(n *network, _ []*member) {
+			n.cut = func(a, b *member) bool { return a.config.Self.Region != b.config.Self.Region }
+		}},
+		"one direction cut between neighbours": {12, 1, func(n *network, m []*member) {
+			ring := m[0].home.Ring()
+			n.cut = oneWay(string(ring[3].ID), string(ring[4].ID))
+		}},
+		"two members, cut, others near": {2, 2, func(n *network, _ []*member) { n.cut = oneWay("dc0-node-0", "dc0-node-1") }},
+		"a slow member": {12, 1, func(n *network, m []*member) {
+			n.cut = func(_, b *member) bool {
+				if b == m[5] {
+					n.mu.Unlock()
+					time.Sleep(150 * time.Millisecond)
+					n.mu.Lock()
+				}
+				return false
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(n *network) {
+				members := n.fill(c.size, centres(c.centres, 2)...)
+				before := declaredFailed.Get()
+				n.mu.Lock()
+				c.fault(n, members)
+				n.mu.Unlock()
+				time.Sleep(20 * time.Second)
+				n.mu.Lock()
+				n.loss, n.repeat, n.jitter, n.cut = 0, 0, 0, func(_, _ *member) bool { return false }
+				n.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, declaredFailed.Get()-before, uint64(0))
+				n.agreeWithin(0)
+			})
+		})
+	}
+}
+
+// Guards against a member that was cut off or frozen and then declares the others failed, and
+// against a live member that stays declared failed.
+func TestMemberThatWasAwayComesBack(t *testing.T) {
+	for name, c := range map[string]struct{ away, back func(n *network, m *member) }{
+		"cut off": {
+			func(n *network, m *member) {
+				n.cut = func(a, b *member) bool { return a == m || b == m }
+			},
+			func(n *network, _ *member) { n.cut = func(_, _ *member) bool { return false } },
+		},
+		"frozen": {
+			func(_ *network, m *member) { m.freeze() },
+			func(_ *network, m *member) { m.thaw() },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(n *network) {
+				members := n.fill(20, centres(3, 2)...)
+				before := declaredFailed.Get()
+				n.mu.Lock()
+				c.away(n, members[7])
+				n.mu.Unlock()
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, declaredFailed.Get()-before, uint64(1), "the member away, by its predecessor")
+				n.mu.Lock()
+				c.back(n, members[7])
+				n.mu.Unlock()
+				t.Logf("back after %s", n.agreeWithin(10*time.Second))
+				assert.Equal(t, declaredFailed.Get()-before, uint64(1))
+			})
+		})
+	}
+}
+
+// Guards against the loss of the members of a data centre that is only unreachable, and against
+// members that stay for ever.
+func TestUnreachableDataCentreIsKeptForAnHour(t *testing.T) {
+	inBubble(t, func(n *network) {
+		members := n.fill(3, centres(3, 1)...)
+		n.mu.Lock()
+		n.cut = func(a, b *member) bool { return (a.home.Name == "dc0") != (b.home.Name == "dc0") }
+		n.mu.Unlock()
+		held := func() int { return len(members[8].fleet.DataCentre("dc0")) }
+		time.Sleep(59 * time.Minute)
+		assert.Equal(t, held(), 3)
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, held(), 0)
+		n.mu.Lock()
+		n.cut = func(_, _ *member) bool { return false }
+		n.mu.Unlock()
+		t.Logf("back after %s", n.agreeWithin(15*time.Second))
+	})
+}
+
+// Guards against members that do not find each other, with the store and without it, and against
+// effects of a store outage.
+func TestMembersJoinByContactsAndSeeds(t *testing.T) {
+	for name, seeds := range map[string][]string{"contacts": nil, "seeds, store down": {"dc0-node-0:7000"}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(n *network) {
+				held := kvstore.NewMemory()
+				n.store, n.seeds = held, seeds
+				held.SetFaults(kvstore.Faults{Down: seeds != nil})
+				for i := range 10 {
+					n.start(record("dc0", "region0", i), nil)
+					n.start(record("dc1", "region1", i), nil)
+				}
+				t.Logf("joined after %s", n.agreeWithin(40*time.Second))
+				time.Sleep(20 * time.Second)
+				held.SetFaults(kvstore.Faults{Down: true})
+				time.Sleep(time.Minute)
+				n.kill(n.members["dc1-node-3:7000"], true)
+				n.agreeWithin(spreadBound)
+				held.SetFaults(kvstore.Faults{})
+				time.Sleep(time.Minute)
+				contacts, err := held.List(context.Background(), contactPrefix)
+				assert.NilError(t, err)
+				assert.Equal(t, len(contacts), 4, "two border nodes of each data centre")
+			})
+		})
+	}
+}
+
+// Guards against broadcasts that miss members, are handled twice, or are accepted too large.
+func TestBroadcastReachesEachMemberOnce(t *testing.T) {
+	for _, size := range []int{10, MaxPayload} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inBubble(t, func(n *network) {
+				members := n.fill(20, centres(4, 2)...)
+				n.mu.Lock()
+				n.repeat, n.loss = 0.2, 0.05
+				n.mu.Unlock()
+				got := make([]int, len(members))
+				for i, m := range members {
+					m.Handle("release", func(from instance.ID, payload []byte) {
+						n.mu.Lock()
+						defer n.mu.Unlock()
+						assert.Check(t, from == members[3].config.Self.ID && len(payload) == size)
+						got[i]++
+					})
+				}
+				assert.NilError(t, members[3].Broadcast("release", "1", make([]byte, size)))
+				time.Sleep(spreadBound)
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				for i := range members {
+					want := 1
+					if i == 3 {
+						want = 0
+					}
+					assert.Equal(t, got[i], want, "member %d", i)
+				}
+				assert.Assert(t, members[3].Broadcast("release", "2", make([]byte, MaxPayload+1)) != nil)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/datacentre/outbox.go
@@ -0,0 +1,275 @@
+package datacentre
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/shard"
+)
+
+const (
+	// batchTime is how long a change waits for others, so that the loss of a rack shares messages.
+	batchTime = 20 * time.Millisecond
+	// pushTimeout bounds one push. A lost one is repeated; the redundant fingers cover the wait.
+	pushTimeout  = 500 * time.Millisecond
+	pushAttempts = 3
+	// maxPushRecords keeps a push near 30 KB.
+	maxPushRecords = 256
+	// offerSize is the payload size from which a broadcast is offered before it is sent. Each node
+	// has up to 8 fingers and needs the payload once.
+	offerSize = 256
+)
+
+// outbox collects the news of a node and sends it to its fingers and, at a border node, to the other
+// data centres. Each peer has a lane with at most one push under way.
+type outbox struct {
+	m     *Membership
+	lanes *shard.Map[instance.ID, *lane]
+
+	mu      sync.Mutex
+	records map[instance.ID]newsRecord
+	casts   []newsCast
+	armed   bool
+}
+
+type newsRecord struct {
+	record instance.Record
+	from   instance.ID
+}
+
+type newsCast struct {
+	cast Broadcast
+	from instance.ID
+}
+
+func newOutbox(m *Membership) *outbox {
+	return &outbox{m: m, lanes: shard.NewString[instance.ID, *lane](memberShards), records: make(map[instance.ID]newsRecord)}
+}
+
+// addRecord passes a record on, but not to the peer that it came from.
+func (o *outbox) addRecord(r instance.Record, from instance.ID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records[r.ID] = newsRecord{r, from}
+	o.arm()
+}
+
+// addCast passes a broadcast on, but not to the peer that it came from.
+func (o *outbox) addCast(b Broadcast, from instance.ID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.casts = append(o.casts, newsCast{b, from})
+	o.arm()
+}
+
+func (o *outbox) arm() {
+	if o.armed {
+		return
+	}
+	o.armed = true
+	time.AfterFunc(batchTime, o.flush)
+}
+
+func (o *outbox) flush() {
+	o.mu.Lock()
+	records, casts := o.records, o.casts
+	o.records, o.casts, o.armed = make(map[instance.ID]newsRecord), nil, false
+	o.mu.Unlock()
+
+	self := o.m.config.Self
+	for _, peer := range o.m.home.Fingers(self.ID) {
+		o.sendNews(peer, records, casts, func(string) bool { return true })
+	}
+	for _, peer := range o.m.borderTargets() {
+		// Each data centre tells the others only what began in it. The rest reaches them directly, or
+		// by comparison of digests where two of them cannot reach each other.
+		o.sendNews(peer, records, casts, func(origin string) bool { return origin == self.DataCentre })
+	}
+}
+
+func (o *outbox) sendNews(peer instance.Record, records map[instance.ID]newsRecord, casts []newsCast, wanted func(origin string) bool) {
+	var news []instance.Record
+	for _, n := range records {
+		if n.from != peer.ID && n.record.ID != peer.ID && wanted(n.record.DataCentre) {
+			news = append(news, n.record)
+		}
+	}
+	var broadcasts []Broadcast
+	for _, n := range casts {
+		if n.from != peer.ID && wanted(n.cast.DataCentre) && !o.m.casts.holds(n.cast, peer.ID) {
+			broadcasts = append(broadcasts, n.cast)
+		}
+	}
+	o.sendTo(peer, news, broadcasts)
+}
+
+// sendTo pushes to one peer. While an earlier push is under way the news waits for it.
+func (o *outbox) sendTo(peer instance.Record, records []instance.Record, casts []Broadcast) {
+	if len(records) == 0 && len(casts) == 0 {
+		return
+	}
+	l := o.lanes.GetOrCreate(peer.ID, func() *lane { return &lane{records: make(map[instance.ID]instance.Record)} })
+	if l.add(peer, records, casts) && !o.m.workers.start(func(ctx context.Context) { o.drain(ctx, l) }) {
+		l.clear()
+	}
+}
+
+// drain pushes what waits in the lane until it is empty or the peer does not answer.
+func (o *outbox) drain(ctx context.Context, l *lane) {
+	failures := 0
+	for {
+		peer, records, casts, ok := l.take()
+		if !ok {
+			return
+		}
+		if err := o.m.pushNews(ctx, peer, records, casts); err == nil {
+			failures = 0
+			continue
+		}
+		if failures++; failures >= pushAttempts || !o.m.isLive(peer) {
+			l.clear()
+			return
+		}
+		l.putBack(records, casts)
+	}
+}
+
+// sweep forgets the idle lanes of instances that are not live.
+func (o *outbox) sweep() {
+	o.lanes.Range(func(id instance.ID, l *lane) bool {
+		if r, ok := o.m.fleet.Get(id); (!ok || r.State.Gone()) && l.idle() {
+			o.lanes.Delete(id)
+		}
+		return true
+	})
+}
+
+// lane is what waits for one peer.
+type lane struct {
+	mu      sync.Mutex
+	peer    instance.Record
+	busy    bool
+	records map[instance.ID]instance.Record
+	casts   []Broadcast
+}
+
+// add reports whether the caller must start draining the lane.
+func (l *lane) add(peer instance.Record, records []instance.Record, casts []Broadcast) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peer = peer
+	for _, r := range records {
+		l.records[r.ID] = r
+	}
+	l.addCasts(casts)
+	start := !l.busy
+	l.busy = true
+	return start
+}
+
+func (l *lane) addCasts(casts []Broadcast) {
+	l.casts = append(l.casts, casts...)
+	if excess := len(l.casts) - maxBroadcasts; excess > 0 {
+		castsDropped.Add(excess)
+		l.casts = slices.Delete(l.casts, 0, excess)
+	}
+}
+
+func (l *lane) take() (instance.Record, []instance.Record, []Broadcast, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.records) == 0 && len(l.casts) == 0 {
+		l.busy = false
+		return instance.Record{}, nil, nil, false
+	}
+	records := slices.Collect(maps.Values(l.records))
+	records = records[:min(len(records), maxPushRecords)]
+	for _, r := range records {
+		delete(l.records, r.ID)
+	}
+	casts := l.casts
+	l.casts = nil
+	return l.peer, records, casts, true
+}
+
+// putBack returns what was not delivered, unless something newer took its place.
+func (l *lane) putBack(records []instance.Record, casts []Broadcast) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range records {
+		if held, ok := l.records[r.ID]; !ok || r.Newer(held) {
+			l.records[r.ID] = r
+		}
+	}
+	newer := l.casts
+	l.casts = slices.Clone(casts)
+	l.addCasts(newer)
+}
+
+func (l *lane) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.records)
+	l.casts, l.busy = nil, false
+}
+
+func (l *lane) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.busy
+}
+
+// isLive reports whether the peer is, as far as this node knows, neither gone nor replaced.
+func (m *Membership) isLive(peer instance.Record) bool {
+	held, ok := m.fleet.Get(peer.ID)
+	return ok && !held.State.Gone() && held.Incarnation == peer.Incarnation
+}
+
+// pushNews pushes records and broadcasts. Large broadcasts are offered, and sent when wanted.
+func (m *Membership) pushNews(ctx context.Context, peer instance.Record, records []instance.Record, casts []Broadcast) error {
+	request := PushRequest{Sender: m.sender(), Records: records}
+	var offered []Broadcast
+	for _, b := range casts {
+		if len(b.Payload) < offerSize {
+			request.Broadcasts = append(request.Broadcasts, b)
+			continue
+		}
+		offered = append(offered, b)
+		request.Offers = append(request.Offers, Offer{b.Topic, b.ID})
+	}
+	response, err := m.push(ctx, peer, request)
+	if err != nil || len(response.Wanted) == 0 {
+		return err
+	}
+	follow := PushRequest{Sender: request.Sender}
+	for _, index := range response.Wanted {
+		follow.Broadcasts = append(follow.Broadcasts, offered[index])
+	}
+	_, err = m.push(ctx, peer, follow)
+	return err
+}
+
+func (m *Membership) push(ctx context.Context, peer instance.Record, request PushRequest) (PushResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	response, err := m.config.Messenger.Push(ctx, peer.PeerAddr, request)
+	if err != nil {
+		return PushResponse{}, err
+	}
+	if err := response.validate(len(request.Offers)); err != nil {
+		invalid.Inc()
+		return PushResponse{}, err
+	}
+	m.takeSender(response.Sender)
+	return response, nil
+}
+
+// targets returns the peers to which this node passes news: its fingers and, at a border node, one
+// node of each other data centre.
+func (m *Membership) targets() []instance.Record {
+	return slices.Concat(m.home.Fingers(m.config.Self.ID), m.borderTargets())
+}
--- /dev/null
+++ b/datacentre/receive.go
@@ -0,0 +1,118 @@
+package datacentre
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+)
+
+var _ Receiver = (*Membership)(nil)
+
+// accept checks a message and notes its sender.
+func (m *Membership) accept(s Sender, err error) error {
+	if err != nil {
+		invalid.Inc()
+		return err
+	}
+	m.takeSender(s)
+	return nil
+}
+
+// ReceiveSync implements Receiver.
+func (m *Membership) ReceiveSync(_ context.Context, req SyncRequest) (SyncResponse, error) {
+	if err := m.accept(req.Sender, req.validate()); err != nil {
+		return SyncResponse{}, err
+	}
+	response := SyncResponse{Sender: m.sender()}
+	if !m.settled.Load() {
+		// The table may be old: a peer must not take records from it.
+		return response, nil
+	}
+	sums := m.digests()
+	response.Root, response.Stale = rootOf(sums), m.staleContacts()
+	m.takeContacts(req.Stale, func(name string) bool { return response.Root == req.Root && sums[name] != 0 })
+	if response.Root != req.Root {
+		for name, sum := range sums {
+			response.Digests = append(response.Digests, Digest{DataCentre: name, Digest: sum})
+		}
+		slices.SortFunc(response.Digests, func(a, b Digest) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+		response.Digests = response.Digests[:min(len(response.Digests), maxDataCentres)]
+	}
+	held, found := m.fleet.Get(req.Sender.ID)
+	claimed := instance.Record{Incarnation: req.Sender.Incarnation, StateVersion: req.Sender.StateVersion, State: held.State}
+	switch {
+	case !found || claimed.Newer(held):
+		response.Behind = true
+	case held.Newer(claimed) || held.State == instance.Failed:
+		response.Newer = &held
+	}
+	return response, nil
+}
+
+// ReceivePush implements Receiver.
+func (m *Membership) ReceivePush(_ context.Context, req PushRequest) (PushResponse, error) {
+	if err := m.accept(req.Sender, req.validate()); err != nil {
+		return PushResponse{}, err
+	}
+	for _, r := range req.Records {
+		m.merge(r, req.Sender.ID)
+	}
+	for _, b := range req.Broadcasts {
+		m.takeBroadcast(b, req.Sender.ID)
+	}
+	return PushResponse{Sender: m.sender(), Wanted: m.casts.wanted(req.Offers, time.Now())}, nil
+}
+
+// ReceivePull implements Receiver.
+func (m *Membership) ReceivePull(_ context.Context, req PullRequest) (PullResponse, error) {
+	if err := m.accept(req.Sender, req.validate()); err != nil {
+		return PullResponse{}, err
+	}
+	if !m.settled.Load() {
+		return PullResponse{}, ErrUnreachable.New("not yet joined")
+	}
+	wanted := func(int) bool { return true }
+	var gone []instance.Record
+	if len(req.Buckets) > 0 {
+		mine := m.centre(req.DataCentre).Buckets()
+		wanted = func(bucket int) bool { return mine[bucket] != req.Buckets[bucket] }
+		gone = m.fleet.Gone(req.DataCentre, instance.GoneRetention)
+	} else {
+		gone = m.fleet.Gone(req.DataCentre, joinGoneAge)
+	}
+	response := PullResponse{Sender: m.sender()}
+	for _, r := range slices.Concat(m.fleet.DataCentre(req.DataCentre), gone) {
+		if wanted(bucketOf(r.ID)) && len(response.Records) < maxRecords {
+			response.Records = append(response.Records, r)
+		}
+	}
+	return response, nil
+}
+
+// ReceivePing implements Receiver.
+func (m *Membership) ReceivePing(_ context.Context, req PingRequest) (PingResponse, error) {
+	if err := m.accept(req.Sender, req.Sender.validate()); err != nil {
+		return PingResponse{}, err
+	}
+	return PingResponse{Sender: m.sender()}, nil
+}
+
+// ReceivePingVia implements Receiver.
+func (m *Membership) ReceivePingVia(ctx context.Context, req PingViaRequest) (PingViaResponse, error) {
+	if err := m.accept(req.Sender, req.validate()); err != nil {
+		return PingViaResponse{}, err
+	}
+	target, ok := m.fleet.Get(req.Target)
+	if !ok || target.Incarnation != req.Incarnation {
+		return PingViaResponse{}, ErrUnreachable.New("%s is not known with incarnation %d", req.Target, req.Incarnation)
+	}
+	start := time.Now()
+	incarnation := m.ping(ctx, target, req.Timeout)
+	if incarnation == 0 && m.heardSince(req.Target, req.Incarnation, start) {
+		incarnation = req.Incarnation
+	}
+	return PingViaResponse{Sender: m.sender(), Incarnation: incarnation}, nil
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -57,10 +57,14 @@
 }
 
 // Newer reports whether r replaces other: a higher incarnation, or the same incarnation with a
-// higher state version.
+// higher state version. An instance may change its state while another node declares it failed
+// under the same state version; the later state then wins everywhere, and the instance refutes it.
 func (r Record) Newer(other Record) bool {
 	if r.Incarnation != other.Incarnation {
 		return r.Incarnation > other.Incarnation
 	}
-	return r.StateVersion > other.StateVersion
+	if r.StateVersion != other.StateVersion {
+		return r.StateVersion > other.StateVersion
+	}
+	return r.State > other.State
 }
