Agree after any sequence of faults, and ask for contacts only when needed

Cause: stateful tests found live members that did not agree 90 s after the faults ended: (1) a survivor of a data centre of four got no confirmation from the dead others; (2) members that paused at the same time waited for each other's table for ever; (3) survivors that are no border nodes never met the other data centre. Change: members of other regions may confirm after 30 s; a node waits 10 s at most for a settled peer; a node with an unconfirmed silent member exchanges like a border node; a node asks for later contacts with a data centre only after 10 min without one.

--- a/datacentre/border.go
+++ b/datacentre/border.go
@@ -18,19 +18,19 @@
 	exchangePeriod = 2 * time.Second
 	// exchangeTimeout covers two distant regions.
 	exchangeTimeout = time.Second
-	// staleAge is the age from which a contact is listed in messages. Younger ones are implied, which
-	// keeps the list empty in normal operation.
-	staleAge = 30 * time.Second
+	// staleAge is the age from which a node asks its peers for a later contact. In normal operation it
+	// asks once in that time, so that the list costs nothing.
+	staleAge = 10 * time.Minute
 	// contactHop is added to an age at each hop. It covers the way of the message and the rounding to
 	// seconds; without it the age of an unreachable data centre would never grow as nodes pass it on.
 	contactHop = 2 * time.Second
 	// unreachableRetention is how long the members of an unreachable data centre are kept.
 	unreachableRetention = time.Hour
 	// unknownGrace is how long a data centre is kept whose last contact nobody has told.
-	unknownGrace = time.Minute
+	unknownGrace = 5 * time.Minute
 	// returnAge is the age of a contact that brings a forgotten data centre back. It is well below the
 	// retention, so that nodes that forget it at different moments do not return it to each other.
-	returnAge = 10 * time.Minute
+	returnAge = 20 * time.Minute
 	// recentAge and recentCount bound the changes that a new border node repeats to the other data
 	// centres, in case the earlier ones were lost before they passed them on.
 	recentAge   = 10 * time.Second
@@ -48,7 +48,10 @@
 		if !sleep(ctx, wait) {
 			return
 		}
-		if rank, border := m.home.BorderRank(m.config.Self.ID); border && len(names) > 0 && m.settled.Load() {
+		rank, border := m.home.BorderRank(m.config.Self.ID)
+		// The border nodes may be the members whose failure this node cannot get confirmed.
+		border = border || m.hasUnconfirmed()
+		if border && len(names) > 0 && m.settled.Load() {
 			d := m.centre(names[round%len(names)])
 			turn := rank + round/len(names)
 			m.workers.start(func(ctx context.Context) { m.exchange(ctx, d, turn) })
@@ -147,7 +150,7 @@
 	return records
 }
 
-// staleContacts lists the data centres without recent contact.
+// staleContacts lists the data centres of which this node asks its peers when they were reached.
 func (m *Membership) staleContacts() []Contact {
 	var stale []Contact
 	now := time.Now()
@@ -159,20 +162,28 @@
 	return stale
 }
 
-// takeContacts learns from a peer which data centres were reached and when. Those that it covers and
-// does not list were reached within staleAge.
-func (m *Membership) takeContacts(stale []Contact, covered func(name string) bool) {
+// fresherContacts answers the list of a peer with the contacts that are later here.
+func (m *Membership) fresherContacts(stale []Contact) []Contact {
+	var fresher []Contact
 	now := time.Now()
-	listed := make(map[string]bool, len(stale))
 	for _, c := range stale {
-		listed[c.DataCentre] = true
-		if d, ok := m.centres.Get(c.DataCentre); ok {
-			d.contact(now.Add(-max(c.Age, staleAge) - contactHop))
+		d, ok := m.centres.Get(c.DataCentre)
+		if !ok || d == m.home {
+			continue
+		}
+		if age := d.silence(now) + contactHop; age < c.Age {
+			fresher = append(fresher, Contact{DataCentre: c.DataCentre, Age: age})
 		}
 	}
-	for _, name := range m.otherCentres() {
-		if !listed[name] && covered(name) {
-			m.centre(name).contact(now.Add(-staleAge - contactHop))
+	return fresher
+}
+
+// takeContacts learns from a peer when data centres were reached.
+func (m *Membership) takeContacts(contacts []Contact) {
+	now := time.Now()
+	for _, c := range contacts {
+		if d, ok := m.centres.Get(c.DataCentre); ok {
+			d.contact(now.Add(-c.Age))
 		}
 	}
 }
--- a/datacentre/compare.go
+++ b/datacentre/compare.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,9 +62,7 @@
 		return SyncResponse{}, err
 	}
 	m.takeSender(response.Sender)
-	if response.Root != 0 {
-		m.takeContacts(response.Stale, response.covers(m.digests()))
-	}
+	m.takeContacts(response.Contacts)
 	if response.Newer != nil && response.Newer.ID == m.config.Self.ID {
 		m.mergeSelf(*response.Newer)
 	}
@@ -75,17 +72,6 @@
 	return response, nil
 }
 
-// covers returns whether the responder holds live members of a data centre. Without a list of digests
-// it holds what this node holds.
-func (r SyncResponse) covers(mine map[string]uint64) func(name string) bool {
-	return func(name string) bool {
-		if len(r.Digests) == 0 {
-			return mine[name] != 0
-		}
-		return slices.ContainsFunc(r.Digests, func(d Digest) bool { return d.DataCentre == name })
-	}
-}
-
 // differing returns the data centres of which the peer holds other records than this node.
 func (m *Membership) differing(response SyncResponse) map[string]bool {
 	mine := m.digests()
--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -20,6 +21,7 @@
 	// contactCheck is the time between looks at the contacts for nodes that this one does not know,
 	// such as a group that formed apart. 34 border nodes make 1.1 reads/s.
 	contactCheck = 30 * time.Second
+	contactStart = 30 * time.Second
 	storeTimeout = 2 * time.Second
 	// storeMaxWait bounds the jittered wait after failures, so that a store that returns is not met
 	// by all border nodes at once.
@@ -37,10 +39,12 @@
 func (m *Membership) runContacts(ctx context.Context) {
 	var entry contactEntry
 	wait := rand.N(contactRenew)
-	lastCheck := time.Now()
+	started, lastCheck := time.Now(), time.Time{}
 	for sleep(ctx, wait) {
 		err := m.keepContact(ctx, &entry)
-		if err == nil && m.IsBorder() && time.Since(lastCheck) >= contactCheck {
+		// Nodes that start together may form groups apart, so the first looks follow each renewal.
+		due := time.Since(lastCheck) >= contactCheck || time.Since(started) < contactStart
+		if err == nil && due && m.IsBorder() {
 			lastCheck = time.Now()
 			m.meetStrangers(ctx)
 		}
@@ -106,52 +110,61 @@
 	}
 }
 
-// contacts reads the peer addresses in the store: those of the own data centre and the others.
-func (m *Membership) contacts(ctx context.Context) (near, far []string) {
+// contacts reads the peer addresses in the store and the data centre of each.
+func (m *Membership) contacts(ctx context.Context) map[string]string {
 	if m.config.Store == nil {
-		return nil, nil
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entries, err := m.config.Store.List(ctx, contactPrefix)
 	if err != nil {
 		storeFailures.Inc()
-		return nil, nil
+		return nil
 	}
+	found := make(map[string]string)
 	for _, entry := range entries {
 		addr := string(entry.Value)
-		if _, _, err := net.SplitHostPort(addr); err != nil || !validName(addr) {
+		name, _, _ := strings.Cut(strings.TrimPrefix(entry.Key, contactPrefix), "/")
+		if _, _, err := net.SplitHostPort(addr); err != nil || !validName(addr) || !validName(name) {
 			invalid.Inc()
 			continue
 		}
-		if strings.HasPrefix(entry.Key, contactPrefix+m.home.Name+"/") {
-			near = append(near, addr)
-			continue
-		}
-		far = append(far, addr)
+		found[addr] = name
 	}
-	return near, far
+	return found
 }
 
-// meetStrangers compares tables with a contact or seed that is not in the table.
+// meetStrangers compares tables with contacts and seeds that are not in the table.
 func (m *Membership) meetStrangers(ctx context.Context) {
 	known := make(map[string]bool)
 	for _, r := range m.fleet.Select(func(r instance.Record) bool { return !r.State.Gone() }) {
 		known[r.PeerAddr] = true
 	}
-	for _, addr := range m.entryPoints(ctx) {
-		if known[addr] {
+	strangers := make(map[string]string) // address to data centre
+	for _, addr := range m.config.Seeds {
+		strangers[addr] = ""
+	}
+	maps.Copy(strangers, m.contacts(ctx))
+	tried := 0
+	for addr, name := range strangers {
+		if known[addr] || addr == m.config.Self.PeerAddr || tried == joinAttempts {
 			continue
 		}
-		if response, err := m.syncWith(ctx, addr, joinTimeout); err == nil {
-			m.meet(ctx, addr, response)
-			return
-		}
+		tried++
+		m.meet(ctx, addr, name)
 	}
 }
 
 // meet takes the records of a node that is not in the table.
-func (m *Membership) meet(ctx context.Context, addr string, response SyncResponse) {
+func (m *Membership) meet(ctx context.Context, addr, centre string) {
+	response, err := m.syncWith(ctx, addr, joinTimeout)
+	if err != nil {
+		return
+	}
+	if d, ok := m.centres.Get(centre); ok {
+		d.contact(time.Now())
+	}
 	for name := range m.differing(response) {
 		_ = m.pull(ctx, addr, name)
 	}
--- a/datacentre/join.go
+++ b/datacentre/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -12,6 +13,9 @@
 	joinTimeout   = time.Second
 	joinFirstWait = time.Second
 	joinMaxWait   = 10 * time.Second
+	// settleLimit is how long a node waits for the table of a settled peer. Nodes that all paused at
+	// once, with nobody else left, would otherwise wait for each other for ever.
+	settleLimit = 10 * time.Second
 	// joinAttempts bounds the peers that one attempt to join tries.
 	joinAttempts = 6
 )
@@ -50,7 +54,6 @@
 			return false
 		}
 	}
-	m.takeContacts(response.Stale, response.covers(nil))
 	m.settled.Store(true)
 	return true
 }
@@ -71,6 +74,12 @@
 // not settled.
 func (t *ticker) rejoin(now time.Time) {
 	alone := t.m.isAlone()
+	if t.m.settled.Load() {
+		t.lastSettled = now
+	}
+	if !alone && now.Sub(t.lastSettled) > settleLimit {
+		t.m.settled.Store(true)
+	}
 	if t.m.settled.Load() && !alone {
 		t.joinWait = joinFirstWait
 		return
@@ -99,17 +108,23 @@
 // entryPoints returns the addresses by which the node may join: contacts of its own data centre,
 // then other contacts and seeds.
 func (m *Membership) entryPoints(ctx context.Context) []string {
-	near, far := m.contacts(ctx)
-	far = append(far, m.config.Seeds...)
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	var addrs []string
-	for _, addr := range append(near, far...) {
-		if addr != m.config.Self.PeerAddr {
-			addrs = append(addrs, addr)
+	contacts := m.contacts(ctx)
+	var near, far []string
+	for addr, name := range contacts {
+		if name == m.home.Name {
+			near = append(near, addr)
+			continue
 		}
+		far = append(far, addr)
 	}
-	return addrs
+	for _, addr := range m.config.Seeds {
+		if _, listed := contacts[addr]; !listed {
+			far = append(far, addr)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return slices.DeleteFunc(append(near, far...), func(addr string) bool { return addr == m.config.Self.PeerAddr })
 }
 
 func addresses(peers []instance.Record) []string {
@@ -119,3 +134,7 @@
 	}
 	return addrs
 }
+
+// Settle declares the table in the fleet as complete, so that the node takes part without joining.
+// It is for fleets whose records are already known.
+func (m *Membership) Settle() { m.settled.Store(true) }
--- a/datacentre/message.go
+++ b/datacentre/message.go
@@ -48,22 +48,23 @@
 }
 
 // SyncRequest compares what two nodes know. Root is the digest of all data centres; Stale lists
-// the data centres without recent contact.
+// the data centres without recent contact, of which the sender asks for a later one.
 type SyncRequest struct {
 	Sender Sender
 	Root   uint64
 	Stale  []Contact
 }
 
-// SyncResponse holds the digests of the receiver when the roots differ. Newer is its record of the
+// SyncResponse holds the digests of the receiver when the roots differ, and the Contacts that are
+// later than those asked for. Newer is its record of the
 // sender when that is newer than the sender's own; Behind says that it holds none or an older one.
 type SyncResponse struct {
-	Sender  Sender
-	Root    uint64
-	Digests []Digest
-	Stale   []Contact
-	Newer   *instance.Record
-	Behind  bool
+	Sender   Sender
+	Root     uint64
+	Digests  []Digest
+	Contacts []Contact
+	Newer    *instance.Record
+	Behind   bool
 }
 
 // Broadcast is an opaque message of another part of the system.
--- a/datacentre/receive.go
+++ b/datacentre/receive.go
@@ -32,8 +32,7 @@
 		return response, nil
 	}
 	sums := m.digests()
-	response.Root, response.Stale = rootOf(sums), m.staleContacts()
-	m.takeContacts(req.Stale, func(name string) bool { return response.Root == req.Root && sums[name] != 0 })
+	response.Root, response.Contacts = rootOf(sums), m.fresherContacts(req.Stale)
 	if response.Root != req.Root {
 		for name, sum := range sums {
 			response.Digests = append(response.Digests, Digest{DataCentre: name, Digest: sum})
--- a/datacentre/suspicion.go
+++ b/datacentre/suspicion.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -20,9 +21,11 @@
 	// helperCount is the number of other members asked in each round. A majority of them must find the
 	// member silent, so that a rack cut off from the rest of its data centre rarely judges the rest.
 	helperCount = 7
+	farCount    = 2
 	// minorityWait is how long a member must be silent before a single other member's confirmation is
 	// enough. It covers the loss of most members of a data centre.
-	minorityWait = 30 * time.Second
+	minorityWait   = 30 * time.Second
+	unconfirmedAge = 5 * time.Second
 	// lookAhead is the number of further successors pinged when one is silent. With 40 of 188 members
 	// lost at once, runs of up to 4 are found in one go.
 	lookAhead = 4
@@ -97,6 +100,19 @@
 	})
 }
 
+// hasUnconfirmed reports whether a member has been silent for longer than a verification takes and is
+// still not declared failed, because too few others could be asked.
+func (m *Membership) hasUnconfirmed() bool {
+	found := false
+	m.suspicions.Range(func(id instance.ID, s suspicion) bool {
+		held, ok := m.fleet.Get(id)
+		found = ok && !held.State.Gone() && held.Incarnation == s.incarnation &&
+			!s.since.IsZero() && time.Since(s.since) > unconfirmedAge
+		return !found
+	})
+	return found
+}
+
 // probeAhead pings the members that follow a silent one and suspects those that do not answer. When
 // all are silent it goes on with the next ones.
 func (m *Membership) probeAhead(ctx context.Context, after instance.Record) {
@@ -165,56 +181,62 @@
 	start := time.Now()
 	held, _ := m.suspicions.Get(suspected.ID)
 	timeout := pingTimeout << held.refutations
-	helpers := m.helpers(suspected)
-	asked, silent := 0, 0
+	helpers, far := m.helpers(suspected)
+	asked, silent, silentFar := 0, 0, 0
 	for round := range pingRounds {
 		count := min(helperCount, len(helpers))
 		chosen := helpers[:count]
 		if round > 0 && len(helpers) >= 2*count {
 			chosen = helpers[count : 2*count]
 		}
-		alive, confirmed := m.pingRound(ctx, suspected, chosen, timeout)
+		alive, confirmed, confirmedFar := m.pingRound(ctx, suspected, chosen, far, timeout)
 		if alive || ctx.Err() != nil || m.heardSince(suspected.ID, suspected.Incarnation, start) {
 			return false
 		}
 		asked += count
 		silent += confirmed
+		silentFar += confirmedFar
 	}
 	if time.Since(start) > pingRounds*timeout+pauseLimit || !m.settled.Load() {
 		return false
 	}
 	if asked == 0 {
-		return true
+		return len(far) == 0 || silentFar > 0
 	}
-	return 2*silent > asked || silent > 0 && time.Since(held.since) > minorityWait
+	return 2*silent > asked || silent+silentFar > 0 && time.Since(held.since) > minorityWait
 }
 
 // pingRound pings the member directly and through the helpers. confirmed counts the helpers that
-// answered that they could not reach it.
-func (m *Membership) pingRound(ctx context.Context, suspected instance.Record, helpers []instance.Record, timeout time.Duration) (alive bool, confirmed int) {
+// answered that they could not reach it, confirmedFar those of other regions.
+func (m *Membership) pingRound(
+	ctx context.Context, suspected instance.Record, helpers, far []instance.Record, timeout time.Duration,
+) (alive bool, confirmed, confirmedFar int) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	type verdict struct{ alive, silent bool }
-	verdicts := make(chan verdict, len(helpers)+1)
+	type verdict struct{ alive, silent, far bool }
+	count := len(helpers) + len(far)
+	verdicts := make(chan verdict, count+1)
 	go func() {
 		verdicts <- verdict{alive: m.ping(ctx, suspected, timeout) >= suspected.Incarnation}
 	}()
-	for _, helper := range helpers {
+	for i, helper := range slices.Concat(helpers, far) {
 		go func() {
 			alive, err := m.pingVia(ctx, helper, suspected, timeout*3/4)
-			verdicts <- verdict{alive: alive, silent: err == nil && !alive}
+			verdicts <- verdict{alive: alive, silent: err == nil && !alive, far: i >= len(helpers)}
 		}()
 	}
-	for range len(helpers) + 1 {
+	for range count + 1 {
 		v := <-verdicts
-		if v.alive {
-			return true, 0
-		}
-		if v.silent {
+		switch {
+		case v.alive:
+			return true, 0, 0
+		case v.silent && v.far:
+			confirmedFar++
+		case v.silent:
 			confirmed++
 		}
 	}
-	return false, confirmed
+	return false, confirmed, confirmedFar
 }
 
 func (m *Membership) pingVia(ctx context.Context, helper, target instance.Record, timeout time.Duration) (bool, error) {
@@ -233,11 +255,12 @@
 }
 
 // helpers returns the members that can be asked about another one, in random order: those of the
-// own data centre and, where it has too few, those of the region. Where there are neither, members
-// of other regions show whether this node is the one that is cut off.
-func (m *Membership) helpers(suspected instance.Record) []instance.Record {
+// own data centre and, where it has too few, those of the region. Where there are few of both, two
+// members of other regions (far) show whether this node is the one that is cut off. They have no part
+// in the majority, so that a cut between regions does not prevent it.
+func (m *Membership) helpers(suspected instance.Record) (helpers, far []instance.Record) {
 	self := m.config.Self
-	var near, region, far []instance.Record
+	var near, region []instance.Record
 	for _, name := range m.fleet.DataCentres() {
 		for _, r := range m.fleet.DataCentre(name) {
 			switch {
@@ -251,15 +274,15 @@
 			}
 		}
 	}
-	helpers := shuffle(near)
-	if len(helpers) < helperCount {
-		helpers = append(helpers, shuffle(region)...)
-		helpers = helpers[:min(len(helpers), max(len(near), helperCount))]
+	if len(near) >= helperCount {
+		return shuffle(near), nil
 	}
-	if len(helpers) == 0 {
-		helpers = shuffle(far)
+	helpers = append(shuffle(near), shuffle(region)...)
+	if len(helpers) >= helperCount {
+		return helpers[:helperCount], nil
 	}
-	return helpers
+	far = shuffle(far)
+	return helpers, far[:min(len(far), farCount)]
 }
 
 func shuffle(records []instance.Record) []instance.Record {
--- a/datacentre/tick.go
+++ b/datacentre/tick.go
@@ -34,10 +34,12 @@
 	border   bool
 	nextJoin time.Time
 	joinWait time.Duration
+
+	lastSettled time.Time
 }
 
 func (m *Membership) runTicks(ctx context.Context) {
-	t := &ticker{m: m, last: time.Now(), joinWait: joinFirstWait}
+	t := &ticker{m: m, last: time.Now(), lastSettled: time.Now(), joinWait: joinFirstWait}
 	// A random start spreads the ticks of nodes that start together.
 	if !sleep(ctx, rand.N(tickTime)) {
 		return
@@ -61,6 +63,7 @@
 	t.count++
 	if pause > freezeLimit {
 		t.m.wake(pause)
+		t.lastSettled = now
 	}
 	t.m.noteRole(&t.border)
 	t.m.forgetUnreachable(now)
@@ -160,7 +163,7 @@
 		return true
 	})
 	m.suspicions.Range(func(id instance.ID, s suspicion) bool {
-		if !s.busy && now.Sub(s.lastRefuted) > suspicionMemory {
+		if !s.busy && now.Sub(s.lastRefuted) > suspicionMemory && now.Sub(s.since) > suspicionMemory {
 			m.suspicions.Delete(id)
 		}
 		return true
--- a/datacentre/validate.go
+++ b/datacentre/validate.go
@@ -105,7 +105,7 @@
 			return err
 		}
 	}
-	return validateContacts(r.Stale)
+	return validateContacts(r.Contacts)
 }
 
 func (r PushRequest) validate() error {
--- /dev/null
+++ b/transport/peerrpc/membership_measure_test.go
@@ -0,0 +1,290 @@
+package peerrpc_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/datacentre"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
+)
+
+const (
+	segmentPayload = 1448 // bytes of payload in a segment on Ethernet
+	segmentHeader  = 52   // IPv4 20, TCP 20, timestamps 12
+)
+
+// traffic counts the bytes of one node in one direction as a network would carry them: the payload,
+// the header of each segment, and one empty segment the other way that acknowledges it.
+type traffic struct{ sent, received, acks atomic.Int64 }
+
+func (t *traffic) total() int64 { return t.sent.Load() + t.received.Load() + t.acks.Load() }
+
+type countingConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func segments(n int) int64 { return int64((n + segmentPayload - 1) / segmentPayload) }
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n) + segments(n)*segmentHeader)
+	c.traffic.acks.Add(segments(n) * segmentHeader)
+	return n, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(int64(n) + segments(n)*segmentHeader)
+	c.traffic.acks.Add(segments(n) * segmentHeader)
+	return n, err
+}
+
+type countingListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.traffic}, err
+}
+
+// realNode is a membership on loopback with its own listener and messenger.
+type realNode struct {
+	*datacentre.Membership
+	fleet   *instance.Fleet
+	traffic traffic
+	server  *http.Server
+	client  *peerrpc.MembershipMessenger
+	ctx     context.Context
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newRealNode(tb testing.TB, id, centre string, seeds ...string) *realNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	n := &realNode{fleet: instance.NewFleet(), done: make(chan struct{})}
+	n.client = peerrpc.NewMembershipMessenger(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return countingConn{conn, &n.traffic}, err
+	})
+	n.Membership = datacentre.New(datacentre.Config{
+		Self: instance.Record{
+			ID: instance.ID(id), Incarnation: uint64(time.Now().UnixNano()), DataCentre: centre, Region: "nl-midden",
+			PeerAddr: listener.Addr().String(), CallerAddr: listener.Addr().String(),
+			Service: "catalogue", State: instance.Ready, Slots: 12,
+		},
+		Fleet: n.fleet, Messenger: n.client, Seeds: seeds, BundleVersion: func() uint64 { return 8300 },
+	})
+	mux := http.NewServeMux()
+	mux.Handle(peerrpc.NewMembershipHandler(n.Membership))
+	n.server = &http.Server{Handler: mux}
+	go func() { _ = n.server.Serve(countingListener{listener, &n.traffic}) }()
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	return n
+}
+
+func (n *realNode) run() {
+	go func() {
+		defer close(n.done)
+		_ = n.Run(n.ctx)
+	}()
+}
+
+func (n *realNode) close() {
+	n.stop()
+	<-n.done
+	_ = n.server.Close()
+	n.client.Close()
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Measures bytes and processor time of one exchange, both ends together.
+func BenchmarkMembershipMessage(b *testing.B) {
+	ctx := context.Background()
+	from, to := newRealNode(b, "dc-kigali-1-node-017", "kigali-1"), newRealNode(b, "dc-kigali-1-node-018", "kigali-1")
+	from.fleet.Merge(to.Self())
+	to.fleet.Merge(from.Self())
+	to.Settle()
+	addr := to.Self().PeerAddr
+	sender := datacentre.Sender{ID: from.Self().ID, Incarnation: from.Self().Incarnation, StateVersion: 3, BundleVersion: 8300}
+	records := make([]instance.Record, 40)
+	for i := range records {
+		records[i] = from.Self()
+		records[i].ID += instance.ID(fmt.Sprint(i))
+	}
+	for name, send := range map[string]func() error{
+		"Ping": func() error {
+			_, err := from.client.Ping(ctx, addr, datacentre.PingRequest{Sender: sender})
+			return err
+		},
+		"Sync": func() error {
+			_, err := from.client.Sync(ctx, addr, datacentre.SyncRequest{Sender: sender, Root: 7})
+			return err
+		},
+		"Push=1": func() error {
+			_, err := from.client.Push(ctx, addr, datacentre.PushRequest{Sender: sender, Records: records[:1]})
+			return err
+		},
+		"Push=40": func() error {
+			_, err := from.client.Push(ctx, addr, datacentre.PushRequest{Sender: sender, Records: records})
+			return err
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			assert.NilError(b, send())
+			before, used := from.traffic.total(), processorTime()
+			for b.Loop() {
+				assert.NilError(b, send())
+			}
+			b.ReportMetric(float64(from.traffic.total()-before)/float64(b.N), "wirebytes/op")
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+	for _, n := range []*realNode{from, to} {
+		n.run()
+		n.close()
+	}
+}
+
+// Measures the bytes a second and the processor time of nodes at rest, both directions together;
+// one iteration is one second. A change of state after it gives the bytes of one change.
+func BenchmarkMembershipNode(b *testing.B) {
+	for _, size := range []struct{ members, others int }{{64, 0}, {188, 0}, {400, 0}, {188, 16}} {
+		b.Run(fmt.Sprintf("members=%d/othercentres=%d", size.members, size.others), func(b *testing.B) {
+			nodes := startRealFleet(b, size.members, size.others)
+			before, used := totals(nodes), processorTime()
+			start := time.Now()
+			for b.Loop() {
+				time.Sleep(time.Second)
+			}
+			took := time.Since(start).Seconds()
+			rest := totals(nodes)
+			cpu := (processorTime() - used).Seconds() / took / float64(len(nodes))
+			report(b, nodes[:size.members], before, rest, took)
+			b.ReportMetric(100*cpu, "cpu-%/node")
+
+			nodes[1].Announce("catalogue", instance.Draining, 12)
+			time.Sleep(time.Second)
+			after := totals(nodes)
+			perSecond := sum(before, rest, size.members) / took
+			b.ReportMetric((sum(rest, after, size.members)-perSecond)/float64(size.members), "change-B/node")
+			var closing sync.WaitGroup
+			for _, n := range nodes {
+				closing.Go(n.close)
+			}
+			closing.Wait()
+		})
+	}
+}
+
+func startRealFleet(b *testing.B, members, others int) []*realNode {
+	var nodes []*realNode
+	for i := range members {
+		nodes = append(nodes, newRealNode(b, fmt.Sprintf("kigali-1-node-%03d", i), "kigali-1"))
+	}
+	for centre := range others {
+		for i := range 3 {
+			name := fmt.Sprintf("nl-midden-%d", centre)
+			nodes = append(nodes, newRealNode(b, fmt.Sprintf("%s-node-%03d", name, i), name))
+		}
+	}
+	for _, n := range nodes {
+		for _, other := range nodes {
+			n.fleet.Merge(other.Self())
+		}
+		n.Settle()
+	}
+	for _, n := range nodes {
+		n.run()
+	}
+	time.Sleep(20 * time.Second) // each node opens the connections to all fingers
+	return nodes
+}
+
+func totals(nodes []*realNode) []int64 {
+	counts := make([]int64, len(nodes))
+	for i, n := range nodes {
+		counts[i] = n.traffic.total()
+	}
+	return counts
+}
+
+func sum(from, to []int64, count int) float64 {
+	var total int64
+	for i := range count {
+		total += to[i] - from[i]
+	}
+	return float64(total)
+}
+
+func report(b *testing.B, nodes []*realNode, before, after []int64, took float64) {
+	var ordinary, border []float64
+	for i, n := range nodes {
+		rate := float64(after[i]-before[i]) / took
+		if n.IsBorder() {
+			border = append(border, rate)
+			continue
+		}
+		ordinary = append(ordinary, rate)
+	}
+	b.ReportMetric(sum(before, after, len(nodes))/took/float64(len(nodes)), "B/s/node")
+	b.ReportMetric(slices.Max(ordinary), "B/s/most")
+	b.ReportMetric(slices.Max(border), "B/s/border")
+}
+
+// Measures the memory of the table by the number of members.
+func BenchmarkMembershipMemory(b *testing.B) {
+	for _, members := range []int{320, 3200, 12800} {
+		b.Run(fmt.Sprintf("records=%d", members), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				n := newRealNode(b, "self", "kigali-1")
+				for i := range members {
+					r := n.Self()
+					r.ID = instance.ID(fmt.Sprintf("centre-%02d-node-%05d", i%17, i))
+					r.DataCentre, r.Region = fmt.Sprintf("centre-%02d", i%17), fmt.Sprintf("region-%d", i%7)
+					r.PeerAddr = fmt.Sprintf("10.%d.%d.%d:7000", i%17, i/250, i%250)
+					r.CallerAddr, r.Service = fmt.Sprintf("10.%d.%d.%d:80", i%17, i/250, i%250), fmt.Sprintf("service-%d", i%370)
+					n.fleet.Merge(r)
+				}
+				for centre := range 17 {
+					n.DataCentre(fmt.Sprintf("centre-%02d", centre)).Ring()
+				}
+				for service := range 370 {
+					n.fleet.Service(fmt.Sprintf("service-%d", service))
+				}
+				b.ReportMetric(float64(heap()-before)/float64(members), "B/record")
+				n.run()
+				n.close()
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/transport/peerrpc/membership_wire.go
+++ b/transport/peerrpc/membership_wire.go
@@ -87,7 +87,7 @@
 
 func memberSyncResponseToWire(r datacentre.SyncResponse) *pb.SyncResponse {
 	out := &pb.SyncResponse{
-		Sender: memberSenderToWire(r.Sender), Root: r.Root, Stale: memberContactsToWire(r.Stale), Behind: r.Behind,
+		Sender: memberSenderToWire(r.Sender), Root: r.Root, Contacts: memberContactsToWire(r.Contacts), Behind: r.Behind,
 		Digests: memberMap(r.Digests, func(d datacentre.Digest) *pb.DataCentreDigest {
 			return &pb.DataCentreDigest{DataCentre: d.DataCentre, Digest: d.Digest}
 		}),
@@ -100,7 +100,7 @@
 
 func memberSyncResponse(r *pb.SyncResponse) datacentre.SyncResponse {
 	out := datacentre.SyncResponse{
-		Sender: memberSender(r.GetSender()), Root: r.GetRoot(), Stale: memberContacts(r.GetStale()), Behind: r.GetBehind(),
+		Sender: memberSender(r.GetSender()), Root: r.GetRoot(), Contacts: memberContacts(r.GetContacts()), Behind: r.GetBehind(),
 		Digests: memberMap(r.GetDigests(), func(d *pb.DataCentreDigest) datacentre.Digest {
 			return datacentre.Digest{DataCentre: d.GetDataCentre(), Digest: d.GetDigest()}
 		}),
