Add the HTTP adapter of the store and a stand-in server with faults

Cause: the store was only an in-memory stand-in; nodes and operators need the platform's service over its published JSON protocol. Change: store/kvhttp translates store.Store to the v3 JSON gateway API with sling; a request that may have been read is ErrUncertain, one that found no connection ErrUnavailable. The stand-in serves the same protocol, replays watches from a revision, loses requests or answers, stalls or skips watches, lapses leases and meters calls per second. Deleting an absent key is ErrConflict, as the interface says. Contract gains ClockMargin.

--- a/bundle/contract.go
+++ b/bundle/contract.go
@@ -53,6 +53,7 @@
 	ColdStart      time.Duration // time over which a cold upstream is raised to its full share
 	Aging          time.Duration // wait after which a waiting request gains one priority step
 	KeyLifetime    time.Duration // time for which the outcome of an idempotency key is remembered
+	ClockMargin    time.Duration // largest difference between two wall clocks that key times allow for
 	StoreOutage    time.Duration // longest store outage over which at-most-once routes go on
 	RetryRatio     float64       // retries allowed per first attempt
 	LongShare      float64       // largest share of the slots held by long classes, 0 to 1
--- a/standin/kvstore/memory.go
+++ b/standin/kvstore/memory.go
@@ -12,27 +12,19 @@
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
-// Faults are the failures that a Memory brings about. The zero value is a healthy store.
-type Faults struct {
-	Down        bool          // every call fails with ErrUnavailable and has no effect
-	LoseAnswers bool          // writes take effect and fail with ErrUncertain
-	Delay       time.Duration // time that each call takes
-	MuteWatches bool          // watches deliver nothing
-}
-
-// Calls counts the calls that a Memory has served or failed.
-type Calls struct{ Reads, Writes, Watches int }
-
 // Memory is an in-memory store.Store. It is safe for concurrent use.
 type Memory struct {
 	mu       sync.Mutex
 	entries  map[string]stored
 	leases   map[store.LeaseID]lease
 	watchers map[*watcher]struct{}
+	history  []store.Event // the latest changes, for watches that begin at a past revision
+	dropped  int64         // revision of the last change that is no longer in history
 	revision int64
 	lastID   store.LeaseID
 	faults   Faults
 	calls    Calls
+	meter    meter
 }
 
 type stored struct {
@@ -45,14 +37,6 @@
 	expires time.Time
 }
 
-type watcher struct {
-	prefix string
-	events chan store.Event
-}
-
-// watchBuffer is the number of events a watcher may lag behind before its watch breaks.
-const watchBuffer = 1024
-
 var _ store.Store = (*Memory)(nil)
 
 // NewMemory returns an empty store.
@@ -64,20 +48,6 @@
 	}
 }
 
-// SetFaults replaces the faults.
-func (m *Memory) SetFaults(f Faults) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.faults = f
-}
-
-// Calls returns the calls counted so far.
-func (m *Memory) Calls() Calls {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.calls
-}
-
 // Get implements store.Store.
 func (m *Memory) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := m.begin(ctx, func(c *Calls) { c.Reads++ }); err != nil {
@@ -119,6 +89,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
+	if m.faults.LoseRequests {
+		return 0, store.ErrUncertain.New("swap %s: request lost", key)
+	}
 	if m.entries[key].entry.Revision != revision {
 		return 0, store.ErrConflict.New("swap %s at revision %d", key, revision)
 	}
@@ -128,7 +101,7 @@
 	m.revision++
 	entry := store.Entry{Key: key, Value: slices.Clone(value), Revision: m.revision}
 	m.entries[key] = stored{entry: entry, lease: id}
-	m.notify(store.Event{Entry: entry})
+	m.record(store.Event{Entry: entry})
 	if m.faults.LoseAnswers {
 		return 0, store.ErrUncertain.New("swap %s: answer lost", key)
 	}
@@ -143,9 +116,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
+	if m.faults.LoseRequests {
+		return store.ErrUncertain.New("delete %s: request lost", key)
+	}
 	held, ok := m.entries[key]
 	if !ok {
-		return store.ErrNotFound.New("delete %s", key)
+		return store.ErrConflict.New("delete %s, which does not exist", key)
 	}
 	if held.entry.Revision != revision {
 		return store.ErrConflict.New("delete %s at revision %d", key, revision)
@@ -165,7 +141,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastID++
-	m.leases[m.lastID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	m.extend(m.lastID, ttl)
 	if m.faults.LoseAnswers {
 		return 0, store.ErrUncertain.New("grant lease: answer lost")
 	}
@@ -184,11 +160,23 @@
 	if !ok {
 		return store.ErrLeaseLapsed.New("renew lease %d", id)
 	}
-	held.expires = time.Now().Add(held.ttl)
-	m.leases[id] = held
+	if m.faults.LoseRequests {
+		return store.ErrUnavailable.New("renew lease %d: request lost", id)
+	}
+	m.extend(id, held.ttl)
 	return nil
 }
 
+// extend sets the end of the lease and expires it then, so that watches see its keys go.
+func (m *Memory) extend(id store.LeaseID, ttl time.Duration) {
+	m.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	time.AfterFunc(ttl, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.expire()
+	})
+}
+
 // RevokeLease implements store.Store.
 func (m *Memory) RevokeLease(ctx context.Context, id store.LeaseID) error {
 	if err := m.begin(ctx, func(c *Calls) { c.Writes++ }); err != nil {
@@ -200,42 +188,6 @@
 	return nil
 }
 
-// Watch implements store.Store. Changes before the call are not replayed.
-func (m *Memory) Watch(ctx context.Context, prefix string, _ int64) (<-chan store.Event, error) {
-	if err := m.begin(ctx, func(c *Calls) { c.Watches++ }); err != nil {
-		return nil, err
-	}
-	w := &watcher{prefix: prefix, events: make(chan store.Event, watchBuffer)}
-	m.mu.Lock()
-	m.watchers[w] = struct{}{}
-	m.mu.Unlock()
-	context.AfterFunc(ctx, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.breakWatch(w)
-	})
-	return w.events, nil
-}
-
-// begin counts the call, lets its delay pass and fails it when the store is down.
-func (m *Memory) begin(ctx context.Context, count func(*Calls)) error {
-	m.mu.Lock()
-	faults := m.faults
-	count(&m.calls)
-	m.mu.Unlock()
-	if faults.Delay > 0 {
-		select {
-		case <-time.After(faults.Delay):
-		case <-ctx.Done():
-			return store.ErrUnavailable.Wrap(ctx.Err(), "call")
-		}
-	}
-	if faults.Down {
-		return store.ErrUnavailable.New("store is down")
-	}
-	return nil
-}
-
 func (m *Memory) expire() {
 	now := time.Now()
 	for id, held := range m.leases {
@@ -257,28 +209,11 @@
 func (m *Memory) remove(key string) {
 	m.revision++
 	delete(m.entries, key)
-	m.notify(store.Event{Entry: store.Entry{Key: key, Revision: m.revision}, Deleted: true})
+	m.record(store.Event{Entry: store.Entry{Key: key, Revision: m.revision}, Deleted: true})
 }
 
-func (m *Memory) notify(event store.Event) {
-	if m.faults.MuteWatches {
-		return
-	}
-	for w := range m.watchers {
-		if !strings.HasPrefix(event.Entry.Key, w.prefix) {
-			continue
-		}
-		select {
-		case w.events <- event:
-		default:
-			m.breakWatch(w)
-		}
-	}
-}
-
-func (m *Memory) breakWatch(w *watcher) {
-	if _, ok := m.watchers[w]; ok {
-		delete(m.watchers, w)
-		close(w.events)
-	}
+func (m *Memory) ttl(id store.LeaseID) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leases[id].ttl
 }
--- /dev/null
+++ b/store/kvhttp/wire/wire.go
@@ -0,0 +1,151 @@
+// Package wire holds the messages of the v3 JSON gateway key-value API, as far as magnoliawharf uses
+// it. Keys and values are base64, 64-bit integers are JSON strings, and fields with their zero value
+// are left out.
+package wire
+
+// Paths of the API.
+const (
+	PathRange       = "/v3/kv/range"
+	PathTxn         = "/v3/kv/txn"
+	PathLeaseGrant  = "/v3/lease/grant"
+	PathLeaseKeep   = "/v3/lease/keepalive"
+	PathLeaseRevoke = "/v3/lease/revoke"
+	PathKVRevoke    = "/v3/kv/lease/revoke" // older path of PathLeaseRevoke
+	PathWatch       = "/v3/watch"
+)
+
+// Codes of an Error.
+const (
+	CodeNotFound    = 5
+	CodeOutOfRange  = 11
+	CodeUnavailable = 14
+)
+
+// Header carries the revision of the store at an answer.
+type Header struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// KeyValue is one entry.
+type KeyValue struct {
+	Key         []byte `json:"key,omitempty"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+	Lease       int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest reads one key, or the keys from Key up to RangeEnd.
+type RangeRequest struct {
+	Key      []byte `json:"key,omitempty"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// RangeResponse holds the entries found, ordered by key.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	KVs    []KeyValue `json:"kvs,omitempty"`
+}
+
+// Compare holds when the key's modification revision is ModRevision; 0 means that there is no key.
+type Compare struct {
+	Result      string `json:"result"` // EQUAL
+	Target      string `json:"target"` // MOD
+	Key         []byte `json:"key,omitempty"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// Put writes an entry.
+type Put struct {
+	Key   []byte `json:"key,omitempty"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRange removes a key.
+type DeleteRange struct {
+	Key []byte `json:"key,omitempty"`
+}
+
+// Operation is one operation of a transaction.
+type Operation struct {
+	Put         *Put         `json:"request_put,omitempty"`
+	DeleteRange *DeleteRange `json:"request_delete_range,omitempty"`
+}
+
+// TxnRequest runs Success when all comparisons hold.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []Operation `json:"success,omitempty"`
+}
+
+// TxnResponse says whether the comparisons held. The header has the revision of the write.
+type TxnResponse struct {
+	Header    Header `json:"header"`
+	Succeeded bool   `json:"succeeded,omitempty"`
+}
+
+// Lease is the request and the answer of the lease calls. TTL is in seconds.
+type Lease struct {
+	ID  int64 `json:"ID,string,omitempty"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+// KeepAlive is the streamed answer to a lease renewal. A TTL of 0 means that the lease has lapsed.
+type KeepAlive struct {
+	Result Lease  `json:"result"`
+	Error  *Error `json:"error,omitempty"`
+}
+
+// WatchRequest begins a watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate names the keys to watch. A StartRevision of 0 means from now on.
+type WatchCreate struct {
+	Key           []byte `json:"key,omitempty"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchMessage is one message of the stream of a watch.
+type WatchMessage struct {
+	Result WatchResult `json:"result"`
+	Error  *Error      `json:"error,omitempty"`
+}
+
+// WatchResult says that the watch is in place, was cancelled, or brings changes.
+type WatchResult struct {
+	Header   Header  `json:"header"`
+	Created  bool    `json:"created,omitempty"`
+	Canceled bool    `json:"canceled,omitempty"`
+	Events   []Event `json:"events,omitempty"`
+}
+
+// EventDelete is the type of an Event that removes a key. The type is left out for a write.
+const EventDelete = "DELETE"
+
+// Event is one change.
+type Event struct {
+	Type string   `json:"type,omitempty"`
+	KV   KeyValue `json:"kv"`
+}
+
+// Error is the body of an answer with an error status.
+type Error struct {
+	Message string `json:"message"`
+	Code    int    `json:"code"`
+}
+
+// PrefixEnd returns the end of the range of keys that begin with prefix. A single zero byte stands
+// for the end of all keys.
+func PrefixEnd(prefix []byte) []byte {
+	for i := len(prefix) - 1; i >= 0; i-- {
+		if prefix[i] < 0xff {
+			end := append([]byte(nil), prefix[:i+1]...)
+			end[i]++
+			return end
+		}
+	}
+	return []byte{0}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -38,7 +38,8 @@
 	// exist. A lease other than 0 removes the key when it lapses. Swap returns the new revision,
 	// ErrConflict when the revision differs, or ErrUncertain when the write may have taken effect.
 	Swap(ctx context.Context, key string, value []byte, revision int64, lease LeaseID) (int64, error)
-	// Delete removes the key when its revision is still revision. Errors are those of Swap.
+	// Delete removes the key when its revision is still revision. It returns
+	// ErrConflict when the revision differs or the key does not exist, or ErrUncertain.
 	Delete(ctx context.Context, key string, revision int64) error
 	// GrantLease returns a lease that lapses after ttl unless it is renewed.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -46,8 +47,10 @@
 	RenewLease(ctx context.Context, id LeaseID) error
 	// RevokeLease ends the lease and removes its keys.
 	RevokeLease(ctx context.Context, id LeaseID) error
-	// Watch delivers the changes of keys that begin with prefix after the revision. The channel is
-	// closed when ctx ends or the watch breaks; the receiver then reads anew and watches again.
+	// Watch delivers the changes of keys that begin with prefix after the revision; 0 means the
+	// changes from now on. The watch is in place when Watch returns. The channel is closed when ctx
+	// ends or the watch breaks, also because the changes after the revision are no longer known; the
+	// receiver then reads anew and watches again.
 	Watch(ctx context.Context, prefix string, after int64) (<-chan Event, error)
 }
 
@@ -67,3 +70,14 @@
 	// ErrLeaseLapsed says that the lease no longer exists.
 	ErrLeaseLapsed = namespace.NewType("lease_lapsed")
 )
+
+// Properties of errors of adapters.
+var (
+	// PropertyStep is the step at which the error arose, such as "swap /bundle/head".
+	PropertyStep = errorx.RegisterPrintableProperty("step")
+	// PropertyPeer is the address of the store.
+	PropertyPeer = errorx.RegisterPrintableProperty("peer")
+)
+
+// Is reports whether err is of the type.
+func Is(err error, kind *errorx.Type) bool { return errorx.IsOfType(err, kind) }
