Add store.Client, Follow and Session

Cause: adapters report uncertainty, breaks and lapses; each user of the store would have to settle them again, and a watch may fall silent without an error. Change: Client limits calls per process, settles uncertain swaps and deletes by reading back and repeating the same compare-and-swap, and follows keys over breaks: it watches before it reads, and reads again at least every 30 s even when events arrive, since a skipped change is otherwise hidden by later ones. Session renews a lease and judges its lapse by the monotonic and the wall clock.

--- /dev/null
+++ b/store/backoff.go
@@ -0,0 +1,35 @@
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Limits of the waits between tries. The longest spreads the return of many processes after an
+// outage over seconds.
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 8 * time.Second
+)
+
+// Backoff spaces tries after failures: waits double from 50 ms to 8 s and are jittered over their
+// full range, so that processes that failed together do not return together. The zero value is
+// ready for use. It is not safe for concurrent use.
+type Backoff struct{ limit time.Duration }
+
+// Wait waits for the next try, or returns the error of ctx.
+func (b *Backoff) Wait(ctx context.Context) error {
+	b.limit = min(max(2*b.limit, 2*minBackoff), maxBackoff)
+	timer := time.NewTimer(minBackoff + rand.N(b.limit-minBackoff))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Reset begins with short waits again, after a success.
+func (b *Backoff) Reset() { b.limit = 0 }
--- /dev/null
+++ b/store/client_test.go
@@ -0,0 +1,211 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/store"
+)
+
+// Guards against an uncertain write that is reported wrongly or made twice.
+func TestUncertainSwapIsSettled(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults kvstore.Faults
+		during func(ctx context.Context, memory *kvstore.Memory, revision int64) // before the fault ends
+		want   bool
+	}{
+		{"answer lost", kvstore.Faults{LoseAnswers: true}, nil, true},
+		{"request lost", kvstore.Faults{LoseRequests: true}, nil, true},
+		{"answer lost, then overwritten", kvstore.Faults{LoseAnswers: true}, func(ctx context.Context, memory *kvstore.Memory, _ int64) {
+			entry, _ := memory.Get(ctx, "/k")
+			_, _ = memory.Swap(ctx, "/k", []byte("rival"), entry.Revision, 0)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := kvstore.NewMemory()
+				client := store.NewClient(memory, 0, 0)
+				first, err := client.Swap(t.Context(), "/k", []byte("one"), 0, 0)
+				assert.NilError(t, err)
+				memory.SetFaults(c.faults)
+				time.AfterFunc(10*time.Millisecond, func() {
+					memory.SetFaults(kvstore.Faults{})
+					if c.during != nil {
+						c.during(t.Context(), memory, first)
+					}
+				})
+				second, err := client.Swap(t.Context(), "/k", []byte("two"), first, 0)
+				held, readErr := memory.Get(t.Context(), "/k")
+				assert.NilError(t, readErr)
+				if !c.want {
+					assert.Assert(t, store.Is(err, store.ErrUncertain), "got %v", err)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, held.Revision, second)
+				assert.Equal(t, second, first+1)
+			})
+		})
+	}
+}
+
+// Guards against an uncertain delete that removes what was written since.
+func TestUncertainDeleteIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		client := store.NewClient(memory, 0, 0)
+		revision, err := client.Swap(t.Context(), "/k", []byte("one"), 0, 0)
+		assert.NilError(t, err)
+		memory.SetFaults(kvstore.Faults{LoseAnswers: true})
+		time.AfterFunc(10*time.Millisecond, func() {
+			memory.SetFaults(kvstore.Faults{})
+			_, _ = memory.Swap(t.Context(), "/k", []byte("new"), 0, 0)
+		})
+		assert.NilError(t, client.Delete(t.Context(), "/k", revision))
+		held, err := memory.Get(t.Context(), "/k")
+		assert.NilError(t, err)
+		assert.Equal(t, string(held.Value), "new")
+	})
+}
+
+// Guards against a process that calls the store more often than its share.
+func TestRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		client := store.NewClient(memory, 5, 10)
+		start := time.Now()
+		for range 60 {
+			_, _ = client.Get(t.Context(), "/k")
+		}
+		assert.Equal(t, time.Since(start), 10*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := client.Get(ctx, "/k")
+		assert.Assert(t, store.Is(err, store.ErrUnavailable), "got %v", err)
+	})
+}
+
+// Guards against a change that a follower misses: after each fault it holds what the store holds,
+// within the given time.
+func TestFollowMissesNoChange(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults kvstore.Faults
+		breaks bool
+		within time.Duration // after the fault has ended
+	}{
+		{"healthy", kvstore.Faults{}, false, 0},
+		{"watch breaks", kvstore.Faults{}, true, store.RereadEvery},
+		{"watch silent", kvstore.Faults{MuteWatches: true}, false, store.RereadEvery},
+		{"watch stalls", kvstore.Faults{StallWatches: true}, false, 0},
+		{"watch skips", kvstore.Faults{SkipWatches: 2}, false, store.RereadEvery},
+		{"slow", kvstore.Faults{Delay: 2 * time.Second}, true, 10 * time.Second},
+		{"down for an hour", kvstore.Faults{Down: true}, true, 10 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := kvstore.NewMemory()
+				put(t, memory, "/f/old", "1")
+				var held atomic.Pointer[[]store.Entry]
+				go func() {
+					_ = store.NewClient(memory, 0, 0).Follow(t.Context(), "/f/", func(entries []store.Entry) { held.Store(&entries) })
+				}()
+				synctest.Wait()
+				if c.faults.Down {
+					memory.BreakWatches()
+				}
+				memory.SetFaults(c.faults)
+				time.Sleep(time.Hour)
+				memory.SetFaults(kvstore.Faults{MuteWatches: c.faults.MuteWatches, SkipWatches: c.faults.SkipWatches, StallWatches: c.faults.StallWatches})
+				for i := range 4 {
+					put(t, memory, fmt.Sprintf("/f/%d", i), "x")
+				}
+				entry, err := memory.Get(t.Context(), "/f/old")
+				assert.NilError(t, err)
+				assert.NilError(t, memory.Delete(t.Context(), "/f/old", entry.Revision))
+				if c.breaks {
+					memory.BreakWatches()
+				}
+				memory.SetFaults(kvstore.Faults{})
+				time.Sleep(c.within)
+				synctest.Wait()
+				want, err := memory.List(t.Context(), "/f/")
+				assert.NilError(t, err)
+				assert.DeepEqual(t, *held.Load(), want)
+			})
+		})
+	}
+}
+
+func put(t *testing.T, memory *kvstore.Memory, key, value string) {
+	t.Helper()
+	_, err := memory.Swap(t.Context(), key, []byte(value), 0, 0)
+	assert.NilError(t, err)
+}
+
+// Guards against a follower that loads the store while nothing happens or while it is down.
+func TestFollowKeepsToItsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		go func() { _ = store.NewClient(memory, 0, 0).Follow(t.Context(), "/f/", func([]store.Entry) {}) }()
+		time.Sleep(time.Hour)
+		idle := memory.Calls()
+		assert.Assert(t, idle.Reads <= 3600/27+1, "%d reads in an idle hour", idle.Reads)
+		assert.Equal(t, idle.Watches, 1)
+		memory.SetFaults(kvstore.Faults{Down: true})
+		memory.BreakWatches()
+		time.Sleep(time.Hour)
+		down := memory.Calls()
+		tries := down.Reads + down.Watches - idle.Reads - idle.Watches
+		assert.Assert(t, tries < 1200, "%d tries in an hour of outage", tries)
+	})
+}
+
+// Guards against a session whose keys stay away after its lease lapsed, and against one that goes on
+// holding a lease while the store cannot be reached.
+func TestSessionReturnsAfterLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		session := store.NewSession(memory, 9*time.Second)
+		var ids []store.LeaseID
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error {
+				ids = append(ids, id)
+				_, err := memory.Swap(ctx, "/s", []byte("me"), 0, id)
+				return err
+			})
+		}()
+		time.Sleep(time.Minute)
+		_, held := session.Lease()
+		assert.Assert(t, held)
+		memory.LapseLeases()
+		time.Sleep(10 * time.Second)
+		_, err := memory.Get(t.Context(), "/s")
+		assert.NilError(t, err)
+		memory.SetFaults(kvstore.Faults{Down: true})
+		time.Sleep(9 * time.Second)
+		_, held = session.Lease()
+		assert.Assert(t, !held)
+		memory.SetFaults(kvstore.Faults{})
+		time.Sleep(20 * time.Second)
+		_, held = session.Lease()
+		assert.Assert(t, held)
+		assert.Assert(t, len(slices.Compact(ids)) >= 3, "leases %v", ids)
+		cancel()
+		synctest.Wait()
+		_, err = memory.Get(t.Context(), "/s")
+		assert.Assert(t, store.Is(err, store.ErrNotFound), "keys are gone when the session ends: %v", err)
+	})
+}
