--- a/bundle/contract.go
+++ b/bundle/contract.go
@@ -4,6 +4,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -86,19 +87,30 @@
 type Bundle struct {
 	Version   uint64
 	Contracts map[string]*Contract // by service
+
+	indexed sync.Once
+	hosts   map[string]*Contract
 }
 
 // Resolve finds the contract for a request by its host, or else by the first part of its path. It
 // returns the path within the service.
 func (b *Bundle) Resolve(host, path string) (*Contract, string, bool) {
-	for _, contract := range b.Contracts {
-		for _, name := range contract.Hosts {
-			if name == host {
-				return contract, path, true
-			}
-		}
+	b.indexed.Do(b.index)
+	if contract, ok := b.hosts[host]; ok {
+		return contract, path, true
 	}
 	first, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	contract, ok := b.Contracts[first]
 	return contract, "/" + rest, ok
 }
+
+// index maps hosts to contracts at the first request, so that each request costs one look-up and not
+// a walk over all services.
+func (b *Bundle) index() {
+	b.hosts = make(map[string]*Contract)
+	for _, contract := range b.Contracts {
+		for _, name := range contract.Hosts {
+			b.hosts[name] = contract
+		}
+	}
+}
