Add bundle.Publisher: roll by compare-and-swap and removal of old versions

Cause: approved bundles had no way into the store. Change: Roll writes the manifest, then every changed part, then swaps the head. The key of a manifest has its root besides the version, since two operators who race both write one. Parts are written anew even when present, and the removal of old ones lists parts before manifests and deletes by revision, so that it cannot remove a part which a roll has begun to refer to. Uncertain ends are settled by reading the head; a repeated roll succeeds without a write.

--- /dev/null
+++ b/bundle/publisher_test.go
@@ -0,0 +1,154 @@
+package bundle_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/store"
+)
+
+func publisher(memory *kvstore.Memory) *bundle.Publisher {
+	return &bundle.Publisher{Store: store.NewClient(memory, 1000, 1000)}
+}
+
+// Guards against two winners of one version, and against a loser who is not told who won.
+func TestRacingOperators(t *testing.T) {
+	memory, key := kvstore.NewMemory(), newKey(t)
+	const operators = 8
+	var group sync.WaitGroup
+	errs := make([]error, operators)
+	for i := range operators {
+		approved := approve(t, services(t, 3, i), 1, key)
+		group.Go(func() { _, _, errs[i] = publisher(memory).Roll(context.Background(), approved) })
+	}
+	group.Wait()
+	winners := 0
+	for i, err := range errs {
+		if err == nil {
+			winners++
+			head, _, err := bundle.Shelf{Store: memory}.Head(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, head.Root, approve(t, services(t, 3, i), 1, key).Root)
+			continue
+		}
+		assert.Assert(t, bundle.Is(err, bundle.ErrVersionTaken), "got %v", err)
+		version, _ := bundle.VersionOf(err)
+		assert.Equal(t, version, uint64(1))
+	}
+	assert.Equal(t, winners, 1)
+}
+
+// Guards against a roll whose end is reported wrongly under faults of the store, and against one that
+// cannot be repeated.
+func TestRollUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults kvstore.Faults
+		lasts  time.Duration
+		kind   *errorx.Type // of the first roll
+	}{
+		{"healthy", kvstore.Faults{}, 0, nil},
+		{"slow", kvstore.Faults{Delay: 300 * time.Millisecond}, time.Hour, nil},
+		{"answers lost for a while", kvstore.Faults{LoseAnswers: true}, 40 * time.Millisecond, nil},
+		{"requests lost for a while", kvstore.Faults{LoseRequests: true}, 40 * time.Millisecond, nil},
+		{"answers lost all the time", kvstore.Faults{LoseAnswers: true}, time.Hour, nil},
+		{"requests lost all the time", kvstore.Faults{LoseRequests: true}, time.Hour, store.ErrUncertain},
+		{"down", kvstore.Faults{Down: true}, time.Hour, store.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory, key := kvstore.NewMemory(), newKey(t)
+				first := approve(t, services(t, 3, 0), 1, key)
+				_, _, err := publisher(memory).Roll(t.Context(), first)
+				assert.NilError(t, err)
+				second := approve(t, services(t, 3, 1), 2, key)
+				memory.SetFaults(c.faults)
+				time.AfterFunc(c.lasts, func() { memory.SetFaults(kvstore.Faults{}) })
+				_, _, err = publisher(memory).Roll(t.Context(), second)
+				if c.kind == nil {
+					assert.NilError(t, err)
+				} else {
+					assert.Assert(t, store.Is(err, c.kind), "got %v", err)
+				}
+				memory.SetFaults(kvstore.Faults{})
+				before := memory.Calls().Writes
+				_, _, err = publisher(memory).Roll(t.Context(), second)
+				assert.NilError(t, err)
+				if c.kind == nil {
+					assert.Equal(t, memory.Calls().Writes, before, "a repeated roll writes nothing")
+				}
+				checkShelf(t, memory, second)
+			})
+		})
+	}
+}
+
+// checkShelf fails unless the head is the bundle and everything it refers to is in the store.
+func checkShelf(t *testing.T, memory *kvstore.Memory, want *bundle.Prepared) {
+	t.Helper()
+	shelf := bundle.Shelf{Store: memory}
+	head, _, err := shelf.Head(t.Context())
+	assert.NilError(t, err)
+	manifest, err := shelf.Manifest(t.Context(), head)
+	assert.NilError(t, err)
+	parts, err := shelf.Parts(t.Context(), bundle.Missing(nil, manifest, nil))
+	assert.NilError(t, err)
+	held, err := bundle.Apply(nil, head, manifest, parts)
+	assert.NilError(t, err)
+	assert.Equal(t, held.Release.Version, want.Version)
+	assert.Equal(t, held.Release.Root, want.Root)
+}
+
+// Guards against versions that are skipped, repeated with other contents, or rolled unsigned.
+func TestRollRefusals(t *testing.T) {
+	memory, key := kvstore.NewMemory(), newKey(t)
+	_, _, err := publisher(memory).Roll(t.Context(), approve(t, services(t, 2, 0), 1, key))
+	assert.NilError(t, err)
+	unsigned, err := bundle.Prepare(services(t, 2, 1), 2)
+	assert.NilError(t, err)
+	trusting := publisher(memory)
+	trusting.Trust = bundle.Trust{newKey(t).Public}
+	cases := []struct {
+		name     string
+		by       *bundle.Publisher
+		prepared *bundle.Prepared
+		kind     *errorx.Type
+	}{
+		{"skipped", publisher(memory), approve(t, services(t, 2, 1), 3, key), bundle.ErrVersionSkipped},
+		{"taken", publisher(memory), approve(t, services(t, 2, 1), 1, key), bundle.ErrVersionTaken},
+		{"unsigned", publisher(memory), unsigned, bundle.ErrUnsigned},
+		{"untrusted", trusting, approve(t, services(t, 2, 1), 2, key), bundle.ErrUntrustedKey},
+	}
+	for _, c := range cases {
+		_, _, err := c.by.Roll(t.Context(), c.prepared)
+		assert.Assert(t, bundle.Is(err, c.kind), "%s: got %v", c.name, err)
+	}
+}
+
+// Guards against a store that fills up with old versions, and against the removal of what is in use.
+func TestOldVersionsAreRemoved(t *testing.T) {
+	memory, key := kvstore.NewMemory(), newKey(t)
+	var last *bundle.Prepared
+	for version := range uint64(80) {
+		last = approve(t, services(t, 3, int(version)), version+1, key)
+		_, collectErr, err := publisher(memory).Roll(t.Context(), last)
+		assert.NilError(t, err)
+		assert.NilError(t, collectErr)
+	}
+	checkShelf(t, memory, last)
+	manifests, err := memory.List(t.Context(), "/bundle/manifest/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(manifests), bundle.KeepVersions)
+	parts, err := memory.List(t.Context(), "/bundle/part/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(parts), bundle.KeepVersions+2)
+}
