Add bundle.Distributor and the service by which nodes give each other bundles

Cause: a version that was rolled out reached no node. Change: the Distributor takes releases from the store when the node is on duty, from broadcasts and from peers with a higher version, with one fetch at a time, a back-off for each peer and only the missing parts. Releases that are unsigned, wrongly signed, older, equivocal or invalid are counted by reason and dropped. The id of a broadcast is the hash of its content. BundleService carries the canonical encodings; requests and answers are bounded.

--- a/bundle/apply.go
+++ b/bundle/apply.go
@@ -15,13 +15,28 @@
 	Bundle   *Bundle
 }
 
-// Part returns the encoded part of a service.
-func (s *Snapshot) Part(service string) ([]byte, error) {
-	c, ok := s.Bundle.Contracts[service]
-	if !ok {
-		return nil, ErrMissingPart.New("version %d has no service %q", s.Bundle.Version, service)
+// Parts returns the encoded parts with the hashes, as far as the snapshot has them and they have at
+// most limit bytes together. Contracts are encoded anew, so that a node holds each only once.
+func (s *Snapshot) Parts(hashes []Hash, limit int) ([][]byte, error) {
+	wanted := make(map[Hash]bool, len(hashes))
+	for _, hash := range hashes {
+		wanted[hash] = true
+	}
+	var parts [][]byte
+	for _, member := range s.Manifest {
+		if !wanted[member.Part] {
+			continue
+		}
+		part, err := encodePart(s.Bundle.Contracts[member.Service])
+		if err != nil {
+			return nil, err
+		}
+		if limit -= len(part); limit < 0 {
+			break
+		}
+		parts = append(parts, part)
 	}
-	return encodePart(c)
+	return parts, nil
 }
 
 // Admit checks that the release is validly signed and newer than the snapshot in force, which may
--- /dev/null
+++ b/bundle/distributor_test.go
@@ -0,0 +1,119 @@
+package bundle_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+)
+
+// inForceBound is the time in which a version that was rolled out is in force everywhere.
+const inForceBound = 3 * time.Second
+
+// Guards against a version that reaches the nodes late: a first version whose parts must be fetched,
+// a small change that the release carries, and a change of every service, which it does not list.
+func TestVersionInForceWithinBound(t *testing.T) {
+	for _, size := range []int{3, 37, 370} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				key := newKey(t)
+				f := newFleet(ctx, 12, bundle.Trust{key.Public}, 1)
+				time.Sleep(10 * time.Second)
+				for version := range uint64(3) {
+					contracts := services(t, size, int(version))
+					if version == 2 {
+						for _, c := range contracts {
+							c.RetryRatio = 0.2
+						}
+					}
+					_, _, err := publisher(f.memory).Roll(ctx, approve(t, contracts, version+1, key))
+					assert.NilError(t, err)
+					time.Sleep(inForceBound)
+					for _, m := range f.nodes {
+						assert.Equal(t, m.Snapshot().Release.Version, version+1, "node %s", m.id)
+					}
+				}
+				for _, m := range f.nodes {
+					assert.Equal(t, len(m.InForce.Load().Contracts), size)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a node that starts while the store is down and stays without a bundle, or takes a
+// forged or an older one because it is offered first.
+func TestStartWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		key := newKey(t)
+		f := newFleet(ctx, 5, bundle.Trust{key.Public}, 1)
+		for version := range uint64(4) {
+			_, _, err := publisher(f.memory).Roll(ctx, approve(t, services(t, 3, int(version)), version+1, key))
+			assert.NilError(t, err)
+			time.Sleep(time.Minute)
+		}
+		f.memory.SetFaults(kvstore.Faults{Down: true})
+		f.memory.BreakWatches()
+		f.restart(0, true)
+		time.Sleep(inForceBound)
+		assert.Equal(t, f.nodes[0].Snapshot().Release.Version, uint64(4))
+		time.Sleep(time.Hour)
+		assert.Equal(t, f.nodes[0].Snapshot().Release.Version, uint64(4))
+	})
+}
+
+// Guards against a refusal that is not counted under its reason, and against a refused release that
+// replaces the one in force.
+func TestRefusalsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		key, stranger := newKey(t), newKey(t)
+		f := newFleet(ctx, 1, bundle.Trust{key.Public}, 1)
+		f.nodes[0].setDuty(false)
+		node := f.nodes[0]
+		give := func(version uint64, variant int, by *bundle.SigningKey, change func(*bundle.Release)) {
+			release := approve(t, services(t, 3, variant), version, by).Release(nil)
+			if change != nil {
+				change(release)
+			}
+			raw, err := release.Encode()
+			assert.NilError(t, err)
+			node.Received(raw, "")
+		}
+		give(5, 0, key, nil)
+		cases := []struct {
+			reason string
+			give   func()
+		}{
+			{"malformed", func() { node.Received([]byte("{}"), "") }},
+			{"too-large", func() { node.Received([]byte(strings.Repeat(" ", bundle.MaxRelease+1)), "") }},
+			{"unsigned", func() { give(6, 1, key, func(r *bundle.Release) { r.Signature = nil }) }},
+			{"untrusted-key", func() { give(6, 1, stranger, nil) }},
+			{"bad-signature", func() { give(6, 1, key, func(r *bundle.Release) { r.Version = 9 }) }},
+			{"older", func() { give(4, 1, key, nil) }},
+			{"equivocation", func() { give(5, 1, key, nil) }},
+		}
+		for _, c := range cases {
+			counter := metrics.Counter(fmt.Sprintf(`magnoliawharf_bundle_refusals_total{reason=%q}`, c.reason))
+			before := counter.Get()
+			c.give()
+			assert.Equal(t, counter.Get(), before+1, c.reason)
+			assert.Equal(t, node.InForce.Load().Version, uint64(5), c.reason)
+		}
+		give(6, 1, key, nil)
+		assert.Equal(t, node.InForce.Load().Version, uint64(6))
+	})
+}
--- /dev/null
+++ b/transport/peerrpc/bundle_test.go
@@ -0,0 +1,145 @@
+package peerrpc_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	magnoliawharfv1 "github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1"
+	"github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1/magnoliawharfv1connect"
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
+)
+
+// bundleHolder is a node with a fixed bundle.
+type bundleHolder struct{ held *bundle.Snapshot }
+
+func (h *bundleHolder) Snapshot() *bundle.Snapshot { return h.held }
+
+func bundleServer(t *testing.T, holder *bundleHolder) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(peerrpc.NewBundleHandler(holder))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func bundleOf(t *testing.T, n int) *bundle.Snapshot {
+	t.Helper()
+	var source strings.Builder
+	for i := range n {
+		fmt.Fprintf(&source, "[service.s%d]\n[[service.s%d.class]]\nname = \"c\"\n[[service.s%d.route]]\nname = \"r\"\nclass = \"c\"\n", i, i, i)
+	}
+	contracts, err := bundle.Parse("s.toml", []byte(source.String()))
+	assert.NilError(t, err)
+	key, err := bundle.GenerateKey(time.Time{})
+	assert.NilError(t, err)
+	prepared, err := bundle.Prepare(contracts, 7)
+	assert.NilError(t, err)
+	approved, err := bundle.Approve(prepared, key, time.Now())
+	assert.NilError(t, err)
+	parts := make(map[bundle.Hash][]byte)
+	for _, part := range approved.Parts {
+		parts[bundle.HashPart(part)] = part
+	}
+	held, err := bundle.Apply(nil, approved.Release(nil), approved.Manifest, parts)
+	assert.NilError(t, err)
+	return held
+}
+
+// bundleCode returns the code of the answer that a client's error wraps.
+func bundleCode(err error) connect.Code { return connect.CodeOf(errorx.Cast(err).Cause()) }
+
+// Guards against a bundle that does not survive the way between two nodes, and a peer that is asked
+// for a version which it does not have.
+func TestBundleFromPeer(t *testing.T) {
+	for _, size := range []int{1, 370, 2000} {
+		held := bundleOf(t, size)
+		peer := bundleServer(t, &bundleHolder{held})
+		client := peerrpc.NewBundleClient(http.DefaultClient)
+		release, err := client.Release(t.Context(), peer)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, release, held.Release)
+		manifest, err := client.Manifest(t.Context(), peer, 7)
+		assert.NilError(t, err)
+		assert.Equal(t, manifest.Root(), release.Root)
+		parts := make(map[bundle.Hash][]byte)
+		for missing := bundle.Missing(nil, manifest, parts); len(missing) > 0; missing = bundle.Missing(nil, manifest, parts) {
+			found, err := client.Parts(t.Context(), peer, missing)
+			assert.NilError(t, err)
+			assert.Assert(t, len(found) > 0)
+			for hash, part := range found {
+				parts[hash] = part
+			}
+		}
+		again, err := bundle.Apply(nil, release, manifest, parts)
+		assert.NilError(t, err)
+		assert.Equal(t, len(again.Bundle.Contracts), size)
+		_, err = client.Manifest(t.Context(), peer, 8)
+		assert.Equal(t, bundleCode(err), connect.CodeNotFound)
+	}
+	_, err := peerrpc.NewBundleClient(http.DefaultClient).Release(t.Context(), bundleServer(t, &bundleHolder{}))
+	assert.Equal(t, bundleCode(err), connect.CodeNotFound)
+}
+
+// Guards against a peer that makes a node work or remember without bound.
+func TestBundleRequestsAreBounded(t *testing.T) {
+	peer := bundleServer(t, &bundleHolder{bundleOf(t, 1)})
+	client := magnoliawharfv1connect.NewBundleServiceClient(http.DefaultClient, "http://"+peer)
+	cases := []struct {
+		name   string
+		hashes [][]byte
+		code   connect.Code
+	}{
+		{"too many", make([][]byte, 257), connect.CodeInvalidArgument},
+		{"wrong length", [][]byte{make([]byte, 31)}, connect.CodeInvalidArgument},
+		{"too large", [][]byte{make([]byte, 20<<10)}, connect.CodeResourceExhausted},
+	}
+	for _, c := range cases {
+		_, err := client.GetParts(t.Context(), connect.NewRequest(&magnoliawharfv1.GetPartsRequest{Hashes: c.hashes}))
+		assert.Equal(t, connect.CodeOf(err), c.code, c.name)
+	}
+}
+
+// badBundlePeer answers with what no honest node sends.
+type badBundlePeer struct {
+	magnoliawharfv1connect.UnimplementedBundleServiceHandler
+}
+
+func (badBundlePeer) GetRelease(context.Context, *connect.Request[magnoliawharfv1.GetReleaseRequest]) (*connect.Response[magnoliawharfv1.GetReleaseResponse], error) {
+	return connect.NewResponse(&magnoliawharfv1.GetReleaseResponse{Release: make([]byte, 2<<20)}), nil
+}
+
+func (badBundlePeer) GetManifest(context.Context, *connect.Request[magnoliawharfv1.GetManifestRequest]) (*connect.Response[magnoliawharfv1.GetManifestResponse], error) {
+	return connect.NewResponse(&magnoliawharfv1.GetManifestResponse{Manifest: []byte{0xff, 0xff, 0x03}}), nil
+}
+
+func (badBundlePeer) GetParts(context.Context, *connect.Request[magnoliawharfv1.GetPartsRequest]) (*connect.Response[magnoliawharfv1.GetPartsResponse], error) {
+	return connect.NewResponse(&magnoliawharfv1.GetPartsResponse{Parts: [][]byte{[]byte("not asked for")}}), nil
+}
+
+// Guards against answers of a peer that are used unchecked.
+func TestBadBundlePeer(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(magnoliawharfv1connect.NewBundleServiceHandler(badBundlePeer{}))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	peer := server.Listener.Addr().String()
+	client := peerrpc.NewBundleClient(http.DefaultClient)
+	_, err := client.Release(t.Context(), peer)
+	assert.Equal(t, bundleCode(err), connect.CodeResourceExhausted)
+	_, err = client.Manifest(t.Context(), peer, 1)
+	assert.Assert(t, bundle.Is(err, bundle.ErrMalformed), "got %v", err)
+	parts, err := client.Parts(t.Context(), peer, []bundle.Hash{{1}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(parts), 0)
+}
