--- a/transport/refusal.go
+++ b/transport/refusal.go
@@ -8,6 +8,9 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
+// statusClientClosed is not sent to anyone, since the caller is gone; it is seen between nodes.
+const statusClientClosed = 499
+
 // StatusOf returns the HTTP status of a refusal.
 func StatusOf(refusal *caller.Refusal) int {
 	switch refusal.Reason {
@@ -21,6 +24,8 @@
 		return http.StatusGatewayTimeout
 	case caller.Quarantined:
 		return http.StatusUnprocessableEntity
+	case caller.Cancelled:
+		return statusClientClosed
 	case caller.DepthExceeded:
 		return http.StatusLoopDetected
 	}
