Assemble a node process with settings, listeners and announcements

Cause: the parts of one call existed without a process around them.

Change: settings are read from TOML with strict decoding; node.Node binds the callers', peers' and local listeners with time and size limits and stops gracefully: its upstream becomes draining, new work is refused as not-run, requests in flight end before the listeners close. Upstreams announce themselves over HTTP JSON on the local listener and expire by their time to live. A request for the node's own upstream is served in process. The command line has node run and settings check.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -2,47 +2,61 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
 
 // Run executes the command line and returns the exit code of the process.
 func Run(args []string, stdout, stderr io.Writer) int {
+	// The first SIGTERM or SIGINT asks for a graceful stop; the second ends the process at once,
+	// because the context then no longer holds the signals back.
+	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	context.AfterFunc(ctx, release)
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(stderr, "magnoliawharf:", err)
-		return 1
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(stderr, "magnoliawharf:", oneLine(err))
+		return exitCode(err)
 	}
-	return 0
+	return ExitOK
 }
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "magnoliawharf",
-		Short:         "A load balancer that runs as one small process beside each upstream",
+		Use:   "magnoliawharf",
+		Short: "A load balancer that runs as one small process beside each upstream",
+		Long: `A load balancer that runs as one small process, the node, beside each upstream.
+
+Exit codes:
+  0  success
+  1  the command failed
+  2  wrong usage: unknown command, flag or argument
+  3  a settings file was refused`,
+		Example:       "  magnoliawharf demo\n  magnoliawharf node run --settings node.toml",
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newVersion())
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
+		return usageError(fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath()))
+	})
+	root.AddCommand(newNode(), newSettings(), newVersion())
 	return root
 }
 
-func newVersion() *cobra.Command {
-	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version",
-		Args:  cobra.NoArgs,
+// group returns a command that only holds others.
+func group(use, short, example string, commands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{Use: use, Short: short, Example: example, Args: exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), "magnoliawharf", Version)
-			return err
-		},
-	}
+			return usageError(fmt.Errorf("%s needs a subcommand; see `%s --help`", cmd.CommandPath(), cmd.CommandPath()))
+		}}
+	cmd.AddCommand(commands...)
+	return cmd
 }
-
-// Version is the version of this build.
-const Version = "0.1.0-dev"
--- /dev/null
+++ b/cli/exit.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the process.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+// codedError is an error with the exit code of the process.
+type codedError struct {
+	error
+	code int
+}
+
+// Unwrap returns the error without its code.
+func (e *codedError) Unwrap() error { return e.error }
+
+func usageError(err error) error { return &codedError{err, ExitUsage} }
+
+func exitCode(err error) int {
+	var coded *codedError
+	switch {
+	case errors.As(err, &coded):
+		return coded.code
+	case strings.HasPrefix(err.Error(), "unknown command"), strings.HasPrefix(err.Error(), "required flag"):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+// oneLine keeps an error on one line, so that each line on standard error is one fault.
+func oneLine(err error) string {
+	return strings.Join(strings.FieldsFunc(err.Error(), func(r rune) bool { return r == '\n' }), "; ")
+}
+
+// exactArgs refuses another number of arguments as wrong usage.
+func exactArgs(count int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) == count {
+			return nil
+		}
+		return usageError(fmt.Errorf("%s takes %d arguments, not %d; see `%s --help`",
+			cmd.CommandPath(), count, len(args), cmd.CommandPath()))
+	}
+}
--- /dev/null
+++ b/cli/node.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliawharf/magnoliawharf/node"
+	"github.com/magnoliawharf/magnoliawharf/settings"
+)
+
+func newNode() *cobra.Command {
+	return group("node", "Run the node beside an upstream", "  magnoliawharf node run --settings node.toml", newNodeRun())
+}
+
+func newNodeRun() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run one node until SIGTERM",
+		Long: `Run one node until SIGTERM or SIGINT, then stop gracefully: new work for its upstream is refused,
+requests in flight are finished, bounded by runtime.stop_timeout. A second signal ends the process at once.`,
+		Example: "  magnoliawharf node run --settings node.toml",
+		Args:    exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := settings.Load(file)
+			if err != nil {
+				return &codedError{err, ExitSettings}
+			}
+			debug.SetGCPercent(loaded.Runtime.GCPercent)
+			debug.SetMemoryLimit(int64(loaded.Runtime.MemoryLimit))
+			return runNode(cmd.Context(), &node.Node{Settings: loaded, Log: newLog(cmd.ErrOrStderr(), loaded.Runtime.LogLevel)})
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file (TOML)")
+	_ = cmd.MarkFlagRequired("settings")
+	_ = cmd.MarkFlagFilename("settings", "toml")
+	return cmd
+}
+
+// runNode takes a node through its whole life.
+func runNode(ctx context.Context, n *node.Node) (err error) {
+	defer func() { err = errors.Join(err, n.Cleanup()) }()
+	if err := n.Provision(); err != nil {
+		return fmt.Errorf("node %s cannot start: %w", n.Settings.ID, err)
+	}
+	if err := n.Validate(); err != nil {
+		return &codedError{err, ExitSettings}
+	}
+	return n.Run(ctx)
+}
+
+func newLog(w io.Writer, level string) *slog.Logger {
+	var lowest slog.Level
+	if err := lowest.UnmarshalText([]byte(level)); err != nil {
+		lowest = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: lowest}))
+}
--- a/node/home.go
+++ b/node/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -24,6 +25,8 @@
 	Bundles     *bundle.InForce
 	Upstream    *upstream.Upstream
 	Client      UpstreamClient
+
+	inFlight inFlight
 }
 
 // Serve admits the request, sends it to the upstream and returns the answer. The slot is given
@@ -40,14 +43,16 @@
 	if err != nil {
 		return nil, err
 	}
-	announced, _ := h.Upstream.Announced(req.Deadline)
+	done := h.inFlight.begin()
+	announced, _ := h.Upstream.Announced(time.Now())
 	answer, err := h.Client.Send(ctx, req, announced.Addr)
 	if err != nil {
 		release()
+		done()
 		return nil, err
 	}
 	answer.Upstream = h.ID
-	answer.Body = &releasingBody{ReadCloser: answer.Body, release: release}
+	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() { release(); done() }}
 	return answer, nil
 }
 
@@ -70,5 +75,8 @@
 	return class, nil
 }
 
+// Idle returns when no request is in flight at the upstream, or with the error of ctx.
+func (h *Home) Idle(ctx context.Context) error { return h.inFlight.wait(ctx) }
+
 // Report returns the state of the upstream for the nodes of callers.
 func (h *Home) Report() link.Report { return h.Upstream.Report() }
--- /dev/null
+++ b/node/shortcut.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"context"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/link"
+)
+
+// ShortCut is a Forwarder that serves requests for the node's own upstream in process and sends all
+// others to their node.
+type ShortCut struct {
+	Home   *Home
+	Remote Forwarder
+}
+
+var _ Forwarder = (*ShortCut)(nil)
+
+// Forward implements Forwarder.
+func (s *ShortCut) Forward(ctx context.Context, req *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
+	if string(target.ID) != s.Home.ID {
+		return s.Remote.Forward(ctx, req, target)
+	}
+	answer, err := s.Home.Serve(ctx, req, target.Incarnation)
+	report := s.Home.Report()
+	return answer, &report, err
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,104 @@
+package settings
+
+import (
+	"crypto/ed25519"
+	"encoding"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	checker     = newChecker()
+)
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("toml") })
+	checks := map[string]func(string) bool{
+		"name":     namePattern.MatchString,
+		"hostport": func(text string) bool { return validAddress(text, false) },
+		"listen":   func(text string) bool { return validAddress(text, true) },
+		"loopback": loopback,
+		"ed25519":  func(text string) bool { _, err := ParseKey(text); return err == nil },
+	}
+	for tag, check := range checks {
+		err := v.RegisterValidation(tag, func(field validator.FieldLevel) bool { return check(field.Field().String()) })
+		if err != nil {
+			panic(err) // the tags above are fixed
+		}
+	}
+	return v
+}
+
+var allowed = map[string]string{
+	"required": "is required",
+	"name":     "must be 1 to 64 letters, digits, '.', '_' or '-', and begin with a letter or digit",
+	"hostport": "must be host:port with a port from 1 to 65535",
+	"listen":   "must be host:port with a port from 0 to 65535; 0 takes a free port",
+	"loopback": "must be a loopback address such as 127.0.0.1:8082",
+	"ed25519":  "must be an ed25519 public key of 32 bytes in base64; `magnoliawharf bundle keygen` makes one",
+	"http_url": "must be a URL such as http://127.0.0.1:2379",
+}
+
+func allowedText(tag, param string) string {
+	if text, ok := allowed[tag]; ok {
+		return text
+	}
+	switch tag {
+	case "oneof":
+		return "must be one of " + strings.Join(strings.Fields(param), ", ")
+	case "min":
+		return "must be at least " + param + " (bytes, nanoseconds or entries)"
+	case "max":
+		return "must be at most " + param + " (bytes, nanoseconds or entries)"
+	default:
+		return "fails the check " + tag
+	}
+}
+
+func valueText(value any) string {
+	if text, ok := value.(encoding.TextMarshaler); ok {
+		if raw, err := text.MarshalText(); err == nil {
+			return string(raw)
+		}
+	}
+	return fmt.Sprint(value)
+}
+
+// ParseKey returns the ed25519 public key that text holds in base64.
+func ParseKey(text string) (ed25519.PublicKey, error) {
+	raw, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("key has %d bytes, want %d", len(raw), ed25519.PublicKeySize)
+	}
+	return raw, nil
+}
+
+func validAddress(text string, zeroPort bool) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || (host == "" && !zeroPort) {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && (number > 0 || zeroPort)
+}
+
+func loopback(text string) bool {
+	host, _, err := net.SplitHostPort(text)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "localhost" || (ip != nil && ip.IsLoopback())
+}
--- /dev/null
+++ b/transport/upstreamhttp/announce.go
@@ -0,0 +1,117 @@
+package upstreamhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/upstream"
+)
+
+// AnnouncePath is the path of announcements on the local listener. POST announces, DELETE leaves.
+const AnnouncePath = "/v1/announcement"
+
+const (
+	maxAnnouncement = 4 << 10 // bytes
+	maxSlots        = 1 << 16
+)
+
+var servicePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Announcement is the JSON form in which an upstream announces itself.
+type Announcement struct {
+	// Service is the name of the service that the upstream serves.
+	Service string `json:"service"`
+	// Address is the IP address and port at which the upstream serves HTTP.
+	Address string `json:"address"`
+	// State is "ready", "cold" or "draining".
+	State string `json:"state"`
+	// Slots is the number of requests that the upstream runs at the same time.
+	Slots int `json:"slots"`
+	// TTLMilliseconds is the time for which the announcement counts, 1 to 2000.
+	TTLMilliseconds int `json:"ttl_ms"`
+	// Load is the number of requests that the upstream runs now. It is optional.
+	Load *int `json:"load,omitempty"`
+}
+
+// Announcer takes what the upstream beside the node says of itself.
+type Announcer interface {
+	Announce(now time.Time, a upstream.Announcement)
+	Leave(now time.Time)
+}
+
+// AnnounceHandler is the http.Handler of announcements.
+type AnnounceHandler struct{ Announcer Announcer }
+
+// ServeHTTP implements http.Handler.
+func (h *AnnounceHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPost:
+		announced, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		h.Announcer.Announce(time.Now(), announced)
+		w.WriteHeader(http.StatusNoContent)
+	case http.MethodDelete:
+		h.Announcer.Leave(time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		w.Header().Set("Allow", "POST, DELETE")
+		http.Error(w, "POST announces, DELETE leaves", http.StatusMethodNotAllowed)
+	}
+}
+
+func readAnnouncement(body io.Reader) (upstream.Announcement, error) {
+	var wire Announcement
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&wire); err != nil {
+		return upstream.Announcement{}, fmt.Errorf("announcement: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return upstream.Announcement{}, errors.New("announcement: data after the JSON object")
+	}
+	return wire.check()
+}
+
+var announcedStates = map[string]instance.State{
+	"ready": instance.Ready, "cold": instance.Cold, "draining": instance.Draining,
+}
+
+func (a Announcement) check() (upstream.Announcement, error) {
+	state, known := announcedStates[a.State]
+	ttl := time.Duration(a.TTLMilliseconds) * time.Millisecond
+	switch {
+	case !servicePattern.MatchString(a.Service):
+		return upstream.Announcement{}, fmt.Errorf("announcement: service %q is no name of 1 to 64 letters, digits, '.', '_' or '-'", a.Service)
+	case !validAddress(a.Address):
+		return upstream.Announcement{}, fmt.Errorf("announcement: address %q is no IP address with a port", a.Address)
+	case !known:
+		return upstream.Announcement{}, fmt.Errorf("announcement: state %q is none of ready, cold, draining", a.State)
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return upstream.Announcement{}, fmt.Errorf("announcement: slots %d is not from 1 to %d", a.Slots, maxSlots)
+	case a.TTLMilliseconds < 1 || ttl > upstream.MaxTimeToLive:
+		return upstream.Announcement{}, fmt.Errorf("announcement: ttl_ms %d is not from 1 to %d", a.TTLMilliseconds, upstream.MaxTimeToLive.Milliseconds())
+	case a.Load != nil && (*a.Load < 0 || *a.Load > maxSlots):
+		return upstream.Announcement{}, fmt.Errorf("announcement: load %d is not from 0 to %d", *a.Load, maxSlots)
+	}
+	return upstream.Announcement{Service: a.Service, Addr: a.Address, State: state, Slots: a.Slots, TimeToLive: ttl}, nil
+}
+
+func validAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
