Carry the chain of calls and judge failures by bytes sent

Cause: a failed request was refused as not-run only after a refused dial, although a reused connection that broke before a byte was written is as certain; nested calls inherited nothing.

Change: transport.Outbound counts writes per connection, so that a refusal says not-run exactly when no byte was handed over. Every request to an upstream carries Magnoliawharf-Chain and -Timeout; a chain copied onto a nested call is validated, capped and limits its time. The fingerprint covers bodies up to 4 KiB and leaves out the key. An answer framed only by the end of its connection is refused.

--- a/caller/body.go
+++ b/caller/body.go
@@ -47,6 +47,42 @@
 	return &attemptBody{body: b}, nil
 }
 
+// Buffer reads the whole body into the kept bytes and returns them. It is meant for short bodies of
+// known length; a longer one than ReplayLimit is ErrNotReplayable.
+func (b *Body) Buffer() ([]byte, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.length > ReplayLimit {
+		return nil, ErrNotReplayable
+	}
+	if b.source != nil && b.failed == nil {
+		b.kept = make([]byte, b.length)
+		n, err := io.ReadFull(b.source, b.kept)
+		b.kept = b.kept[:n]
+		b.failed = err
+		if err == nil {
+			b.failed = io.EOF
+		}
+	}
+	if b.failed != io.EOF {
+		return nil, b.failed
+	}
+	return b.kept, nil
+}
+
+// Err returns the error with which the source broke off, or nil.
+func (b *Body) Err() error {
+	if !b.mu.TryLock() {
+		// A read of the source is under way, so that it has not broken off.
+		return nil
+	}
+	defer b.mu.Unlock()
+	if b.failed == io.EOF {
+		return nil
+	}
+	return b.failed
+}
+
 // Replayable reports whether another attempt can read the whole body.
 func (b *Body) Replayable() bool {
 	b.mu.Lock()
--- a/caller/request.go
+++ b/caller/request.go
@@ -30,13 +30,22 @@
 	BundleVersion uint64
 }
 
-// Fingerprint returns the hash that identifies a request across resends by its caller: two calls
-// with equal service, method, path and idempotency key have the same fingerprint.
-func Fingerprint(service, method, path, key string) uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{service, method, path, key} {
+// FingerprintBody is the largest body that is part of a fingerprint, in bytes.
+const FingerprintBody = 4 << 10
+
+// Fingerprint returns the hash that identifies the content of a request across resends by its
+// caller: service, method, path with query, and the body when it is at most FingerprintBody long.
+// The idempotency key is left out, because a caller may resend the same content under a new key.
+func Fingerprint(service, method, path string, body []byte) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range [...]string{service, method, path} {
 		_, _ = digest.WriteString(part)
-		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write(separator)
 	}
+	_, _ = digest.Write(body)
 	return digest.Sum64()
 }
+
+// separator keeps adjoining parts of a fingerprint apart; none of them contains a zero byte.
+var separator = []byte{0}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,229 @@
+// Package backend is a stand-in for an upstream: an HTTP server that announces itself to the node
+// beside it, echoes requests under a unique run ID, counts runs per idempotency key, and fails on
+// demand. Tests, the demo and `magnoliawharf dev upstream` use it; no product code depends on it.
+package backend
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultSlots       = 12
+	DefaultServiceTime = 2 * time.Millisecond
+	DefaultTTL         = 1500 * time.Millisecond
+	DefaultRestart     = 500 * time.Millisecond
+)
+
+// drainGrace lets requests arrive that the node admitted before it learned of the drain.
+const drainGrace = 200 * time.Millisecond
+
+// Options describe a Backend. Zero values take the defaults.
+type Options struct {
+	Service     string
+	Listen      string        // host:port, default 127.0.0.1:0
+	Node        string        // host:port of the node's local listener, "" announces nowhere
+	Callers     string        // host:port of a callers' listener for nested calls, "" allows none
+	Slots       int           // requests run at the same time
+	ServiceTime time.Duration // time that each request takes
+	Cold        time.Duration // time after the start for which the state is cold
+	TTL         time.Duration // time to live of an announcement
+	Restart     time.Duration // time from a crash to the restart
+	// Exit ends the process on a crash; nil crashes in process: all connections break, and the
+	// backend starts anew after Restart.
+	Exit func()
+	Log  *slog.Logger
+}
+
+// Faults are the failures that a Backend brings about. The zero value is a healthy upstream.
+type Faults struct {
+	FailFast bool          // every request is answered with 500 at once
+	Slow     time.Duration // added to the service time
+	Silent   bool          // announcements stop, requests are still served
+}
+
+// Backend is one upstream. It is safe for concurrent use.
+type Backend struct {
+	options Options
+	addr    string
+	client  *http.Client
+
+	mu       sync.Mutex
+	server   *http.Server // nil while crashed or closed
+	faults   Faults
+	runs     map[string]int // by idempotency key; "" counts those without a key
+	inUse    int
+	peak     int
+	draining bool
+	closed   bool
+	coldTill time.Time
+
+	wake chan struct{} // asks for an announcement at once
+	done chan struct{} // closed by Close
+	wait sync.WaitGroup
+}
+
+// Start binds the address, serves and announces until Close or Drain.
+func Start(o Options) (*Backend, error) {
+	b := &Backend{
+		options: withDefaults(o),
+		client:  &http.Client{Timeout: announceTimeout},
+		runs:    make(map[string]int),
+		wake:    make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	b.addr = b.options.Listen
+	if err := b.serve(); err != nil {
+		return nil, err
+	}
+	if b.options.Node != "" {
+		b.wait.Go(b.announce)
+	}
+	return b, nil
+}
+
+func withDefaults(o Options) Options {
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
+	}
+	if o.Slots == 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.ServiceTime == 0 {
+		o.ServiceTime = DefaultServiceTime
+	}
+	if o.TTL == 0 {
+		o.TTL = DefaultTTL
+	}
+	if o.Restart == 0 {
+		o.Restart = DefaultRestart
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return o
+}
+
+// serve binds the address, which after the first time is the one bound before.
+func (b *Backend) serve() error {
+	listener, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return errors.Join(http.ErrServerClosed, listener.Close())
+	}
+	b.addr = listener.Addr().String()
+	b.coldTill = time.Now().Add(b.options.Cold)
+	server := &http.Server{Handler: b.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
+	b.server = server
+	b.wait.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+// Addr returns the bound address.
+func (b *Backend) Addr() string { return b.addr }
+
+// SetFaults replaces the faults.
+func (b *Backend) SetFaults(f Faults) {
+	b.mu.Lock()
+	b.faults = f
+	b.mu.Unlock()
+	b.announceNow()
+}
+
+// Runs returns how many requests with the idempotency key ran, counted when they began.
+func (b *Backend) Runs(key string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[key]
+}
+
+// Peak returns the most requests that ran at the same time.
+func (b *Backend) Peak() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peak
+}
+
+// InUse returns the requests that run now.
+func (b *Backend) InUse() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.inUse
+}
+
+// Crash breaks all connections at once, as the end of the process does.
+func (b *Backend) Crash() {
+	if b.options.Exit != nil {
+		b.options.Exit()
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server == nil || b.closed {
+		return
+	}
+	b.options.Log.Info("upstream crashed", "addr", b.addr)
+	_ = b.server.Close()
+	b.server = nil
+	b.wait.Go(b.restart)
+}
+
+func (b *Backend) restart() {
+	timer := time.NewTimer(b.options.Restart)
+	defer timer.Stop()
+	select {
+	case <-b.done:
+		return
+	case <-timer.C:
+	}
+	if err := b.serve(); err != nil {
+		b.options.Log.Error("upstream did not restart", "addr", b.addr, "err", err)
+		return
+	}
+	b.announceNow()
+}
+
+// Drain announces the state draining, finishes the requests in flight, leaves and closes.
+func (b *Backend) Drain(ctx context.Context) error {
+	b.mu.Lock()
+	b.draining = true
+	server := b.server
+	b.mu.Unlock()
+	if b.options.Node != "" {
+		b.announceOnce()
+	}
+	var err error
+	if server != nil {
+		pause(ctx, drainGrace)
+		err = server.Shutdown(ctx)
+	}
+	b.leave()
+	b.Close()
+	return err
+}
+
+// Close ends the backend at once. It waits for its goroutines.
+func (b *Backend) Close() {
+	b.mu.Lock()
+	server := b.server
+	b.server = nil
+	already := b.closed
+	b.closed = true
+	b.mu.Unlock()
+	if !already {
+		close(b.done)
+	}
+	if server != nil {
+		_ = server.Close()
+	}
+	b.wait.Wait()
+}
--- a/transport/answer.go
+++ b/transport/answer.go
@@ -7,6 +7,12 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
+// Unframed reports whether the end of the response's body is only marked by the end of the
+// connection, so that a body that broke off cannot be told from a whole one.
+func Unframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // AnswerOf translates a response of an upstream or of a node.
 func AnswerOf(response *http.Response) *caller.Answer {
 	return &caller.Answer{
@@ -17,9 +23,9 @@
 	}
 }
 
-// WriteAnswer streams an answer and closes its body. When the body breaks off it aborts the
-// connection, so that the receiver never takes a part for the whole.
-func WriteAnswer(w http.ResponseWriter, answer *caller.Answer) {
+// WriteAnswer streams an answer and closes its body. After an error the handler must abort the
+// connection by panic(http.ErrAbortHandler), so that the receiver never takes a part for the whole.
+func WriteAnswer(w http.ResponseWriter, answer *caller.Answer) error {
 	defer answer.Body.Close()
 	header := w.Header()
 	for name, values := range answer.Header {
@@ -29,7 +35,5 @@
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	w.WriteHeader(answer.Status)
-	if err := Stream(w, answer.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	return Stream(w, answer.Body)
 }
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -20,6 +20,9 @@
 
 const acceptStep = "accept"
 
+// connectionSlack is the time after the deadline of a request at which its connection is given up.
+const connectionSlack = time.Second
+
 // maxKeyLength bounds an idempotency key, in bytes.
 const maxKeyLength = 128
 
@@ -36,7 +39,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req, refusal := h.accept(r)
+	req, refusal := h.accept(w, r)
 	if refusal != nil {
 		refuse(w, refusal)
 		return
@@ -51,10 +54,13 @@
 		return
 	}
 	w.Header().Set(transport.HeaderUpstream, answer.Upstream)
-	transport.WriteAnswer(w, answer)
+	if err := transport.WriteAnswer(w, answer); err != nil {
+		metrics.Refusal(caller.BodyCut)
+		panic(http.ErrAbortHandler)
+	}
 }
 
-func (h *Handler) accept(r *http.Request) (*caller.Request, *caller.Refusal) {
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request) (*caller.Request, *caller.Refusal) {
 	current := h.Bundles.Load()
 	if current == nil {
 		return nil, caller.Refuse(caller.NoBundle, acceptStep, "")
@@ -67,21 +73,55 @@
 	if !ok {
 		return nil, caller.Refuse(caller.NoRoute, acceptStep, contract.Service)
 	}
+	chain, err := transport.DecodeChain(r.Header)
 	timeout, ok := timeoutOf(r, route.Timeout)
 	key := r.Header.Get(transport.HeaderIdempotency)
-	if !ok || len(key) > maxKeyLength {
+	if err != nil || !ok || len(key) > maxKeyLength {
 		return nil, caller.Refuse(caller.BadRequest, acceptStep, "")
 	}
+	if chain.Depth >= caller.MaxDepth {
+		return nil, caller.Refuse(caller.DepthExceeded, acceptStep, contract.Service)
+	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	return &caller.Request{
+	now := time.Now()
+	req := &caller.Request{
 		ID: uuid.NewString(), Service: contract.Service, Route: route.Name, Class: route.Class,
 		Method: r.Method, Path: path, Header: transport.EndToEnd(r.Header),
-		Body: caller.NewBody(r.Body, r.ContentLength), Key: key,
-		Fingerprint: caller.Fingerprint(contract.Service, r.Method, path, key),
-		Deadline:    time.Now().Add(timeout), Attempt: 1, BundleVersion: current.Version,
-	}, nil
+		Body: bodyOf(r), Key: key,
+		Deadline: now.Add(chain.Limit(now, timeout)),
+		Attempt:  chain.Attempt, Depth: chain.Depth, BundleVersion: current.Version,
+	}
+	return req, fingerprint(w, req)
+}
+
+func bodyOf(r *http.Request) *caller.Body {
+	if r.Body == http.NoBody {
+		return caller.NewBody(nil, 0)
+	}
+	return caller.NewBody(r.Body, r.ContentLength)
+}
+
+// fingerprint reads a short body, since it is part of the fingerprint, and sets the time limits of
+// the connection: a caller that stops sending or reading is given up after the deadline.
+func fingerprint(w http.ResponseWriter, req *caller.Request) *caller.Refusal {
+	controller := http.NewResponseController(w)
+	limit := req.Deadline.Add(connectionSlack)
+	_ = controller.SetReadDeadline(limit)
+	_ = controller.SetWriteDeadline(limit)
+	var short []byte
+	if length := req.Body.Length(); length >= 0 && length <= caller.FingerprintBody {
+		read, err := req.Body.Buffer()
+		if err != nil {
+			refusal := caller.Refuse(caller.BodyCut, acceptStep, "")
+			refusal.Cause = err
+			return refusal
+		}
+		short = read
+	}
+	req.Fingerprint = caller.Fingerprint(req.Service, req.Method, req.Path, short)
+	return nil
 }
 
 // timeoutOf returns the time the caller gives, at most longest. Both a Go duration and a whole
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,22 +19,23 @@
 	dialTimeout     = time.Second
 	idleTimeout     = 90 * time.Second
 	idleConnections = 64
+	// maxAnswerHeader leaves room for the fields that the node beside the upstream adds, in bytes.
+	maxAnswerHeader = 68 << 10
 )
 
 // Client forwards requests to other nodes.
-type Client struct{ transport *http.Transport }
+type Client struct{ out *transport.Outbound }
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
+	return &Client{out: transport.NewOutbound(transport.Pool{
+		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerHost: idleConnections, HeaderBytes: maxAnswerHeader,
+	})}
 }
 
+// Close closes the idle connections.
+func (c *Client) Close() { c.out.Close() }
+
 // Forward implements node.Forwarder.
 func (c *Client) Forward(ctx context.Context, req *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
 	peer := string(target.ID)
@@ -48,9 +48,12 @@
 		return nil, nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
 	}
 	out.Header.Set(headerCall, encodeCall(req, target.Incarnation, time.Now()))
-	response, err := c.transport.RoundTrip(out)
+	response, sent, err := c.out.RoundTrip(out)
 	if err != nil {
-		return nil, nil, refusalOf(ctx, err, peer)
+		failure := transport.Failure{
+			Step: forwardStep, Peer: peer, Sent: sent, Unreachable: caller.PeerUnreachable, Lost: caller.PeerLost,
+		}
+		return nil, nil, failure.RefusalOf(ctx, req, err)
 	}
 	return c.answer(req, response, peer)
 }
@@ -87,14 +90,3 @@
 	}
 	return refusal
 }
-
-func refusalOf(ctx context.Context, err error, peer string) *caller.Refusal {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &caller.Refusal{Reason: caller.PeerUnreachable, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
-	}
-	if ctx.Err() != nil {
-		return caller.Lost(caller.Cancelled, forwardStep, peer, err)
-	}
-	return caller.Lost(caller.PeerLost, forwardStep, peer, err)
-}
--- /dev/null
+++ b/transport/peerhttp/client_test.go
@@ -0,0 +1,155 @@
+package peerhttp_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerhttp"
+)
+
+// rawPeer answers each connection's first request with what respond writes, then closes.
+func rawPeer(t *testing.T, respond func(w io.Writer, r *http.Request)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					respond(conn, request)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func refusedPort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newRequest(body *caller.Body) *caller.Request {
+	return &caller.Request{
+		ID: "id-1", Service: "ledger", Route: "all", Class: "short", Method: http.MethodPost, Path: "/charge",
+		Body: body, Deadline: time.Now().Add(300 * time.Millisecond), Attempt: 1,
+	}
+}
+
+func answerWith(head string, body string) func(io.Writer, *http.Request) {
+	return func(w io.Writer, _ *http.Request) {
+		_, _ = io.WriteString(w, "HTTP/1.1 "+strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+body)
+	}
+}
+
+// Guards against a refusal that says not-run although the peer may have run the request, and
+// against an answer that belongs to another request or is cut and passes as whole.
+func TestForwardFailures(t *testing.T) {
+	const ok = "200 OK\nMagnoliawharf-Request-Id: id-1\nContent-Length: 5"
+	cases := map[string]struct {
+		respond func(io.Writer, *http.Request) // nil: nobody listens
+		body    *caller.Body
+		cancel  bool
+		reason  caller.Reason
+		ran     caller.Ran
+	}{
+		"dial refused":      {reason: caller.PeerUnreachable, ran: caller.NotRun},
+		"closed at once":    {respond: func(io.Writer, *http.Request) {}, reason: caller.PeerLost},
+		"header cut":        {respond: func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nMagno") }, reason: caller.PeerLost},
+		"wrong request ID":  {respond: answerWith("200 OK\nMagnoliawharf-Request-Id: id-2\nContent-Length: 0", ""), reason: caller.AnswerMismatch},
+		"no request ID":     {respond: answerWith("200 OK\nContent-Length: 0", ""), reason: caller.AnswerMismatch},
+		"refused":           {respond: answerWith("503 No\nMagnoliawharf-Refusal: draining\nMagnoliawharf-Ran: not-run\nContent-Length: 0", ""), reason: caller.Draining, ran: caller.NotRun},
+		"unknown reason":    {respond: answerWith("503 No\nMagnoliawharf-Refusal: tired\nMagnoliawharf-Ran: not-run\nContent-Length: 0", ""), reason: caller.PeerLost},
+		"refusal, no ran":   {respond: answerWith("503 No\nMagnoliawharf-Refusal: draining\nContent-Length: 0", ""), reason: caller.Draining},
+		"refusal, answered": {respond: answerWith("503 No\nMagnoliawharf-Refusal: draining\nMagnoliawharf-Ran: answered\nContent-Length: 0", ""), reason: caller.PeerLost},
+		"oversized header":  {respond: answerWith("200 OK\nX: "+strings.Repeat("x", 1<<20), ""), reason: caller.PeerLost},
+		"no HTTP":           {respond: func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, "hello\r\n\r\n") }, reason: caller.PeerLost},
+		"deadline reached":  {respond: func(io.Writer, *http.Request) { time.Sleep(time.Second) }, reason: caller.DeadlinePassed},
+		"caller cancelled":  {respond: func(io.Writer, *http.Request) { time.Sleep(time.Second) }, cancel: true, reason: caller.Cancelled},
+		"request body cut":  {respond: answerWith(ok, "hello"), body: caller.NewBody(&cutReader{}, 10), reason: caller.BodyCut},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			addr := refusedPort(t)
+			if c.respond != nil {
+				addr = rawPeer(t, c.respond)
+			}
+			req := newRequest(caller.NewBody(nil, 0))
+			if c.body != nil {
+				req.Body = c.body
+			}
+			ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+			defer cancel()
+			if c.cancel {
+				time.AfterFunc(50*time.Millisecond, cancel)
+			}
+			answer, _, err := peerhttp.NewClient().Forward(ctx, req, instance.Record{ID: "peer", PeerAddr: addr})
+			assert.Assert(t, answer == nil)
+			var refusal *caller.Refusal
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Reason, c.reason, "%v", err)
+			assert.Equal(t, refusal.Ran, c.ran, "%v", err)
+		})
+	}
+}
+
+// cutReader gives some bytes and then breaks off.
+type cutReader struct{ given bool }
+
+func (r *cutReader) Read(p []byte) (int, error) {
+	if r.given {
+		return 0, io.ErrUnexpectedEOF
+	}
+	r.given = true
+	return copy(p, "part"), nil
+}
+
+// Guards against answers that are cut after their header and read as whole.
+func TestCutBodiesReadAsErrors(t *testing.T) {
+	cases := map[string]func(io.Writer, *http.Request){
+		"content length": answerWith("200 OK\nMagnoliawharf-Request-Id: id-1\nContent-Length: 50", "part"),
+		"chunked":        answerWith("200 OK\nMagnoliawharf-Request-Id: id-1\nTransfer-Encoding: chunked", "4\r\npart\r\n"),
+	}
+	for name, respond := range cases {
+		t.Run(name, func(t *testing.T) {
+			req := newRequest(caller.NewBody(nil, 0))
+			answer, _, err := peerhttp.NewClient().Forward(context.Background(), req, instance.Record{ID: "peer", PeerAddr: rawPeer(t, respond)})
+			assert.NilError(t, err)
+			defer answer.Body.Close()
+			_, err = io.ReadAll(answer.Body)
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
+
+// Guards against a malformed report that spoils a good answer.
+func TestMalformedReportIsIgnored(t *testing.T) {
+	addr := rawPeer(t, answerWith("200 OK\nMagnoliawharf-Request-Id: id-1\nMagnoliawharf-Report: s=99&n=-1\nContent-Length: 2", "ok"))
+	answer, report, err := peerhttp.NewClient().Forward(context.Background(), newRequest(caller.NewBody(nil, 0)), instance.Record{ID: "peer", PeerAddr: addr})
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Assert(t, report == nil)
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+}
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -5,9 +5,9 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -19,22 +19,25 @@
 	dialTimeout     = time.Second
 	idleTimeout     = 30 * time.Second
 	idleConnections = 220
+	maxAnswerHeader = 64 << 10 // bytes
 )
 
+// errUnframed refuses answers that end with the connection, because one that broke off looks whole.
+var errUnframed = errors.New("the answer has neither Content-Length nor chunked encoding")
+
 // Client sends admitted requests to an upstream.
-type Client struct{ transport *http.Transport }
+type Client struct{ out *transport.Outbound }
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
+	return &Client{out: transport.NewOutbound(transport.Pool{
+		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerHost: idleConnections, HeaderBytes: maxAnswerHeader,
+	})}
 }
 
+// Close closes the idle connections.
+func (c *Client) Close() { c.out.Close() }
+
 // Send implements node.UpstreamClient.
 func (c *Client) Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error) {
 	body, err := req.Body.Attempt()
@@ -45,13 +48,32 @@
 	if err != nil {
 		return nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: sendStep, Cause: err}
 	}
-	response, err := c.transport.RoundTrip(out)
+	now := time.Now()
+	chain := caller.Below(req, now)
+	out.Header.Set(transport.HeaderChain, transport.EncodeChain(chain))
+	out.Header.Set(transport.HeaderTimeout, strconv.FormatInt(max(1, chain.TimeLeft.Milliseconds()), 10))
+	out.Header.Set(transport.HeaderRequestID, req.ID)
+	response, sent, err := c.out.RoundTrip(out)
 	if err != nil {
-		return nil, refusalOf(ctx, err, addr)
+		failure := transport.Failure{
+			Step: sendStep, Peer: addr, Sent: sent, Unreachable: caller.UpstreamUnreachable, Lost: caller.UpstreamLost,
+		}
+		return nil, failure.RefusalOf(ctx, req, err)
+	}
+	if transport.Unframed(response) {
+		_ = response.Body.Close()
+		return nil, caller.Lost(caller.BodyCut, sendStep, addr, errUnframed)
 	}
 	return transport.AnswerOf(response), nil
 }
 
+var (
+	// noUserAgent keeps net/http from adding its own name.
+	noUserAgent = []string{""}
+	// identity keeps net/http from probing or chunking an empty body that is not nil.
+	identity = []string{"identity"}
+)
+
 // NewRequest builds the outgoing request. Its body is never nil and has no GetBody, because
 // http.Transport resends a request on its own when it thinks that the body can be replayed.
 func NewRequest(ctx context.Context, req *caller.Request, base string, body io.ReadCloser) (*http.Request, error) {
@@ -64,16 +86,11 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: transport.EndToEnd(req.Header), Body: body, ContentLength: req.Body.Length(),
 	}
-	return out.WithContext(ctx), nil
-}
-
-func refusalOf(ctx context.Context, err error, addr string) *caller.Refusal {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &caller.Refusal{Reason: caller.UpstreamUnreachable, Ran: caller.NotRun, Step: sendStep, Peer: addr, Cause: err}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = noUserAgent
 	}
-	if ctx.Err() != nil {
-		return caller.Lost(caller.Cancelled, sendStep, addr, err)
+	if out.ContentLength == 0 {
+		out.TransferEncoding = identity
 	}
-	return caller.Lost(caller.UpstreamLost, sendStep, addr, err)
+	return out.WithContext(ctx), nil
 }
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -32,7 +32,7 @@
 // hopByHop are the fields that end at each connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
 // EndToEnd returns a copy of the fields that go on to the next hop: all but the hop-by-hop fields
