Cut the cost of a call: pooled body buffers, positional call metadata

Cause: the counting connection hid ReadFrom of the TCP connection, so that net/http took a new buffer of 32 KiB for each request; call metadata went through url.Values.

--- a/node/node.go
+++ b/node/node.go
@@ -196,6 +196,9 @@
 	return err
 }
 
+// Announce takes what the upstream beside the node says of itself, for upstreams in the same process.
+func (n *Node) Announce(now time.Time, a upstream.Announcement) { n.self.Announce(now, a) }
+
 // CallerAddr returns the bound address of the callers' listener.
 func (n *Node) CallerAddr() string { return n.callers.Addr() }
 
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,236 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/node"
+	"github.com/magnoliawharf/magnoliawharf/settings"
+	"github.com/magnoliawharf/magnoliawharf/standin/backend"
+	"github.com/magnoliawharf/magnoliawharf/transport"
+)
+
+const testKey = "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+
+func testSettings(id string) settings.Settings {
+	s := settings.Default()
+	s.ID, s.DataCentre, s.Region = id, "dc-1", "region-1"
+	s.TrustedKeys = []string{testKey}
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Local: "127.0.0.1:0"}
+	s.Seeds = []string{"127.0.0.1:1"}
+	s.Runtime.DrainNotice = settings.Duration(50 * time.Millisecond)
+	return s
+}
+
+// running is a node under test with the function that stops it and returns what Run returned.
+type running struct {
+	*node.Node
+	stop func() error
+}
+
+func startNode(t testing.TB, n *node.Node) running {
+	t.Helper()
+	assert.NilError(t, n.Provision())
+	assert.NilError(t, n.Validate())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	stopped := false
+	stop := func() error {
+		cancel()
+		stopped = true
+		return <-ended
+	}
+	t.Cleanup(func() {
+		if !stopped {
+			_ = stop()
+		}
+		_ = n.Cleanup()
+	})
+	return running{n, stop}
+}
+
+func startBackend(t *testing.T, o backend.Options) *backend.Backend {
+	t.Helper()
+	started, err := backend.Start(o)
+	assert.NilError(t, err)
+	t.Cleanup(started.Close)
+	return started
+}
+
+// awaitState waits for a state of the instance in the fleet.
+func awaitState(t *testing.T, fleet *instance.Fleet, id instance.ID, want instance.State) {
+	t.Helper()
+	changes, cancel := fleet.Subscribe()
+	defer cancel()
+	limit := time.After(10 * time.Second)
+	for {
+		if record, ok := fleet.Get(id); ok && record.State == want {
+			return
+		}
+		select {
+		case <-changes:
+		case <-limit:
+			t.Fatalf("instance %s is not %s in time", id, want)
+		}
+	}
+}
+
+func get(t *testing.T, url string, header ...string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	assert.NilError(t, err)
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(body)
+}
+
+// Guards against a node that answers before it has a bundle, serves its own upstream over a second
+// hop or hides its counters.
+func TestNodeServesItsUpstream(t *testing.T) {
+	n := startNode(t, &node.Node{Settings: testSettings("n1")})
+	response, _ := get(t, "http://"+n.LocalAddr()+"/readyz")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	n.Bundles.Put(testBundle().Load())
+	response, _ = get(t, "http://"+n.LocalAddr()+"/readyz")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+
+	startBackend(t, backend.Options{Service: "catalogue", Node: n.LocalAddr()})
+	awaitState(t, n.Fleet, "n1", instance.Ready)
+	response, body := get(t, "http://"+n.CallerAddr()+"/catalogue/tools", "Magnoliawharf-Call", "forged")
+	assert.Equal(t, response.StatusCode, http.StatusOK, body)
+	assert.Equal(t, response.Header.Get(transport.HeaderUpstream), "n1")
+	var echo backend.Echo
+	assert.NilError(t, json.Unmarshal([]byte(body), &echo))
+	assert.Equal(t, echo.Path, "/tools")
+	assert.Assert(t, strings.HasPrefix(echo.Chain, "1.1.1."), echo.Chain)
+	_, metrics := get(t, "http://"+n.LocalAddr()+"/metrics")
+	assert.Assert(t, strings.Contains(metrics, `magnoliawharf_refusals_total{reason="no-upstream"}`))
+}
+
+// Guards against an upstream that receives work after its announcements end or it leaves.
+func TestUpstreamExpiresAndLeaves(t *testing.T) {
+	n := startNode(t, &node.Node{Settings: testSettings("n1"), Bundles: testBundle()})
+	up := startBackend(t, backend.Options{Service: "catalogue", Node: n.LocalAddr(), TTL: 150 * time.Millisecond})
+	awaitState(t, n.Fleet, "n1", instance.Ready)
+	up.SetFaults(backend.Faults{Silent: true})
+	awaitState(t, n.Fleet, "n1", instance.Unannounced)
+	response, _ := get(t, "http://"+n.CallerAddr()+"/catalogue/x")
+	assert.Equal(t, response.Header.Get(transport.HeaderRan), "not-run")
+	up.SetFaults(backend.Faults{})
+	awaitState(t, n.Fleet, "n1", instance.Ready)
+	assert.NilError(t, up.Drain(context.Background()))
+	awaitState(t, n.Fleet, "n1", instance.Unannounced)
+}
+
+// outcome describes how a call ended, in one line.
+func outcome(url string) string {
+	response, err := http.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err.Error()
+	}
+	return response.Status + " " + response.Header.Get(transport.HeaderUpstream)
+}
+
+// Guards against a planned stop that cuts off a request in flight or goes on giving its upstream
+// new work.
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	fleet := instance.NewFleet()
+	bundles := testBundle()
+	one := startNode(t, &node.Node{Settings: testSettings("n1"), Bundles: bundles, Fleet: fleet})
+	two := startNode(t, &node.Node{Settings: testSettings("n2"), Bundles: bundles, Fleet: fleet})
+	up := startBackend(t, backend.Options{Service: "catalogue", Node: one.LocalAddr()})
+	awaitState(t, fleet, "n1", instance.Ready)
+
+	got := make(chan string, 1)
+	go func() { got <- outcome("http://" + two.CallerAddr() + "/catalogue/slow?work=600ms") }()
+	for deadline := time.Now().Add(5 * time.Second); up.InUse() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "the request did not reach the upstream")
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- one.stop() }()
+	awaitState(t, fleet, "n1", instance.Draining)
+	response, _ := get(t, "http://"+two.CallerAddr()+"/catalogue/new")
+	assert.Equal(t, response.Header.Get(transport.HeaderRan), "not-run")
+	assert.Equal(t, <-got, "200 OK n1")
+	assert.NilError(t, <-stopped)
+}
+
+// Guards against calls of callers that are refused wrongly, or as not-run although bytes may have
+// reached the upstream.
+func TestCallersFaults(t *testing.T) {
+	n := startNode(t, &node.Node{Settings: testSettings("n1"), Bundles: testBundle()})
+	startBackend(t, backend.Options{Service: "catalogue", Node: n.LocalAddr()})
+	awaitState(t, n.Fleet, "n1", instance.Ready)
+	cases := map[string]struct {
+		path, name, value string
+		status            int
+		reason            string
+	}{
+		"unknown service":  {"/nothing/x", "X-Own", "1", 404, "no-service"},
+		"bad timeout":      {"/catalogue/x", transport.HeaderTimeout, "soon", 400, "bad-request"},
+		"bad chain":        {"/catalogue/x", transport.HeaderChain, "1.1.1", 400, "bad-request"},
+		"too deep":         {"/catalogue/x", transport.HeaderChain, "1.1.6.1000000.17", 508, "depth-exceeded"},
+		"deadline reached": {"/catalogue/x?work=5s", transport.HeaderTimeout, "200", 504, "deadline-passed"},
+		"chain deadline":   {"/catalogue/x?work=5s", transport.HeaderChain, "1.1.2.200000.17", 504, "deadline-passed"},
+		"long header":      {"/catalogue/x", "X", strings.Repeat("x", 64<<10), 431, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			response, body := get(t, "http://"+n.CallerAddr()+c.path, c.name, c.value)
+			assert.Equal(t, response.StatusCode, c.status, body)
+			assert.Equal(t, response.Header.Get(transport.HeaderRefusal), c.reason)
+			if c.reason != "" {
+				want := "not-run"
+				if c.status == http.StatusGatewayTimeout {
+					want = "unknown"
+				}
+				assert.Equal(t, response.Header.Get(transport.HeaderRan), want)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that takes the first part of a request body for the whole, and against
+// a slot that is lost when a caller goes away.
+func TestCallerGoesAwayInBody(t *testing.T) {
+	whole := make(chan error, 1)
+	bundles := testBundle()
+	record := startHome(t, bundles, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		whole <- err
+	}))
+	entry := startEntry(t, bundles, record)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(entry, "http://"))
+	assert.NilError(t, err)
+	_, err = conn.Write(append([]byte("POST /catalogue/x HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"), bytes.Repeat([]byte("x"), 50000)...))
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	assert.NilError(t, conn.Close())
+	select {
+	case err := <-whole:
+		assert.Assert(t, err != nil, "the upstream read a cut body as whole")
+	case <-time.After(5 * time.Second):
+		t.Fatal("the upstream still waits for the body")
+	}
+}
--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -51,10 +52,10 @@
 
 // RoundTrip sends the request. After an error, sent reports whether any byte of the request was
 // handed to a connection; when none was, the request certainly did not run.
-func (o *Outbound) RoundTrip(request *http.Request) (response *http.Response, sent bool, err error) {
+func (o *Outbound) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
 	w := &watch{}
 	w.trace.GotConn = w.gotConn
-	response, err = o.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), &w.trace)))
+	response, err = o.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &w.trace)))
 	if err != nil {
 		return nil, w.sent(), err
 	}
@@ -96,6 +97,30 @@
 	return c.Conn.Write(p)
 }
 
+// ReadFrom implements io.ReaderFrom, which net/http uses for bodies. Without it each body would
+// cost a new buffer.
+func (c *countingConn) ReadFrom(src io.Reader) (int64, error) {
+	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(buffer)
+	var total int64
+	for {
+		n, err := src.Read(buffer[:])
+		if n > 0 {
+			written, writeErr := c.Write(buffer[:n])
+			total += int64(written)
+			if writeErr != nil {
+				return total, writeErr
+			}
+		}
+		if err == io.EOF {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+}
+
 // Failure describes a request that got no response.
 type Failure struct {
 	Step        string
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -43,12 +43,16 @@
 	if err != nil {
 		return nil, nil, &caller.Refusal{Reason: caller.BodyCut, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
 	}
-	out, err := upstreamhttp.NewRequest(ctx, req, "http://"+target.PeerAddr+ForwardPrefix, body)
+	out, err := upstreamhttp.NewRequest(req, "http://"+target.PeerAddr+ForwardPrefix, body)
 	if err != nil {
 		return nil, nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
 	}
-	out.Header.Set(headerCall, encodeCall(req, target.Incarnation, time.Now()))
-	response, sent, err := c.out.RoundTrip(out)
+	now := time.Now()
+	if req.Deadline.Sub(now) <= hopMargin {
+		return nil, nil, caller.Refuse(caller.DeadlinePassed, forwardStep, peer)
+	}
+	out.Header.Set(headerCall, encodeCall(req, target.Incarnation, now))
+	response, sent, err := c.out.RoundTrip(ctx, out)
 	if err != nil {
 		failure := transport.Failure{
 			Step: forwardStep, Peer: peer, Sent: sent, Unreachable: caller.PeerUnreachable, Lost: caller.PeerLost,
--- a/transport/peerhttp/client_test.go
+++ b/transport/peerhttp/client_test.go
@@ -70,6 +70,7 @@
 		respond func(io.Writer, *http.Request) // nil: nobody listens
 		body    *caller.Body
 		cancel  bool
+		late    bool // the deadline is over before the attempt
 		reason  caller.Reason
 		ran     caller.Ran
 	}{
@@ -85,6 +86,7 @@
 		"oversized header":  {respond: answerWith("200 OK\nX: "+strings.Repeat("x", 1<<20), ""), reason: caller.PeerLost},
 		"no HTTP":           {respond: func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, "hello\r\n\r\n") }, reason: caller.PeerLost},
 		"deadline reached":  {respond: func(io.Writer, *http.Request) { time.Sleep(time.Second) }, reason: caller.DeadlinePassed},
+		"deadline over":     {respond: func(io.Writer, *http.Request) {}, late: true, reason: caller.DeadlinePassed, ran: caller.NotRun},
 		"caller cancelled":  {respond: func(io.Writer, *http.Request) { time.Sleep(time.Second) }, cancel: true, reason: caller.Cancelled},
 		"request body cut":  {respond: answerWith(ok, "hello"), body: caller.NewBody(&cutReader{}, 10), reason: caller.BodyCut},
 	}
@@ -98,6 +100,9 @@
 			if c.body != nil {
 				req.Body = c.body
 			}
+			if c.late {
+				req.Deadline = time.Now()
+			}
 			ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 			defer cancel()
 			if c.cancel {
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -3,9 +3,11 @@
 package peerhttp
 
 import (
+	"errors"
 	"fmt"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -41,43 +43,76 @@
 	incarnation                    uint64
 }
 
+// callFields is the number of fields of a call, the version included.
+const (
+	callVersion = "1"
+	callFields  = 12
+)
+
+// encodeCall returns the fields joined by '&', texts escaped. Positions instead of names keep it short
+// and cheap to read.
 func encodeCall(req *caller.Request, incarnation uint64, now time.Time) string {
-	values := url.Values{
-		"id": {req.ID}, "sv": {req.Service}, "rt": {req.Route}, "cl": {req.Class},
-		"fp": {strconv.FormatUint(req.Fingerprint, 16)},
-		"tl": {strconv.FormatInt((req.Deadline.Sub(now) - hopMargin).Microseconds(), 10)},
-		"at": {strconv.Itoa(req.Attempt)}, "dp": {strconv.Itoa(req.Depth)},
-		"bv": {strconv.FormatUint(req.BundleVersion, 10)},
-		"in": {strconv.FormatUint(incarnation, 10)},
+	out := make([]byte, 0, maxFieldLength)
+	out = append(out, callVersion...)
+	for _, text := range [...]string{req.ID, req.Service, req.Route, req.Class, req.Key} {
+		out = append(out, '&')
+		out = append(out, url.QueryEscape(text)...)
 	}
-	if req.Key != "" {
-		values.Set("key", req.Key)
-	}
-	return values.Encode()
+	left := (req.Deadline.Sub(now) - hopMargin).Microseconds()
+	out = strconv.AppendUint(append(out, '&'), req.Fingerprint, 16)
+	out = strconv.AppendInt(append(out, '&'), left, 10)
+	out = strconv.AppendInt(append(out, '&'), int64(req.Attempt), 10)
+	out = strconv.AppendInt(append(out, '&'), int64(req.Depth), 10)
+	out = strconv.AppendUint(append(out, '&'), req.BundleVersion, 10)
+	out = strconv.AppendUint(append(out, '&'), incarnation, 10)
+	return string(out)
 }
 
 func decodeCall(text string) (call, error) {
-	values, err := url.ParseQuery(text)
-	if err != nil {
-		return call{}, fmt.Errorf("call metadata: %w", err)
+	var fields [callFields]string
+	rest, more := text, true
+	for i := range fields {
+		if !more {
+			return call{}, fmt.Errorf("call metadata has %d fields, want %d", i, callFields)
+		}
+		fields[i], rest, more = strings.Cut(rest, "&")
 	}
-	r := reader{values: values}
-	c := call{
-		id: r.text("id"), service: r.text("sv"), route: r.text("rt"), class: r.text("cl"),
-		key:           values.Get("key"),
-		fingerprint:   r.number("fp", 16, ^uint64(0)),
-		timeLeft:      time.Duration(r.number("tl", 10, uint64(maxTimeout.Microseconds()))) * time.Microsecond,
-		attempt:       int(r.number("at", 10, maxAttempts)),
-		depth:         int(r.number("dp", 10, caller.MaxDepth)),
-		bundleVersion: r.number("bv", 10, ^uint64(0)),
-		incarnation:   r.number("in", 10, ^uint64(0)),
+	if more || fields[0] != callVersion {
+		return call{}, errors.New("call metadata has another version or too many fields")
 	}
-	if len(c.key) > maxFieldLength {
-		r.fail("key")
+	var r callReader
+	c := call{
+		id: r.text(fields[1], 1), service: r.text(fields[2], 1), route: r.text(fields[3], 1), class: r.text(fields[4], 1),
+		key:           r.text(fields[5], 0),
+		fingerprint:   r.number(fields[6], 16, ^uint64(0)),
+		timeLeft:      time.Duration(r.number(fields[7], 10, uint64(maxTimeout.Microseconds()))) * time.Microsecond,
+		attempt:       int(r.number(fields[8], 10, maxAttempts)),
+		depth:         int(r.number(fields[9], 10, caller.MaxDepth)),
+		bundleVersion: r.number(fields[10], 10, ^uint64(0)),
+		incarnation:   r.number(fields[11], 10, ^uint64(0)),
 	}
 	return c, r.err
 }
 
+// callReader keeps the first error over several fields.
+type callReader struct{ err error }
+
+func (r *callReader) text(field string, least int) string {
+	value, err := url.QueryUnescape(field)
+	if err != nil || len(value) < least || len(value) > maxFieldLength {
+		r.err = fmt.Errorf("call metadata: text %q is malformed, missing or too long", field)
+	}
+	return value
+}
+
+func (r *callReader) number(field string, base int, most uint64) uint64 {
+	value, err := strconv.ParseUint(field, base, 64)
+	if err != nil || value > most {
+		r.err = fmt.Errorf("call metadata: number %q is malformed or out of range", field)
+	}
+	return value
+}
+
 func encodeReport(report link.Report) string {
 	return url.Values{
 		"s": {strconv.Itoa(int(report.State))}, "n": {strconv.Itoa(report.Slots)},
@@ -106,14 +141,6 @@
 	err    error
 }
 
-func (r *reader) text(name string) string {
-	value := r.values.Get(name)
-	if value == "" || len(value) > maxFieldLength {
-		r.fail(name)
-	}
-	return value
-}
-
 func (r *reader) number(name string, base int, most uint64) uint64 {
 	value, err := strconv.ParseUint(r.values.Get(name), base, 64)
 	if err != nil || value > most {
--- /dev/null
+++ b/transport/peerhttp/wire_test.go
@@ -0,0 +1,46 @@
+package peerhttp
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+)
+
+// Guards against metadata that is lost between nodes, and against malformed metadata that enters a
+// decision.
+func TestCallMetadata(t *testing.T) {
+	now := time.Now()
+	text := encodeCall(&caller.Request{
+		ID: "id 1", Service: "ledger", Route: "a&b", Class: "short", Key: "k=1&2", Fingerprint: 1 << 63,
+		Deadline: now.Add(time.Second), Attempt: 2, Depth: 3, BundleVersion: 9,
+	}, 77, now)
+	got, err := decodeCall(text)
+	assert.NilError(t, err)
+	assert.Equal(t, got, call{
+		id: "id 1", service: "ledger", route: "a&b", class: "short", key: "k=1&2", fingerprint: 1 << 63,
+		timeLeft: time.Second - hopMargin, attempt: 2, depth: 3, bundleVersion: 9, incarnation: 77,
+	})
+	const valid = "1&id&sv&rt&cl&&0&1000&1&0&1&7"
+	_, err = decodeCall(valid)
+	assert.NilError(t, err)
+	for name, changed := range map[string]string{
+		"empty":            "",
+		"other version":    strings.Replace(valid, "1&", "2&", 1),
+		"field missing":    strings.TrimSuffix(valid, "&7"),
+		"field too many":   valid + "&8",
+		"no service":       strings.Replace(valid, "&sv&", "&&", 1),
+		"long service":     strings.Replace(valid, "&sv&", "&"+strings.Repeat("s", 300)+"&", 1),
+		"bad escape":       strings.Replace(valid, "&sv&", "&%zz&", 1),
+		"deadline passed":  strings.Replace(valid, "&1000&", "&-1&", 1),
+		"deadline too far": strings.Replace(valid, "&1000&", "&999999999999999&", 1),
+		"attempts":         strings.Replace(valid, "&1000&1&", "&1000&1000&", 1),
+		"depth":            strings.Replace(valid, "&1&0&1&", "&1&7&1&", 1),
+	} {
+		_, err := decodeCall(changed)
+		assert.Assert(t, err != nil, name)
+	}
+}
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, &caller.Refusal{Reason: caller.BodyCut, Ran: caller.NotRun, Step: sendStep, Cause: err}
 	}
-	out, err := NewRequest(ctx, req, "http://"+addr, body)
+	out, err := NewRequest(req, "http://"+addr, body)
 	if err != nil {
 		return nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: sendStep, Cause: err}
 	}
@@ -53,7 +53,7 @@
 	out.Header.Set(transport.HeaderChain, transport.EncodeChain(chain))
 	out.Header.Set(transport.HeaderTimeout, strconv.FormatInt(max(1, chain.TimeLeft.Milliseconds()), 10))
 	out.Header.Set(transport.HeaderRequestID, req.ID)
-	response, sent, err := c.out.RoundTrip(out)
+	response, sent, err := c.out.RoundTrip(ctx, out)
 	if err != nil {
 		failure := transport.Failure{
 			Step: sendStep, Peer: addr, Sent: sent, Unreachable: caller.UpstreamUnreachable, Lost: caller.UpstreamLost,
@@ -76,7 +76,7 @@
 
 // NewRequest builds the outgoing request. Its body is never nil and has no GetBody, because
 // http.Transport resends a request on its own when it thinks that the body can be replayed.
-func NewRequest(ctx context.Context, req *caller.Request, base string, body io.ReadCloser) (*http.Request, error) {
+func NewRequest(req *caller.Request, base string, body io.ReadCloser) (*http.Request, error) {
 	target, err := url.Parse(base + req.Path)
 	if err != nil {
 		return nil, err
@@ -92,5 +92,5 @@
 	if out.ContentLength == 0 {
 		out.TransferEncoding = identity
 	}
-	return out.WithContext(ctx), nil
+	return out, nil
 }
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -77,7 +77,7 @@
 		"closed unread":    {raw(t, func(net.Conn) {}), caller.UpstreamLost, caller.Unknown},
 		"closed when read": {raw(t, afterHeader("")), caller.UpstreamLost, caller.Unknown},
 		"unframed answer":  {raw(t, afterHeader("HTTP/1.1 200 OK\r\n\r\nhello")), caller.BodyCut, caller.Unknown},
-		"oversized header": {raw(t, afterHeader("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\n\r\n")), caller.UpstreamLost, caller.Unknown},
+		"oversized header": {raw(t, afterHeader("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 1<<20)+"\r\n\r\n")), caller.UpstreamLost, caller.Unknown},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
