Publish the state of the upstream through one interface

Cause: the membership of a node owns the node's record and its state version.

Change: Self reports service, state and slots to a Publisher; a node without membership writes its own record to a fleet in the same process.

Conclusion: membership can take the place of the in-process publisher without a change to Self.

--- a/node/node.go
+++ b/node/node.go
@@ -65,7 +65,7 @@
 	if err := n.listenCallers(); err != nil {
 		return err
 	}
-	n.self = NewSelf(n.record(), beside, n.Log, func(r instance.Record) { n.Fleet.Merge(r) })
+	n.self = NewSelf(beside, n.Log, newFleetOnly(n.Fleet, n.record()))
 	return n.listenLocal()
 }
 
@@ -121,7 +121,7 @@
 	if err := settings.Check("settings", n.Settings); err != nil {
 		return err
 	}
-	record := n.self.Record()
+	record := n.record()
 	for key, address := range map[string]string{"advertise.callers": record.CallerAddr, "advertise.peers": record.PeerAddr} {
 		host, _, err := net.SplitHostPort(address)
 		if ip := net.ParseIP(host); err != nil || (ip != nil && ip.IsUnspecified()) {
@@ -134,7 +134,6 @@
 // Run serves until ctx ends and then stops gracefully: no request in flight is cut off unless the
 // stop takes longer than the settings allow.
 func (n *Node) Run(ctx context.Context) error {
-	n.Fleet.Merge(n.self.Record())
 	failed := make(chan error, 3)
 	for _, server := range n.servers() {
 		go func() {
--- a/node/self.go
+++ b/node/self.go
@@ -9,30 +9,34 @@
 	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
-// Self is this node's own instance as the fleet sees it: its record follows what the upstream
-// beside it announces. Each change raises the state version and is published.
+// Publisher tells the fleet what the upstream beside this node announces. It must not block.
+type Publisher interface {
+	Announce(service string, state instance.State, slots int)
+}
+
+// Self is this node's own instance: it takes what the upstream beside it announces, watches over the
+// time to live and publishes each change.
 type Self struct {
-	upstream *upstream.Upstream
-	publish  func(instance.Record)
-	log      *slog.Logger
+	upstream  *upstream.Upstream
+	publisher Publisher
+	log       *slog.Logger
 
 	mu       sync.Mutex
-	record   instance.Record
+	shown    shown
 	expiry   *time.Timer
 	stopping bool
 }
 
-// NewSelf returns the instance with a record without an upstream. publish is called with every
-// change, one at a time and in order; it must not block.
-func NewSelf(record instance.Record, beside *upstream.Upstream, log *slog.Logger, publish func(instance.Record)) *Self {
-	return &Self{upstream: beside, publish: publish, log: log, record: record}
+// shown is what was last published.
+type shown struct {
+	service string
+	state   instance.State
+	slots   int
 }
 
-// Record returns the current record.
-func (s *Self) Record() instance.Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.record
+// NewSelf returns the instance before its upstream has announced itself.
+func NewSelf(beside *upstream.Upstream, log *slog.Logger, publisher Publisher) *Self {
+	return &Self{upstream: beside, publisher: publisher, log: log}
 }
 
 // Announce implements upstreamhttp.Announcer.
@@ -43,7 +47,7 @@
 		a.State = instance.Draining
 	}
 	s.upstream.Announce(now, a)
-	s.change(a.Service, a.State, a.Slots)
+	s.change(shown{a.Service, a.State, a.Slots})
 	if s.expiry != nil {
 		s.expiry.Stop()
 	}
@@ -70,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, counts := s.upstream.Announced(time.Now()); !counts {
-		s.change(s.record.Service, instance.Unannounced, s.record.Slots)
+		s.change(shown{s.shown.service, instance.Unannounced, s.shown.slots})
 	}
 }
 
@@ -82,15 +86,14 @@
 		held.State = instance.Draining
 		s.upstream.Announce(now, held)
 	}
-	s.change(s.record.Service, state, s.record.Slots)
+	s.change(shown{s.shown.service, state, s.shown.slots})
 }
 
-func (s *Self) change(service string, state instance.State, slots int) {
-	if s.record.Service == service && s.record.State == state && s.record.Slots == slots {
+func (s *Self) change(next shown) {
+	if s.shown == next {
 		return
 	}
-	s.log.Info("upstream changed state", "service", service, "state", state.String(), "slots", slots)
-	s.record.Service, s.record.State, s.record.Slots = service, state, slots
-	s.record.StateVersion++
-	s.publish(s.record)
+	s.log.Info("upstream changed state", "service", next.service, "state", next.state.String(), "slots", next.slots)
+	s.shown = next
+	s.publisher.Announce(next.service, next.state, next.slots)
 }
