Name trusted keys by their files

Cause: the bundle tool writes public keys as files that carry an expiry.

Change: trusted_keys lists such files, relative to the folder of the settings file.

Conclusion: one form of key for the tool and the node.

--- a/settings/read.go
+++ b/settings/read.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -55,7 +56,13 @@
 	if len(data) > maxFileSize {
 		return Settings{}, &Error{File: file, Allowed: fmt.Sprintf("a settings file has at most %d bytes", maxFileSize)}
 	}
-	return Parse(file, data)
+	parsed, err := Parse(file, data)
+	for i, key := range parsed.TrustedKeys {
+		if !filepath.IsAbs(key) {
+			parsed.TrustedKeys[i] = filepath.Join(filepath.Dir(file), key)
+		}
+	}
+	return parsed, err
 }
 
 // Parse reads and checks settings; file names their origin in errors.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,8 +28,9 @@
 	Region string `toml:"region" validate:"required,name"`
 	// Seeds lists peer addresses (host:port) asked for the fleet when the store is down.
 	Seeds []string `toml:"seeds" validate:"max=64,dive,hostport"`
-	// TrustedKeys lists the ed25519 public keys of bundle signers, each in base64 (32 bytes).
-	TrustedKeys []string `toml:"trusted_keys" validate:"required,min=1,max=32,dive,ed25519"`
+	// TrustedKeys lists the public key files of bundle signers, as `magnoliawharf bundle keygen`
+	// writes them (name.pub). Relative paths start at the folder of the settings file. Required.
+	TrustedKeys []string `toml:"trusted_keys" validate:"required,min=1,max=32,dive,required,max=4096"`
 
 	// Listen holds the addresses that the node binds.
 	Listen Listen `toml:"listen"`
