Let every package count: metrics imports no other package

Cause: caller's retry rules read the contract in package bundle, bundle counts refused releases, and metrics imported caller for its reasons, which would close an import cycle.

Change: metrics takes any string type as reason; package caller registers its reasons.

Conclusion: the counters and their names are unchanged.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/metrics"
 )
 
 // Ran says whether a request ran at an upstream.
@@ -86,6 +88,8 @@
 	UpstreamUnreachable, UpstreamLost, AnswerMismatch, BodyCut,
 }
 
+func init() { metrics.RegisterReasons(Reasons) }
+
 // Known reports whether r is one of Reasons.
 func (r Reason) Known() bool {
 	for _, known := range Reasons {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -1,40 +1,39 @@
 // Package metrics holds the counters of a node. Each refusal reason and each retry reason has a
-// counter of its own.
+// counter of its own. It imports no other package of the project, so that all of them can count.
 package metrics
 
 import (
 	"fmt"
 	"io"
+	"sync"
 
 	vm "github.com/VictoriaMetrics/metrics"
-
-	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
 var (
 	set      = vm.NewSet()
-	refusals = reasonCounters("magnoliawharf_refusals_total")
-	retries  = reasonCounters("magnoliawharf_retries_total")
+	refusals sync.Map // *vm.Counter by reason
+	retries  sync.Map // *vm.Counter by reason
 	unlisted = set.NewCounter("magnoliawharf_refusals_unlisted_total")
 )
 
-func reasonCounters(name string) map[caller.Reason]*vm.Counter {
-	counters := make(map[caller.Reason]*vm.Counter, len(caller.Reasons))
-	for _, reason := range caller.Reasons {
-		counters[reason] = set.NewCounter(fmt.Sprintf(`%s{reason=%q}`, name, reason))
+// RegisterReasons creates the counters of the reasons, so that they show before they first count.
+func RegisterReasons[R ~string](reasons []R) {
+	for _, reason := range reasons {
+		refusals.Store(string(reason), set.GetOrCreateCounter(fmt.Sprintf(`magnoliawharf_refusals_total{reason=%q}`, reason)))
+		retries.Store(string(reason), set.GetOrCreateCounter(fmt.Sprintf(`magnoliawharf_retries_total{reason=%q}`, reason)))
 	}
-	return counters
 }
 
 // Refusal counts a request refused to its caller.
-func Refusal(reason caller.Reason) { count(refusals, reason) }
+func Refusal[R ~string](reason R) { count(&refusals, string(reason)) }
 
 // Retry counts an attempt repeated for the reason.
-func Retry(reason caller.Reason) { count(retries, reason) }
+func Retry[R ~string](reason R) { count(&retries, string(reason)) }
 
-func count(counters map[caller.Reason]*vm.Counter, reason caller.Reason) {
-	if counter, ok := counters[reason]; ok {
-		counter.Inc()
+func count(counters *sync.Map, reason string) {
+	if counter, ok := counters.Load(reason); ok {
+		counter.(*vm.Counter).Inc()
 		return
 	}
 	unlisted.Inc()
