--- a/caller/body.go
+++ b/caller/body.go
@@ -54,6 +54,10 @@
 	return !b.overflow
 }
 
+// Shareable reports whether two attempts can read the whole body at the same time: it fits into the
+// kept bytes.
+func (b *Body) Shareable() bool { return b.length >= 0 && b.length <= ReplayLimit }
+
 type attemptBody struct {
 	body   *Body
 	offset int64
--- /dev/null
+++ b/caller/retry_test.go
@@ -0,0 +1,120 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+)
+
+// retryTable lists, for each reason, whether a request may be sent again when it certainly did not
+// run (first letter) and when that is unknown (second letter, idempotent routes only), and whether
+// that is paid from the budget: "f" free, "p" paid, "-" never.
+var retryTable = map[caller.Reason]string{
+	caller.BadRequest: "--", caller.NoService: "--", caller.NoRoute: "--", caller.NoBundle: "--",
+	caller.NoUpstream: "--", caller.DeadlinePassed: "--", caller.Cancelled: "--",
+	caller.DepthExceeded: "--", caller.RetryBudget: "--", caller.Quarantined: "--",
+	caller.KeyMissing: "--", caller.KeyInvalid: "--", caller.KeyExpired: "--",
+	caller.KeyInProgress: "--", caller.KeyUnknown: "--", caller.KeyAlreadyRun: "--",
+	caller.NoKeeper: "--", caller.BodyCut: "--",
+	caller.Draining: "ff", caller.NotReady: "ff", caller.StaleIncarnation: "ff", caller.PeerUnreachable: "ff",
+	caller.StaleBundle: "pp", caller.ColdUpstream: "pp", caller.QueueFull: "pp", caller.DeadlineUnmeetable: "pp",
+	caller.Overload: "pp", caller.UpstreamUnreachable: "pp", caller.PeerLost: "pp", caller.UpstreamLost: "pp",
+	caller.AnswerMismatch: "pp",
+}
+
+// Guards against a retry that runs a request twice which must not, over every reason, rule and
+// certainty, and against a reason that nobody decided on.
+func TestDecideOverEveryReason(t *testing.T) {
+	for _, reason := range caller.Reasons {
+		row, ok := retryTable[reason]
+		assert.Assert(t, ok, "no decision for %s", reason)
+		for _, rule := range []bundle.Rule{bundle.Idempotent, bundle.NotIdempotent, bundle.AtMostOnce} {
+			for _, ran := range []caller.Ran{caller.NotRun, caller.Unknown, caller.Answered} {
+				want := byte('-')
+				switch {
+				case ran == caller.NotRun:
+					want = row[0]
+				case ran == caller.Unknown && rule == bundle.Idempotent:
+					want = row[1]
+				}
+				got := caller.Decide(caller.Attempted{
+					Rule: rule, Reason: reason, Ran: ran, Attempts: 1, Replayable: true, TimeLeft: time.Second,
+				})
+				assert.Equal(t, got.Retry, want != '-', "%s %s %s", reason, rule, ran)
+				assert.Equal(t, got.Paid, want == 'p', "%s %s %s", reason, rule, ran)
+			}
+		}
+	}
+}
+
+// Guards against a retry that the bounds of a call forbid.
+func TestDecideBounds(t *testing.T) {
+	base := caller.Attempted{
+		Rule: bundle.Idempotent, Reason: caller.Overload, Ran: caller.NotRun, Attempts: 1, Replayable: true, TimeLeft: time.Second,
+	}
+	cases := []struct {
+		name   string
+		change func(*caller.Attempted)
+		want   bool
+	}{
+		{"as it is", func(*caller.Attempted) {}, true},
+		{"last attempt", func(a *caller.Attempted) { a.Attempts = caller.MaxAttempts }, false},
+		{"body gone", func(a *caller.Attempted) { a.Replayable = false }, false},
+		{"no time for the delay", func(a *caller.Attempted) { a.TimeLeft = 5 * time.Millisecond }, false},
+		{"retry above", func(a *caller.Attempted) { a.Retried = true }, false},
+		{"retry above, free", func(a *caller.Attempted) { a.Retried, a.Reason = true, caller.Draining }, true},
+	}
+	for _, c := range cases {
+		a := base
+		c.change(&a)
+		assert.Equal(t, caller.Decide(a).Retry, c.want, c.name)
+	}
+}
+
+// chain is a service that calls the next one; the last of them fails every call.
+type chain struct {
+	budgets []*caller.Budgets
+	runs    int
+}
+
+func (c *chain) call(depth int, retried bool) {
+	if depth == caller.MaxDepth {
+		c.runs++
+		return
+	}
+	budget := c.budgets[depth].Of("service")
+	if !retried {
+		budget.Earn(0.1)
+	}
+	for attempts := 1; ; attempts++ {
+		c.call(depth+1, retried || attempts > 1)
+		decision := caller.Decide(caller.Attempted{
+			Rule: bundle.Idempotent, Reason: caller.UpstreamLost, Ran: caller.Unknown, Attempts: attempts,
+			Retried: retried, Replayable: true, TimeLeft: time.Second,
+		})
+		if !decision.Retry || (decision.Paid && !budget.Spend()) {
+			return
+		}
+	}
+}
+
+// Guards against retries that multiply over a chain 6 deep when everything fails: at most a tenth
+// more calls for each level, and the saved retries once. Without budget and count it would be 3^6.
+func TestAmplificationOverChain(t *testing.T) {
+	const calls = 10000
+	c := &chain{}
+	for range caller.MaxDepth {
+		c.budgets = append(c.budgets, caller.NewBudgets())
+	}
+	for range calls {
+		c.call(0, false)
+	}
+	const saved = 10 * caller.MaxDepth
+	amplification := float64(c.runs) / calls
+	t.Logf("amplification over a chain %d deep: %.3f", caller.MaxDepth, amplification)
+	assert.Assert(t, c.runs <= calls+calls*caller.MaxDepth/10+saved, "amplification %.3f", amplification)
+}
--- /dev/null
+++ b/link/cost.go
@@ -0,0 +1,148 @@
+package link
+
+import (
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+)
+
+const (
+	// busyCost is the cost in service times of a link whose slots are all in use but one. It makes
+	// an idle link cheaper than a busy one before anything queues.
+	busyCost = 0.3
+	// coldShare is the share of the traffic that a cold upstream receives at first.
+	coldShare = 0.1
+)
+
+// cost returns the expected seconds until an answer comes over the link.
+func (l *Link) cost(now time.Time, kind Kind) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	expected := l.predict(now, kind).Seconds()
+	expected += max(0, l.lateness(now))
+	expected = max(expected, l.overdue(now))
+	expected += l.failureRate(now) * (failurePenalty*l.service().Seconds() + failureTime.Seconds())
+	return expected
+}
+
+// predict returns the time to an answer by what is known of the load: the way and the service time,
+// and the queue for the slots that serve the kind.
+func (l *Link) predict(now time.Time, kind Kind) time.Duration {
+	slots, occupied := l.occupancy(now, kind)
+	waiting := max(0, occupied+1-slots) / slots
+	busy := min(1, occupied/slots)
+	service := float64(l.service())
+	return l.way.RoundTrip() + time.Duration(service*(1+waiting+busyCost*busy*busy))
+}
+
+// occupancy returns the slots that serve the kind and the requests known or expected to be there:
+// the own ones, and those of other nodes from the report. An old report says less and less about
+// the others, so their load fades from the reported to the average of the service.
+func (l *Link) occupancy(now time.Time, kind Kind) (slots, occupied float64) {
+	total := float64(max(1, l.slots()))
+	age := now.Sub(l.reportAt)
+	held := fade(age, l.set.policy().ReportMaxAge)
+	if l.reportAt.IsZero() {
+		held = 0
+	}
+	if kind == Long {
+		slots = max(1, total*l.set.policy().LongShare)
+		others := float64(max(0, l.report.Long+l.report.QueuedLong-l.atReport[Long]))
+		return slots, float64(l.inFlight[Long]) + others*held
+	}
+	slots = max(1, total-float64(l.report.Long)*held)
+	others := float64(max(0, l.report.InUse-l.report.Long+l.report.Queued-l.atReport[Short]))
+	others = others*held + l.set.othersPerSlot()*total*(1-held)
+	return slots, float64(l.inFlight[Short]) + others
+}
+
+func (l *Link) slots() int {
+	if l.report.Slots > 0 {
+		return l.report.Slots
+	}
+	return l.record.Slots
+}
+
+// service returns the service time of short requests.
+func (l *Link) service() time.Duration {
+	if l.report.Service > 0 {
+		return l.report.Service
+	}
+	return defaultService
+}
+
+// overdue returns the mean age of the short requests in flight while no answer has come, so that a
+// link that stalls is avoided before its answers say so.
+func (l *Link) overdue(now time.Time) float64 {
+	if l.pending == 0 {
+		return 0
+	}
+	mean := float64(int64(now.Sub(l.epoch)) - l.startSum/int64(l.pending))
+	silent := float64(now.Sub(l.answerAt))
+	if l.answerAt.IsZero() {
+		silent = mean
+	}
+	return max(0, min(mean, silent)) / float64(time.Second)
+}
+
+func (l *Link) failureRate(now time.Time) float64 {
+	return l.failRate * fade(now.Sub(l.failAt), failureDecay)
+}
+
+// eligible reports whether the link may receive a request like any other. draw is a random number
+// in [0, 1) by which a cold or returning upstream receives its growing share.
+func (l *Link) eligible(now time.Time, draw float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.serves(now) && !l.ejection.out && draw < min(l.warmth(now), l.ejection.warmth(now))
+}
+
+// claimTrial reports whether the request is to test the ejected link, and reserves the test.
+func (l *Link) claimTrial(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.serves(now) && l.ejection.claim(now)
+}
+
+func (l *Link) serving(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.serves(now)
+}
+
+// reportAge returns the age of the last report or probe, and whether the upstream serves by its
+// record.
+func (l *Link) reportAge(now time.Time) (age time.Duration, serves bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.reportAt
+	if l.probedAt.After(last) {
+		last = l.probedAt
+	}
+	return now.Sub(last), l.record.State.Serves()
+}
+
+// probeFailed notes a probe without an answer, so that the next one goes to another link.
+func (l *Link) probeFailed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probedAt = now
+}
+
+// serves reports whether the upstream takes work by its record and its last report.
+func (l *Link) serves(now time.Time) bool {
+	if !l.record.State.Serves() {
+		return false
+	}
+	recent := !l.reportAt.IsZero() && now.Sub(l.reportAt) < refusalHold
+	return !recent || l.report.State.Serves()
+}
+
+// warmth returns the share of its normal traffic that the upstream receives.
+func (l *Link) warmth(now time.Time) float64 {
+	ramp := l.set.policy().ColdStart
+	if l.coldSince.IsZero() || ramp <= 0 || l.record.State != instance.Cold {
+		return 1
+	}
+	return min(1, coldShare+(1-coldShare)*float64(now.Sub(l.coldSince))/float64(ramp))
+}
--- a/link/link.go
+++ b/link/link.go
@@ -4,46 +4,70 @@
 package link
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
 )
 
-// Report is what the node beside an upstream says of it. It rides on every answer.
-type Report struct {
-	State  instance.State
-	Slots  int // requests the upstream runs at the same time
-	InUse  int // slots in use
-	Queued int // requests waiting for a slot
-}
-
-// Result says how an attempt over a link ended.
-type Result uint8
-
-// Results of an attempt.
 const (
-	Served      Result = iota // an upstream answered
-	Refused                   // the node beside the upstream refused it before it ran
-	Unreachable               // no connection could be opened
-	Lost                      // the connection broke after the request was sent
-	Abandoned                 // the caller went away or the deadline passed
+	// defaultService is the service time assumed before one was reported or measured.
+	defaultService = 5 * time.Millisecond
+	// refusalHold is how long a report of an upstream that does not serve outweighs the record.
+	refusalHold = time.Second
+	// errorWeight and errorDecay shape the estimate of how much later than predicted a link
+	// answers: each late answer counts with the weight, and the estimate fades with the time
+	// constant when nothing comes.
+	errorWeight = 0.2
+	errorDecay  = 2 * time.Second
+	// errorClip bounds a single late answer to a multiple of the service time, so that one request
+	// of a heavy tail does not empty a link.
+	errorClip = 10
+	// failureWeight is the weight of one result in the failure rate, failurePenalty the cost of a
+	// certain failure in service times plus failureTime.
+	failureWeight  = 0.1
+	failurePenalty = 10
+	failureTime    = 50 * time.Millisecond
+	failureDecay   = 5 * time.Second
+	// tailShare is the share of answers that come before the time after which a hedge is sent.
+	tailShare = 0.95
+	tailStep  = 0.1
 )
 
-// Token identifies one attempt between Begin and End.
-type Token struct{ started time.Time }
-
 // Link is the link from this node to one upstream instance. It is safe for concurrent use.
 type Link struct {
-	mu       sync.Mutex
-	record   instance.Record
-	inFlight int
-	report   Report
-	reportAt time.Time
+	id  instance.ID
+	set *Set
+	way *Way
+
+	mu        sync.Mutex
+	record    instance.Record
+	inFlight  [kinds]int
+	pending   int   // short requests in flight without an answer
+	startSum  int64 // sum of the start times of these, ns since epoch
+	epoch     time.Time
+	answerAt  time.Time // last answer to a short request
+	report    Report
+	reportAt  time.Time
+	probedAt  time.Time  // last probe without an answer
+	atReport  [kinds]int // own requests in flight when the report arrived
+	late      float64    // seconds by which answers come later than predicted
+	lateAt    time.Time
+	failRate  float64
+	failAt    time.Time
+	tail      float64 // seconds; 95th percentile of the latency of short requests
+	coldSince time.Time
+	ejection  ejection
 }
 
-// New returns a link to the instance.
-func New(record instance.Record) *Link { return &Link{record: record} }
+func newLink(set *Set, way *Way, record instance.Record, now time.Time) *Link {
+	l := &Link{id: record.ID, set: set, way: way, record: record, epoch: now}
+	if record.State == instance.Cold {
+		l.coldSince = now
+	}
+	return l
+}
 
 // Record returns the newest record of the instance.
 func (l *Link) Record() instance.Record {
@@ -52,34 +76,139 @@
 	return l.record
 }
 
-// Update takes a newer record of the instance.
-func (l *Link) Update(record instance.Record) {
+// update takes a newer record of the same incarnation.
+func (l *Link) update(record instance.Record, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if record.StateVersion == l.record.StateVersion {
+		return
+	}
+	if record.State == instance.Cold && l.record.State != instance.Cold {
+		l.coldSince = now
+	}
 	l.record = record
+	if record.State.Serves() && !l.report.State.Serves() {
+		l.reportAt = time.Time{}
+	}
 }
 
 // Begin counts an attempt as in flight.
-func (l *Link) Begin(now time.Time) Token {
+func (l *Link) Begin(now time.Time, kind Kind) *Token {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.inFlight++
-	return Token{started: now}
+	token := &Token{kind: kind, started: now, predicted: l.predict(now, kind)}
+	l.inFlight[kind]++
+	if kind == Short {
+		l.pending++
+		l.startSum += int64(now.Sub(l.epoch))
+	}
+	return token
 }
 
-// End takes the result of an attempt and the report that rode on its answer, if any.
-func (l *Link) End(now time.Time, _ Token, _ Result, report *Report) {
+// Answered takes the time and the report of an answer when its header has come. The attempt stays
+// in flight until End.
+func (l *Link) Answered(now time.Time, token *Token, result Result, report *Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.inFlight--
-	if report != nil {
-		l.report, l.reportAt = *report, now
+	token.answered = true
+	if token.kind == Short {
+		l.pending--
+		l.startSum -= int64(token.started.Sub(l.epoch))
 	}
+	if token.kind == Short && result == Served {
+		l.answerAt = now
+	}
+	l.take(now, token, report)
+	// An attempt given up without an answer took at least this long; that counts when it is late.
+	overdue := (result == Late || result == Abandoned) && now.Sub(token.started) > token.predicted
+	if result == Served || overdue {
+		l.learn(now, token)
+	}
+	l.judge(now, result)
+}
+
+// End counts the attempt as over. The result and the report are used unless Answered took them; a
+// connection that broke after the answer began still counts as a failure.
+func (l *Link) End(now time.Time, token *Token, result Result, report *Report) {
+	l.mu.Lock()
+	answered := token.answered
+	l.mu.Unlock()
+	if !answered {
+		l.Answered(now, token, result, report)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight[token.kind]--
+	if answered && result == Lost {
+		l.judge(now, result)
+	}
+}
+
+// Take takes a report that came by a probe.
+func (l *Link) Take(now time.Time, report Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.take(now, nil, &report)
+}
+
+func (l *Link) take(now time.Time, token *Token, report *Report) {
+	if report == nil {
+		return
+	}
+	l.report, l.reportAt = *report, now
+	l.atReport = l.inFlight
+	if token != nil {
+		l.atReport[token.kind]--
+		if took := now.Sub(token.started); report.Took > 0 && took >= report.Took {
+			l.way.observe(took - report.Took)
+		}
+	}
+	if report.Slots > 0 {
+		others := max(0, report.InUse-report.Long+report.Queued-l.atReport[Short])
+		l.set.noteOthers(float64(others) / float64(report.Slots))
+	}
+}
+
+// learn compares the latency of a short answer with the prediction. An upstream that claims to be
+// idle but answers late is found this way, whatever it reports.
+func (l *Link) learn(now time.Time, token *Token) {
+	if token.kind != Short {
+		return
+	}
+	took := now.Sub(token.started)
+	if l.tail == 0 {
+		l.tail = took.Seconds()
+	} else if took.Seconds() > l.tail {
+		l.tail *= 1 + tailStep*tailShare
+	} else {
+		l.tail *= 1 - tailStep*(1-tailShare)
+	}
+	missed := (took - token.predicted).Seconds()
+	missed = min(missed, errorClip*l.service().Seconds())
+	l.late = l.lateness(now) + (missed-l.late)*errorWeight
+	l.lateAt = now
+}
+
+// lateness returns the seconds by which answers come later than predicted, faded since the last.
+func (l *Link) lateness(now time.Time) float64 {
+	return l.late * fade(now.Sub(l.lateAt), errorDecay)
+}
+
+func fade(age, constant time.Duration) float64 {
+	return math.Exp(-float64(max(0, age)) / float64(constant))
+}
+
+// HedgeAfter returns the time after which a hedge of a short request is worth sending, 0 when not
+// enough is known.
+func (l *Link) HedgeAfter() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.tail * float64(time.Second))
 }
 
-// load returns the requests known to be at the upstream.
-func (l *Link) load() int {
+// InFlight returns the attempts in flight on this link.
+func (l *Link) InFlight() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.inFlight + l.report.Queued
+	return l.inFlight[Short] + l.inFlight[Long]
 }
--- /dev/null
+++ b/link/probe.go
@@ -0,0 +1,143 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+)
+
+const (
+	// probeTimeout bounds one probe; a report that comes later says little.
+	probeTimeout = 100 * time.Millisecond
+	// maxProbes bounds the probes under way from one node.
+	maxProbes = 16
+)
+
+// ProbeBudget bounds measuring work to a rate with a burst of one: two pieces of work are at least
+// one interval apart. It starts empty, so that a restart does not grant extra work.
+type ProbeBudget struct {
+	mu       sync.Mutex
+	interval time.Duration
+	next     time.Time
+}
+
+// NewProbeBudget returns a budget of perSecond pieces of work. A rate of 0 allows none.
+func NewProbeBudget(now time.Time, perSecond float64) *ProbeBudget {
+	b := &ProbeBudget{}
+	b.interval = intervalOf(perSecond)
+	b.next = now.Add(b.interval)
+	return b
+}
+
+func intervalOf(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
+// SetRate changes the rate. A lower rate also delays the next piece of work.
+func (b *ProbeBudget) SetRate(now time.Time, perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	interval := intervalOf(perSecond)
+	if interval == b.interval {
+		return
+	}
+	last := b.next.Add(-b.interval)
+	if b.interval == 0 {
+		last = now
+	}
+	b.interval, b.next = interval, last.Add(interval)
+}
+
+// Take uses one piece of work and reports whether the budget allows it.
+func (b *ProbeBudget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.interval == 0 || now.Before(b.next) {
+		return false
+	}
+	b.next = now.Add(b.interval)
+	return true
+}
+
+// ProbeSender asks the node beside an upstream for a report.
+type ProbeSender interface {
+	Probe(ctx context.Context, target instance.Record) (Report, error)
+}
+
+// Prober sends probes for links whose report is too old while their service has traffic. It is
+// driven by the calls of the service and never works on its own.
+type Prober struct {
+	sender ProbeSender
+	slots  chan struct{}
+}
+
+// NewProber returns a prober that sends by sender.
+func NewProber(sender ProbeSender) *Prober {
+	return &Prober{sender: sender, slots: make(chan struct{}, maxProbes)}
+}
+
+// Refresh is called with each call of the service. It sends at most one probe, to a link whose
+// report is older than the contract allows, when the budget of the service has one.
+func (p *Prober) Refresh(now time.Time, s *Set, contract *bundle.Contract) {
+	if contract.ProbePerSecond <= 0 || !s.probeDue(now, contract.ProbePerSecond) {
+		return
+	}
+	stale := s.stalest(now)
+	if stale == nil {
+		return
+	}
+	select {
+	case p.slots <- struct{}{}:
+	default:
+		return
+	}
+	if !s.probes.Take(now) {
+		<-p.slots
+		return
+	}
+	go func() {
+		defer func() { <-p.slots }()
+		p.probe(stale)
+	}()
+}
+
+func (p *Prober) probe(l *Link) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	report, err := p.sender.Probe(ctx, l.Record())
+	now := time.Now()
+	if err != nil {
+		l.probeFailed(now)
+		return
+	}
+	l.Take(now, report)
+}
+
+// probeDue reports whether the budget may have a probe, without taking it.
+func (s *Set) probeDue(now time.Time, perSecond float64) bool {
+	s.probes.SetRate(now, perSecond)
+	s.probes.mu.Lock()
+	defer s.probes.mu.Unlock()
+	return !now.Before(s.probes.next)
+}
+
+// stalest returns the link with the oldest report among those whose report is too old, nil when
+// there is none. It looks at all links, but only as often as the budget allows a probe.
+func (s *Set) stalest(now time.Time) *Link {
+	var found *Link
+	oldest := s.policy().ReportMaxAge
+	for _, g := range s.view.Load().groups {
+		for _, l := range g.links {
+			if age, serves := l.reportAge(now); serves && age > oldest {
+				found, oldest = l, age
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/link/report.go
@@ -0,0 +1,54 @@
+package link
+
+import (
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+)
+
+// Report is what the node beside an upstream says of it. It rides on every answer.
+type Report struct {
+	State      instance.State
+	Slots      int           // requests the upstream may run at the same time now
+	InUse      int           // slots in use
+	Queued     int           // requests of short classes that wait for a slot
+	Long       int           // slots held by long classes
+	QueuedLong int           // requests of long classes that wait for a slot
+	Service    time.Duration // typical service time of short classes, 0 when unknown
+	Took       time.Duration // time from receiving the request to this report, 0 when unknown
+}
+
+// Kind tells short from long work, which waits for different slots.
+type Kind uint8
+
+// Kinds of work.
+const (
+	Short Kind = iota
+	Long
+	kinds
+)
+
+// Result says how an attempt over a link ended.
+type Result uint8
+
+// Results of an attempt.
+const (
+	Served      Result = iota // an upstream answered
+	Failed                    // an upstream answered with a server error
+	Refused                   // the node beside the upstream refused it before it ran
+	Unreachable               // no connection could be opened
+	Lost                      // the connection broke after the request was sent
+	Late                      // the deadline passed without an answer
+	Abandoned                 // the caller went away or a hedge was faster
+)
+
+func (r Result) failure() bool { return r == Failed || r == Unreachable || r == Lost || r == Late }
+
+// Token identifies one attempt between Begin and End. It belongs to the attempt and is used by one
+// goroutine at a time.
+type Token struct {
+	kind      Kind
+	started   time.Time
+	predicted time.Duration
+	answered  bool
+}
--- a/link/set.go
+++ b/link/set.go
@@ -2,86 +2,305 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/instance"
-	"github.com/magnoliawharf/magnoliawharf/shard"
 )
 
 // ErrNoUpstream is returned when no known upstream of the service may receive the request.
 var ErrNoUpstream = errors.New("no upstream of the service may receive the request")
 
-const setShards = 16
+const (
+	defaultReportMaxAge = 500 * time.Millisecond
+	defaultLongShare    = 0.5
+	othersWeight        = 1.0 / 16
+	// sortInterval is how often the data centres are put in order of their learned round trips.
+	sortInterval = time.Second
+)
 
-// Table holds the links of a node by service.
-type Table struct {
-	fleet *instance.Fleet
-	sets  *shard.Map[string, *Set]
+// Policy is what a contract says about routing.
+type Policy struct {
+	ColdStart    time.Duration // time over which a cold upstream is raised to its full share
+	ReportMaxAge time.Duration // age at which a report counts little; 0 is 500 ms
+	LongShare    float64       // share of the slots that long classes may hold; 0 is one half
 }
 
-// NewTable returns a table of links to the instances of the fleet.
-func NewTable(fleet *instance.Fleet) *Table {
-	return &Table{fleet: fleet, sets: shard.NewString[string, *Set](setShards)}
+// PolicyOf returns the policy of the contract.
+func PolicyOf(c *bundle.Contract) Policy {
+	return Policy{ColdStart: c.ColdStart, ReportMaxAge: c.ReportMaxAge, LongShare: c.LongShare}
 }
 
-// Set returns the links of a service, refreshed from the fleet.
-func (t *Table) Set(service string) *Set {
-	set := t.sets.GetOrCreate(service, func() *Set { return &Set{links: make(map[instance.ID]*Link)} })
-	set.refresh(t.fleet.Service(service))
-	return set
+func (p Policy) withDefaults() Policy {
+	if p.ReportMaxAge <= 0 {
+		p.ReportMaxAge = defaultReportMaxAge
+	}
+	if p.LongShare <= 0 {
+		p.LongShare = defaultLongShare
+	}
+	return p
 }
 
 // Set is the links of one service. It is safe for concurrent use.
 type Set struct {
-	mu    sync.Mutex
+	wayTo  func(dataCentre string) *Way
+	quota  quota
+	probes *ProbeBudget
+
+	mu    sync.Mutex // guards links and the building of view
 	links map[instance.ID]*Link
+
+	view   atomic.Pointer[view]
+	rules  atomic.Pointer[Policy]
+	others atomic.Uint64 // float64 bits: average load per slot that other nodes cause
+}
+
+// view is an immutable arrangement of the links, nearest data centre first.
+type view struct {
+	groups   []group
+	size     int
+	sortedAt time.Time
+}
+
+// group is the links into one data centre.
+type group struct {
+	way   *Way
+	links []*Link
+}
+
+func newSet(wayTo func(string) *Way) *Set {
+	s := &Set{wayTo: wayTo, probes: NewProbeBudget(time.Now(), 0), links: make(map[instance.ID]*Link)}
+	s.view.Store(&view{})
+	s.Adopt(Policy{})
+	return s
+}
+
+// Adopt takes the policy of the contract in force.
+func (s *Set) Adopt(p Policy) {
+	p = p.withDefaults()
+	if held := s.rules.Load(); held == nil || *held != p {
+		s.rules.Store(&p)
+	}
+}
+
+func (s *Set) policy() *Policy { return s.rules.Load() }
+
+// noteOthers takes the load per slot that other nodes cause at one upstream. Concurrent notes may
+// overwrite each other; each is only a small correction.
+func (s *Set) noteOthers(perSlot float64) {
+	held := s.othersPerSlot()
+	s.others.Store(math.Float64bits(held + (perSlot-held)*othersWeight))
 }
 
-func (s *Set) refresh(records []instance.Record) {
+func (s *Set) othersPerSlot() float64 { return math.Float64frombits(s.others.Load()) }
+
+// Len returns the number of links.
+func (s *Set) Len() int { return s.view.Load().size }
+
+// Links returns the links, nearest data centre first.
+func (s *Set) Links() []*Link {
+	var all []*Link
+	for _, g := range s.view.Load().groups {
+		all = append(all, g.links...)
+	}
+	return all
+}
+
+// replace makes the set hold exactly the records.
+func (s *Set) replace(now time.Time, records []instance.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := make(map[instance.ID]struct{}, len(records))
+	kept := make(map[instance.ID]struct{}, len(records))
 	for _, record := range records {
-		known[record.ID] = struct{}{}
-		held, ok := s.links[record.ID]
-		if !ok || held.Record().Incarnation != record.Incarnation {
-			s.links[record.ID] = New(record)
-			continue
-		}
-		held.Update(record)
+		kept[record.ID] = struct{}{}
+		s.put(now, record)
 	}
 	for id := range s.links {
-		if _, ok := known[id]; !ok {
-			delete(s.links, id)
+		if _, ok := kept[id]; !ok {
+			s.remove(id)
 		}
 	}
+	s.build(now)
 }
 
-// Choose returns a link for a request, leaving out the instances for which exclude reports true.
-func (s *Set) Choose(_ time.Time, exclude func(instance.ID) bool) (*Link, error) {
-	candidates := s.candidates(exclude)
-	if len(candidates) == 0 {
-		return nil, ErrNoUpstream
+// apply takes one changed record of the fleet.
+func (s *Set) apply(now time.Time, service string, record instance.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, held := s.links[record.ID]
+	belongs := record.Service == service && !record.State.Gone()
+	switch {
+	case belongs:
+		s.put(now, record)
+	case held:
+		s.remove(record.ID)
+	default:
+		return
+	}
+	s.build(now)
+}
+
+func (s *Set) put(now time.Time, record instance.Record) {
+	held, ok := s.links[record.ID]
+	if ok && !record.Newer(held.Record()) {
+		return
 	}
-	first := candidates[rand.IntN(len(candidates))]
-	second := candidates[rand.IntN(len(candidates))]
-	if second.load() < first.load() {
-		return second, nil
+	if ok && held.Record().Incarnation == record.Incarnation {
+		held.update(record, now)
+		return
 	}
-	return first, nil
+	s.remove(record.ID)
+	s.links[record.ID] = newLink(s, s.wayTo(record.DataCentre), record, now)
 }
 
-func (s *Set) candidates(exclude func(instance.ID) bool) []*Link {
-	s.mu.Lock()
+func (s *Set) remove(id instance.ID) {
+	if held, ok := s.links[id]; ok {
+		held.retire()
+		delete(s.links, id)
+	}
+}
+
+// build arranges the links by data centre.
+func (s *Set) build(now time.Time) {
+	next := &view{size: len(s.links), sortedAt: now}
+	at := make(map[*Way]int)
+	for _, l := range s.links {
+		i, ok := at[l.way]
+		if !ok {
+			i = len(next.groups)
+			at[l.way] = i
+			next.groups = append(next.groups, group{way: l.way})
+		}
+		next.groups[i].links = append(next.groups[i].links, l)
+	}
+	next.sort()
+	s.quota.resize(next.size)
+	s.view.Store(next)
+}
+
+func (v *view) sort() {
+	slices.SortFunc(v.groups, func(a, b group) int { return int(a.way.RoundTrip() - b.way.RoundTrip()) })
+}
+
+// arrangement returns the view, put in order again from time to time.
+func (s *Set) arrangement(now time.Time) *view {
+	held := s.view.Load()
+	if len(held.groups) < 2 || now.Sub(held.sortedAt) < sortInterval || !s.mu.TryLock() {
+		return held
+	}
 	defer s.mu.Unlock()
-	found := make([]*Link, 0, len(s.links))
-	for id, l := range s.links {
-		if l.Record().State.Serves() && !exclude(id) {
-			found = append(found, l)
+	next := &view{groups: slices.Clone(s.view.Load().groups), size: len(s.links), sortedAt: now}
+	next.sort()
+	s.view.Store(next)
+	return next
+}
+
+const (
+	nearCandidates = 2
+	// largeSet is the size above which one more near candidate is compared.
+	largeSet      = 8
+	maxCandidates = nearCandidates + 3
+)
+
+// candidates is a small set of distinct links without allocation.
+type candidates struct {
+	links [maxCandidates]*Link
+	count int
+}
+
+func (c *candidates) has(l *Link) bool { return slices.Contains(c.links[:c.count], l) }
+
+// Choose returns a link for a request, leaving out the instances for which exclude reports true. It
+// compares a few random links: most of them in the nearest data centre, one in the next and one in
+// any of the others, so that work spills over when queueing here costs more than the way there.
+func (s *Set) Choose(now time.Time, kind Kind, exclude func(instance.ID) bool) (*Link, error) {
+	v := s.arrangement(now)
+	var c candidates
+	near := nearCandidates
+	if v.size > largeSet {
+		near++
+	}
+	for i, wanted := 0, near; i < len(v.groups) && wanted > 0; i++ {
+		found, trial := v.groups[i].sample(now, &c, wanted, exclude)
+		if trial != nil {
+			return trial, nil
+		}
+		if found > 0 {
+			wanted = 1
+			if c.count > near {
+				i += rand.IntN(max(1, len(v.groups)-i-1))
+				wanted = min(wanted, maxCandidates-c.count)
+			}
+		}
+	}
+	if c.count == 0 {
+		v.fallback(now, &c, exclude)
+	}
+	if c.count == 0 {
+		return nil, ErrNoUpstream
+	}
+	return c.cheapest(now, kind), nil
+}
+
+// sample adds up to wanted random eligible links. It returns an ejected link instead when that is
+// due for its trial request.
+func (g *group) sample(now time.Time, c *candidates, wanted int, exclude func(instance.ID) bool) (found int, trial *Link) {
+	n := len(g.links)
+	for range wanted {
+		start := rand.IntN(n)
+		for i := range n {
+			l := g.links[(start+i)%n]
+			if c.has(l) || exclude(l.id) {
+				continue
+			}
+			if l.claimTrial(now) {
+				return found, l
+			}
+			if l.eligible(now, rand.Float64()) {
+				c.links[c.count] = l
+				c.count++
+				found++
+				break
+			}
+		}
+	}
+	return found, nil
+}
+
+// fallback adds random links that serve by their record, when all are ejected or cold.
+func (v *view) fallback(now time.Time, c *candidates, exclude func(instance.ID) bool) {
+	if len(v.groups) == 0 {
+		return
+	}
+	first := rand.IntN(len(v.groups))
+	for i := range v.groups {
+		g := &v.groups[(first+i)%len(v.groups)]
+		start := rand.IntN(len(g.links))
+		for j := range g.links {
+			l := g.links[(start+j)%len(g.links)]
+			if exclude(l.id) || !l.serving(now) {
+				continue
+			}
+			c.links[c.count] = l
+			c.count++
+			if c.count == nearCandidates {
+				return
+			}
+		}
+	}
+}
+
+func (c *candidates) cheapest(now time.Time, kind Kind) *Link {
+	best, least := c.links[0], math.Inf(1)
+	for _, l := range c.links[:c.count] {
+		if cost := l.cost(now, kind); cost < least {
+			best, least = l, cost
 		}
 	}
-	return slices.Clip(found)
+	return best
 }
--- /dev/null
+++ b/link/table.go
@@ -0,0 +1,105 @@
+package link
+
+import (
+	"sync"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/shard"
+)
+
+const (
+	setShards = 16
+	wayShards = 8
+)
+
+// Table holds the links of a node by service. It follows the changes of the fleet.
+type Table struct {
+	fleet *instance.Fleet
+	here  string
+	known map[string]time.Duration
+	sets  *shard.Map[string, *Set]
+	ways  *shard.Map[string, *Way]
+
+	changes <-chan instance.Record
+	mu      sync.Mutex // taken by the one call that brings the sets up to date
+}
+
+// Option changes a table at its creation.
+type Option func(*Table)
+
+// At names the data centre of this node, whose upstreams are taken as near before the network was
+// measured.
+func At(dataCentre string) Option { return func(t *Table) { t.here = dataCentre } }
+
+// WithRoundTrips gives the network round trips by data centre from the settings. They are the
+// start values of what is learned.
+func WithRoundTrips(known map[string]time.Duration) Option {
+	return func(t *Table) { t.known = known }
+}
+
+// NewTable returns a table of links to the instances of the fleet.
+func NewTable(fleet *instance.Fleet, options ...Option) *Table {
+	t := &Table{
+		fleet: fleet,
+		sets:  shard.NewString[string, *Set](setShards),
+		ways:  shard.NewString[string, *Way](wayShards),
+	}
+	for _, option := range options {
+		option(t)
+	}
+	t.changes, _ = fleet.Subscribe()
+	return t
+}
+
+// Set returns the links of a service.
+func (t *Table) Set(service string) *Set {
+	if len(t.changes) > 0 {
+		t.follow()
+	}
+	if set, ok := t.sets.Get(service); ok {
+		return set
+	}
+	set := t.sets.GetOrCreate(service, func() *Set { return newSet(t.Way) })
+	// The fleet is read after the set can be found, so that no change falls between the two.
+	set.replace(time.Now(), t.fleet.Service(service))
+	return set
+}
+
+// Way returns the learned network round trip to a data centre.
+func (t *Table) Way(dataCentre string) *Way {
+	return t.ways.GetOrCreate(dataCentre, func() *Way {
+		if known, ok := t.known[dataCentre]; ok {
+			return newWay(known)
+		}
+		if dataCentre == t.here {
+			return newWay(defaultNearWay)
+		}
+		return newWay(defaultFarWay)
+	})
+}
+
+// follow takes the pending changes of the fleet into the sets. A full channel may have lost
+// changes, so all sets are read again.
+func (t *Table) follow() {
+	if !t.mu.TryLock() {
+		return // another call does it
+	}
+	defer t.mu.Unlock()
+	now := time.Now()
+	overflowed := len(t.changes) == cap(t.changes)
+	for len(t.changes) > 0 {
+		record := <-t.changes
+		t.sets.Range(func(service string, set *Set) bool {
+			set.apply(now, service, record)
+			return true
+		})
+	}
+	if !overflowed {
+		return
+	}
+	t.sets.Range(func(service string, set *Set) bool {
+		set.replace(now, t.fleet.Service(service))
+		return true
+	})
+}
--- /dev/null
+++ b/node/attempt.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/link"
+)
+
+// try sends the request once, or twice when a hedge is due.
+func (c *call) try(ctx context.Context) (*caller.Answer, *caller.Refusal) {
+	chosen, refusal := c.choose()
+	if refusal != nil {
+		return nil, refusal
+	}
+	if c.kind == link.Short && caller.MayHedge(c.route, c.req.Body, c.retried) {
+		if after := chosen.HedgeAfter(); after > 0 {
+			return c.hedged(ctx, chosen, after)
+		}
+	}
+	return c.attempt(ctx, chosen, len(c.tried), nil)
+}
+
+// attempt sends the request over one link. done, which may be nil, is called when the attempt is
+// over: when it is refused, or when the body of its answer is closed.
+func (c *call) attempt(ctx context.Context, over *link.Link, number int, done func()) (*caller.Answer, *caller.Refusal) {
+	// Each attempt has its own copy, since a hedge runs beside the first attempt.
+	req := *c.req
+	req.Attempt += number - 1
+	token := over.Begin(time.Now(), c.kind)
+	answer, report, err := c.Forward.Forward(ctx, &req, over.Record())
+	if err != nil {
+		refusal := asRefusal(ctx, err)
+		over.End(time.Now(), token, resultOf(ctx, refusal), report)
+		if done != nil {
+			done()
+		}
+		return nil, refusal
+	}
+	result := link.Served
+	if serverError(answer.Status) {
+		result = link.Failed
+	}
+	over.Answered(time.Now(), token, result, report)
+	body := &attemptBody{ReadCloser: answer.Body}
+	body.end = func() {
+		if body.broken.Load() && ctx.Err() == nil {
+			result = link.Lost
+		}
+		over.End(time.Now(), token, result, nil)
+		if done != nil {
+			done()
+		}
+	}
+	answer.Body = body
+	return answer, nil
+}
+
+// serverError reports whether the upstream answered that it failed. A fast failure must not make
+// an upstream look lightly loaded.
+func serverError(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func resultOf(ctx context.Context, refusal *caller.Refusal) link.Result {
+	switch {
+	case refusal.Ran == caller.NotRun && refusal.Reason == caller.PeerUnreachable && ctx.Err() == nil:
+		return link.Unreachable
+	case refusal.Ran == caller.NotRun:
+		return link.Refused
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return link.Late
+	case ctx.Err() != nil:
+		return link.Abandoned
+	default:
+		return link.Lost
+	}
+}
+
+// attemptBody ends an attempt when the body of its answer is closed.
+type attemptBody struct {
+	io.ReadCloser
+	end    func()
+	once   sync.Once
+	broken atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *attemptBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.broken.Store(true)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *attemptBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -6,18 +6,22 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 )
 
-const (
-	dispatchStep = "dispatch"
-	// maxAttempts bounds the attempts of one call at one entry node.
-	maxAttempts = 3
+const dispatchStep = "dispatch"
+
+var (
+	retriesWithheld = metrics.Counter("magnoliawharf_retries_withheld_total")
+	hedgesSent      = metrics.Counter("magnoliawharf_hedges_total")
 )
 
 // Forwarder sends one attempt to the node beside an upstream and returns its answer. The error is
@@ -30,6 +34,27 @@
 type Dispatcher struct {
 	Links   *link.Table
 	Forward Forwarder
+	Bundles *bundle.InForce // nil: every route is treated as not idempotent and short
+	Budgets *caller.Budgets // nil: the dispatcher makes its own
+	Prober  *link.Prober    // nil: no probes are sent
+
+	budgetsOnce sync.Once
+}
+
+// call is one request on its way through the dispatcher. Its fields are used by the goroutine that
+// dispatches it.
+type call struct {
+	*Dispatcher
+	req      *caller.Request
+	rule     bundle.Rule
+	route    bundle.Route
+	contract *bundle.Contract
+	kind     link.Kind
+	set      *link.Set
+	budget   *caller.Budget
+	retried  bool // a call above this one in the chain is a retry
+	tried    []instance.ID
+	ran      caller.Ran // Unknown once an attempt may have run
 }
 
 // Dispatch sends the request to an upstream and returns its answer. The error is a *caller.Refusal.
@@ -37,61 +62,129 @@
 	if req.Depth > caller.MaxDepth {
 		return nil, caller.Refuse(caller.DepthExceeded, dispatchStep, "")
 	}
-	tried := make(map[instance.ID]bool, maxAttempts)
+	c := d.newCall(req)
+	if !c.retried {
+		c.budget.Earn(c.contract.RetryRatio)
+	}
 	for {
-		answer, refusal := d.attempt(ctx, req, tried)
+		answer, refusal := c.try(ctx)
 		if refusal == nil {
 			return answer, nil
 		}
-		if !mayRetry(req, refusal, len(tried)) {
-			return nil, refusal
+		if !c.retry(ctx, refusal) {
+			return nil, c.final(refusal)
 		}
 		metrics.Retry(refusal.Reason)
-		req.Attempt++
 	}
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, req *caller.Request, tried map[instance.ID]bool) (*caller.Answer, *caller.Refusal) {
-	chosen, err := d.Links.Set(req.Service).Choose(time.Now(), func(id instance.ID) bool { return tried[id] })
-	if err != nil {
-		return nil, caller.Refuse(caller.NoUpstream, dispatchStep, req.Service)
-	}
-	target := chosen.Record()
-	tried[target.ID] = true
-	token := chosen.Begin(time.Now())
-	answer, report, err := d.Forward.Forward(ctx, req, target)
-	refusal := asRefusal(err)
-	chosen.End(time.Now(), token, resultOf(ctx, refusal), report)
-	return answer, refusal
+func (d *Dispatcher) newCall(req *caller.Request) *call {
+	d.budgetsOnce.Do(func() {
+		if d.Budgets == nil {
+			d.Budgets = caller.NewBudgets()
+		}
+	})
+	c := &call{
+		Dispatcher: d, req: req, rule: bundle.NotIdempotent, contract: &bundle.Contract{},
+		set: d.Links.Set(req.Service), budget: d.Budgets.Of(req.Service),
+		retried: req.Attempt > 1, ran: caller.NotRun,
+	}
+	c.readContract()
+	return c
 }
 
-func mayRetry(req *caller.Request, refusal *caller.Refusal, attempts int) bool {
-	return refusal.Ran == caller.NotRun && refusal.Reason != caller.NoUpstream &&
-		attempts < maxAttempts && time.Now().Before(req.Deadline) && req.Body.Replayable()
+// readContract takes the rules of the request's route and class from the bundle in force. The bundle
+// may have changed since the request was accepted; a route that is gone is not idempotent.
+func (c *call) readContract() {
+	if c.Bundles == nil {
+		return
+	}
+	current := c.Bundles.Load()
+	if current == nil {
+		return
+	}
+	contract, ok := current.Contracts[c.req.Service]
+	if !ok {
+		return
+	}
+	c.contract = contract
+	c.set.Adopt(link.PolicyOf(contract))
+	if i := slices.IndexFunc(contract.Routes, func(r bundle.Route) bool { return r.Name == c.req.Route }); i >= 0 {
+		c.route, c.rule = contract.Routes[i], contract.Routes[i].Rule
+	}
+	if class, ok := contract.Class(c.req.Class); ok && class.Long {
+		c.kind = link.Long
+	}
 }
 
-func asRefusal(err error) *caller.Refusal {
-	if err == nil {
-		return nil
+// retry reports whether the request is to be sent again, after the delay that this needs.
+func (c *call) retry(ctx context.Context, refusal *caller.Refusal) bool {
+	if refusal.Ran != caller.NotRun {
+		c.ran = caller.Unknown
 	}
-	var refusal *caller.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
+	decision := caller.Decide(caller.Attempted{
+		Rule: c.rule, Reason: refusal.Reason, Ran: refusal.Ran, Attempts: len(c.tried),
+		Retried: c.retried, Replayable: c.req.Body.Replayable(), TimeLeft: time.Until(c.req.Deadline),
+	})
+	if !decision.Retry || ctx.Err() != nil {
+		return false
+	}
+	if decision.Paid && !c.budget.Spend() {
+		retriesWithheld.Inc()
+		return false
 	}
-	return caller.Lost(caller.PeerLost, dispatchStep, "", err)
+	return pause(ctx, caller.Jitter(decision.Delay))
 }
 
-func resultOf(ctx context.Context, refusal *caller.Refusal) link.Result {
-	switch {
-	case refusal == nil:
-		return link.Served
-	case ctx.Err() != nil:
-		return link.Abandoned
-	case refusal.Reason == caller.PeerUnreachable:
-		return link.Unreachable
-	case refusal.Ran == caller.NotRun:
-		return link.Refused
-	default:
-		return link.Lost
+// final returns the refusal of the whole call. It says not-run only when that holds for every
+// attempt.
+func (c *call) final(refusal *caller.Refusal) *caller.Refusal {
+	if c.ran == caller.Unknown && refusal.Ran == caller.NotRun {
+		whole := *refusal
+		whole.Ran = caller.Unknown
+		return &whole
+	}
+	return refusal
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// choose picks the link for the next attempt.
+func (c *call) choose() (*link.Link, *caller.Refusal) {
+	now := time.Now()
+	chosen, err := c.set.Choose(now, c.kind, func(id instance.ID) bool { return slices.Contains(c.tried, id) })
+	if err != nil {
+		return nil, caller.Refuse(caller.NoUpstream, dispatchStep, c.req.Service)
+	}
+	if c.Prober != nil {
+		c.Prober.Refresh(now, c.set, c.contract)
+	}
+	c.tried = append(c.tried, chosen.Record().ID)
+	return chosen, nil
+}
+
+func asRefusal(ctx context.Context, err error) *caller.Refusal {
+	var refusal *caller.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = caller.Lost(caller.PeerLost, dispatchStep, "", err)
+	}
+	if refusal.Reason == caller.Cancelled && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		late := *refusal
+		late.Reason = caller.DeadlinePassed
+		return &late
 	}
+	return refusal
 }
--- a/node/home.go
+++ b/node/home.go
@@ -30,13 +30,11 @@
 // back when the body of the answer is closed. incarnation is the life of the node that the sender
 // meant. The error is a *caller.Refusal.
 func (h *Home) Serve(ctx context.Context, req *caller.Request, incarnation uint64) (*caller.Answer, error) {
-	class, refusal := h.check(req, incarnation)
+	ticket, refusal := h.check(req, incarnation)
 	if refusal != nil {
 		return nil, refusal
 	}
-	release, err := h.Upstream.Admit(ctx, upstream.Ticket{
-		ID: req.ID, Class: class, Deadline: req.Deadline, Fingerprint: req.Fingerprint,
-	})
+	release, err := h.Upstream.Admit(ctx, ticket)
 	if err != nil {
 		return nil, err
 	}
@@ -51,23 +49,26 @@
 	return answer, nil
 }
 
-func (h *Home) check(req *caller.Request, incarnation uint64) (bundle.Class, *caller.Refusal) {
+func (h *Home) check(req *caller.Request, incarnation uint64) (upstream.Ticket, *caller.Refusal) {
 	if incarnation != h.Incarnation {
-		return bundle.Class{}, caller.Refuse(caller.StaleIncarnation, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.StaleIncarnation, homeStep, h.ID)
 	}
 	current := h.Bundles.Load()
 	if current == nil {
-		return bundle.Class{}, caller.Refuse(caller.NoBundle, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.NoBundle, homeStep, h.ID)
 	}
 	contract, ok := current.Contracts[req.Service]
 	if !ok {
-		return bundle.Class{}, caller.Refuse(caller.NoService, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.NoService, homeStep, h.ID)
 	}
 	class, ok := contract.Class(req.Class)
 	if !ok {
-		return bundle.Class{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
 	}
-	return class, nil
+	return upstream.Ticket{
+		ID: req.ID, Class: class, Rules: upstream.RulesOf(contract),
+		Deadline: req.Deadline, Fingerprint: req.Fingerprint,
+	}, nil
 }
 
 // Report returns the state of the upstream for the nodes of callers.
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -29,18 +29,20 @@
 	if err != nil {
 		refusal := caller.Refuse(caller.BadRequest, receiveStep, "")
 		refusal.Cause = err
-		s.refuse(w, refusal)
+		transport.WriteRefusal(w, refusal)
 		return
 	}
-	deadline := time.Now().Add(c.timeLeft)
+	received := time.Now()
+	deadline := received.Add(c.timeLeft)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	answer, err := s.Home.Serve(ctx, requestOf(r, c, deadline), c.incarnation)
 	if err != nil {
-		s.refuse(w, asRefusal(err))
+		s.report(w, received)
+		transport.WriteRefusal(w, asRefusal(err))
 		return
 	}
-	w.Header().Set(headerReport, encodeReport(s.Home.Report()))
+	s.report(w, received)
 	w.Header().Set(transport.HeaderRequestID, c.id)
 	transport.WriteAnswer(w, answer)
 }
@@ -55,9 +57,12 @@
 	}
 }
 
-func (s *Server) refuse(w http.ResponseWriter, refusal *caller.Refusal) {
-	w.Header().Set(headerReport, encodeReport(s.Home.Report()))
-	transport.WriteRefusal(w, refusal)
+// report adds the report with the time that the request has spent at this node, from which the entry
+// node learns the time on the network.
+func (s *Server) report(w http.ResponseWriter, received time.Time) {
+	report := s.Home.Report()
+	report.Took = time.Since(received)
+	w.Header().Set(headerReport, encodeReport(report))
 }
 
 func asRefusal(err error) *caller.Refusal {
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -82,6 +82,9 @@
 	return url.Values{
 		"s": {strconv.Itoa(int(report.State))}, "n": {strconv.Itoa(report.Slots)},
 		"u": {strconv.Itoa(report.InUse)}, "q": {strconv.Itoa(report.Queued)},
+		"l": {strconv.Itoa(report.Long)}, "w": {strconv.Itoa(report.QueuedLong)},
+		"v": {strconv.FormatInt(report.Service.Microseconds(), 10)},
+		"t": {strconv.FormatInt(report.Took.Microseconds(), 10)},
 	}.Encode()
 }
 
@@ -96,6 +99,9 @@
 		Slots:  int(r.number("n", 10, maxSlots)),
 		InUse:  int(r.number("u", 10, maxSlots)),
 		Queued: int(r.number("q", 10, maxSlots)),
+		Long:   int(r.number("l", 10, maxSlots)), QueuedLong: int(r.number("w", 10, maxSlots)),
+		Service: time.Duration(r.number("v", 10, uint64(maxTimeout.Microseconds()))) * time.Microsecond,
+		Took:    time.Duration(r.number("t", 10, uint64(maxTimeout.Microseconds()))) * time.Microsecond,
 	}
 	return report, r.err
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -4,11 +4,9 @@
 package upstream
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
@@ -28,109 +26,100 @@
 	TimeToLive time.Duration
 }
 
-// Ticket is what admission needs to know of a request.
-type Ticket struct {
-	ID          string
-	Class       bundle.Class
-	Deadline    time.Time
-	Fingerprint uint64
-}
-
 // Upstream is the upstream beside this node. It is safe for concurrent use.
 type Upstream struct {
-	mu        sync.Mutex
+	mu        sync.Mutex // guards all fields below, and the queues and slots they lead to
 	announced Announcement
 	expires   time.Time
-	inUse     int
-	queued    int
-	freed     chan struct{}
+	expiry    *time.Timer // refuses the waiting requests when the announcement expires
+	coldSince time.Time   // start of the cold phase, zero when the upstream is not cold
+	rules     Rules
+	slots     slots
+	queues    queueSet
+	limit     adaptiveLimit
+	service   estimate // service times of all classes that are not long
 }
 
 // New returns an upstream that has not announced itself.
-func New() *Upstream { return &Upstream{freed: make(chan struct{})} }
+func New() *Upstream { return &Upstream{rules: Rules{}.withDefaults()} }
 
-// Announce takes what the upstream says of itself.
+// Announce takes what the upstream says of itself. Waiting requests are refused when it no longer
+// serves.
 func (u *Upstream) Announce(now time.Time, a Announcement) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.trackCold(now, a.State)
 	u.announced = a
-	u.expires = now.Add(min(a.TimeToLive, MaxTimeToLive))
-	u.wake()
+	timeToLive := min(a.TimeToLive, MaxTimeToLive)
+	u.expires = now.Add(timeToLive)
+	if u.expiry == nil {
+		u.expiry = time.AfterFunc(timeToLive, u.expire)
+	} else {
+		u.expiry.Reset(timeToLive)
+	}
+	u.settle(now)
 }
 
-// Announced returns the last announcement and whether it still counts.
-func (u *Upstream) Announced(now time.Time) (Announcement, bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.announced, now.Before(u.expires)
+func (u *Upstream) trackCold(now time.Time, next instance.State) {
+	switch {
+	case next != instance.Cold:
+		u.coldSince = time.Time{}
+	case u.coldSince.IsZero():
+		u.coldSince = now
+	}
 }
 
-// Report returns the state of the upstream for callers' nodes.
-func (u *Upstream) Report() link.Report {
+func (u *Upstream) expire() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return link.Report{State: u.announced.State, Slots: u.announced.Slots, InUse: u.inUse, Queued: u.queued}
+	u.settle(time.Now())
 }
 
-// Admit waits for a slot and returns the function that gives it back. The error is a
-// *caller.Refusal that says not-run.
-func (u *Upstream) Admit(ctx context.Context, t Ticket) (func(), error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for {
-		if refusal := u.check(t); refusal != nil {
-			return nil, refusal
-		}
-		if u.inUse < u.announced.Slots {
-			u.inUse++
-			return u.release, nil
-		}
-		if refusal := u.wait(ctx); refusal != nil {
-			return nil, refusal
-		}
+// settle grants what fits, or refuses all waiting requests when the upstream does not serve.
+func (u *Upstream) settle(now time.Time) {
+	reason, closed := u.closed(now)
+	if !closed {
+		u.grant(now)
+		return
+	}
+	for w := u.queues.any(); w != nil; w = u.queues.any() {
+		u.queues.remove(w)
+		w.finish(caller.Refuse(reason, admitStep, ""))
 	}
 }
 
-func (u *Upstream) check(t Ticket) *caller.Refusal {
-	now := time.Now()
+// closed returns the reason for which the upstream takes no work.
+func (u *Upstream) closed(now time.Time) (caller.Reason, bool) {
 	switch {
-	case !now.Before(t.Deadline):
-		return caller.Refuse(caller.DeadlinePassed, admitStep, "")
 	case !now.Before(u.expires):
-		return caller.Refuse(caller.NotReady, admitStep, "")
+		return caller.NotReady, true
 	case u.announced.State == instance.Draining:
-		return caller.Refuse(caller.Draining, admitStep, "")
+		return caller.Draining, true
 	case !u.announced.State.Serves():
-		return caller.Refuse(caller.NotReady, admitStep, "")
-	}
-	return nil
-}
-
-// wait blocks without the lock until a slot may be free.
-func (u *Upstream) wait(ctx context.Context) *caller.Refusal {
-	freed := u.freed
-	u.queued++
-	u.mu.Unlock()
-	defer func() {
-		u.mu.Lock()
-		u.queued--
-	}()
-	select {
-	case <-freed:
-		return nil
-	case <-ctx.Done():
-		return caller.Refuse(caller.Cancelled, admitStep, "")
+		return caller.NotReady, true
 	}
+	return "", false
 }
 
-func (u *Upstream) release() {
+// Announced returns the last announcement and whether it still counts.
+func (u *Upstream) Announced(now time.Time) (Announcement, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.inUse--
-	u.wake()
+	return u.announced, now.Before(u.expires)
 }
 
-func (u *Upstream) wake() {
-	close(u.freed)
-	u.freed = make(chan struct{})
+// Report returns the state of the upstream for callers' nodes.
+func (u *Upstream) Report() link.Report {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	short, long := u.queues.counts()
+	report := link.Report{
+		State: u.announced.State, Slots: u.limitAt(now), InUse: u.slots.inUse, Queued: short,
+		Long: u.slots.long, QueuedLong: long, Service: u.service.typical(),
+	}
+	if _, closed := u.closed(now); closed && report.State.Serves() {
+		report.State = instance.Draining
+	}
+	return report
 }
