--- a/link/ejection.go
+++ b/link/ejection.go
@@ -11,8 +11,9 @@
 	minBackoff      = 250 * time.Millisecond
 	maxBackoff      = 10 * time.Second
 	// returnTime is the time over which a link that came back is raised to its full share.
+	// The choice among two prefers the lightly loaded link, so it receives up to twice this share.
 	returnTime  = time.Second
-	returnShare = 0.2
+	returnShare = 0.1
 	// trialTime is how long a trial request keeps others away when its result never comes.
 	trialTime = 10 * time.Second
 )
@@ -67,6 +68,7 @@
 	if l.ejection.out {
 		l.ejection.out = false
 		l.ejection.returnedAt = now
+		l.failRate = 0 // the ramp after the return limits the harm of another failure
 		l.set.quota.put()
 	}
 }
@@ -78,7 +80,7 @@
 	switch {
 	case e.out && now.Before(e.until):
 		return // a request sent before the ejection
-	case !e.out && (e.failures < failuresToEject || !l.set.quota.take()):
+	case !e.out && (e.failures < failuresToEject || l.retired || !l.set.quota.take()):
 		return
 	case !e.out && now.Sub(e.returnedAt) > maxBackoff:
 		e.backoff = 0 // the last ejection is long past
@@ -89,8 +91,16 @@
 	e.until = now.Add(e.backoff/2 + rand.N(e.backoff/2))
 }
 
-// retire gives the place in the quota back when the link leaves its set.
+// retire ends the part of the link in its set. Attempts in flight may still end on it.
 func (l *Link) retire() {
+	l.reinstate()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+}
+
+// reinstate ends an ejection without a trial.
+func (l *Link) reinstate() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ejection.out {
@@ -122,6 +132,12 @@
 	q.out--
 }
 
+func (q *quota) exceeded() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return 2*q.out > q.size
+}
+
 func (q *quota) resize(size int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/link/link.go
+++ b/link/link.go
@@ -28,11 +28,8 @@
 	// certain failure in service times plus failureTime.
 	failureWeight  = 0.1
 	failurePenalty = 10
-	failureTime    = 50 * time.Millisecond
-	failureDecay   = 5 * time.Second
-	// tailShare is the share of answers that come before the time after which a hedge is sent.
-	tailShare = 0.95
-	tailStep  = 0.1
+	failureTime    = 10 * time.Millisecond
+	failureDecay   = 2 * time.Second
 )
 
 // Link is the link from this node to one upstream instance. It is safe for concurrent use.
@@ -43,6 +40,7 @@
 
 	mu        sync.Mutex
 	record    instance.Record
+	retired   bool // no longer in the set
 	inFlight  [kinds]int
 	pending   int   // short requests in flight without an answer
 	startSum  int64 // sum of the start times of these, ns since epoch
@@ -56,13 +54,17 @@
 	lateAt    time.Time
 	failRate  float64
 	failAt    time.Time
-	tail      float64 // seconds; 95th percentile of the latency of short requests
+	tail      quantile // 95th percentile of the latency of short requests
+	middle    quantile // its median
 	coldSince time.Time
 	ejection  ejection
 }
 
 func newLink(set *Set, way *Way, record instance.Record, now time.Time) *Link {
-	l := &Link{id: record.ID, set: set, way: way, record: record, epoch: now}
+	l := &Link{
+		id: record.ID, set: set, way: way, record: record, epoch: now,
+		tail: quantile{share: tailShare}, middle: quantile{share: 0.5},
+	}
 	if record.State == instance.Cold {
 		l.coldSince = now
 	}
@@ -176,13 +178,8 @@
 		return
 	}
 	took := now.Sub(token.started)
-	if l.tail == 0 {
-		l.tail = took.Seconds()
-	} else if took.Seconds() > l.tail {
-		l.tail *= 1 + tailStep*tailShare
-	} else {
-		l.tail *= 1 - tailStep*(1-tailShare)
-	}
+	l.tail.add(took)
+	l.middle.add(took)
 	missed := (took - token.predicted).Seconds()
 	missed = min(missed, errorClip*l.service().Seconds())
 	l.late = l.lateness(now) + (missed-l.late)*errorWeight
@@ -198,14 +195,6 @@
 	return math.Exp(-float64(max(0, age)) / float64(constant))
 }
 
-// HedgeAfter returns the time after which a hedge of a short request is worth sending, 0 when not
-// enough is known.
-func (l *Link) HedgeAfter() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Duration(l.tail * float64(time.Second))
-}
-
 // InFlight returns the attempts in flight on this link.
 func (l *Link) InFlight() int {
 	l.mu.Lock()
--- a/link/set.go
+++ b/link/set.go
@@ -180,6 +180,12 @@
 	}
 	next.sort()
 	s.quota.resize(next.size)
+	for _, l := range s.links {
+		if !s.quota.exceeded() {
+			break
+		}
+		l.reinstate()
+	}
 	s.view.Store(next)
 }
 
@@ -211,6 +217,7 @@
 type candidates struct {
 	links [maxCandidates]*Link
 	count int
+	draw  float64 // in [0, 1): links in their ramp take part in the calls with a lower draw
 }
 
 func (c *candidates) has(l *Link) bool { return slices.Contains(c.links[:c.count], l) }
@@ -220,7 +227,7 @@
 // any of the others, so that work spills over when queueing here costs more than the way there.
 func (s *Set) Choose(now time.Time, kind Kind, exclude func(instance.ID) bool) (*Link, error) {
 	v := s.arrangement(now)
-	var c candidates
+	c := candidates{draw: rand.Float64()}
 	near := nearCandidates
 	if v.size > largeSet {
 		near++
@@ -261,7 +268,7 @@
 			if l.claimTrial(now) {
 				return found, l
 			}
-			if l.eligible(now, rand.Float64()) {
+			if l.eligible(now, c.draw) {
 				c.links[c.count] = l
 				c.count++
 				found++
@@ -304,3 +311,10 @@
 	}
 	return best
 }
+
+// Ejected returns the number of links that are ejected now.
+func (s *Set) Ejected() int {
+	s.quota.mu.Lock()
+	defer s.quota.mu.Unlock()
+	return s.quota.out
+}
--- a/upstream/model_test.go
+++ b/upstream/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -71,6 +72,9 @@
 	return found
 }
 
+// A fixed seed makes the runs of CI repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 // bubbleT hides testing.T.Deadline, which rapid would call and a synctest bubble forbids.
 type bubbleT struct{ testing.TB }
 
