Send probes over connect within the measuring budget

Reports ride on answers; a link without recent answers had no way to learn of a change. An entry node may now ask the home node for a report. The home node bounds all measuring work for its upstream to the rate of the contract with a burst of one, also across restarts, since a new budget starts empty.

--- a/link/probe.go
+++ b/link/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	maxProbes = 16
 )
 
+// ErrProbeBudget is the error of a probe that the budget of its upstream does not allow.
+var ErrProbeBudget = errors.New("measuring budget of the upstream is used up")
+
 // ProbeBudget bounds measuring work to a rate with a burst of one: two pieces of work are at least
 // one interval apart. It starts empty, so that a restart does not grant extra work.
 type ProbeBudget struct {
--- /dev/null
+++ b/transport/peerrpc/probe_server.go
@@ -0,0 +1,42 @@
+package peerrpc
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	api "github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1"
+	"github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1/magnoliawharfv1connect"
+	"github.com/magnoliawharf/magnoliawharf/link"
+)
+
+// ProbeHome answers probes for the upstream beside this node. The error is link.ErrProbeBudget when
+// the measuring budget of the upstream is used up.
+type ProbeHome interface {
+	Probe(now time.Time, incarnation uint64) (link.Report, error)
+}
+
+type probeServer struct{ home ProbeHome }
+
+// NewProbeHandler returns the path prefix and the handler of probes.
+func NewProbeHandler(home ProbeHome) (string, http.Handler) {
+	return magnoliawharfv1connect.NewProbeServiceHandler(&probeServer{home: home}, connect.WithReadMaxBytes(probeMaxMessage))
+}
+
+// Probe implements the service.
+func (s *probeServer) Probe(_ context.Context, in *connect.Request[api.ProbeRequest]) (*connect.Response[api.ProbeResponse], error) {
+	report, err := s.home.Probe(time.Now(), in.Msg.GetIncarnation())
+	switch {
+	case errors.Is(err, link.ErrProbeBudget):
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&api.ProbeResponse{Report: &api.ProbeReport{
+		State: uint32(report.State), Slots: uint32(report.Slots), InUse: uint32(report.InUse), Queued: uint32(report.Queued),
+		Long: uint32(report.Long), QueuedLong: uint32(report.QueuedLong), ServiceUs: uint64(report.Service.Microseconds()),
+	}}), nil
+}
