--- /dev/null
+++ b/idempotency/keeper_test.go
@@ -0,0 +1,220 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+)
+
+// direct passes messages to keepers in the same process after a delay.
+type direct struct {
+	from    Identity
+	keepers map[Identity]*Keeper
+	down    map[Identity]bool
+}
+
+func (d direct) as(from Identity) *direct {
+	d.from = from
+	return &d
+}
+
+func (d *direct) reach(ctx context.Context, to Member) (*Keeper, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(time.Millisecond):
+	}
+	k, ok := d.keepers[to.Identity]
+	if !ok || d.down[to.Identity] || d.down[d.from] {
+		return nil, errors.New("unreachable")
+	}
+	return k, nil
+}
+
+func send[R any](ctx context.Context, d *direct, to Member, serve func(*Keeper) R) (reply R, err error) {
+	k, err := d.reach(ctx, to)
+	if err != nil {
+		return reply, err
+	}
+	return serve(k), nil
+}
+
+func (d *direct) Claim(ctx context.Context, to Member, r ClaimRequest) (ClaimReply, error) {
+	return send(ctx, d, to, func(k *Keeper) ClaimReply { return k.Claim(r) })
+}
+
+func (d *direct) Settle(ctx context.Context, to Member, r SettleRequest) (SettleReply, error) {
+	return send(ctx, d, to, func(k *Keeper) SettleReply { return k.Settle(r) })
+}
+
+func (d *direct) Grant(ctx context.Context, to Member, r GrantRequest) (GrantReply, error) {
+	return send(ctx, d, to, func(k *Keeper) GrantReply { return k.Grant(r) })
+}
+
+func (d *direct) Seal(ctx context.Context, to Member, r SealRequest) (SealReply, error) {
+	return send(ctx, d, to, func(k *Keeper) SealReply { return k.Seal(r) })
+}
+
+func (d *direct) HandOver(ctx context.Context, to Member, c Chunk) (bool, error) {
+	return send(ctx, d, to, func(k *Keeper) bool { return k.TakeOver(c) })
+}
+
+func (d *direct) GroupInfo(ctx context.Context, to Member, r InfoRequest) (*Record, error) {
+	return send(ctx, d, to, func(k *Keeper) *Record { return k.GroupInfo(r) })
+}
+
+func testSetting() Setting {
+	return Setting{Config: DefaultConfig(), Bounds: Bounds{
+		Keys: 1000, AnswerBytes: 1 << 20, Lifetime: 10 * time.Minute, Margin: DefaultMargin,
+	}}
+}
+
+// newKey returns a UUIDv7 of the current, possibly virtual, time.
+func newKey(at time.Time, serial uint64) Key {
+	id := uuid.UUID{}
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	for i := range 8 {
+		id[8+i] = byte(serial >> (56 - 8*i))
+	}
+	id[6], id[8] = 0x70, 0x80
+	return Key(id[:])
+}
+
+type testFleet struct {
+	wire    *direct
+	store   *kvstore.Memory
+	peers   []Peer
+	clients []*Client
+}
+
+func startFleet(nodes int) *testFleet {
+	f := &testFleet{wire: &direct{keepers: map[Identity]*Keeper{}, down: map[Identity]bool{}}, store: kvstore.NewMemory()}
+	for i := range nodes {
+		id := Identity{ID: fmt.Sprintf("n%d", i), Incarnation: 1}
+		f.peers = append(f.peers, Peer{Identity: id, Addr: id.ID, DataCentre: fmt.Sprintf("dc%d", i%3), Region: "r", Serves: true})
+		f.wire.keepers[id] = NewKeeper(id, f.store, f.wire.as(id))
+		f.clients = append(f.clients, NewClient(f.wire.keepers[id], f.store, f.wire.as(id)))
+	}
+	f.update()
+	return f
+}
+
+func (f *testFleet) update() {
+	for _, p := range f.peers {
+		if !p.Gone {
+			f.wire.keepers[p.Identity].Update("s", testSetting(), f.peers)
+		}
+	}
+}
+
+func (f *testFleet) stop() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, k := range f.wire.keepers {
+		k.Stop(ctx)
+	}
+}
+
+func (f *testFleet) record(t *testing.T) *Record {
+	entry, err := f.store.Get(context.Background(), StoreKey("s"))
+	assert.NilError(t, err)
+	record, err := DecodeRecord(entry.Value)
+	assert.NilError(t, err)
+	return record
+}
+
+func (f *testFleet) claim(entry int, key Key) (Verdict, Attempt) {
+	attempt := NewAttempt()
+	verdict, _ := f.clients[entry].Claim(context.Background(), "s", key, attempt, time.Now().Add(10*time.Second))
+	return verdict, attempt
+}
+
+// Guards against a group that does not come up, serve, survive the loss of its owners one after
+// the other, or that runs a key again after its owner was lost or stopped.
+func TestGroupServesThroughLossAndStop(t *testing.T) {
+	for _, nodes := range []int{1, 2, 3, 5} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { serveThroughLoss(t, nodes) })
+		})
+	}
+}
+
+func serveThroughLoss(t *testing.T, nodes int) {
+	f := startFleet(nodes)
+	defer f.stop()
+	time.Sleep(15 * time.Second)
+	key := newKey(time.Now(), 1)
+	verdict, attempt := f.claim(0, key)
+	assert.Equal(t, verdict, Granted)
+	verdict, _ = f.claim(nodes-1, key)
+	assert.Equal(t, verdict, InProgress)
+	f.clients[0].Settle("s", key, attempt, OutcomeDone, &Answer{Status: 200})
+	time.Sleep(time.Second)
+	verdict, _ = f.claim(nodes-1, key)
+	assert.Equal(t, verdict, Done)
+
+	record := f.record(t)
+	assert.Equal(t, len(record.Members), min(nodes, MaxMembers))
+	owner := record.Owner(key)
+	entry := 0
+	for i, p := range f.peers {
+		if p.Identity == owner.Identity {
+			f.peers[i].Gone, f.peers[i].Serves = true, false
+		} else {
+			entry = i
+		}
+	}
+	if nodes == 1 {
+		return
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	started := time.Now()
+	f.wire.keepers[owner.Identity].Stop(stopCtx)
+	t.Logf("planned stop took %v", time.Since(started))
+	f.wire.down[owner.Identity] = true
+	f.update()
+	time.Sleep(3 * time.Second)
+	verdict, _ = f.claim(entry, key)
+	assert.Equal(t, verdict, Done, "the table came along with the planned stop")
+	fresh := newKey(time.Now(), 2)
+	verdict, _ = f.claim(entry, fresh)
+	assert.Equal(t, verdict, Granted)
+	if nodes < 5 {
+		return
+	}
+
+	record = f.record(t)
+	owner = record.Owner(fresh)
+	f.wire.down[owner.Identity] = true // lost without warning
+	for i, p := range f.peers {
+		if p.Identity == owner.Identity {
+			f.peers[i].Gone, f.peers[i].Serves = true, false
+		} else if !p.Gone {
+			entry = i
+		}
+	}
+	f.update()
+	lost := time.Now()
+	for serial := uint64(3); ; serial++ {
+		probe := newKey(time.Now(), serial)
+		if verdict, _ := f.claim(entry, probe); verdict == Granted && record.Owner(probe).Identity == owner.Identity {
+			break
+		}
+		assert.Assert(t, time.Since(lost) < 15*time.Second)
+	}
+	t.Logf("new keys of the lost owner are served after %v", time.Since(lost))
+	verdict, _ = f.claim(entry, fresh)
+	assert.Equal(t, verdict, Closed)
+}
--- /dev/null
+++ b/idempotency/message.go
@@ -0,0 +1,193 @@
+package idempotency
+
+import (
+	"context"
+	"time"
+)
+
+// ClaimRequest asks the owner of a key for the right to run it.
+type ClaimRequest struct {
+	Service  string
+	Epoch    uint64   // epoch in which the sender believes To to own the key
+	To       Identity // member that is meant
+	Key      Key
+	Attempt  Attempt
+	TimeLeft time.Duration // until the call's deadline
+}
+
+// ClaimReply answers a claim. Group is set with NotOwner.
+type ClaimReply struct {
+	Verdict Verdict
+	Answer  *Answer
+	Group   *Record
+}
+
+// SettleRequest tells the owner of a key how an attempt ended.
+type SettleRequest struct {
+	Service string
+	Epoch   uint64
+	To      Identity
+	Key     Key
+	Attempt Attempt
+	Outcome Outcome
+	Answer  *Answer // with OutcomeDone, when small enough
+}
+
+// SettleReply answers a settlement. Group is set when another member owns the key.
+type SettleReply struct {
+	Accepted bool
+	Group    *Record
+}
+
+// GrantRequest asks a member to support the sender's tenure.
+type GrantRequest struct {
+	Service string
+	Epoch   uint64
+	From    Identity
+	To      Identity
+	Ceiling int64 // the sender will accept no key issued later (ms, Unix)
+}
+
+// GrantReply answers a GrantRequest. Group is set when the member knows a higher epoch.
+type GrantReply struct {
+	Granted bool
+	Group   *Record
+}
+
+// SealRequest asks a member to take no further part in the epoch.
+type SealRequest struct {
+	Service string
+	Epoch   uint64
+	From    Identity
+	To      Identity
+}
+
+// Promise describes a member's grants to one owner in the epoch.
+type Promise struct {
+	Owner     string
+	Remaining time.Duration // for which the last grant still holds
+	Ceiling   int64         // highest ceiling that was granted (ms, Unix)
+}
+
+// SealReply answers a SealRequest. Highest is the latest time of issue of the keys that the sealed
+// member itself accepted as owner (ms, Unix).
+type SealReply struct {
+	Sealed   bool
+	Promises []Promise
+	Highest  int64
+	Group    *Record
+}
+
+// InfoRequest asks for the keeper group of a service. Tell, when set, informs the receiver of it.
+type InfoRequest struct {
+	Service string
+	Tell    *Record
+}
+
+// Peers sends messages to other members. Every error leaves open whether the message arrived.
+type Peers interface {
+	Claim(ctx context.Context, to Member, r ClaimRequest) (ClaimReply, error)
+	Settle(ctx context.Context, to Member, r SettleRequest) (SettleReply, error)
+	Grant(ctx context.Context, to Member, r GrantRequest) (GrantReply, error)
+	Seal(ctx context.Context, to Member, r SealRequest) (SealReply, error)
+	HandOver(ctx context.Context, to Member, c Chunk) (bool, error)
+	GroupInfo(ctx context.Context, to Member, r InfoRequest) (*Record, error)
+}
+
+// Input is an event that a Group or Outsider reacts to. Its fields say what happened.
+type Input interface{ input() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// RecordRead is the result of ReadRecord. Record is nil when the store holds none.
+type RecordRead struct {
+	Started  Instant // before the read was sent
+	Record   *Record
+	Revision int64
+	Failed   bool
+}
+
+// SwapDone is the result of SwapRecord.
+type SwapDone struct {
+	Started  Instant
+	Record   *Record
+	Revision int64
+	Swapped  bool // false: conflict, failure or uncertain, to be settled by reading back
+}
+
+// GrantAnswered carries the answer to an AskGrant.
+type GrantAnswered struct {
+	Round uint64
+	From  Identity
+	Reply GrantReply
+}
+
+// SealAnswered carries the answer to an AskSeal.
+type SealAnswered struct {
+	Epoch uint64
+	From  Identity
+	Reply SealReply
+}
+
+// Told carries a record learned from a peer.
+type Told struct{ Record *Record }
+
+// PeersChanged carries what membership knows of the nodes beside the service's upstreams.
+type PeersChanged struct{ Peers []Peer }
+
+// StopAsked begins the planned stop of this node.
+type StopAsked struct{}
+
+func (Tick) input()          {}
+func (RecordRead) input()    {}
+func (SwapDone) input()      {}
+func (GrantAnswered) input() {}
+func (SealAnswered) input()  {}
+func (Told) input()          {}
+func (PeersChanged) input()  {}
+func (StopAsked) input()     {}
+
+// Output is something to be done for a Group or Outsider outside its lock.
+type Output interface{ output() }
+
+// ReadRecord asks for the record in the store.
+type ReadRecord struct{}
+
+// SwapRecord asks for a compare-and-swap of the record.
+type SwapRecord struct {
+	Record   *Record
+	Revision int64
+}
+
+// AskGrant sends a GrantRequest.
+type AskGrant struct {
+	Round   uint64
+	To      Member
+	Request GrantRequest
+}
+
+// AskSeal sends a SealRequest.
+type AskSeal struct {
+	To      Member
+	Request SealRequest
+}
+
+// Tell informs a member of a record.
+type Tell struct {
+	To     Member
+	Record *Record
+}
+
+// HandOver sends the chunks of a hand-over in order, repeating each until it is accepted.
+type HandOver struct {
+	To     Member
+	Chunks []Chunk
+}
+
+func (ReadRecord) output() {}
+func (SwapRecord) output() {}
+func (AskGrant) output()   {}
+func (AskSeal) output()    {}
+func (Tell) output()       {}
+func (HandOver) output()   {}
--- /dev/null
+++ b/idempotency/record.go
@@ -0,0 +1,188 @@
+package idempotency
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MaxMembers is the size of a full keeper group.
+	MaxMembers = 3
+	// maxPast bounds the ended epochs kept in a record. Older ones are folded into the barrier.
+	maxPast = 6
+	// maxRecordSize bounds the encoded record, in bytes.
+	maxRecordSize = 16 << 10
+	maxNameLength = 256
+	storePrefix   = "/keepers/"
+)
+
+// StoreKey returns the store key of the record of a service's keeper group.
+func StoreKey(service string) string { return storePrefix + service }
+
+// Identity names one life of a node: a restarted node has another incarnation.
+type Identity struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"inc"`
+}
+
+// Member is a node in a keeper group. Slot is its place in the division of keys; a node that
+// replaces another takes over its slot, so that no other keys change their owner.
+type Member struct {
+	Identity
+	Slot       int    `json:"slot"`
+	Addr       string `json:"addr"`
+	DataCentre string `json:"dc"`
+	Ceiling    int64  `json:"ceiling,omitempty"` // of an ended epoch: it accepted no key issued later (ms, Unix)
+}
+
+// Past describes an ended epoch: who owned which keys, and up to which time of issue.
+type Past struct {
+	Epoch   uint64   `json:"epoch"`
+	Members []Member `json:"members"`
+}
+
+func (p *Past) ceiling() int64 {
+	var highest int64
+	for _, m := range p.Members {
+		highest = max(highest, m.Ceiling)
+	}
+	return highest
+}
+
+// Mark is the claim of an outsider on an orphaned group.
+type Mark struct {
+	By    Identity `json:"by"`
+	Nonce string   `json:"nonce"`
+}
+
+// Record is the keeper group of a service as the store holds it. A record without members is left
+// by the planned stop of the last member; any node beside an upstream of the service may go on from
+// it at once.
+type Record struct {
+	Epoch   uint64   `json:"epoch"`
+	Region  string   `json:"region"`
+	Members []Member `json:"members"`
+	Past    []Past   `json:"past,omitempty"` // newest first
+	Barrier int64    `json:"barrier,omitempty"`
+	Mark    *Mark    `json:"mark,omitempty"`
+	Nonce   string   `json:"nonce"` // tells the writes of two proposers apart
+}
+
+var errRecord = errors.New("keeper group record is out of bounds")
+
+// Encode returns the form kept in the store.
+func (r *Record) Encode() []byte {
+	raw, err := json.Marshal(r)
+	if err != nil { // the type holds nothing that cannot be encoded
+		panic(err)
+	}
+	return raw
+}
+
+// DecodeRecord reads and checks the form kept in the store.
+func DecodeRecord(raw []byte) (*Record, error) {
+	if len(raw) > maxRecordSize {
+		return nil, errRecord
+	}
+	r := new(Record)
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, err
+	}
+	return r, r.Check()
+}
+
+// Check reports whether the record is within its bounds.
+func (r *Record) Check() error {
+	if r.Epoch == 0 || len(r.Past) > maxPast || len(r.Region) > maxNameLength || len(r.Nonce) > maxNameLength {
+		return errRecord
+	}
+	for _, past := range r.Past {
+		if past.Epoch >= r.Epoch || !membersValid(past.Members) {
+			return errRecord
+		}
+	}
+	if len(r.Members) > 0 && !membersValid(r.Members) {
+		return errRecord
+	}
+	return nil
+}
+
+func membersValid(members []Member) bool {
+	if len(members) == 0 || len(members) > MaxMembers {
+		return false
+	}
+	slots, ids := map[int]bool{}, map[string]bool{}
+	for _, m := range members {
+		if m.Slot < 0 || m.Slot >= MaxMembers || slots[m.Slot] || ids[m.ID] ||
+			m.ID == "" || len(m.ID) > maxNameLength || len(m.Addr) > maxNameLength || len(m.DataCentre) > maxNameLength {
+			return false
+		}
+		slots[m.Slot], ids[m.ID] = true, true
+	}
+	return true
+}
+
+// Majority returns the number of members that bind the group.
+func (r *Record) Majority() int { return len(r.Members)/2 + 1 }
+
+// Member returns the member with this identity. A restarted node is no member.
+func (r *Record) Member(id Identity) (Member, bool) { return memberOf(r.Members, id) }
+
+func memberOf(members []Member, id Identity) (Member, bool) {
+	i := slices.IndexFunc(members, func(m Member) bool { return m.Identity == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return members[i], true
+}
+
+// Owner returns the member that owns the key.
+func (r *Record) Owner(key Key) Member { return ownerOf(r.Members, key) }
+
+// ownerOf ranks slots by rendezvous hash: a slot that empties or fills moves only its own keys.
+func ownerOf(members []Member, key Key) Member {
+	best, bestScore := members[0], uint64(0)
+	base := xxhash.Sum64String(string(key))
+	for _, m := range members {
+		if score := mix(base, uint64(m.Slot)); score >= bestScore {
+			best, bestScore = m, score
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of splitmix64 over the hash of a key and a slot.
+func mix(base, slot uint64) uint64 {
+	x := base + (slot+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// next returns the record that follows r with the members. ceilings bounds by ID the keys that each
+// member of r accepted; a member that is missing accepted none.
+func (r *Record) next(members []Member, ceilings map[string]int64, nonce string) *Record {
+	ended := slices.Clone(r.Members)
+	for i := range ended {
+		ended[i].Ceiling = ceilings[ended[i].ID]
+	}
+	n := &Record{Epoch: r.Epoch + 1, Region: r.Region, Members: members, Barrier: r.Barrier, Nonce: nonce, Past: r.Past}
+	if len(ended) > 0 {
+		n.Past = append([]Past{{Epoch: r.Epoch, Members: ended}}, r.Past...)
+	}
+	for len(n.Past) > maxPast {
+		n.Barrier = max(n.Barrier, n.Past[len(n.Past)-1].ceiling())
+		n.Past = n.Past[:len(n.Past)-1]
+	}
+	return n
+}
+
+// withMark returns a copy with another mark.
+func (r *Record) withMark(mark *Mark) *Record {
+	n := *r
+	n.Mark = mark
+	return &n
+}
--- /dev/null
+++ b/idempotency/transfer.go
@@ -0,0 +1,110 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// chunkKeys and chunkBytes bound one message of a hand-over.
+	chunkKeys  = 512
+	chunkBytes = 256 << 10
+	// entryOverhead estimates the bytes of one key in a chunk besides its answer.
+	entryOverhead = 64
+)
+
+// Item is one key of a table on its way to another member.
+type Item struct {
+	Key      Key
+	State    uint8
+	Holder   Attempt
+	TimeLeft time.Duration // of the holder's call
+	Answer   *Answer
+	Finished []Attempt
+}
+
+// Valid reports whether the item is within its bounds.
+func (i *Item) Valid() bool {
+	return i.Key.Valid() && i.State <= uint8(done) && len(i.Finished) <= maxFinished &&
+		i.TimeLeft >= 0 && i.TimeLeft <= MaxTimeLeft && i.Answer.size() <= maxAnswerSize
+}
+
+// MaxTimeLeft bounds the time to a call's deadline in messages.
+const MaxTimeLeft = 24 * time.Hour
+
+// Chunk is one bounded message of a hand-over: what member From of the epoch held.
+type Chunk struct {
+	Service string
+	From    Identity
+	To      Identity
+	Epoch   uint64 // epoch that ended
+	Meant   uint64 // epoch in which To owns the keys
+	Number  uint32 // from 0
+	Last    bool
+	Horizon int64 // keys issued at or before it may be missing (ms, Unix)
+	Items   []Item
+}
+
+// export returns the keys for which match reports true, in chunks. The caller keeps claims out.
+func (t *Table) export(now Instant, match func(Key) bool) []Chunk {
+	chunks := []Chunk{{}}
+	size := 0
+	t.keys.Range(func(key Key, e entry) bool {
+		if !match(key) {
+			return true
+		}
+		last := &chunks[len(chunks)-1]
+		if len(last.Items) >= chunkKeys || size > chunkBytes {
+			chunks = append(chunks, Chunk{})
+			last, size = &chunks[len(chunks)-1], 0
+		}
+		last.Items = append(last.Items, Item{
+			Key: key, State: uint8(e.state), Holder: e.holder, TimeLeft: max(0, e.until-now.Mono),
+			Answer: e.answer, Finished: slices.Clone(e.finished),
+		})
+		size += entryOverhead + e.answer.size()
+		return true
+	})
+	for i := range chunks {
+		chunks[i].Number, chunks[i].Horizon = uint32(i), t.horizon.Load()
+	}
+	chunks[len(chunks)-1].Last = true
+	return chunks
+}
+
+// absorb merges the items into the table and reports whether all of them found room.
+func (t *Table) absorb(now Instant, chunk Chunk) bool {
+	raise(&t.horizon, chunk.Horizon)
+	room := true
+	for _, item := range chunk.Items {
+		t.update(item.Key, func(e entry, found bool) (entry, bool) {
+			if !found && t.count.Load() >= int64(t.bounds.Keys) {
+				room = false
+				return e, false
+			}
+			return t.merge(now, e, item), true
+		})
+	}
+	return room
+}
+
+// merge joins two views of one key: the higher state counts, except that a holder that settled as
+// not run no longer holds the key.
+func (t *Table) merge(now Instant, e entry, item Item) entry {
+	for _, attempt := range item.Finished {
+		e.finish(attempt)
+	}
+	incoming := state(item.State)
+	if incoming == held && e.has(item.Holder) {
+		incoming = free
+	}
+	if incoming <= e.state {
+		return e
+	}
+	e.state, e.holder, e.until = incoming, item.Holder, now.Mono+item.TimeLeft
+	if incoming == done {
+		e.answer = t.keep(item.Answer)
+		e.finished = nil
+	}
+	return e
+}
