--- a/node/protect.go
+++ b/node/protect.go
@@ -114,7 +114,7 @@
 	}()
 	answer, err := next.Dispatch(ctx, req)
 	returned = true
-	if refusal := asRefusal(err); refusal != nil {
+	if refusal := asRefusal(ctx, err); refusal != nil {
 		outcome := idempotency.OutcomeUnknown
 		if refusal.Ran == caller.NotRun {
 			outcome = idempotency.OutcomeNotRun
