--- a/bundle/manifest.go
+++ b/bundle/manifest.go
@@ -87,8 +87,8 @@
 	return m, nil
 }
 
-// diff returns the changes that lead from m to next.
-func (m Manifest) diff(next Manifest) []Change {
+// Changes returns the changes that lead from m to next.
+func (m Manifest) Changes(next Manifest) []Change {
 	var changes []Change
 	for _, member := range next {
 		if held, ok := m.Part(member.Service); !ok || held != member.Part {
--- a/bundle/prepare.go
+++ b/bundle/prepare.go
@@ -69,7 +69,7 @@
 func (p *Prepared) Release(from Manifest) *Release {
 	return &Release{
 		Version: p.Version, Root: p.Root, KeyID: p.KeyID, Signature: p.Signature,
-		Changes: withBodies(from.diff(p.Manifest), p.Parts),
+		Changes: withBodies(from.Changes(p.Manifest), p.Parts),
 	}
 }
 
--- a/bundle/publisher.go
+++ b/bundle/publisher.go
@@ -96,7 +96,7 @@
 	if err := p.put(ctx, manifestKey(approved.Version, approved.Root), approved.Manifest.Encode()); err != nil {
 		return err
 	}
-	for _, change := range base.diff(approved.Manifest) {
+	for _, change := range base.Changes(approved.Manifest) {
 		if change.Part == (Hash{}) {
 			continue
 		}
--- /dev/null
+++ b/cli/bundle_roll.go
@@ -0,0 +1,189 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+)
+
+func newBundleRoll() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "roll FILE",
+		Short: "Roll an approved bundle out",
+		Long: `Roll an approved bundle out to all nodes by compare-and-swap in the store. Of two operators who race for a
+version one wins; the other gets exit code 6 and the version that won. A roll that was interrupted may be run
+again: it succeeds when its version is in force already.`,
+		Example: "  magnoliawharf bundle roll next.bundle --store http://127.0.0.1:2379 --trust operator.key.pub",
+		Args:    exactArgs(1),
+	}
+	format := addOutput(cmd)
+	var flags storeFlags
+	flags.add(cmd)
+	trusted := cmd.Flags().StringSlice("trust", nil, "public key files that nodes trust; others are refused before the roll")
+	_ = cmd.MarkFlagRequired("store")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		approved, err := readBundle(args[0])
+		if err != nil {
+			return err
+		}
+		client, ctx, cancel, err := flags.open(cmd.Context())
+		if err != nil {
+			return err
+		}
+		defer cancel()
+		publisher := &bundle.Publisher{Store: client}
+		if len(*trusted) > 0 {
+			if publisher.Trust, err = bundle.ReadTrust(*trusted); err != nil {
+				return bundleError(err)
+			}
+		}
+		release, collectErr, err := publisher.Roll(ctx, approved)
+		if err != nil {
+			return bundleError(err)
+		}
+		made := report(release, len(approved.Parts), release.Changes)
+		if collectErr != nil {
+			made.Warning = "old versions were not removed: " + oneLine(collectErr)
+		}
+		return print(cmd.OutOrStdout(), *format, made.text("rolled out"), made)
+	}
+	return cmd
+}
+
+func newBundleStatus() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "status",
+		Short:   "Show the version in force",
+		Long:    "Show the version in force as the store has it, and its changes since the version before.",
+		Example: "  magnoliawharf bundle status --store http://127.0.0.1:2379 --output json",
+		Args:    exactArgs(0),
+	}
+	format := addOutput(cmd)
+	var flags storeFlags
+	flags.add(cmd)
+	_ = cmd.MarkFlagRequired("store")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		client, ctx, cancel, err := flags.open(cmd.Context())
+		if err != nil {
+			return err
+		}
+		defer cancel()
+		shelf := bundle.Shelf{Store: client}
+		head, _, err := shelf.Head(ctx)
+		if err != nil {
+			return bundleError(err)
+		}
+		manifest, err := shelf.Manifest(ctx, head)
+		if err != nil {
+			return bundleError(err)
+		}
+		made := report(head, len(manifest), head.Changes)
+		return print(cmd.OutOrStdout(), *format, made.text("in force:"), made)
+	}
+	return cmd
+}
+
+func newBundleShow() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "show [FILE]",
+		Short: "Show the contracts of a bundle",
+		Long:  "Show the contracts of a bundle file, or with --store of the version in force, with all defaults filled in.",
+		Example: `  magnoliawharf bundle show next.bundle
+  magnoliawharf bundle show --store http://127.0.0.1:2379 --service ledger`,
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 1 {
+				return exactArgs(1)(cmd, args)
+			}
+			return nil
+		},
+	}
+	format := addOutput(cmd)
+	var flags storeFlags
+	flags.add(cmd)
+	service := cmd.Flags().String("service", "", "show this service only")
+	_ = cmd.RegisterFlagCompletionFunc("service", cobra.NoFileCompletions)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if (len(args) == 1) == (flags.url != "") {
+			return usageError(fmt.Errorf("give either FILE or --store; see `%s --help`", cmd.CommandPath()))
+		}
+		parts, err := shownParts(cmd, args, flags)
+		if err != nil {
+			return bundleError(err)
+		}
+		if part, ok := parts[*service]; ok {
+			parts = map[string]json.RawMessage{*service: part}
+		} else if *service != "" {
+			return &codedError{fmt.Errorf("the bundle has no service %q; run without --service to see all", *service), ExitBundle}
+		}
+		return print(cmd.OutOrStdout(), *format, partsText(parts), parts)
+	}
+	return cmd
+}
+
+// shownParts returns the parts of a file or of the version in force, by service.
+func shownParts(cmd *cobra.Command, args []string, flags storeFlags) (map[string]json.RawMessage, error) {
+	parts := make(map[string]json.RawMessage)
+	if len(args) == 1 {
+		prepared, err := readBundle(args[0])
+		if err != nil {
+			return nil, err
+		}
+		for service, part := range prepared.Parts {
+			parts[service] = part
+		}
+		return parts, nil
+	}
+	client, ctx, cancel, err := flags.open(cmd.Context())
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	return storedParts(ctx, bundle.Shelf{Store: client})
+}
+
+func storedParts(ctx context.Context, shelf bundle.Shelf) (map[string]json.RawMessage, error) {
+	head, _, err := shelf.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	manifest, err := shelf.Manifest(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	found, err := shelf.Parts(ctx, bundle.Missing(nil, manifest, nil))
+	if err != nil {
+		return nil, err
+	}
+	held, err := bundle.Apply(nil, head, manifest, found) // checks every part
+	if err != nil {
+		return nil, err
+	}
+	parts := make(map[string]json.RawMessage, len(manifest))
+	for _, member := range held.Manifest {
+		parts[member.Service] = found[member.Part]
+	}
+	return parts, nil
+}
+
+func partsText(parts map[string]json.RawMessage) string {
+	services := make([]string, 0, len(parts))
+	for service := range parts {
+		services = append(services, service)
+	}
+	slices.Sort(services)
+	var out strings.Builder
+	for _, service := range services {
+		indented, err := json.MarshalIndent(parts[service], "", "  ")
+		if err != nil {
+			indented = parts[service]
+		}
+		fmt.Fprintf(&out, "%s\n", indented)
+	}
+	return out.String()
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -48,6 +48,7 @@
 		return usageError(fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath()))
 	})
 	root.AddCommand(newNode(), newSettings(), newDev(), newVersion())
+	root.AddCommand(newBundle())
 	return root
 }
 
