Fetch large bundles from any peer, fit releases into a broadcast

Cause: membership delivers a broadcast to the whole fleet with its origin as sender and at most 16 KiB, so that a large change would have sent 3,200 nodes to one border node, and a release of up to 64 KiB would not have been passed on. Change: a release has at most 16 KiB (32 changes, 8 KiB of parts). A broadcast that needs more is completed from peers chosen anew for each try, at most 200 ms apart. DutySwitch is a Duty set from outside. A repetition of the release in force is dropped before its signature is checked. A roll whose swap is uncertain and whose version has another root in the store has lost. The oracle of the stateful test is now read under its lock: the race detector had found the test itself racing, once in two runs.

--- a/bundle/apply.go
+++ b/bundle/apply.go
@@ -42,6 +42,9 @@
 // Admit checks that the release is validly signed and newer than the snapshot in force, which may
 // be nil. A release that is in force already gives fresh false without an error.
 func Admit(held *Snapshot, r *Release, trust Trust, now time.Time) (fresh bool, err error) {
+	if held != nil && r.Version == held.Release.Version && r.Root == held.Release.Root {
+		return false, nil // the usual repetition, without the cost of a signature
+	}
 	if err := r.Verify(trust, now); err != nil {
 		return false, err
 	}
@@ -50,10 +53,8 @@
 		return true, nil
 	case r.Version < held.Release.Version:
 		return false, ErrOlder.New("release %d is older than %d in force", r.Version, held.Release.Version)
-	case r.Root != held.Release.Root:
-		return false, ErrEquivocation.New("release %d has another root than the one in force", r.Version)
 	}
-	return false, nil
+	return false, ErrEquivocation.New("release %d has another root than the one in force", r.Version)
 }
 
 // Next returns the manifest that the changes of the release give on top of the one in force, and
--- a/bundle/distributor.go
+++ b/bundle/distributor.go
@@ -16,17 +16,11 @@
 
 // Broadcaster passes a payload on to the other nodes. Payloads with an id seen before are dropped.
 type Broadcaster interface {
-	Broadcast(topic, id string, payload []byte)
+	Broadcast(topic, id string, payload []byte) error
 }
 
-// Duty tells whether this node watches the store for its data centre. Changed returns a channel that
-// is closed at the next change.
-type Duty interface {
-	OnDuty() bool
-	Changed() <-chan struct{}
-}
-
-// Peers names up to n other nodes that may have a bundle, in random order.
+// Peers names up to n other nodes that may have a bundle, in random order and preferably in the same
+// data centre.
 type Peers interface {
 	Some(n int) []string
 }
@@ -85,14 +79,15 @@
 // Seen tells that a peer has the version in force. It is cheap unless the version is higher than the
 // one here, which is then fetched from the peer.
 func (d *Distributor) Seen(version uint64, peer string) {
-	if peer != "" && version > d.version() {
+	if peer != storePeer && version > d.version() {
 		d.targets.add(target{peer: peer, version: version})
 	}
 }
 
 // Received takes a broadcast release. When it needs more than it carries, the rest is fetched from
-// the peer that passed it on.
-func (d *Distributor) Received(payload []byte, peer string) {
+// any peer that has it: the nodes on duty have it first, and each node that has it gives it on, so
+// that no single node serves the whole fleet.
+func (d *Distributor) Received(payload []byte) {
 	r, err := DecodeRelease(payload)
 	if err != nil {
 		countRefusal(err)
@@ -109,7 +104,7 @@
 	manifest, whole := Next(held, r)
 	parts := r.Bodies()
 	if !whole || len(Missing(held, manifest, parts)) > 0 {
-		d.Seen(r.Version, peer)
+		d.targets.add(target{peer: anyPeer, version: r.Version})
 		return
 	}
 	next, err := Apply(held, r, manifest, parts)
@@ -195,5 +190,7 @@
 		return // it was decoded within the same limits
 	}
 	id := HashPart(payload)
-	d.Broadcast.Broadcast(Topic, hex.EncodeToString(id[:8]), payload)
+	if err := d.Broadcast.Broadcast(Topic, hex.EncodeToString(id[:8]), payload); err != nil {
+		d.Log.Warn("bundle not broadcast", "version", r.Version, "error", err)
+	}
 }
--- a/bundle/distributor_test.go
+++ b/bundle/distributor_test.go
@@ -21,19 +21,19 @@
 // Guards against a version that reaches the nodes late: a first version whose parts must be fetched,
 // a small change that the release carries, and a change of every service, which it does not list.
 func TestVersionInForceWithinBound(t *testing.T) {
-	for _, size := range []int{3, 37, 370} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
+	for _, c := range []struct{ nodes, size int }{{12, 3}, {188, 37}, {12, 370}} {
+		t.Run(fmt.Sprintf("%d nodes %d services", c.nodes, c.size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				key := newKey(t)
-				f := newFleet(ctx, 12, bundle.Trust{key.Public}, 1)
+				f := newFleet(ctx, c.nodes, bundle.Trust{key.Public}, 1)
 				time.Sleep(10 * time.Second)
 				for version := range uint64(3) {
-					contracts := services(t, size, int(version))
+					contracts := services(t, c.size, int(version))
 					if version == 2 {
-						for _, c := range contracts {
-							c.RetryRatio = 0.2
+						for _, contract := range contracts {
+							contract.RetryRatio = 0.2
 						}
 					}
 					_, _, err := publisher(f.memory).Roll(ctx, approve(t, contracts, version+1, key))
@@ -44,7 +44,7 @@
 					}
 				}
 				for _, m := range f.nodes {
-					assert.Equal(t, len(m.InForce.Load().Contracts), size)
+					assert.Equal(t, len(m.InForce.Load().Contracts), c.size)
 				}
 			})
 		})
@@ -82,7 +82,7 @@
 		defer cancel()
 		key, stranger := newKey(t), newKey(t)
 		f := newFleet(ctx, 1, bundle.Trust{key.Public}, 1)
-		f.nodes[0].setDuty(false)
+		f.nodes[0].duty.Set(false)
 		node := f.nodes[0]
 		give := func(version uint64, variant int, by *bundle.SigningKey, change func(*bundle.Release)) {
 			release := approve(t, services(t, 3, variant), version, by).Release(nil)
@@ -91,15 +91,15 @@
 			}
 			raw, err := release.Encode()
 			assert.NilError(t, err)
-			node.Received(raw, "")
+			node.Received(raw)
 		}
 		give(5, 0, key, nil)
 		cases := []struct {
 			reason string
 			give   func()
 		}{
-			{"malformed", func() { node.Received([]byte("{}"), "") }},
-			{"too-large", func() { node.Received([]byte(strings.Repeat(" ", bundle.MaxRelease+1)), "") }},
+			{"malformed", func() { node.Received([]byte("{}")) }},
+			{"too-large", func() { node.Received([]byte(strings.Repeat(" ", bundle.MaxRelease+1))) }},
 			{"unsigned", func() { give(6, 1, key, func(r *bundle.Release) { r.Signature = nil }) }},
 			{"untrusted-key", func() { give(6, 1, stranger, nil) }},
 			{"bad-signature", func() { give(6, 1, key, func(r *bundle.Release) { r.Version = 9 }) }},
--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -193,16 +193,30 @@
 		}
 		return err
 	}
-	r, err := d.Client.Release(ctx, t.peer)
+	peer := t.peer
+	if peer == anyPeer {
+		some := d.Peers.Some(1)
+		if len(some) == 0 {
+			return errNotYet.New("there is no peer to fetch version %d from", t.version)
+		}
+		peer = some[0]
+	}
+	r, err := d.Client.Release(ctx, peer)
 	if err != nil {
 		countRefusal(err)
 		return err
 	}
-	if r.Version < t.version {
-		fetchFailures.Inc() // the peer passed a release on before it had its parts
-		return ErrOlder.New("peer %s has version %d, not %d yet", t.peer, r.Version, t.version)
+	if r.Version <= d.version() {
+		fetchFailures.Inc()
+		return errNotYet.New("peer %s does not have version %d yet", peer, t.version)
+	}
+	if err := d.takeFrom(ctx, r, peer); err != nil {
+		return err
+	}
+	if d.version() < t.version {
+		return errNotYet.New("peer %s has version %d, not %d yet", peer, r.Version, t.version)
 	}
-	return d.takeFrom(ctx, r, t.peer)
+	return nil
 }
 
 // jitter returns a random part of d.
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -30,12 +30,11 @@
 // member is one node: what a Distributor sees of the others.
 type member struct {
 	*bundle.Distributor
-	fleet   *fleet
-	id      string
-	cut     bool // from all others
-	duty    bool
-	changed chan struct{}
-	cancel  context.CancelFunc
+	fleet  *fleet
+	id     string
+	cut    bool // from all others
+	duty   *bundle.DutySwitch
+	cancel context.CancelFunc
 }
 
 var errLost = errors.New("lost")
@@ -52,10 +51,10 @@
 // restart replaces a node by one without a bundle.
 func (f *fleet) restart(i int, duty bool) {
 	ctx, cancel := context.WithCancel(f.ctx)
-	m := &member{fleet: f, id: strconv.Itoa(i), duty: duty, changed: make(chan struct{}), cancel: cancel}
+	m := &member{fleet: f, id: strconv.Itoa(i), duty: bundle.NewDutySwitch(duty), cancel: cancel}
 	m.Distributor = bundle.NewDistributor(bundle.Config{
 		Trust: f.trust, InForce: bundle.NewInForce(), Store: store.NewClient(f.memory, 0, 0),
-		Broadcast: m, Duty: m, Peers: m, Client: m,
+		Broadcast: m, Duty: m.duty, Peers: m, Client: m,
 	})
 	f.mu.Lock()
 	old := f.nodes[i]
@@ -110,7 +109,7 @@
 }
 
 // Broadcast delivers late, out of order, twice or not at all.
-func (m *member) Broadcast(_, _ string, payload []byte) {
+func (m *member) Broadcast(_, _ string, payload []byte) error {
 	m.fleet.mu.Lock()
 	m.fleet.sent = append(m.fleet.sent, payload)
 	m.fleet.mu.Unlock()
@@ -120,30 +119,11 @@
 			late := time.Duration(m.fleet.rng.IntN(400)) * time.Millisecond
 			m.fleet.mu.Unlock()
 			if peer := m.other(strconv.Itoa(i)); peer != nil && peer != m {
-				time.AfterFunc(late, func() { peer.Received(payload, m.id) })
+				time.AfterFunc(late, func() { peer.Received(payload) })
 			}
 		}
 	}
-}
-
-func (m *member) OnDuty() bool {
-	m.fleet.mu.Lock()
-	defer m.fleet.mu.Unlock()
-	return m.duty
-}
-
-func (m *member) Changed() <-chan struct{} {
-	m.fleet.mu.Lock()
-	defer m.fleet.mu.Unlock()
-	return m.changed
-}
-
-func (m *member) setDuty(duty bool) {
-	m.set(func(m *member) {
-		m.duty = duty
-		close(m.changed)
-		m.changed = make(chan struct{})
-	})
+	return nil
 }
 
 func (m *member) Some(n int) []string {
--- a/bundle/publisher.go
+++ b/bundle/publisher.go
@@ -142,7 +142,8 @@
 		return nil, nil, cause
 	case head.same(approved):
 		return head, nil, nil
-	case head.Version >= approved.Version && store.Is(cause, store.ErrConflict):
+	case head.Version == approved.Version, head.Version > approved.Version && store.Is(cause, store.ErrConflict):
+		// Versions follow one another, so a head with this version and another root was never ours.
 		return nil, nil, taken(approved.Version, head.Version)
 	}
 	return nil, nil, cause
--- a/bundle/release.go
+++ b/bundle/release.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// MaxRelease bounds an encoded release.
-	MaxRelease = 64 << 10
+	// MaxRelease bounds an encoded release, so that it fits into one broadcast.
+	MaxRelease = 16 << 10
 	// maxChanges bounds the changes listed in a release. Beyond, nodes read the manifest instead.
-	maxChanges = 64
+	maxChanges = 32
 	// maxInline bounds the bytes of parts carried in a release, so that a push stays small. Larger
 	// changes are fetched by hash.
-	maxInline = 16 << 10
+	maxInline = 8 << 10
 	// signatureDomain keeps signatures of bundles apart from others by the same key.
 	signatureDomain = "magnoliawharf bundle v1\n"
 )
--- a/bundle/stateful_test.go
+++ b/bundle/stateful_test.go
@@ -125,20 +125,20 @@
 	case "heal":
 		m.set(func(m *member) { m.cut = false })
 	case "forge":
-		m.Received(r.forge(s.Arg), r.nodes[s.Arg].id)
+		m.Received(r.forge(s.Arg))
 	case "replay":
 		r.mu.Lock()
 		sent := r.sent
 		r.mu.Unlock()
 		if len(sent) > 0 {
-			m.Received(sent[s.Arg%len(sent)], "nobody")
+			m.Received(sent[s.Arg%len(sent)])
 		}
 	case "lie":
 		m.Seen(uint64(s.Arg)<<40, r.nodes[s.Arg].id)
 	case "restart":
-		r.restart(s.Node, m.OnDuty())
+		r.restart(s.Node, m.duty.OnDuty())
 	case "duty":
-		m.setDuty(!m.OnDuty())
+		m.duty.Set(!m.duty.OnDuty())
 	}
 	time.Sleep(s.Wait)
 }
@@ -154,7 +154,7 @@
 		for i, s := range plan {
 			r.do(s)
 			synctest.Wait()
-			if breach = r.check(r.approved, highest); breach != nil {
+			if breach = r.compare(highest); breach != nil {
 				breach = fmt.Errorf("after step %d: %w", i, breach)
 				return
 			}
@@ -165,17 +165,23 @@
 		for _, m := range r.nodes {
 			m.set(func(m *member) { m.cut = false })
 		}
-		r.nodes[0].setDuty(true)
+		r.nodes[0].duty.Set(true)
 		r.rolls.Wait()
 		time.Sleep(settle)
 		synctest.Wait()
-		if breach = r.check(r.approved, highest); breach == nil {
+		if breach = r.compare(highest); breach == nil {
 			breach = r.agree()
 		}
 	})
 	return breach
 }
 
+func (r *run) compare(highest map[*member]uint64) error {
+	r.oracle.Lock()
+	defer r.oracle.Unlock()
+	return r.check(r.approved, highest)
+}
+
 // agree fails unless every node has the head of the store in force.
 func (r *run) agree() error {
 	head, _, err := bundle.Shelf{Store: r.memory}.Head(r.ctx)
--- a/bundle/targets.go
+++ b/bundle/targets.go
@@ -11,12 +11,25 @@
 	// Limits of the waits between tries at one target.
 	minRest = 50 * time.Millisecond
 	maxRest = 8 * time.Second
+	// maxAnyRest is the longest wait before another peer is asked for a version that is known to
+	// exist. The number of nodes that have it about doubles in each wait.
+	maxAnyRest = 200 * time.Millisecond
 	// maxTries is the number of failures after which a peer is forgotten until it is seen again.
 	maxTries = 12
 )
 
-// target is a place that has a version newer than the one in force: a peer, or the store when peer
-// is "", with the release read there.
+const (
+	// storePeer stands for the store in place of a peer.
+	storePeer = ""
+	// anyPeer stands for a peer chosen anew for each try.
+	anyPeer = "*"
+)
+
+// errNotYet says that a peer does not have a version that others have.
+var errNotYet = namespace.NewType("not_yet")
+
+// target is a place that has a version newer than the one in force: a peer, any peer, or the store
+// with the release read there.
 type target struct {
 	peer      string
 	version   uint64
@@ -71,7 +84,7 @@
 	}
 	worst := ""
 	for peer, known := range t.byPeer {
-		if peer != "" && (worst == "" || known.tries > t.byPeer[worst].tries) {
+		if peer != storePeer && peer != anyPeer && (worst == "" || known.tries > t.byPeer[worst].tries) {
 			worst = peer
 		}
 	}
@@ -117,10 +130,13 @@
 		return
 	}
 	known.tries++
-	if known.tries > maxTries && known.release == nil {
+	if known.tries > maxTries && known.release == nil && tried.peer != anyPeer {
 		delete(t.byPeer, tried.peer)
 		return
 	}
 	rest := min(minRest<<min(known.tries, 10), maxRest)
+	if tried.peer == anyPeer {
+		rest = min(rest, maxAnyRest)
+	}
 	known.notBefore = now.Add(rest/2 + jitter(rest/2))
 }
