Add policybench: policies against each other in virtual time

Real link, upstream and retry code between fakes of callers, network and upstreams, against random, round robin, least in flight and two choices by reported load, with a plain queue and with the class queues.

--- /dev/null
+++ b/policybench/run.go
@@ -0,0 +1,251 @@
+package policybench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/link"
+	"github.com/magnoliawharf/magnoliawharf/upstream"
+)
+
+const announceEvery = time.Second
+
+// run is one service under load: its home nodes, the entry nodes and what was measured.
+type run struct {
+	deployment Deployment
+	scenario   Scenario
+	policy     Policy
+	started    time.Time
+	homes      map[instance.ID]*home
+	fleet      *instance.Fleet
+	entries    []*entry
+	arrivals   *rand.Rand
+	requests   sync.WaitGroup
+	probes     atomic.Int64
+	reports    atomic.Int64
+	result     collector
+}
+
+// entry is a node that callers send to.
+type entry struct {
+	run        *run
+	dataCentre int
+	chooser    chooser
+	budget     *caller.Budget
+}
+
+// Run measures one policy under one scenario. It must be called in a synctest bubble.
+func Run(d Deployment, s Scenario, p Policy, seed uint64) Result {
+	r := &run{
+		deployment: d, scenario: s, policy: p, started: time.Now(),
+		homes: make(map[instance.ID]*home), fleet: instance.NewFleet(),
+		arrivals: rand.New(rand.NewPCG(seed, 0)),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var background sync.WaitGroup
+	for i := range d.Upstreams {
+		h := r.addHome(i, seed)
+		background.Go(func() { r.keepAnnounced(ctx, h) })
+	}
+	for i := range d.Entries {
+		r.entries = append(r.entries, r.newEntry(i, seed))
+	}
+	var sources sync.WaitGroup
+	sources.Go(func() { r.generate(contract.Classes[0], r.shortRate) })
+	if s.Downloads > 0 {
+		sources.Go(func() { r.generate(contract.Classes[1], r.longRate) })
+	}
+	sources.Wait()
+	r.requests.Wait()
+	cancel()
+	background.Wait()
+	return r.summary()
+}
+
+func dataCentre(n int) string { return string(rune('a' + n)) }
+
+func (r *run) addHome(i int, seed uint64) *home {
+	id := instance.ID(fmt.Sprint("home", i))
+	h := &home{
+		record: instance.Record{
+			ID: id, Incarnation: 1, Service: contract.Service, DataCentre: dataCentre(i % r.deployment.DataCentres),
+			State: instance.Ready, Slots: r.deployment.Slots,
+		},
+		budget:   link.NewProbeBudget(r.started, probeRate),
+		scenario: r.scenario, faulty: i == 0, started: r.started,
+		random: rand.New(rand.NewPCG(seed, uint64(i+1))),
+	}
+	h.admit = newFIFO(r.deployment.Slots)
+	if r.policy.Classes {
+		h.admit = announced{upstream.New()}
+	}
+	r.homes[id] = h
+	return h
+}
+
+// keepAnnounced announces the upstream and tells the fleet of its state.
+func (r *run) keepAnnounced(ctx context.Context, h *home) {
+	record := h.record
+	for ctx.Err() == nil {
+		now := time.Now()
+		if !h.absent(now) {
+			if a, ok := h.admit.(announced); ok {
+				a.announce(h)
+			}
+			state := instance.Ready
+			if h.fault(now) == Starting {
+				state = instance.Cold
+			}
+			if state != record.State || record.StateVersion == 0 {
+				record.State = state
+				record.StateVersion++
+				r.fleet.Merge(record)
+			}
+		}
+		select {
+		case <-time.After(announceEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *run) newEntry(i int, seed uint64) *entry {
+	e := &entry{run: r, dataCentre: i % r.deployment.DataCentres, budget: caller.NewBudgets().Of(contract.Service)}
+	if r.policy.Links {
+		e.chooser = &linkChooser{
+			table:  link.NewTable(r.fleet, link.At(dataCentre(e.dataCentre))),
+			prober: link.NewProber(e),
+		}
+		return e
+	}
+	b := &baseline{balance: r.policy.balance, random: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
+	b.present = func(now time.Time, id instance.ID) bool { return !r.homes[id].absent(now) }
+	for n := range r.deployment.Upstreams {
+		// Round robin starts at another instance at each entry node.
+		b.tallies = append(b.tallies, &tally{id: instance.ID(fmt.Sprint("home", (n+i)%r.deployment.Upstreams))})
+	}
+	e.chooser = b
+	return e
+}
+
+func (r *run) shortRate(at time.Duration) float64 {
+	load := r.scenario.Load
+	if r.crest(at) {
+		load = r.scenario.Crest
+	}
+	return load * r.deployment.capacity()
+}
+
+func (r *run) crest(at time.Duration) bool {
+	return r.scenario.Crest > 0 && at >= r.scenario.CrestFrom && at < r.scenario.CrestTo
+}
+
+func (r *run) longRate(time.Duration) float64 {
+	return r.scenario.Downloads * float64(r.deployment.Upstreams*r.deployment.Slots) / longMedian.Seconds()
+}
+
+// generate sends requests of the class at random times to random entry nodes.
+func (r *run) generate(class bundle.Class, rate func(time.Duration) float64) {
+	random := rand.New(rand.NewPCG(r.arrivals.Uint64(), 0))
+	for {
+		at := time.Since(r.started)
+		if at >= r.scenario.Length {
+			return
+		}
+		time.Sleep(time.Duration(random.ExpFloat64() / rate(at) * float64(time.Second)))
+		e := r.entries[random.IntN(len(r.entries))]
+		r.requests.Go(func() { e.call(class, time.Since(r.started)) })
+	}
+}
+
+// call sends one request, with retries as the dispatcher does them, and records its end.
+func (e *entry) call(class bundle.Class, at time.Duration) {
+	kind, timeout := link.Short, shortTimeout
+	if class.Long {
+		kind, timeout = link.Long, longTimeout
+	}
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(timeout))
+	defer cancel()
+	ticket := upstream.Ticket{Class: class, Rules: upstream.RulesOf(&contract), Deadline: started.Add(timeout)}
+	e.budget.Earn(contract.RetryRatio)
+	var tried []instance.ID
+	for {
+		chosen, ok := e.chooser.choose(time.Now(), kind, tried)
+		if !ok {
+			e.run.result.add(class, e.run.crest(at), refused, time.Since(started))
+			return
+		}
+		tried = append(tried, chosen.target())
+		answer := e.attempt(ctx, chosen, ticket)
+		if answer.refusal == nil {
+			e.run.result.add(class, e.run.crest(at), endOf(answer.result), time.Since(started))
+			return
+		}
+		if !e.again(ctx, answer.refusal, len(tried), started.Add(timeout)) {
+			e.run.result.add(class, e.run.crest(at), lost(answer.refusal), time.Since(started))
+			return
+		}
+	}
+}
+
+func (e *entry) again(ctx context.Context, refusal *caller.Refusal, attempts int, deadline time.Time) bool {
+	decision := caller.Decide(caller.Attempted{
+		Rule: bundle.Idempotent, Reason: refusal.Reason, Ran: refusal.Ran, Attempts: attempts,
+		Replayable: true, TimeLeft: time.Until(deadline),
+	})
+	if !decision.Retry || ctx.Err() != nil || (decision.Paid && !e.budget.Spend()) {
+		return false
+	}
+	time.Sleep(caller.Jitter(decision.Delay))
+	return true
+}
+
+// attempt sends the request over the network and waits for the whole answer.
+func (e *entry) attempt(ctx context.Context, chosen attempt, ticket upstream.Ticket) reply {
+	h := e.run.homes[chosen.target()]
+	way := e.oneWay(h)
+	time.Sleep(way)
+	answer := h.serve(ctx, ticket, func(first reply) {
+		e.run.requests.Go(func() {
+			time.Sleep(way)
+			chosen.answered(time.Now(), first.result, &first.report)
+		})
+	})
+	time.Sleep(way)
+	e.run.reports.Add(1)
+	report := &answer.report
+	if answer.result == link.Late {
+		report = nil
+	}
+	chosen.end(time.Now(), answer.result, report)
+	return answer
+}
+
+func (e *entry) oneWay(h *home) time.Duration {
+	if h.record.DataCentre == dataCentre(e.dataCentre) {
+		return nearOneWay
+	}
+	return e.run.deployment.OneWay
+}
+
+var errOverBudget = errors.New("over budget")
+
+// Probe implements link.ProbeSender.
+func (e *entry) Probe(_ context.Context, target instance.Record) (link.Report, error) {
+	h := e.run.homes[target.ID]
+	e.run.probes.Add(1)
+	time.Sleep(e.run.deployment.ProbeTime)
+	if !h.budget.Take(time.Now()) {
+		return link.Report{}, errOverBudget
+	}
+	return h.report(time.Now()), nil
+}
