Do not lower the limit of an upstream on heavy-tailed service times

The adaptive limit sank although service did not depend on concurrency: the concurrency at the start or end of a request grows with its own length, and the medians of 32 service times differ by chance. It now compares by the mean concurrency over the life of each request, with slower medians, and acts on three windows in a row.

--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -28,12 +28,12 @@
 
 // lease is one slot held by a request.
 type lease struct {
-	upstream    *Upstream
-	queue       *classQueue
-	class       bundle.Class
-	started     time.Time
-	concurrency int // requests in flight at the start or the end, whichever is more
-	returned    atomic.Bool
+	upstream *Upstream
+	queue    *classQueue
+	class    bundle.Class
+	started  time.Time
+	area     float64 // of the slots at the start
+	returned atomic.Bool
 }
 
 // Admit waits for a slot and returns the function that gives it back; calls after the first have no
@@ -193,10 +193,8 @@
 }
 
 func (u *Upstream) start(now time.Time, w *waiter) {
-	u.slots.take(w.ticket.Class)
-	w.lease = &lease{
-		upstream: u, queue: w.queue, class: w.ticket.Class, started: now, concurrency: u.slots.inUse,
-	}
+	u.slots.take(now, w.ticket.Class)
+	w.lease = &lease{upstream: u, queue: w.queue, class: w.ticket.Class, started: now, area: u.slots.area}
 }
 
 // release gives the slot back.
@@ -208,15 +206,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	l.concurrency = max(l.concurrency, u.slots.inUse)
-	u.slots.put(l.class)
+	u.slots.put(now, l.class)
 	u.learn(l, now.Sub(l.started))
 	u.settle(now)
 }
 
 func (u *Upstream) learn(l *lease, took time.Duration) {
-	if slow := l.queue.service.slow; !l.class.Long && slow > 0 {
-		u.limit.observe(took.Seconds()/slow, l.concurrency, u.announced.Slots)
+	if slow := l.queue.service.slow; !l.class.Long && slow > 0 && took > 0 {
+		concurrency := (u.slots.area - l.area) / took.Seconds()
+		u.limit.observe(took.Seconds()/slow, concurrency, u.announced.Slots)
 	}
 	l.queue.service.add(took)
 	if !l.class.Long {
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -10,7 +10,12 @@
 	// exceed: below that, higher concurrency still gains throughput.
 	limitGrowth = 1.5
 	limitGain   = 0.75
-	// medianStep is the relative step of the running medians.
+	// limitWindows is the number of windows in a row that must show the growth. The medians of 32
+	// heavy-tailed service times differ by chance too often to act on one.
+	limitWindows = 3
+	// bandStep is the relative step of the running medians that are compared.
+	bandStep = 0.02
+	// medianStep is the relative step of the running median of service times.
 	medianStep = 0.05
 	minLimit   = 2
 )
@@ -25,6 +30,7 @@
 	low      band
 	high     band
 	highSeen int
+	grown    int // windows in a row that showed growth
 }
 
 // floorOf returns the lowest limit for the announced slots.
@@ -39,13 +45,13 @@
 }
 
 // observe takes the service time of a request relative to the long-run mean of its class, and the
-// requests in flight when it started.
-func (a *adaptiveLimit) observe(relative float64, concurrency, announced int) {
+// mean number of requests in flight while it ran.
+func (a *adaptiveLimit) observe(relative float64, concurrency float64, announced int) {
 	current := a.value(announced)
 	switch {
-	case concurrency <= floorOf(announced):
+	case concurrency <= float64(floorOf(announced)):
 		a.low.add(relative, concurrency)
-	case concurrency > current*3/4:
+	case concurrency > float64(current)*3/4:
 		a.high.add(relative, concurrency)
 		a.highSeen++
 	}
@@ -55,9 +61,13 @@
 	}
 	switch known := a.highSeen >= limitWindow/4; {
 	case known && a.high.outgrows(a.low):
-		a.limit = max(floorOf(announced), current-1)
+		if a.grown++; a.grown >= limitWindows {
+			a.limit = max(floorOf(announced), current-1)
+			a.grown = 0
+		}
 	case known || current == floorOf(announced):
 		a.limit = min(announced, current+1)
+		a.grown = 0
 	}
 	a.seen, a.highSeen = 0, 0
 }
@@ -68,9 +78,9 @@
 	concurrency float64 // running mean
 }
 
-func (b *band) add(relative float64, concurrency int) {
-	b.relative.add(relative)
-	b.concurrency += (float64(concurrency) - b.concurrency) * estimateWeight
+func (b *band) add(relative, concurrency float64) {
+	b.relative.add(relative, bandStep)
+	b.concurrency += (concurrency - b.concurrency) * estimateWeight
 }
 
 // outgrows reports whether service times rose so much from low to b that throughput gained little.
@@ -84,14 +94,14 @@
 // median is a running median that outliers move no more than any other value.
 type median struct{ value float64 }
 
-func (m *median) add(x float64) {
+func (m *median) add(x, step float64) {
 	switch {
 	case m.value == 0:
 		m.value = x
 	case x > m.value:
-		m.value *= 1 + medianStep
+		m.value *= 1 + step
 	case x < m.value:
-		m.value /= 1 + medianStep
+		m.value /= 1 + step
 	}
 }
 
@@ -112,7 +122,7 @@
 
 func (e *estimate) add(took time.Duration) {
 	x := took.Seconds()
-	e.middle.add(x)
+	e.middle.add(x, medianStep)
 	if e.mean == 0 {
 		e.mean, e.slow = x, x
 		return
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -48,15 +48,23 @@
 	inUse    int
 	long     int // of these, requests of long classes
 	yielding int // of these, requests of classes that are long or may wait
+
+	// area is the integral of inUse over time, in slots times seconds. Its growth over the time of a
+	// request is the concurrency that the request ran at. The concurrency at its start or end would
+	// not do: a request that takes long for its own reasons meets more crowded moments.
+	area      float64
+	changedAt time.Time
 }
 
 func yields(class bundle.Class) bool { return class.Long || class.MayWait }
 
-func (s *slots) take(class bundle.Class) { s.add(class, 1) }
+func (s *slots) take(now time.Time, class bundle.Class) { s.add(now, class, 1) }
 
-func (s *slots) put(class bundle.Class) { s.add(class, -1) }
+func (s *slots) put(now time.Time, class bundle.Class) { s.add(now, class, -1) }
 
-func (s *slots) add(class bundle.Class, n int) {
+func (s *slots) add(now time.Time, class bundle.Class, n int) {
+	s.area += float64(s.inUse) * now.Sub(s.changedAt).Seconds()
+	s.changedAt = now
 	s.inUse += n
 	if class.Long {
 		s.long += n
