Judge late answers by their ratio, and stalls by the tail

One answer of the heavy tail raised the cost of a link by up to 16 ms for seconds, and the age of a single request in flight counted as latency at once, so that entry nodes avoided healthy links at random. Lateness is now the mean logarithm of latency over prediction with a slack for chance, and silent requests count when the tail of the link no longer explains them.

--- a/link/cost.go
+++ b/link/cost.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -19,7 +20,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	expected := l.predict(now, kind).Seconds()
-	expected += max(0, l.lateness(now))
+	expected *= math.Exp2(max(0, l.lateness(now)-lateSlack))
 	expected = max(expected, l.overdue(now))
 	expected += l.failureRate(now) * (failurePenalty*l.service().Seconds() + failureTime.Seconds())
 	return expected
@@ -72,17 +73,20 @@
 }
 
 // overdue returns the mean age of the short requests in flight while no answer has come, so that a
-// link that stalls is avoided before its answers say so.
+// link that stalls is avoided before its answers say so. Ages that a heavy tail explains do not
+// count: the more requests are silent together, the less can it be chance.
 func (l *Link) overdue(now time.Time) float64 {
 	if l.pending == 0 {
 		return 0
 	}
-	mean := float64(int64(now.Sub(l.epoch)) - l.startSum/int64(l.pending))
-	silent := float64(now.Sub(l.answerAt))
-	if l.answerAt.IsZero() {
-		silent = mean
+	silent := float64(int64(now.Sub(l.epoch)) - l.startSum/int64(l.pending))
+	if !l.answerAt.IsZero() {
+		silent = min(silent, float64(now.Sub(l.answerAt)))
 	}
-	return max(0, min(mean, silent)) / float64(time.Second)
+	if silent < max(hedgeSpread*l.middle.value, l.tail.value/math.Sqrt(float64(l.pending))) {
+		return 0
+	}
+	return silent / float64(time.Second)
 }
 
 func (l *Link) failureRate(now time.Time) float64 {
--- a/link/link.go
+++ b/link/link.go
@@ -16,14 +16,15 @@
 	defaultService = 5 * time.Millisecond
 	// refusalHold is how long a report of an upstream that does not serve outweighs the record.
 	refusalHold = time.Second
-	// errorWeight and errorDecay shape the estimate of how much later than predicted a link
-	// answers: each late answer counts with the weight, and the estimate fades with the time
-	// constant when nothing comes.
-	errorWeight = 0.2
-	errorDecay  = 2 * time.Second
-	// errorClip bounds a single late answer to a multiple of the service time, so that one request
-	// of a heavy tail does not empty a link.
-	errorClip = 10
+	// lateWeight is the weight of one answer in the estimate of how much later than predicted a
+	// link answers, as a power of two; lateMost and lateLeast bound one answer, lateSlack is the part
+	// that chance explains with heavy-tailed service times, and lateDecay the time constant with
+	// which the estimate fades when nothing comes.
+	lateWeight = 0.2
+	lateMost   = 4
+	lateLeast  = -2
+	lateSlack  = 0.7
+	lateDecay  = 5 * time.Second
 	// failureWeight is the weight of one result in the failure rate, failurePenalty the cost of a
 	// certain failure in service times plus failureTime.
 	failureWeight  = 0.1
@@ -50,7 +51,7 @@
 	reportAt  time.Time
 	probedAt  time.Time  // last probe without an answer
 	atReport  [kinds]int // own requests in flight when the report arrived
-	late      float64    // seconds by which answers come later than predicted
+	late      float64    // power of two by which answers come later than predicted
 	lateAt    time.Time
 	failRate  float64
 	failAt    time.Time
@@ -180,15 +181,14 @@
 	took := now.Sub(token.started)
 	l.tail.add(took)
 	l.middle.add(took)
-	missed := (took - token.predicted).Seconds()
-	missed = min(missed, errorClip*l.service().Seconds())
-	l.late = l.lateness(now) + (missed-l.late)*errorWeight
+	missed := math.Log2(max(1, float64(took)) / max(1, float64(token.predicted)))
+	l.late = l.lateness(now) + (max(lateLeast, min(lateMost, missed))-l.late)*lateWeight
 	l.lateAt = now
 }
 
-// lateness returns the seconds by which answers come later than predicted, faded since the last.
+// lateness returns the power of two by which answers come later than predicted, faded since the last.
 func (l *Link) lateness(now time.Time) float64 {
-	return l.late * fade(now.Sub(l.lateAt), errorDecay)
+	return l.late * fade(now.Sub(l.lateAt), lateDecay)
 }
 
 func fade(age, constant time.Duration) float64 {
