Scale the cost of busy slots, long work and late answers

- A full link of 64 slots was as costly as one of 6; the cost of busy slots now falls with their number.
- Long work weighed a wait for a slot in short service times, so that it queued near by for seconds rather than go 0.8 ms further.
It now counts in seconds.
- A late link is tried again with one request at a time, forgotten faster after good answers (0.4) than suspected after late ones (0.2), and may count as up to 64 times late.
Stalls are judged by the tail of the service, since the tail of a slow link explains everything.

--- a/link/cost.go
+++ b/link/cost.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// busyCost is the cost in service times of a link whose slots are all in use but one. It makes
-	// an idle link cheaper than a busy one before anything queues.
-	busyCost = 0.3
+	// busySlots over the number of slots is the cost in service times of a link whose slots are all
+	// in use. It falls with the fifth power of the load, as the wait of a queue with 6 to 12 servers
+	// does: what is known of the slots is old, so that a nearly full link means a wait already.
+	busySlots = 9
 	// coldShare is the share of the traffic that a cold upstream receives at first.
 	coldShare = 0.1
 )
@@ -19,21 +20,31 @@
 func (l *Link) cost(now time.Time, kind Kind) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	expected := l.predict(now, kind).Seconds()
-	expected *= math.Exp2(max(0, l.lateness(now)-lateSlack))
+	slots, occupied := l.occupancy(now, kind)
+	busy := min(1, occupied/slots)
+	service := l.serviceOf(kind).Seconds()
+	expected := l.predict(now, kind).Seconds() + service*busySlots/slots*busy*busy*busy*busy*busy
+	expected *= math.Exp2(max(0, l.suspicion(now)-lateSlack))
 	expected = max(expected, l.overdue(now))
-	expected += l.failureRate(now) * (failurePenalty*l.service().Seconds() + failureTime.Seconds())
+	expected += l.failureRate(now) * (failurePenalty*service + failureTime.Seconds())
 	return expected
 }
 
+// suspicion returns the lateness to reckon with. It fades only while nothing is in flight, so that a
+// link that was late is tried again with one request at a time.
+func (l *Link) suspicion(now time.Time) float64 {
+	if l.pending > 0 {
+		return l.late
+	}
+	return l.lateness(now)
+}
+
 // predict returns the time to an answer by what is known of the load: the way and the service time,
 // and the queue for the slots that serve the kind.
 func (l *Link) predict(now time.Time, kind Kind) time.Duration {
 	slots, occupied := l.occupancy(now, kind)
 	waiting := max(0, occupied+1-slots) / slots
-	busy := min(1, occupied/slots)
-	service := float64(l.service())
-	return l.way.RoundTrip() + time.Duration(service*(1+waiting+busyCost*busy*busy))
+	return l.way.RoundTrip() + time.Duration(float64(l.serviceOf(kind))*(1+waiting))
 }
 
 // occupancy returns the slots that serve the kind and the requests known or expected to be there:
@@ -64,6 +75,13 @@
 	return l.record.Slots
 }
 
+func (l *Link) serviceOf(kind Kind) time.Duration {
+	if kind == Long {
+		return longService
+	}
+	return l.service()
+}
+
 // service returns the service time of short requests.
 func (l *Link) service() time.Duration {
 	if l.report.Service > 0 {
@@ -73,8 +91,8 @@
 }
 
 // overdue returns the mean age of the short requests in flight while no answer has come, so that a
-// link that stalls is avoided before its answers say so. Ages that a heavy tail explains do not
-// count: the more requests are silent together, the less can it be chance.
+// link that stalls is avoided before its answers say so. Ages that the heavy tail of the service
+// explains do not count: the more requests are silent together, the less can it be chance.
 func (l *Link) overdue(now time.Time) float64 {
 	if l.pending == 0 {
 		return 0
@@ -83,7 +101,7 @@
 	if !l.answerAt.IsZero() {
 		silent = min(silent, float64(now.Sub(l.answerAt)))
 	}
-	if silent < max(hedgeSpread*l.middle.value, l.tail.value/math.Sqrt(float64(l.pending))) {
+	if silent < max(hedgeSpread*l.set.middle.get(), l.set.tail.get()/math.Sqrt(float64(l.pending))) {
 		return 0
 	}
 	return silent / float64(time.Second)
--- a/link/link.go
+++ b/link/link.go
@@ -14,17 +14,21 @@
 const (
 	// defaultService is the service time assumed before one was reported or measured.
 	defaultService = 5 * time.Millisecond
+	// longService is the service time assumed of long work. The exact value matters little: it makes
+	// a wait for a slot weigh more than any way.
+	longService = time.Second
 	// refusalHold is how long a report of an upstream that does not serve outweighs the record.
 	refusalHold = time.Second
-	// lateWeight is the weight of one answer in the estimate of how much later than predicted a
-	// link answers, as a power of two; lateMost and lateLeast bound one answer, lateSlack is the part
-	// that chance explains with heavy-tailed service times, and lateDecay the time constant with
-	// which the estimate fades when nothing comes.
-	lateWeight = 0.2
-	lateMost   = 4
-	lateLeast  = -2
-	lateSlack  = 0.7
-	lateDecay  = 5 * time.Second
+	// The estimate of how much later than predicted a link answers is a power of two. lateRise and
+	// lateFall are the weights of an answer above and below the estimate, lateMost and lateLeast
+	// bound one answer, lateSlack is the part that chance explains with heavy-tailed service times,
+	// and lateDecay the time constant with which the estimate fades when nothing comes.
+	lateRise  = 0.2
+	lateFall  = 0.4
+	lateMost  = 6
+	lateLeast = -2
+	lateSlack = 0.7
+	lateDecay = 5 * time.Second
 	// failureWeight is the weight of one result in the failure rate, failurePenalty the cost of a
 	// certain failure in service times plus failureTime.
 	failureWeight  = 0.1
@@ -64,7 +68,7 @@
 func newLink(set *Set, way *Way, record instance.Record, now time.Time) *Link {
 	l := &Link{
 		id: record.ID, set: set, way: way, record: record, epoch: now,
-		tail: quantile{share: tailShare}, middle: quantile{share: 0.5},
+		tail: quantile{share: tailShare}, middle: quantile{share: middleShare},
 	}
 	if record.State == instance.Cold {
 		l.coldSince = now
@@ -179,10 +183,17 @@
 		return
 	}
 	took := now.Sub(token.started)
-	l.tail.add(took)
-	l.middle.add(took)
+	for _, q := range []*quantile{&l.tail, &l.middle, &l.set.tail, &l.set.middle} {
+		q.add(took)
+	}
 	missed := math.Log2(max(1, float64(took)) / max(1, float64(token.predicted)))
-	l.late = l.lateness(now) + (max(lateLeast, min(lateMost, missed))-l.late)*lateWeight
+	l.late = l.lateness(now)
+	change := max(lateLeast, min(lateMost, missed)) - l.late
+	if change > 0 {
+		l.late += change * lateRise
+	} else {
+		l.late += change * lateFall
+	}
 	l.lateAt = now
 }
 
--- a/link/set.go
+++ b/link/set.go
@@ -50,6 +50,8 @@
 type Set struct {
 	wayTo  func(dataCentre string) *Way
 	quota  quota
+	tail   quantile // latency of short requests over all links
+	middle quantile
 	probes *ProbeBudget
 
 	mu    sync.Mutex // guards links and the building of view
@@ -75,6 +77,7 @@
 
 func newSet(wayTo func(string) *Way) *Set {
 	s := &Set{wayTo: wayTo, probes: NewProbeBudget(time.Now(), 0), links: make(map[instance.ID]*Link)}
+	s.tail.share, s.middle.share = tailShare, middleShare
 	s.view.Store(&view{})
 	s.Adopt(Policy{})
 	return s
