--- a/link/cost.go
+++ b/link/cost.go
@@ -132,16 +132,18 @@
 	return l.serves(now)
 }
 
-// reportAge returns the age of the last report or probe, and whether the upstream serves by its
-// record.
-func (l *Link) reportAge(now time.Time) (age time.Duration, serves bool) {
+// probeWorth returns the age of the last report or probe, and whether a newer one could change
+// decisions: the upstream serves by its record, and the last report keeps requests away from it.
+func (l *Link) probeWorth(now time.Time) (age time.Duration, wanted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last := l.reportAt
 	if l.probedAt.After(last) {
 		last = l.probedAt
 	}
-	return now.Sub(last), l.record.State.Serves()
+	known := !l.reportAt.IsZero()
+	bad := known && (l.report.Queued > 0 || l.report.InUse >= l.report.Slots || !l.report.State.Serves())
+	return now.Sub(last), l.record.State.Serves() && bad
 }
 
 // probeFailed notes a probe without an answer, so that the next one goes to another link.
--- a/link/probe.go
+++ b/link/probe.go
@@ -74,8 +74,8 @@
 	Probe(ctx context.Context, target instance.Record) (Report, error)
 }
 
-// Prober sends probes for links whose report is too old while their service has traffic. It is
-// driven by the calls of the service and never works on its own.
+// Prober sends probes for links that are avoided by an old report while their service has traffic. It
+// is driven by the calls of the service and never works on its own.
 type Prober struct {
 	sender ProbeSender
 	slots  chan struct{}
@@ -87,7 +87,8 @@
 }
 
 // Refresh is called with each call of the service. It sends at most one probe, to a link whose
-// report is older than the contract allows, when the budget of the service has one.
+// report is older than the contract allows, when the budget of the service has one. A link without a
+// bad report needs no probe: its first answer tells as much.
 func (p *Prober) Refresh(now time.Time, s *Set, contract *bundle.Contract) {
 	if contract.ProbePerSecond <= 0 || !s.probeDue(now, contract.ProbePerSecond) {
 		return
@@ -131,14 +132,14 @@
 	return !now.Before(s.probes.next)
 }
 
-// stalest returns the link with the oldest report among those whose report is too old, nil when
-// there is none. It looks at all links, but only as often as the budget allows a probe.
+// stalest returns the link with the oldest report among those for which a probe is worth its cost,
+// nil when there is none. It looks at all links, but only as often as the budget allows a probe.
 func (s *Set) stalest(now time.Time) *Link {
 	var found *Link
 	oldest := s.policy().ReportMaxAge
 	for _, g := range s.view.Load().groups {
 		for _, l := range g.links {
-			if age, serves := l.reportAge(now); serves && age > oldest {
+			if age, wanted := l.probeWorth(now); wanted && age > oldest {
 				found, oldest = l, age
 			}
 		}
