Take part in the fleet: membership, keepers and probes in the node process

Cause: a node knew only the instances that shared its process, and at-most-once routes and probes had no place in the process.

Change: node.control runs the membership, the key keeper and its feed, and mounts their handlers on the peers' listener; the dispatcher sits behind the protector; the prober is wired. A planned stop settles keys, hands them over and leaves the fleet before the peers' listener closes; a second process with the same ID ends the first.

--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
@@ -19,6 +20,7 @@
 	"github.com/magnoliawharf/magnoliawharf/transport/httpserver"
 	"github.com/magnoliawharf/magnoliawharf/transport/localhttp"
 	"github.com/magnoliawharf/magnoliawharf/transport/peerhttp"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
 	"github.com/magnoliawharf/magnoliawharf/transport/upstreamhttp"
 	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
@@ -27,13 +29,15 @@
 // Provision, Validate, Run and Cleanup, each once.
 type Node struct {
 	Settings settings.Settings
-	Log      *slog.Logger
+	Log      *slog.Logger    // nil logs nothing
 	Bundles  *bundle.InForce // nil: Provision makes one
-	Fleet    *instance.Fleet // nil: Provision makes one
 
+	fleet    *instance.Fleet
 	self     *Self
 	home     *Home
-	peerRt   *httpserver.Routes
+	control  *control
+	remote   *peerhttp.Client
+	upstream *upstreamhttp.Client
 	callers  *httpserver.Server
 	peers    *httpserver.Server
 	local    *httpserver.Server
@@ -50,54 +54,58 @@
 	if n.Bundles == nil {
 		n.Bundles = bundle.NewInForce()
 	}
-	if n.Fleet == nil {
-		n.Fleet = instance.NewFleet()
+	n.fleet = instance.NewFleet()
+	n.remote, n.upstream = peerhttp.NewClient(), upstreamhttp.NewClient()
+	if err := n.listen(); err != nil {
+		return err
 	}
-	n.peerRt = &httpserver.Routes{}
 	beside := upstream.New()
 	n.home = &Home{
 		ID: n.Settings.ID, Incarnation: uint64(time.Now().UnixNano()),
-		Bundles: n.Bundles, Upstream: beside, Client: upstreamhttp.NewClient(),
-	}
-	if err := n.listenPeers(); err != nil {
-		return err
+		Bundles: n.Bundles, Upstream: beside, Client: n.upstream,
 	}
-	if err := n.listenCallers(); err != nil {
+	routes := &httpserver.Routes{}
+	routes.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{Home: n.home})
+	var err error
+	if n.control, err = newControl(n, routes); err != nil {
 		return err
 	}
-	n.self = NewSelf(beside, n.Log, newFleetOnly(n.Fleet, n.record()))
-	return n.listenLocal()
+	n.self = NewSelf(beside, n.Log, n.control.membership)
+	n.callers.Handle(httpserver.LimitBody(n.entry(), int64(n.Settings.Limits.MaxRequestBody)))
+	n.peers.Handle(routes)
+	n.local.Handle(localhttp.New(n, n.self))
+	return nil
 }
 
-func (n *Node) listenPeers() (err error) {
-	n.peerRt.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{Home: n.home})
-	n.peers, err = httpserver.Listen(httpserver.Options{
-		Name: "peers", Addr: n.Settings.Listen.Peers, Handler: n.peerRt,
-		MaxHeaderBytes: httpserver.PeerHeaderBytes, Log: n.Log,
-	})
-	return err
+// listen binds the listeners.
+func (n *Node) listen() (err error) {
+	for _, l := range []struct {
+		server     **httpserver.Server
+		name, addr string
+		header     int
+	}{
+		{&n.callers, "callers", n.Settings.Listen.Callers, httpserver.CallerHeaderBytes},
+		{&n.peers, "peers", n.Settings.Listen.Peers, httpserver.PeerHeaderBytes},
+		{&n.local, "local", n.Settings.Listen.Local, httpserver.CallerHeaderBytes},
+	} {
+		*l.server, err = httpserver.Listen(httpserver.Options{Name: l.name, Addr: l.addr, MaxHeaderBytes: l.header, Log: n.Log})
+		if err != nil {
+			return fmt.Errorf("listener %s: %w; choose another listen.%s", l.name, err, l.name)
+		}
+	}
+	return nil
 }
 
-func (n *Node) listenCallers() (err error) {
+// entry returns the handler of callers' requests with what stands behind it.
+func (n *Node) entry() *callerhttp.Handler {
 	dispatcher := &Dispatcher{
-		Links:   link.NewTable(n.Fleet),
-		Forward: &ShortCut{Home: n.home, Remote: peerhttp.NewClient()},
-	}
-	handler := &callerhttp.Handler{Bundles: n.Bundles, Dispatcher: dispatcher}
-	n.callers, err = httpserver.Listen(httpserver.Options{
-		Name: "callers", Addr: n.Settings.Listen.Callers,
-		Handler:        httpserver.LimitBody(handler, int64(n.Settings.Limits.MaxRequestBody)),
-		MaxHeaderBytes: httpserver.CallerHeaderBytes, Log: n.Log,
-	})
-	return err
-}
-
-func (n *Node) listenLocal() (err error) {
-	n.local, err = httpserver.Listen(httpserver.Options{
-		Name: "local", Addr: n.Settings.Listen.Local, Handler: localhttp.New(n, n.self),
-		MaxHeaderBytes: httpserver.CallerHeaderBytes, Log: n.Log,
-	})
-	return err
+		Links: link.NewTable(n.fleet), Bundles: n.Bundles, Budgets: caller.NewBudgets(),
+		Forward: &ShortCut{Home: n.home, Remote: n.remote},
+		Prober:  link.NewProber(peerrpc.NewProbePeers(n.control.peers)),
+	}
+	return &callerhttp.Handler{Bundles: n.Bundles, Dispatcher: &Protector{
+		Bundles: n.Bundles, Keys: n.control.keys, Next: dispatcher,
+	}}
 }
 
 func (n *Node) record() instance.Record {
@@ -142,12 +150,16 @@
 			}
 		}()
 	}
+	n.control.start(n.Log)
 	n.Log.Info("node serves", "callers", n.callers.Addr(), "peers", n.peers.Addr(), "local", n.local.Addr())
 	select {
 	case <-ctx.Done():
 		return n.stop()
 	case err := <-failed:
 		return errors.Join(err, n.stop())
+	case successor := <-n.control.superseded:
+		err := fmt.Errorf("instance %s was started again at %s; each instance needs an id of its own", n.Settings.ID, successor.PeerAddr)
+		return errors.Join(err, n.stop())
 	}
 }
 
@@ -160,9 +172,9 @@
 	n.callers.Drain()
 	waitFor(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
 	err := n.home.Idle(ctx)
-	for _, server := range n.servers() {
-		err = errors.Join(err, server.Shutdown(ctx))
-	}
+	err = errors.Join(err, n.callers.Shutdown(ctx))
+	n.control.stop(ctx)
+	err = errors.Join(err, n.peers.Shutdown(ctx), n.local.Shutdown(ctx))
 	if err != nil {
 		return fmt.Errorf("requests were still in flight at the end of stop_timeout: %w", err)
 	}
@@ -179,7 +191,7 @@
 	}
 }
 
-// servers returns the listeners in the order in which a stop closes them.
+// servers returns the listeners.
 func (n *Node) servers() []*httpserver.Server {
 	return []*httpserver.Server{n.callers, n.peers, n.local}
 }
@@ -192,12 +204,22 @@
 			err = errors.Join(err, server.Close())
 		}
 	}
+	if n.control != nil {
+		n.control.close()
+	}
+	if n.remote != nil {
+		n.remote.Close()
+		n.upstream.Close()
+	}
 	return err
 }
 
 // Announce takes what the upstream beside the node says of itself, for upstreams in the same process.
 func (n *Node) Announce(now time.Time, a upstream.Announcement) { n.self.Announce(now, a) }
 
+// Fleet returns what the node knows of all instances.
+func (n *Node) Fleet() *instance.Fleet { return n.fleet }
+
 // CallerAddr returns the bound address of the callers' listener.
 func (n *Node) CallerAddr() string { return n.callers.Addr() }
 
--- a/node/shortcut.go
+++ b/node/shortcut.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -22,7 +23,9 @@
 	if string(target.ID) != s.Home.ID {
 		return s.Remote.Forward(ctx, req, target)
 	}
+	began := time.Now()
 	answer, err := s.Home.Serve(ctx, req, target.Incarnation)
 	report := s.Home.Report()
+	report.Took = time.Since(began)
 	return answer, &report, err
 }
--- a/transport/httpserver/server.go
+++ b/transport/httpserver/server.go
@@ -27,7 +27,6 @@
 type Options struct {
 	Name           string // name in logs and errors
 	Addr           string // host:port; port 0 takes a free port
-	Handler        http.Handler
 	MaxHeaderBytes int
 	Log            *slog.Logger
 }
@@ -40,7 +39,7 @@
 	closing  *closing
 }
 
-// Listen binds the address. Nothing is accepted before Serve.
+// Listen binds the address. Nothing is accepted before Serve, and Handle comes before Serve.
 func Listen(o Options) (*Server, error) {
 	listener, err := net.Listen("tcp", o.Addr)
 	if err != nil {
@@ -49,7 +48,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	handler := &closing{handler: o.Handler}
+	handler := &closing{}
 	return &Server{name: o.Name, listener: listener, closing: handler, server: &http.Server{
 		Handler: handler, Protocols: protocols,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
@@ -58,6 +57,9 @@
 	}}, nil
 }
 
+// Handle sets the handler of all requests.
+func (s *Server) Handle(handler http.Handler) { s.closing.handler = handler }
+
 // Name returns the name of the listener.
 func (s *Server) Name() string { return s.name }
 
