Add dev store, the store stand-in as its own process

Cause: a person needs a store on loopback to run nodes by hand.

Change: dev store serves the in-memory stand-in in the v3 JSON gateway protocol.

Conclusion: node run can be tried without a platform.

--- a/cli/dev.go
+++ b/cli/dev.go
@@ -3,21 +3,79 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliawharf/magnoliawharf/standin/backend"
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/transport/httpserver"
 )
 
 const upstreamDrainTimeout = 30 * time.Second
 
 func newDev() *cobra.Command {
 	return group("dev", "Run stand-ins for development", "  magnoliawharf dev store --listen 127.0.0.1:2379",
-		newDevUpstream())
+		newDevStore(), newDevUpstream())
 }
 
+func newDevStore() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   "store",
+		Short: "Run a stand-in for the key-value store until SIGTERM",
+		Long: `Run a stand-in for the platform's key-value store. It speaks the v3 JSON gateway protocol and keeps everything
+in memory.`,
+		Example: "  magnoliawharf dev store --listen 127.0.0.1:2379",
+		Args:    exactArgs(0),
+	}
+	format := addOutput(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		started, err := startStore(listen)
+		if err != nil {
+			return fmt.Errorf("store cannot start: %w; choose another --listen", err)
+		}
+		defer started.Close()
+		err = print(cmd.OutOrStdout(), *format, fmt.Sprintf("store serves at %s\n", started.Endpoint()), struct {
+			Endpoint string `json:"endpoint"`
+		}{started.Endpoint()})
+		if err != nil {
+			return err
+		}
+		<-cmd.Context().Done()
+		return nil
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:2379", "host:port to serve at; port 0 takes a free port")
+	return cmd
+}
+
+// devStore is the store stand-in with its listener.
+type devStore struct {
+	memory *kvstore.Memory
+	server *httpserver.Server
+}
+
+func startStore(listen string) (*devStore, error) {
+	server, err := httpserver.Listen(httpserver.Options{
+		Name: "store", Addr: listen, MaxHeaderBytes: httpserver.CallerHeaderBytes, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		return nil, err
+	}
+	memory := kvstore.NewMemory()
+	server.Handle(kvstore.NewServer(memory))
+	go func() { _ = server.Serve() }()
+	return &devStore{memory: memory, server: server}, nil
+}
+
+// Endpoint returns the URL of the store.
+func (s *devStore) Endpoint() string { return "http://" + s.server.Addr() }
+
+// Close ends the store.
+func (s *devStore) Close() { _ = s.server.Close() }
+
 func newDevUpstream() *cobra.Command {
 	var o backend.Options
 	cmd := &cobra.Command{
