Remove three data races found by the race detector

Cause: Admit read the lease of a queued request while another goroutine could grant it; two generators of policybench drew their seeds from one generator; the hedge test read counters without waiting for the closing goroutine. Change: Admit decides by the waiter's channel, which is set under the lock; seeds are drawn before the generators start; the test waits with synctest.Wait. Conclusion: the race run belongs before each merge.

--- a/node/dispatcher_test.go
+++ b/node/dispatcher_test.go
@@ -197,6 +197,7 @@
 				assert.Equal(t, len(peers.seen)-40, c.attempts)
 				assert.NilError(t, answer.Body.Close())
 				time.Sleep(time.Second)
+				synctest.Wait()
 				assert.Equal(t, peers.opened, peers.closed)
 				assert.Equal(t, peers.cancelled.Load() == 1, c.attempts == 2 && !c.first.deaf)
 				for _, l := range d.Links.Set("s").Links() {
--- a/policybench/run.go
+++ b/policybench/run.go
@@ -59,9 +59,10 @@
 		r.entries = append(r.entries, r.newEntry(i, seed))
 	}
 	var sources sync.WaitGroup
-	sources.Go(func() { r.generate(contract.Classes[0], r.shortRate) })
+	shortSeed, longSeed := r.arrivals.Uint64(), r.arrivals.Uint64()
+	sources.Go(func() { r.generate(contract.Classes[0], shortSeed, r.shortRate) })
 	if s.Downloads > 0 {
-		sources.Go(func() { r.generate(contract.Classes[1], r.longRate) })
+		sources.Go(func() { r.generate(contract.Classes[1], longSeed, r.longRate) })
 	}
 	sources.Wait()
 	r.requests.Wait()
@@ -153,8 +154,8 @@
 }
 
 // generate sends requests of the class at random times to random entry nodes.
-func (r *run) generate(class bundle.Class, rate func(time.Duration) float64) {
-	random := rand.New(rand.NewPCG(r.arrivals.Uint64(), 0))
+func (r *run) generate(class bundle.Class, seed uint64, rate func(time.Duration) float64) {
+	random := rand.New(rand.NewPCG(seed, 0))
 	for {
 		at := time.Since(r.started)
 		if at >= r.scenario.Length {
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -43,7 +43,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	if w.lease != nil {
+	if w.done == nil { // granted at once; the lease of a queued request may be written by now
 		return w.lease.release, nil
 	}
 	patience, reason := w.patience()
