--- a/link/link.go
+++ b/link/link.go
@@ -14,16 +14,21 @@
 const (
 	// defaultService is the service time assumed before one was reported or measured.
 	defaultService = 5 * time.Millisecond
+	// longService is the service time assumed of long work. The exact value matters little: it makes
+	// a wait for a slot weigh more than any way.
+	longService = time.Second
 	// refusalHold is how long a report of an upstream that does not serve outweighs the record.
 	refusalHold = time.Second
-	// errorWeight and errorDecay shape the estimate of how much later than predicted a link
-	// answers: each late answer counts with the weight, and the estimate fades with the time
-	// constant when nothing comes.
-	errorWeight = 0.2
-	errorDecay  = 2 * time.Second
-	// errorClip bounds a single late answer to a multiple of the service time, so that one request
-	// of a heavy tail does not empty a link.
-	errorClip = 10
+	// The estimate of how much later than predicted a link answers is a power of two. lateRise and
+	// lateFall are the weights of an answer above and below the estimate, lateMost and lateLeast
+	// bound one answer, lateSlack is the part that chance explains with heavy-tailed service times,
+	// and lateDecay the time constant with which the estimate fades when nothing comes.
+	lateRise  = 0.2
+	lateFall  = 0.4
+	lateMost  = 6
+	lateLeast = -2
+	lateSlack = 0.7
+	lateDecay = 5 * time.Second
 	// failureWeight is the weight of one result in the failure rate, failurePenalty the cost of a
 	// certain failure in service times plus failureTime.
 	failureWeight  = 0.1
@@ -50,7 +55,7 @@
 	reportAt  time.Time
 	probedAt  time.Time  // last probe without an answer
 	atReport  [kinds]int // own requests in flight when the report arrived
-	late      float64    // seconds by which answers come later than predicted
+	late      float64    // power of two by which answers come later than predicted
 	lateAt    time.Time
 	failRate  float64
 	failAt    time.Time
@@ -63,7 +68,7 @@
 func newLink(set *Set, way *Way, record instance.Record, now time.Time) *Link {
 	l := &Link{
 		id: record.ID, set: set, way: way, record: record, epoch: now,
-		tail: quantile{share: tailShare}, middle: quantile{share: 0.5},
+		tail: quantile{share: tailShare}, middle: quantile{share: middleShare},
 	}
 	if record.State == instance.Cold {
 		l.coldSince = now
@@ -178,17 +183,23 @@
 		return
 	}
 	took := now.Sub(token.started)
-	l.tail.add(took)
-	l.middle.add(took)
-	missed := (took - token.predicted).Seconds()
-	missed = min(missed, errorClip*l.service().Seconds())
-	l.late = l.lateness(now) + (missed-l.late)*errorWeight
+	for _, q := range []*quantile{&l.tail, &l.middle, &l.set.tail, &l.set.middle} {
+		q.add(took)
+	}
+	missed := math.Log2(max(1, float64(took)) / max(1, float64(token.predicted)))
+	l.late = l.lateness(now)
+	change := max(lateLeast, min(lateMost, missed)) - l.late
+	if change > 0 {
+		l.late += change * lateRise
+	} else {
+		l.late += change * lateFall
+	}
 	l.lateAt = now
 }
 
-// lateness returns the seconds by which answers come later than predicted, faded since the last.
+// lateness returns the power of two by which answers come later than predicted, faded since the last.
 func (l *Link) lateness(now time.Time) float64 {
-	return l.late * fade(now.Sub(l.lateAt), errorDecay)
+	return l.late * fade(now.Sub(l.lateAt), lateDecay)
 }
 
 func fade(age, constant time.Duration) float64 {
