--- /dev/null
+++ b/store/kvhttp/client_test.go
@@ -0,0 +1,73 @@
+package kvhttp_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/store"
+	"github.com/magnoliawharf/magnoliawharf/store/kvhttp"
+)
+
+// Guards against an answer of the gateway that is taken for another one, above all a write that may
+// have taken effect and is reported as one that has not.
+func TestAnswersOfTheGateway(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		body   string
+		read   *errorx.Type
+		write  *errorx.Type
+	}{
+		{"refused", 400, `{"code":3,"message":"bad request"}`, store.ErrUnavailable, store.ErrUnavailable},
+		{"too many calls", 429, `{"code":8,"message":"slow down"}`, store.ErrUnavailable, store.ErrUnavailable},
+		{"unavailable", 503, `{"code":14,"message":"no leader"}`, store.ErrUnavailable, store.ErrUncertain},
+		{"gateway without JSON", 502, `<html>`, store.ErrUnavailable, store.ErrUncertain},
+		{"cut", 200, `{"header":{"revision":"7"`, store.ErrUnavailable, store.ErrUncertain},
+		{"not JSON", 200, `OK`, store.ErrUnavailable, store.ErrUncertain},
+		{"number that is no string", 200, `{"header":{"revision":7},"kvs":[{"mod_revision":7}]}`, store.ErrUnavailable, store.ErrUncertain},
+		{"lease not found", 404, `{"code":5,"message":"requested lease not found"}`, store.ErrLeaseLapsed, store.ErrLeaseLapsed},
+		{"empty", 200, `{}`, store.ErrNotFound, store.ErrConflict},
+		{"unknown fields", 200, `{"header":{"cluster_id":"1","revision":"9"},"succeeded":true,"kvs":[{"mod_revision":"9","version":"1"}],"more":false}`, nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer server.Close()
+			client := kvhttp.NewClient(server.URL, 0)
+			defer client.Close()
+			entry, readErr := client.Get(t.Context(), "/k")
+			revision, writeErr := client.Swap(t.Context(), "/k", nil, 8, 0)
+			if c.read == nil {
+				assert.NilError(t, readErr)
+				assert.NilError(t, writeErr)
+				assert.Equal(t, entry.Revision, int64(9))
+				assert.Equal(t, revision, int64(9))
+				return
+			}
+			assert.Assert(t, store.Is(readErr, c.read), "got %v", readErr)
+			assert.Assert(t, store.Is(writeErr, c.write), "got %v", writeErr)
+		})
+	}
+}
+
+// Guards against a watch that is taken for one in place although the gateway refused it.
+func TestWatchThatIsNotCreated(t *testing.T) {
+	for _, body := range []string{``, `{"result":{}}`, `{"error":{"code":14,"message":"no leader"}}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		_, err := kvhttp.NewClient(server.URL, 0).Watch(t.Context(), "/k", 0)
+		server.Close()
+		assert.Assert(t, store.Is(err, store.ErrUnavailable), "got %v", err)
+		step, _ := errorx.ExtractProperty(err, store.PropertyStep)
+		peer, _ := errorx.ExtractProperty(err, store.PropertyPeer)
+		assert.Equal(t, step, "watch /k")
+		assert.Equal(t, peer, server.URL)
+	}
+}
