--- a/cli/bundle.go
+++ b/cli/bundle.go
@@ -68,6 +68,7 @@
 	{bundle.ErrBadSignature, ExitKey, "approve it again"},
 	{bundle.ErrUnsigned, ExitKey, "sign it with `bundle approve`"},
 	{store.ErrUncertain, ExitStore, "run the same command again: it finds out what happened and repeats nothing"},
+	{store.ErrConflict, ExitStore, "run the command again: another operator wrote the same entry meanwhile"},
 	{store.ErrUnavailable, ExitStore, "check --store and run the command again; nothing has been rolled out"},
 }
 
