--- a/standin/kvstore/contract_test.go
+++ b/standin/kvstore/contract_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -206,3 +207,20 @@
 		assert.Assert(t, !open)
 	})
 }
+
+// Guards against a call counter that misses calls, or a waiting watch.
+func TestLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		_, err := memory.Watch(t.Context(), "/w", 0)
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		for range 30 {
+			_, _ = memory.Get(t.Context(), "/w")
+			time.Sleep(100 * time.Millisecond)
+		}
+		last, peak := memory.Load()
+		assert.Equal(t, last, 11)
+		assert.Equal(t, peak, 11)
+	})
+}
