Carry a report on one answer in 4 ms, and probe only links without requests

Reports cost 60 bytes on each answer, 10 KB/s at each node under steady load, more than a node may use for control. A probe without an answer extends the back-off.

--- a/link/cost.go
+++ b/link/cost.go
@@ -133,7 +133,8 @@
 }
 
 // probeWorth returns the age of the last report or probe, and whether a newer one could change
-// decisions: the upstream serves by its record, and the last report keeps requests away from it.
+// decisions: the upstream serves by its record, but the link is ejected or its last report said that
+// the upstream does not serve. A probe then spares a request the test.
 func (l *Link) probeWorth(now time.Time) (age time.Duration, wanted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -141,16 +142,20 @@
 	if l.probedAt.After(last) {
 		last = l.probedAt
 	}
-	known := !l.reportAt.IsZero()
-	bad := known && (l.report.Queued > 0 || l.report.InUse >= l.report.Slots || !l.report.State.Serves())
-	return now.Sub(last), l.record.State.Serves() && bad
+	away := l.ejection.out || (!l.reportAt.IsZero() && !l.report.State.Serves())
+	return now.Sub(last), l.record.State.Serves() && away
 }
 
-// probeFailed notes a probe without an answer, so that the next one goes to another link.
-func (l *Link) probeFailed(now time.Time) {
+// probeFailed notes a probe without an answer, so that the next one goes to another link. An ejected
+// link that does not even answer probes is left alone for longer, unless the far node answered that
+// its budget is used up.
+func (l *Link) probeFailed(now time.Time, overBudget bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probedAt = now
+	if l.ejection.out && !overBudget {
+		l.ejection.extend(now)
+	}
 }
 
 // serves reports whether the upstream takes work by its record and its last report.
--- a/link/ejection.go
+++ b/link/ejection.go
@@ -86,6 +86,11 @@
 		e.backoff = 0 // the last ejection is long past
 	}
 	e.out = true
+	e.extend(now)
+}
+
+// extend starts a back-off that is twice as long as the last.
+func (e *ejection) extend(now time.Time) {
 	e.backoff = min(maxBackoff, max(minBackoff, 2*e.backoff))
 	// Half of the back-off is random, so that many nodes do not test a link at the same moment.
 	e.until = now.Add(e.backoff/2 + rand.N(e.backoff/2))
--- a/link/probe.go
+++ b/link/probe.go
@@ -74,8 +74,8 @@
 	Probe(ctx context.Context, target instance.Record) (Report, error)
 }
 
-// Prober sends probes for links that are avoided by an old report while their service has traffic. It
-// is driven by the calls of the service and never works on its own.
+// Prober sends probes over links that get no requests and so no reports, while their service has
+// traffic. It is driven by the calls of the service and never works on its own.
 type Prober struct {
 	sender ProbeSender
 	slots  chan struct{}
@@ -87,8 +87,8 @@
 }
 
 // Refresh is called with each call of the service. It sends at most one probe, to a link whose
-// report is older than the contract allows, when the budget of the service has one. A link without a
-// bad report needs no probe: its first answer tells as much.
+// report is older than the contract allows, when the budget of the service has one. A link that may
+// be chosen needs no probe: its first answer tells as much.
 func (p *Prober) Refresh(now time.Time, s *Set, contract *bundle.Contract) {
 	if contract.ProbePerSecond <= 0 || !s.probeDue(now, contract.ProbePerSecond) {
 		return
@@ -118,7 +118,7 @@
 	report, err := p.sender.Probe(ctx, l.Record())
 	now := time.Now()
 	if err != nil {
-		l.probeFailed(now)
+		l.probeFailed(now, errors.Is(err, ErrProbeBudget))
 		return
 	}
 	l.Take(now, report)
--- a/link/report.go
+++ b/link/report.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"sync"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -18,6 +19,28 @@
 	Took       time.Duration // time from receiving the request to this report, 0 when unknown
 }
 
+// reportSpacing is the least time between two reports on answers of one upstream. Reports every 2, 4
+// and 8 ms gave the same latencies as one on each answer.
+const reportSpacing = 4 * time.Millisecond
+
+// Pacer decides at the node beside an upstream which answers carry a report. The zero value is ready
+// for use.
+type Pacer struct {
+	mu   sync.Mutex
+	last time.Time
+}
+
+// Due reports whether an answer sent now carries a report. Refusals always carry one.
+func (p *Pacer) Due(now time.Time, refusal bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !refusal && now.Sub(p.last) < reportSpacing {
+		return false
+	}
+	p.last = now
+	return true
+}
+
 // Kind tells short from long work, which waits for different slots.
 type Kind uint8
 
--- a/policybench/home.go
+++ b/policybench/home.go
@@ -25,6 +25,7 @@
 	record   instance.Record
 	admit    admission
 	budget   *link.ProbeBudget
+	pacer    link.Pacer
 	scenario Scenario
 	faulty   bool
 	started  time.Time
--- a/policybench/policy.go
+++ b/policybench/policy.go
@@ -12,7 +12,6 @@
 // chooser is the routing policy of one entry node.
 type chooser interface {
 	choose(now time.Time, kind link.Kind, tried []instance.ID) (attempt, bool)
-	// probe takes a report that came by a probe; stalest returns the instance to probe, if any.
 }
 
 // attempt is one request on its way to an instance.
@@ -27,19 +26,28 @@
 	Name    string
 	Classes bool // admission of the project instead of a plain queue
 	Links   bool // routing of the project instead of balance
+	Reports bool // the baseline uses a report on each answer
 	balance func(r *rand.Rand, candidates []*tally) *tally
 }
 
+// wants reports whether the answer carries a report.
+func (p Policy) wants(h *home, answer reply) bool {
+	if p.Links {
+		return h.pacer.Due(time.Now(), answer.refusal != nil)
+	}
+	return p.Reports
+}
+
 // Policies are the baselines and the project.
 var Policies = []Policy{
 	{Name: "random, plain queue", balance: random},
 	{Name: "round robin, plain queue", balance: roundRobin},
 	{Name: "least in flight, plain queue", balance: leastInFlight},
-	{Name: "two choices by report, plain queue", balance: twoChoices},
+	{Name: "two choices by report, plain queue", Reports: true, balance: twoChoices},
 	{Name: "random, class queues", Classes: true, balance: random},
 	{Name: "round robin, class queues", Classes: true, balance: roundRobin},
 	{Name: "least in flight, class queues", Classes: true, balance: leastInFlight},
-	{Name: "two choices by report, class queues", Classes: true, balance: twoChoices},
+	{Name: "two choices by report, class queues", Classes: true, Reports: true, balance: twoChoices},
 	{Name: "magnoliawharf", Classes: true, Links: true},
 }
 
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -25,7 +25,10 @@
 }
 
 // Server is the http.Handler of forwarded requests.
-type Server struct{ Home Home }
+type Server struct {
+	Home  Home
+	pacer link.Pacer
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -45,11 +48,11 @@
 	defer cancel()
 	answer, err := s.Home.Serve(ctx, requestOf(r, c, deadline), c.incarnation)
 	if err != nil {
-		s.report(w, received)
+		s.report(w, received, true)
 		transport.WriteRefusal(w, asRefusal(err))
 		return
 	}
-	s.report(w, received)
+	s.report(w, received, false)
 	w.Header().Set(transport.HeaderRequestID, c.id)
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		panic(http.ErrAbortHandler)
@@ -74,8 +77,11 @@
 }
 
 // report adds the report with the time that the request has spent at this node, from which the entry
-// node learns the time on the network.
-func (s *Server) report(w http.ResponseWriter, received time.Time) {
+// node learns the time on the network. Most answers of a busy upstream carry none.
+func (s *Server) report(w http.ResponseWriter, received time.Time, refusal bool) {
+	if !s.pacer.Due(time.Now(), refusal) {
+		return
+	}
 	report := s.Home.Report()
 	report.Took = time.Since(received)
 	w.Header().Set(headerReport, encodeReport(report))
