Average the load of other nodes over the last reports

A report describes a moment that is over when it arrives: requests are replaced within milliseconds. Entry nodes that acted on single reports moved in step. The load of the others is now averaged over 50 ms; a queue of a whole round of slots still counts at once. Reports are spaced by 10 ms instead of 4, and the cost of busy slots is 1.2 service times up to 20 slots.

--- a/link/cost.go
+++ b/link/cost.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// busySlots over the number of slots is the cost in service times of a link whose slots are all
-	// in use. It falls with the fifth power of the load, as the wait of a queue with 6 to 12 servers
-	// does: what is known of the slots is old, so that a nearly full link means a wait already.
-	busySlots = 9
+	// busyCost is the cost in service times of a link whose slots are all in use, at most; with many
+	// slots it falls as busySlots over their number, since one of them is free sooner. It falls with
+	// the fifth power of the load, as the wait of a queue with 6 to 12 servers does: what is known of
+	// the slots is old, so that a nearly full link means a wait already.
+	busyCost  = 1.2
+	busySlots = 24
 	// coldShare is the share of the traffic that a cold upstream receives at first.
 	coldShare = 0.1
 )
@@ -23,7 +25,8 @@
 	slots, occupied := l.occupancy(now, kind)
 	busy := min(1, occupied/slots)
 	service := l.serviceOf(kind).Seconds()
-	expected := l.predict(now, kind).Seconds() + service*busySlots/slots*busy*busy*busy*busy*busy
+	expected := l.predict(now, kind).Seconds()
+	expected += service * min(busyCost, busySlots/slots) * busy * busy * busy * busy * busy
 	expected *= math.Exp2(max(0, l.suspicion(now)-lateSlack))
 	expected = max(expected, l.overdue(now))
 	expected += l.failureRate(now) * (failurePenalty*service + failureTime.Seconds())
@@ -59,12 +62,10 @@
 	}
 	if kind == Long {
 		slots = max(1, total*l.set.policy().LongShare)
-		others := float64(max(0, l.report.Long+l.report.QueuedLong-l.atReport[Long]))
-		return slots, float64(l.inFlight[Long]) + others*held
+		return slots, float64(l.inFlight[Long]) + l.others[Long]*held
 	}
 	slots = max(1, total-float64(l.report.Long)*held)
-	others := float64(max(0, l.report.InUse-l.report.Long+l.report.Queued-l.atReport[Short]))
-	others = others*held + l.set.othersPerSlot()*total*(1-held)
+	others := l.others[Short]*held + l.set.othersPerSlot()*total*(1-held)
 	return slots, float64(l.inFlight[Short]) + others
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -17,6 +17,10 @@
 	// longService is the service time assumed of long work. The exact value matters little: it makes
 	// a wait for a slot weigh more than any way.
 	longService = time.Second
+	// othersTime is the time constant over which the load in reports is averaged. Requests are
+	// replaced within milliseconds, so that a single report says little of the next moment; the
+	// average says what the other nodes send. A queue of a whole round of slots counts at once.
+	othersTime = 50 * time.Millisecond
 	// refusalHold is how long a report of an upstream that does not serve outweighs the record.
 	refusalHold = time.Second
 	// The estimate of how much later than predicted a link answers is a power of two. lateRise and
@@ -53,9 +57,9 @@
 	answerAt  time.Time // last answer to a short request
 	report    Report
 	reportAt  time.Time
-	probedAt  time.Time  // last probe without an answer
-	atReport  [kinds]int // own requests in flight when the report arrived
-	late      float64    // power of two by which answers come later than predicted
+	probedAt  time.Time      // last probe without an answer
+	others    [kinds]float64 // requests of other nodes, averaged over the last reports
+	late      float64        // power of two by which answers come later than predicted
 	lateAt    time.Time
 	failRate  float64
 	failAt    time.Time
@@ -162,20 +166,30 @@
 	if report == nil {
 		return
 	}
-	l.report, l.reportAt = *report, now
-	l.atReport = l.inFlight
+	own := l.inFlight
 	if token != nil {
-		l.atReport[token.kind]--
+		own[token.kind]--
 		if took := now.Sub(token.started); report.Took > 0 && took >= report.Took {
 			l.way.observe(took - report.Took)
 		}
 	}
+	weight := 1.0
+	if !l.reportAt.IsZero() && report.Queued < report.Slots {
+		weight = 1 - fade(now.Sub(l.reportAt), othersTime)
+	}
+	l.noteOthers(Short, float64(report.InUse-report.Long+report.Queued-own[Short]), weight)
+	l.noteOthers(Long, float64(report.Long+report.QueuedLong-own[Long]), weight)
+	l.report, l.reportAt = *report, now
 	if report.Slots > 0 {
-		others := max(0, report.InUse-report.Long+report.Queued-l.atReport[Short])
-		l.set.noteOthers(float64(others) / float64(report.Slots))
+		l.set.noteOthers(l.others[Short] / float64(report.Slots))
 	}
 }
 
+// noteOthers averages what reports say of the requests of other nodes.
+func (l *Link) noteOthers(kind Kind, load, weight float64) {
+	l.others[kind] += (max(0, load) - l.others[kind]) * weight
+}
+
 // learn compares the latency of a short answer with the prediction. An upstream that claims to be
 // idle but answers late is found this way, whatever it reports.
 func (l *Link) learn(now time.Time, token *Token) {
--- a/link/report.go
+++ b/link/report.go
@@ -19,9 +19,9 @@
 	Took       time.Duration // time from receiving the request to this report, 0 when unknown
 }
 
-// reportSpacing is the least time between two reports on answers of one upstream. Reports every 2, 4
-// and 8 ms gave the same latencies as one on each answer.
-const reportSpacing = 4 * time.Millisecond
+// reportSpacing is the least time between two reports on answers of one upstream. Reports every 2 to
+// 20 ms gave nearly the same latencies as one on each answer.
+const reportSpacing = 10 * time.Millisecond
 
 // Pacer decides at the node beside an upstream which answers carry a report. The zero value is ready
 // for use.
