Space the reports on refusals too

Refusals now follow the same spacing; only an upstream that takes no work is told of at once. The measured contract lets 300 short requests wait, so that max_wait bounds the queue at a crest.

--- a/link/report.go
+++ b/link/report.go
@@ -30,11 +30,12 @@
 	last time.Time
 }
 
-// Due reports whether an answer sent now carries a report. Refusals always carry one.
-func (p *Pacer) Due(now time.Time, refusal bool) bool {
+// Due reports whether an answer or refusal sent now carries the report. That an upstream takes no
+// work is always told.
+func (p *Pacer) Due(now time.Time, report Report) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !refusal && now.Sub(p.last) < reportSpacing {
+	if report.State.Serves() && now.Sub(p.last) < reportSpacing {
 		return false
 	}
 	p.last = now
--- a/policybench/deployment.go
+++ b/policybench/deployment.go
@@ -71,7 +71,7 @@
 	Service: "service", ProbePerSecond: probeRate, ReportMaxAge: 500 * time.Millisecond,
 	ColdStart: 4 * time.Second, Aging: time.Second, LongShare: 0.5, RetryRatio: 0.1,
 	Classes: []bundle.Class{
-		{Name: "short", MaxQueue: 100, MaxWait: 300 * time.Millisecond},
+		{Name: "short", MaxQueue: 300, MaxWait: 300 * time.Millisecond},
 		{Name: "long", Priority: 1, Long: true, MaxQueue: 20, MaxWait: 10 * time.Second},
 	},
 }
--- a/policybench/policy.go
+++ b/policybench/policy.go
@@ -33,7 +33,7 @@
 // wants reports whether the answer carries a report.
 func (p Policy) wants(h *home, answer reply) bool {
 	if p.Links {
-		return h.pacer.Due(time.Now(), answer.refusal != nil)
+		return h.pacer.Due(time.Now(), answer.report)
 	}
 	return p.Reports
 }
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -48,11 +48,11 @@
 	defer cancel()
 	answer, err := s.Home.Serve(ctx, requestOf(r, c, deadline), c.incarnation)
 	if err != nil {
-		s.report(w, received, true)
+		s.report(w, received)
 		transport.WriteRefusal(w, asRefusal(err))
 		return
 	}
-	s.report(w, received, false)
+	s.report(w, received)
 	w.Header().Set(transport.HeaderRequestID, c.id)
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		panic(http.ErrAbortHandler)
@@ -78,11 +78,11 @@
 
 // report adds the report with the time that the request has spent at this node, from which the entry
 // node learns the time on the network. Most answers of a busy upstream carry none.
-func (s *Server) report(w http.ResponseWriter, received time.Time, refusal bool) {
-	if !s.pacer.Due(time.Now(), refusal) {
+func (s *Server) report(w http.ResponseWriter, received time.Time) {
+	report := s.Home.Report()
+	if !s.pacer.Due(time.Now(), report) {
 		return
 	}
-	report := s.Home.Report()
 	report.Took = time.Since(received)
 	w.Header().Set(headerReport, encodeReport(report))
 }
