--- a/link/report.go
+++ b/link/report.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"sync"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -18,6 +19,29 @@
 	Took       time.Duration // time from receiving the request to this report, 0 when unknown
 }
 
+// reportSpacing is the least time between two reports on answers of one upstream. Reports every 2 to
+// 20 ms gave nearly the same latencies as one on each answer.
+const reportSpacing = 10 * time.Millisecond
+
+// Pacer decides at the node beside an upstream which answers carry a report. The zero value is ready
+// for use.
+type Pacer struct {
+	mu   sync.Mutex
+	last time.Time
+}
+
+// Due reports whether an answer or refusal sent now carries the report. That an upstream takes no
+// work is always told.
+func (p *Pacer) Due(now time.Time, report Report) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if report.State.Serves() && now.Sub(p.last) < reportSpacing {
+		return false
+	}
+	p.last = now
+	return true
+}
+
 // Kind tells short from long work, which waits for different slots.
 type Kind uint8
 
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -25,7 +25,10 @@
 }
 
 // Server is the http.Handler of forwarded requests.
-type Server struct{ Home Home }
+type Server struct {
+	Home  Home
+	pacer link.Pacer
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -74,9 +77,12 @@
 }
 
 // report adds the report with the time that the request has spent at this node, from which the entry
-// node learns the time on the network.
+// node learns the time on the network. Most answers of a busy upstream carry none.
 func (s *Server) report(w http.ResponseWriter, received time.Time) {
 	report := s.Home.Report()
+	if !s.pacer.Due(time.Now(), report) {
+		return
+	}
 	report.Took = time.Since(received)
 	w.Header().Set(headerReport, encodeReport(report))
 }
