--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -256,7 +256,10 @@
 func (g *Group) Next() time.Duration {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	next := g.nextRead
+	next := never // a read under way sets the timer anew when it ends
+	if !g.reading {
+		next = g.nextRead
+	}
 	if _, ok := g.member(); ok {
 		next = min(next, g.nextRound)
 	}
--- a/idempotency/orphan.go
+++ b/idempotency/orphan.go
@@ -50,6 +50,9 @@
 func (o *Outsider) Next() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.reading { // the end of the read sets the timer anew
+		return never
+	}
 	return o.nextRead
 }
 
@@ -89,7 +92,7 @@
 		return nil
 	}
 	turn := o.turn()
-	if turn < 0 || (o.read && o.record != nil && turn > 0) {
+	if turn < 0 || (o.read && o.record != nil && turn > 0 && !o.holdsMark()) {
 		o.nextRead = now.Mono + o.config.Reread
 		return nil
 	}
@@ -113,6 +116,12 @@
 	return slices.IndexFunc(ranked, func(p Peer) bool { return p.Identity == o.self })
 }
 
+// holdsMark reports whether the group carries the mark of this node. It goes on with it, even if a
+// node that ranks higher has come since.
+func (o *Outsider) holdsMark() bool {
+	return o.record != nil && o.record.Mark != nil && o.record.Mark.By == o.self
+}
+
 // orphaned reports whether membership knows less than a majority of the group as present.
 func (o *Outsider) orphaned() bool {
 	if o.record == nil || len(o.record.Members) == 0 {
@@ -143,7 +152,7 @@
 		return nil
 	case in.Record == nil || len(in.Record.Members) == 0:
 		return o.create(now, turn)
-	case turn > 0 || !o.orphaned():
+	case turn > 0 && !o.holdsMark(), !o.orphaned():
 		o.marked = 0
 		return nil
 	}
