--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/link"
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/settings"
+	"github.com/magnoliawharf/magnoliawharf/transport/callerhttp"
+	"github.com/magnoliawharf/magnoliawharf/transport/httpserver"
+	"github.com/magnoliawharf/magnoliawharf/transport/localhttp"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerhttp"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
+	"github.com/magnoliawharf/magnoliawharf/transport/upstreamhttp"
+	"github.com/magnoliawharf/magnoliawharf/upstream"
+)
+
+// Node is one magnoliawharf process: the listeners and the objects behind them. Its life is
+// Provision, Validate, Run and Cleanup, each once.
+type Node struct {
+	Settings settings.Settings
+	Log      *slog.Logger    // nil logs nothing
+	Bundles  *bundle.InForce // nil: Provision makes one
+
+	fleet    *instance.Fleet
+	self     *Self
+	home     *Home
+	control  *control
+	remote   *peerhttp.Client
+	upstream *upstreamhttp.Client
+	callers  *httpserver.Server
+	peers    *httpserver.Server
+	local    *httpserver.Server
+	stopping atomic.Bool
+}
+
+// Provision builds the node and binds its listeners. It serves nothing yet. Cleanup must follow,
+// also after an error.
+func (n *Node) Provision() error {
+	if n.Log == nil {
+		n.Log = slog.New(slog.DiscardHandler)
+	}
+	n.Log = n.Log.With("node", n.Settings.ID)
+	if n.Bundles == nil {
+		n.Bundles = bundle.NewInForce()
+	}
+	n.fleet = instance.NewFleet()
+	n.remote, n.upstream = peerhttp.NewClient(), upstreamhttp.NewClient()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	beside := upstream.New()
+	n.home = &Home{
+		ID: n.Settings.ID, Incarnation: uint64(time.Now().UnixNano()),
+		Bundles: n.Bundles, Upstream: beside, Client: n.upstream,
+	}
+	routes := &httpserver.Routes{}
+	routes.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{Home: n.home})
+	var err error
+	if n.control, err = newControl(n, routes); err != nil {
+		return err
+	}
+	n.self = NewSelf(beside, n.Log, n.control.membership)
+	n.callers.Handle(httpserver.LimitBody(n.entry(), int64(n.Settings.Limits.MaxRequestBody)))
+	n.peers.Handle(routes)
+	n.local.Handle(localhttp.New(n, n.self))
+	return nil
+}
+
+// listen binds the listeners.
+func (n *Node) listen() (err error) {
+	for _, l := range []struct {
+		server     **httpserver.Server
+		name, addr string
+		header     int
+	}{
+		{&n.callers, "callers", n.Settings.Listen.Callers, httpserver.CallerHeaderBytes},
+		{&n.peers, "peers", n.Settings.Listen.Peers, httpserver.PeerHeaderBytes},
+		{&n.local, "local", n.Settings.Listen.Local, httpserver.CallerHeaderBytes},
+	} {
+		*l.server, err = httpserver.Listen(httpserver.Options{Name: l.name, Addr: l.addr, MaxHeaderBytes: l.header, Log: n.Log})
+		if err != nil {
+			return fmt.Errorf("listener %s: %w; choose another listen.%s", l.name, err, l.name)
+		}
+	}
+	return nil
+}
+
+// entry returns the handler of callers' requests with what stands behind it.
+func (n *Node) entry() *callerhttp.Handler {
+	dispatcher := &Dispatcher{
+		Links: link.NewTable(n.fleet), Bundles: n.Bundles, Budgets: caller.NewBudgets(),
+		Forward: &ShortCut{Home: n.home, Remote: n.remote},
+		Prober:  link.NewProber(peerrpc.NewProbePeers(n.control.peers)),
+	}
+	return &callerhttp.Handler{Bundles: n.Bundles, Dispatcher: &Protector{
+		Bundles: n.Bundles, Keys: n.control.keys, Next: dispatcher,
+	}}
+}
+
+func (n *Node) record() instance.Record {
+	return instance.Record{
+		ID: instance.ID(n.Settings.ID), Incarnation: n.home.Incarnation,
+		DataCentre: n.Settings.DataCentre, Region: n.Settings.Region,
+		CallerAddr: orBound(n.Settings.Advertise.Callers, n.callers),
+		PeerAddr:   orBound(n.Settings.Advertise.Peers, n.peers),
+	}
+}
+
+func orBound(advertised string, bound *httpserver.Server) string {
+	if advertised != "" {
+		return advertised
+	}
+	return bound.Addr()
+}
+
+// Validate checks that the node can be reached under what it advertises.
+func (n *Node) Validate() error {
+	if err := settings.Check("settings", n.Settings); err != nil {
+		return err
+	}
+	record := n.record()
+	for key, address := range map[string]string{"advertise.callers": record.CallerAddr, "advertise.peers": record.PeerAddr} {
+		host, _, err := net.SplitHostPort(address)
+		if ip := net.ParseIP(host); err != nil || (ip != nil && ip.IsUnspecified()) {
+			return &settings.Error{File: "settings", Key: key, Value: address, Allowed: "is required when the listen address names no IP address"}
+		}
+	}
+	return nil
+}
+
+// Run serves until ctx ends and then stops gracefully: no request in flight is cut off unless the
+// stop takes longer than the settings allow.
+func (n *Node) Run(ctx context.Context) error {
+	failed := make(chan error, 3)
+	for _, server := range n.servers() {
+		go func() {
+			if err := server.Serve(); err != nil {
+				failed <- fmt.Errorf("listener %s: %w", server.Name(), err)
+			}
+		}()
+	}
+	n.control.start(n.Log)
+	n.Log.Info("node serves", "callers", n.callers.Addr(), "peers", n.peers.Addr(), "local", n.local.Addr())
+	select {
+	case <-ctx.Done():
+		return n.stop()
+	case err := <-failed:
+		return errors.Join(err, n.stop())
+	case successor := <-n.control.superseded:
+		err := fmt.Errorf("instance %s was started again at %s; each instance needs an id of its own", n.Settings.ID, successor.PeerAddr)
+		return errors.Join(err, n.stop())
+	}
+}
+
+func (n *Node) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.Settings.Runtime.StopTimeout))
+	defer cancel()
+	n.Log.Info("node stops", "timeout", time.Duration(n.Settings.Runtime.StopTimeout))
+	n.stopping.Store(true)
+	n.self.Stop(time.Now())
+	n.callers.Drain()
+	waitFor(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
+	err := n.home.Idle(ctx)
+	err = errors.Join(err, n.callers.Shutdown(ctx))
+	n.control.stop(ctx)
+	err = errors.Join(err, n.peers.Shutdown(ctx), n.local.Shutdown(ctx))
+	if err != nil {
+		return fmt.Errorf("requests were still in flight at the end of stop_timeout: %w", err)
+	}
+	n.Log.Info("node stopped")
+	return nil
+}
+
+func waitFor(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// servers returns the listeners.
+func (n *Node) servers() []*httpserver.Server {
+	return []*httpserver.Server{n.callers, n.peers, n.local}
+}
+
+// Cleanup closes what Provision opened.
+func (n *Node) Cleanup() error {
+	var err error
+	for _, server := range n.servers() {
+		if server != nil {
+			err = errors.Join(err, server.Close())
+		}
+	}
+	if n.control != nil {
+		n.control.close()
+	}
+	if n.remote != nil {
+		n.remote.Close()
+		n.upstream.Close()
+	}
+	return err
+}
+
+// Announce takes what the upstream beside the node says of itself, for upstreams in the same process.
+func (n *Node) Announce(now time.Time, a upstream.Announcement) { n.self.Announce(now, a) }
+
+// Fleet returns what the node knows of all instances.
+func (n *Node) Fleet() *instance.Fleet { return n.fleet }
+
+// CallerAddr returns the bound address of the callers' listener.
+func (n *Node) CallerAddr() string { return n.callers.Addr() }
+
+// PeerAddr returns the bound address of the nodes' listener.
+func (n *Node) PeerAddr() string { return n.peers.Addr() }
+
+// LocalAddr returns the bound address of the local listener.
+func (n *Node) LocalAddr() string { return n.local.Addr() }
+
+// NotReady implements localhttp.State.
+func (n *Node) NotReady() string {
+	if n.stopping.Load() {
+		return "the node is stopping"
+	}
+	if n.Bundles.Load() == nil {
+		return "no bundle is in force yet"
+	}
+	return ""
+}
+
+// WriteMetrics implements localhttp.State.
+func (n *Node) WriteMetrics(w io.Writer) { metrics.Write(w) }
