Run the bundle distribution in the node, and add the demo

Cause: a node had no way to a bundle, and nobody could see the system work at once.

Change: node.control runs the bundle distributor; border nodes watch the store.

--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,283 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+)
+
+func newDemo() *cobra.Command {
+	var keep bool
+	var level string
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a small system in one process and send it requests",
+		Long: `Run a store stand-in, six nodes in three data centres and six upstreams of two services in this process, on
+loopback. Roll out a signed bundle, send real HTTP requests and print what each answer was and which upstream
+served it. The exit code is 1 when an answer differs from what it must be.`,
+		Example: "  magnoliawharf demo\n  magnoliawharf demo --keep",
+		Args:    exactArgs(0),
+	}
+	format := addOutput(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) (err error) {
+		fleet, err := startDemo(cmd.ErrOrStderr(), level)
+		defer func() { err = errors.Join(err, fleet.stop()) }()
+		if err != nil {
+			return fmt.Errorf("demo cannot start: %w", err)
+		}
+		d := &demo{fleet: fleet, out: cmd.OutOrStdout(), format: *format}
+		if err := d.run(cmd.Context()); err != nil {
+			return err
+		}
+		if keep {
+			if err := d.addresses(); err != nil {
+				return err
+			}
+			<-cmd.Context().Done()
+		}
+		return nil
+	}
+	cmd.Flags().BoolVar(&keep, "keep", false, "keep the system up after the requests, until SIGTERM")
+	cmd.Flags().StringVar(&level, "log-level", "error", "lowest level that the nodes log: debug, info, warn or error")
+	return cmd
+}
+
+// demo runs the steps of the demo one after the other.
+type demo struct {
+	fleet  *demoFleet
+	out    io.Writer
+	format string
+}
+
+func (d *demo) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 4*demoWait)
+	defer cancel()
+	for _, step := range []func(context.Context) error{
+		d.rollFirst, d.plainCalls, d.atMostOnce, d.refusals, d.drain, d.rollSecond,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// demoEvent is something that happened between the calls.
+type demoEvent struct {
+	Title     string `json:"title"`
+	TookMicro int64  `json:"took_us"`
+}
+
+func (d *demo) event(title string, began time.Time) error {
+	event := demoEvent{title, time.Since(began).Microseconds()}
+	return print(d.out, d.format, fmt.Sprintf("%-34s %.1f ms\n", event.Title, float64(event.TookMicro)/1000), event)
+}
+
+// call sends one request to the node with the index and checks the answer.
+func (d *demo) call(ctx context.Context, entry int, c demoCall, check func(demoCall) bool) (demoCall, error) {
+	n := d.fleet.nodes[entry]
+	c.Entry = n.Settings.ID
+	if err := c.do(ctx, n.CallerAddr()); err != nil {
+		return c, fmt.Errorf("%s: %w", c.Title, err)
+	}
+	if err := print(d.out, d.format, c.line(), c); err != nil {
+		return c, err
+	}
+	if !check(c) {
+		return c, fmt.Errorf("%s: unexpected answer: status %d, refusal %q", c.Title, c.Status, c.Refusal)
+	}
+	return c, nil
+}
+
+func served(c demoCall) bool { return c.Status == http.StatusOK && c.Upstream != "" }
+
+func refused(reason caller.Reason, ran caller.Ran) func(demoCall) bool {
+	return func(c demoCall) bool { return c.Refusal == string(reason) && c.Ran == ran.String() }
+}
+
+func (d *demo) rollFirst(ctx context.Context) error {
+	began := time.Now()
+	if err := d.fleet.ready(ctx); err != nil {
+		return err
+	}
+	if err := d.event("all nodes know all upstreams", began); err != nil {
+		return err
+	}
+	began = time.Now()
+	if err := d.fleet.roll(ctx, demoSource, 1); err != nil {
+		return err
+	}
+	return d.event("bundle version 1 in force everywhere", began)
+}
+
+func (d *demo) plainCalls(ctx context.Context) error {
+	for _, step := range []struct {
+		entry int
+		call  demoCall
+		check func(demoCall) bool
+	}{
+		{0, demoCall{Title: "beside an upstream", Path: "/catalogue/tools"}, served},
+		{5, demoCall{Title: "from another service's node", Path: "/catalogue/tools?q=saw"}, served},
+		{1, demoCall{Title: "call below a call", Path: "/reservations/open?call=/catalogue/tools"},
+			func(c demoCall) bool { return served(c) && c.Nested != "" }},
+		{3, demoCall{Title: "download", Path: "/catalogue/videos/saw?size=20000000"},
+			func(c demoCall) bool { return served(c) && c.Bytes == 20_000_000 }},
+	} {
+		step.call.Method = http.MethodGet
+		if _, err := d.call(ctx, step.entry, step.call, step.check); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// atMostOnce sends one reservation twice under the same key, to two nodes.
+func (d *demo) atMostOnce(ctx context.Context) error {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	reserve := demoCall{Title: "reservation", Method: http.MethodPost, Path: "/reservations/saw", Key: key.String()}
+	if err := d.awaitKeepers(ctx); err != nil {
+		return err
+	}
+	first, err := d.call(ctx, 0, reserve, served)
+	if err != nil {
+		return err
+	}
+	reserve.Title = "same key again, at another node"
+	_, err = d.call(ctx, 4, reserve, func(c demoCall) bool { return served(c) && c.Run == first.Run })
+	return err
+}
+
+// awaitKeepers sends reservations of their own until the keepers of the service hold tenure.
+func (d *demo) awaitKeepers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoWait)
+	defer cancel()
+	began := time.Now()
+	for {
+		key, err := uuid.NewV7()
+		if err != nil {
+			return err
+		}
+		probe := demoCall{Method: http.MethodPost, Path: "/reservations/warm-up", Key: key.String()}
+		if err := probe.do(ctx, d.fleet.nodes[0].CallerAddr()); err != nil {
+			return err
+		}
+		if served(probe) {
+			return d.event("keepers of reservations at work", began)
+		}
+		if probe.Ran != caller.NotRun.String() {
+			return fmt.Errorf("reservation while the keepers start: refused as %s, %s", probe.Refusal, probe.Ran)
+		}
+		if !pause(ctx, 200*time.Millisecond) {
+			return fmt.Errorf("the keepers of reservations did not start: %s", probe.Refusal)
+		}
+	}
+}
+
+func (d *demo) refusals(ctx context.Context) error {
+	for _, step := range []struct {
+		call  demoCall
+		check func(demoCall) bool
+	}{
+		{demoCall{Title: "reservation without a key", Method: http.MethodPost, Path: "/reservations/saw"},
+			refused(caller.KeyMissing, caller.NotRun)},
+		{demoCall{Title: "unknown service", Method: http.MethodGet, Path: "/nothing"},
+			refused(caller.NoService, caller.NotRun)},
+		{demoCall{Title: "request that crashes its upstream", Method: http.MethodPost, Path: "/catalogue/notes?crash=1"},
+			refused(caller.UpstreamLost, caller.Unknown)},
+	} {
+		if _, err := d.call(ctx, 1, step.call, step.check); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain stops one upstream as planned while it runs a request.
+func (d *demo) drain(ctx context.Context) error {
+	type result struct {
+		call demoCall
+		err  error
+	}
+	slow := demoCall{Title: "in flight at a planned stop", Method: http.MethodGet, Path: "/reservations/slow?work=1s", Entry: d.fleet.nodes[3].Settings.ID}
+	done := make(chan result, 1)
+	go func() {
+		err := slow.do(ctx, d.fleet.nodes[3].CallerAddr())
+		done <- result{slow, err}
+	}()
+	pause(ctx, 300*time.Millisecond)
+	began, index := time.Now(), d.fleet.busiest()
+	if err := d.fleet.upstreams[index].Drain(ctx); err != nil {
+		return err
+	}
+	if err := d.event("planned stop of an upstream", began); err != nil {
+		return err
+	}
+	ended := <-done
+	if ended.err != nil || !served(ended.call) {
+		return fmt.Errorf("%s: status %d, %w", slow.Title, ended.call.Status, ended.err)
+	}
+	if err := print(d.out, d.format, ended.call.line(), ended.call); err != nil {
+		return err
+	}
+	stopped := d.fleet.nodes[index].Settings.ID
+	_, err := d.call(ctx, 3, demoCall{Title: "after the planned stop", Method: http.MethodGet, Path: "/reservations/next"},
+		func(c demoCall) bool { return served(c) && c.Upstream != stopped })
+	return err
+}
+
+func (d *demo) rollSecond(ctx context.Context) error {
+	began := time.Now()
+	source := bytes.Replace(demoSource, []byte(`timeout = "10m"`), []byte(`timeout = "20m"`), 1)
+	if err := d.fleet.roll(ctx, source, 2); err != nil {
+		return err
+	}
+	if err := d.event("bundle version 2 in force everywhere", began); err != nil {
+		return err
+	}
+	_, err := d.call(ctx, 2, demoCall{Title: "under version 2", Method: http.MethodGet, Path: "/catalogue/tools"},
+		func(c demoCall) bool { return served(c) && c.Version == "2" })
+	return err
+}
+
+// addresses prints where the nodes of a kept system are reached.
+func (d *demo) addresses() error {
+	for i, n := range d.fleet.nodes {
+		address := struct {
+			Node    string `json:"node"`
+			Service string `json:"service"`
+			Callers string `json:"callers"`
+			Local   string `json:"local"`
+		}{n.Settings.ID, demoSites[i].service, "http://" + n.CallerAddr(), "http://" + n.LocalAddr()}
+		text := fmt.Sprintf("node %s beside %-12s callers %s  metrics %s/metrics\n", address.Node, address.Service, address.Callers, address.Local)
+		if err := print(d.out, d.format, text, address); err != nil {
+			return err
+		}
+	}
+	return print(d.out, d.format, "store "+d.fleet.store.Endpoint()+"; Ctrl-C stops\n", struct {
+		Store string `json:"store"`
+	}{d.fleet.store.Endpoint()})
+}
+
+// pause waits and reports whether ctx still holds.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/cli/node.go
+++ b/cli/node.go
@@ -27,15 +27,17 @@
 requests in flight are finished, bounded by runtime.stop_timeout. A second signal ends the process at once.`,
 		Example: "  magnoliawharf node run --settings node.toml",
 		Args:    exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := settings.Load(file)
-			if err != nil {
-				return &codedError{err, ExitSettings}
-			}
-			debug.SetGCPercent(loaded.Runtime.GCPercent)
-			debug.SetMemoryLimit(int64(loaded.Runtime.MemoryLimit))
-			return runNode(cmd.Context(), &node.Node{Settings: loaded, Log: newLog(cmd.ErrOrStderr(), loaded.Runtime.LogLevel)})
-		},
+	}
+	format := addOutput(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		loaded, err := settings.Load(file)
+		if err != nil {
+			return &codedError{err, ExitSettings}
+		}
+		debug.SetGCPercent(loaded.Runtime.GCPercent)
+		debug.SetMemoryLimit(int64(loaded.Runtime.MemoryLimit))
+		n := &node.Node{Settings: loaded, Log: newLog(cmd.ErrOrStderr(), loaded.Runtime.LogLevel)}
+		return runNode(cmd.Context(), n, func() error { return printAddresses(cmd.OutOrStdout(), *format, n) })
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file (TOML)")
 	_ = cmd.MarkFlagRequired("settings")
@@ -43,8 +45,19 @@
 	return cmd
 }
 
-// runNode takes a node through its whole life.
-func runNode(ctx context.Context, n *node.Node) (err error) {
+// printAddresses prints where the node is reached, which settings with port 0 leave open.
+func printAddresses(w io.Writer, format string, n *node.Node) error {
+	text := fmt.Sprintf("node %s: callers %s, peers %s, local %s\n", n.Settings.ID, n.CallerAddr(), n.PeerAddr(), n.LocalAddr())
+	return print(w, format, text, struct {
+		ID      string `json:"id"`
+		Callers string `json:"callers"`
+		Peers   string `json:"peers"`
+		Local   string `json:"local"`
+	}{n.Settings.ID, n.CallerAddr(), n.PeerAddr(), n.LocalAddr()})
+}
+
+// runNode takes a node through its whole life. started is called when its listeners are bound.
+func runNode(ctx context.Context, n *node.Node, started func() error) (err error) {
 	defer func() { err = errors.Join(err, n.Cleanup()) }()
 	if err := n.Provision(); err != nil {
 		return fmt.Errorf("node %s cannot start: %w", n.Settings.ID, err)
@@ -52,6 +65,9 @@
 	if err := n.Validate(); err != nil {
 		return &codedError{err, ExitSettings}
 	}
+	if err := started(); err != nil {
+		return err
+	}
 	return n.Run(ctx)
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -24,13 +24,15 @@
 // control is the node's part in the fleet beside the path of calls: its membership, the bundle it has
 // in force and the idempotency keys it keeps.
 type control struct {
-	fleet      *instance.Fleet
-	membership *datacentre.Membership
-	messenger  *peerrpc.MembershipMessenger
-	keeper     *idempotency.Keeper
-	keys       *idempotency.Client
-	feed       *KeeperFeed
-	peers      *transport.ControlClient
+	fleet       *instance.Fleet
+	membership  *datacentre.Membership
+	messenger   *peerrpc.MembershipMessenger
+	duty        *borderDuty
+	distributor *bundle.Distributor
+	keeper      *idempotency.Keeper
+	keys        *idempotency.Client
+	feed        *KeeperFeed
+	peers       *transport.ControlClient
 
 	superseded chan instance.Record
 	cancel     context.CancelFunc
@@ -41,7 +43,8 @@
 // start.
 func newControl(n *Node, routes *httpserver.Routes) (*control, error) {
 	s, self := n.Settings, n.record()
-	if _, err := bundle.ReadTrust(s.TrustedKeys); err != nil {
+	trust, err := bundle.ReadTrust(s.TrustedKeys)
+	if err != nil {
 		return nil, err
 	}
 	held := store.NewClient(storeOf(s.Store.Endpoints), 0, 0)
@@ -52,6 +55,7 @@
 	c.membership = datacentre.New(datacentre.Config{
 		Self: self, Fleet: n.fleet, Messenger: c.messenger, Store: held, Seeds: s.Seeds,
 		BundleVersion: func() uint64 { return versionOf(n.Bundles) },
+		OnVersion:     c.versionSeen,
 		OnSuperseded: func(successor instance.Record) {
 			select {
 			case c.superseded <- successor:
@@ -59,11 +63,21 @@
 			}
 		},
 	})
+	c.duty = newBorderDuty(c.membership)
+	c.distributor = bundle.NewDistributor(bundle.Config{
+		Trust: trust, InForce: n.Bundles, Store: held, Log: n.Log,
+		Broadcast: broadcaster{c.membership}, Duty: c.duty,
+		Peers: fleetPeers{n.fleet, self.ID}, Client: peerrpc.NewBundleClient(c.peers),
+	})
+	c.membership.Handle(bundle.Topic, func(from instance.ID, payload []byte) {
+		c.distributor.Received(payload, c.addrOf(from))
+	})
 	messages := peerrpc.NewIdempotencyPeers(c.peers)
 	c.keeper = idempotency.NewKeeper(idempotency.Identity{ID: string(self.ID), Incarnation: self.Incarnation}, held, messages)
 	c.keys = idempotency.NewClient(c.keeper, held, messages)
 	c.feed = &KeeperFeed{Self: self.ID, Fleet: n.fleet, Bundles: n.Bundles, Keeper: c.keeper}
 	routes.Handle(peerrpc.NewMembershipHandler(c.membership))
+	routes.Handle(peerrpc.NewBundleHandler(c.distributor))
 	routes.Handle(peerrpc.NewProbeHandler(NewMeasurement(n.home)))
 	routes.Handle(peerrpc.NewIdempotencyHandler(c.keeper))
 	return c, nil
@@ -85,6 +99,16 @@
 	return 0
 }
 
+// addrOf returns the peer address of the instance, or "" when it is not known.
+func (c *control) addrOf(id instance.ID) string {
+	record, _ := c.fleet.Get(id)
+	return record.PeerAddr
+}
+
+func (c *control) versionSeen(version uint64, peer instance.ID) {
+	c.distributor.Seen(version, c.addrOf(peer))
+}
+
 // start takes part in the fleet until stop. The peers' listener must serve by then.
 func (c *control) start(log *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,6 +118,8 @@
 			log.Error("membership ended", "err", err)
 		}
 	})
+	c.group.Go(func() { c.duty.follow(c.fleet, ctx.Done()) })
+	c.group.Go(func() { c.distributor.Run(ctx) })
 	c.group.Go(func() { c.feed.Run(ctx) })
 }
 
