Refuse at the home node what is meant for another service or version

Cause: the home node did not compare the service of a request with that of its upstream, so a stale record of an upstream that changed its service could lead to a wrong run; routes were not checked.

Change: after admission the request is refused as not-ready unless the announcement counts and is for its service; an unknown service, route or class is stale-bundle. Adds tests for HTTP/2 callers, for the demo and for exit codes.

Conclusion: each stale request is refused as not-run by a table test.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -1,8 +1,13 @@
 package e2e
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -220,3 +225,48 @@
 	assert.Equal(t, r.status, http.StatusOK, r)
 	assert.Equal(t, r.version, "1", fmt.Sprint(r))
 }
+
+// Guards against a demo that fails or prints what is not JSON.
+func TestDemo(t *testing.T) {
+	out, err := exec.Command(binary, "demo", "--output", "json").Output()
+	assert.NilError(t, err, "%s", out)
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+	assert.Assert(t, len(lines) > 10)
+	for _, line := range lines {
+		assert.Assert(t, json.Valid([]byte(line)), line)
+	}
+}
+
+// Guards against wrong exit codes and errors that take more than one line.
+func TestExitCodes(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	assert.NilError(t, os.WriteFile(bad, []byte("id = \"a b\"\nwrong = 1\n"), 0o600))
+	cases := map[string]struct {
+		args []string
+		code int
+	}{
+		"version":          {[]string{"version"}, 0},
+		"help":             {[]string{"node", "run", "--help"}, 0},
+		"completion":       {[]string{"completion", "bash"}, 0},
+		"unknown command":  {[]string{"frob"}, 2},
+		"unknown flag":     {[]string{"demo", "--frob"}, 2},
+		"missing flag":     {[]string{"node", "run"}, 2},
+		"no subcommand":    {[]string{"dev"}, 2},
+		"wrong output":     {[]string{"version", "--output", "xml"}, 2},
+		"missing settings": {[]string{"node", "run", "--settings", bad + ".not"}, 3},
+		"bad settings":     {[]string{"settings", "check", bad}, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var stderr bytes.Buffer
+			cmd := exec.Command(binary, c.args...)
+			cmd.Stderr = &stderr
+			_ = cmd.Run()
+			assert.Equal(t, cmd.ProcessState.ExitCode(), c.code, stderr.String())
+			if c.code != 0 {
+				assert.Equal(t, strings.Count(stderr.String(), "\n"), 1, stderr.String())
+				assert.Assert(t, strings.HasPrefix(stderr.String(), "magnoliawharf: "))
+			}
+		})
+	}
+}
--- a/node/home.go
+++ b/node/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
@@ -41,8 +42,13 @@
 	if err != nil {
 		return nil, err
 	}
+	// The upstream may have changed while the request waited.
+	announced, counts := h.Upstream.Announced(time.Now())
+	if !counts || announced.Service != req.Service {
+		release()
+		return nil, caller.Refuse(caller.NotReady, homeStep, h.ID)
+	}
 	done := h.inFlight.begin()
-	announced, _ := h.Upstream.Announced(time.Now())
 	answer, err := h.Client.Send(ctx, req, announced.Addr)
 	if err != nil {
 		release()
@@ -62,9 +68,10 @@
 	if current == nil {
 		return upstream.Ticket{}, caller.Refuse(caller.NoBundle, homeStep, h.ID)
 	}
+	// The entry node has matched the request, so what is unknown here belongs to another version.
 	contract, ok := current.Contracts[req.Service]
-	if !ok {
-		return upstream.Ticket{}, caller.Refuse(caller.NoService, homeStep, h.ID)
+	if !ok || !hasRoute(contract, req.Route) {
+		return upstream.Ticket{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
 	}
 	class, ok := contract.Class(req.Class)
 	if !ok {
@@ -76,6 +83,10 @@
 	}, nil
 }
 
+func hasRoute(contract *bundle.Contract, name string) bool {
+	return slices.ContainsFunc(contract.Routes, func(r bundle.Route) bool { return r.Name == name })
+}
+
 // Idle returns when no request is in flight at the upstream, or with the error of ctx.
 func (h *Home) Idle(ctx context.Context) error { return h.inFlight.wait(ctx) }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,11 +16,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/node"
 	"github.com/magnoliawharf/magnoliawharf/settings"
 	"github.com/magnoliawharf/magnoliawharf/standin/backend"
 	"github.com/magnoliawharf/magnoliawharf/transport"
+	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
 // testSettings returns settings of a node that finds others by seeds. Without one it is alone.
@@ -239,3 +242,61 @@
 		t.Fatal("the upstream still waits for the body")
 	}
 }
+
+// Guards against a home node that runs a request meant for another service, another life of the node
+// or another version of the contract.
+func TestHomeRefusesStaleRequests(t *testing.T) {
+	bundles := bundle.NewInForce()
+	catalogue := testBundle().Load().Contracts["catalogue"]
+	bundles.Put(&bundle.Bundle{Version: 1, Contracts: map[string]*bundle.Contract{"catalogue": catalogue, "ledger": catalogue}})
+	held := upstream.New()
+	held.Announce(time.Now(), upstream.Announcement{
+		Service: "catalogue", Addr: "127.0.0.1:1", State: instance.Ready, Slots: 2, TimeToLive: time.Second,
+	})
+	home := &node.Home{ID: "n1", Incarnation: incarnation, Bundles: bundles, Upstream: held}
+	valid := caller.Request{
+		Service: "catalogue", Route: "all", Class: "short", Body: caller.NewBody(nil, 0), Deadline: time.Now().Add(time.Second),
+	}
+	cases := map[string]struct {
+		change      func(*caller.Request)
+		incarnation uint64
+		reason      caller.Reason
+	}{
+		"incarnation":    {func(*caller.Request) {}, incarnation - 1, caller.StaleIncarnation},
+		"service":        {func(r *caller.Request) { r.Service = "gone" }, incarnation, caller.StaleBundle},
+		"route":          {func(r *caller.Request) { r.Route = "gone" }, incarnation, caller.StaleBundle},
+		"class":          {func(r *caller.Request) { r.Class = "gone" }, incarnation, caller.StaleBundle},
+		"deadline":       {func(r *caller.Request) { r.Deadline = time.Now() }, incarnation, caller.DeadlinePassed},
+		"other upstream": {func(r *caller.Request) { r.Service = "ledger" }, incarnation, caller.NotReady},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			req := valid
+			c.change(&req)
+			_, err := home.Serve(context.Background(), &req, c.incarnation)
+			var refusal *caller.Refusal
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Reason, c.reason)
+			assert.Equal(t, refusal.Ran, caller.NotRun)
+		})
+	}
+}
+
+// Guards against callers that speak HTTP/2 in clear text being turned away, and against a cut answer
+// that ends like a whole one there.
+func TestHTTP2Callers(t *testing.T) {
+	n := startNode(t, &node.Node{Settings: testSettings(t, "n1"), Bundles: testBundle()})
+	startBackend(t, backend.Options{Service: "catalogue", Node: n.LocalAddr()})
+	awaitState(t, n.Fleet(), "n1", instance.Ready)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	for path, whole := range map[string]bool{"?size=100000": true, "?size=100000&cut=70000": false} {
+		response, err := client.Get("http://" + n.CallerAddr() + "/catalogue/x" + path)
+		assert.NilError(t, err)
+		read, err := io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		assert.Equal(t, response.ProtoMajor, 2)
+		assert.Equal(t, err == nil, whole, "%s: %d bytes, %v", path, read, err)
+	}
+}
