Tie refusals between nodes to their request

Cause: an answer with another request's ID was noticed, a refusal was not; a body over the limit was refused without saying that it did not run.

Change: the node beside the upstream puts the request ID on refusals as well, and a refusal without it is an answer-mismatch (unknown). A request body over the limit carries the refusal headers. The closed loop benchmark also posts 1 KB.

Conclusion: no answer or refusal of another request reaches a caller.

--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"bytes"
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -79,8 +81,17 @@
 }
 
 func (b bench) call(tb testing.TB, url string) time.Duration {
+	return b.send(tb, http.MethodGet, url, nil)
+}
+
+func (b bench) send(tb testing.TB, method, url string, body []byte) time.Duration {
+	request, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
+	if err != nil {
+		tb.Error(err)
+		return 0
+	}
 	began := time.Now()
-	response, err := b.client.Get(url)
+	response, err := b.client.Do(request)
 	if err != nil {
 		tb.Error(err)
 		return 0
@@ -139,7 +150,16 @@
 func BenchmarkClosedLoop(b *testing.B) {
 	defer debug.SetGCPercent(debug.SetGCPercent(*gcPercent))
 	set := newBench(b)
-	for _, c := range []struct{ name, url string }{{"direct", set.direct}, {"home", set.home}, {"entry", set.entry}} {
+	for _, c := range []struct {
+		name, method, url string
+		body              []byte
+	}{
+		{"direct", http.MethodGet, set.direct, nil},
+		{"home", http.MethodGet, set.home, nil},
+		{"entry", http.MethodGet, set.entry, nil},
+		{"direct-post", http.MethodPost, set.direct, make([]byte, 1<<10)},
+		{"entry-post", http.MethodPost, set.entry, make([]byte, 1<<10)},
+	} {
 		b.Run(c.name, func(b *testing.B) {
 			set.call(b, c.url)
 			histogram := newHistogram()
@@ -150,7 +170,7 @@
 			for loop := range loops {
 				wait.Go(func() {
 					for i := loop; i < b.N; i += loops {
-						took := set.call(b, c.url)
+						took := set.send(b, c.method, c.url, c.body)
 						lock.Lock()
 						_ = histogram.RecordValue(took.Microseconds())
 						lock.Unlock()
--- a/transport/httpserver/routes.go
+++ b/transport/httpserver/routes.go
@@ -5,6 +5,10 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
 // Routes sends requests to handlers by path prefix; the longest prefix counts. Unlike
@@ -64,7 +68,10 @@
 // ServeHTTP implements http.Handler.
 func (l *limitBody) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength > l.most {
+		metrics.Refusal(caller.BadRequest)
 		w.Header().Set("Connection", "close")
+		w.Header().Set(transport.HeaderRefusal, string(caller.BadRequest))
+		w.Header().Set(transport.HeaderRan, caller.NotRun.String())
 		http.Error(w, "request body is larger than the node allows", http.StatusRequestEntityTooLarge)
 		return
 	}
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -39,13 +39,10 @@
 // Forward implements node.Forwarder.
 func (c *Client) Forward(ctx context.Context, req *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
 	peer := string(target.ID)
-	body, err := req.Body.Attempt()
-	if err != nil {
-		return nil, nil, &caller.Refusal{Reason: caller.BodyCut, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
-	}
-	out, err := upstreamhttp.NewRequest(req, "http://"+target.PeerAddr+ForwardPrefix, body)
-	if err != nil {
-		return nil, nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: forwardStep, Peer: peer, Cause: err}
+	out, refusal := upstreamhttp.NewRequest(req, "http://"+target.PeerAddr+ForwardPrefix)
+	if refusal != nil {
+		refusal.Step, refusal.Peer = forwardStep, peer
+		return nil, nil, refusal
 	}
 	now := time.Now()
 	if req.Deadline.Sub(now) <= hopMargin {
@@ -67,14 +64,14 @@
 	if err != nil {
 		report = nil
 	}
-	if reason := response.Header.Get(transport.HeaderRefusal); reason != "" {
-		_ = response.Body.Close()
-		return nil, report, decodeRefusal(response.Header, peer)
-	}
 	if got := response.Header.Get(transport.HeaderRequestID); got != req.ID {
 		_ = response.Body.Close()
 		return nil, nil, caller.Lost(caller.AnswerMismatch, forwardStep, peer, nil)
 	}
+	if response.Header.Get(transport.HeaderRefusal) != "" {
+		_ = response.Body.Close()
+		return nil, report, decodeRefusal(response.Header, peer)
+	}
 	answer := transport.AnswerOf(response)
 	answer.Upstream = peer
 	return answer, report, nil
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -36,6 +36,7 @@
 		transport.WriteRefusal(w, refusal)
 		return
 	}
+	w.Header().Set(transport.HeaderRequestID, c.id)
 	received := time.Now()
 	deadline := received.Add(c.timeLeft)
 	controller := http.NewResponseController(w)
@@ -50,7 +51,6 @@
 		return
 	}
 	s.report(w, received)
-	w.Header().Set(transport.HeaderRequestID, c.id)
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -40,13 +39,10 @@
 
 // Send implements node.UpstreamClient.
 func (c *Client) Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error) {
-	body, err := req.Body.Attempt()
-	if err != nil {
-		return nil, &caller.Refusal{Reason: caller.BodyCut, Ran: caller.NotRun, Step: sendStep, Cause: err}
-	}
-	out, err := NewRequest(req, "http://"+addr, body)
-	if err != nil {
-		return nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Step: sendStep, Cause: err}
+	out, refusal := NewRequest(req, "http://"+addr)
+	if refusal != nil {
+		refusal.Step = sendStep
+		return nil, refusal
 	}
 	now := time.Now()
 	chain := caller.Below(req, now)
@@ -76,10 +72,14 @@
 
 // NewRequest builds the outgoing request. Its body is never nil and has no GetBody, because
 // http.Transport resends a request on its own when it thinks that the body can be replayed.
-func NewRequest(req *caller.Request, base string, body io.ReadCloser) (*http.Request, error) {
+func NewRequest(req *caller.Request, base string) (*http.Request, *caller.Refusal) {
 	target, err := url.Parse(base + req.Path)
 	if err != nil {
-		return nil, err
+		return nil, &caller.Refusal{Reason: caller.BadRequest, Ran: caller.NotRun, Cause: err}
+	}
+	body, err := req.Body.Attempt()
+	if err != nil {
+		return nil, &caller.Refusal{Reason: caller.BodyCut, Ran: caller.NotRun, Cause: err}
 	}
 	out := &http.Request{
 		Method: req.Method, URL: target, Host: target.Host,
