--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -62,7 +62,7 @@
 
 // start runs the binary and decodes the first line of its standard output into into. The process is
 // killed at the end of the test, and its log is shown when the test failed.
-func start(t *testing.T, name string, into any, args ...string) *process {
+func start(t testing.TB, name string, into any, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, cmd: exec.Command(binary, args...), exited: make(chan struct{})}
 	p.cmd.Stderr = p
@@ -94,7 +94,7 @@
 	return p
 }
 
-func (p *process) signal(t *testing.T, s syscall.Signal) {
+func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	assert.NilError(t, p.cmd.Process.Signal(s))
 }
@@ -108,7 +108,7 @@
 }
 
 // awaitExit returns the exit code of a process that ends by itself.
-func (p *process) awaitExit(t *testing.T) int {
+func (p *process) awaitExit(t testing.TB) int {
 	t.Helper()
 	select {
 	case <-p.exited:
@@ -120,7 +120,7 @@
 }
 
 // run runs a command of the binary to its end.
-func run(t *testing.T, args ...string) {
+func run(t testing.TB, args ...string) {
 	t.Helper()
 	out, err := exec.Command(binary, args...).CombinedOutput()
 	assert.NilError(t, err, "%v: %s", args, out)
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -32,20 +32,18 @@
 
 // system is a store, three instances in one data centre and a bundle in force.
 type system struct {
-	t         *testing.T
+	t         testing.TB
 	folder    string
 	store     *process
 	endpoint  struct{ Endpoint string }
 	instances []*instanceProcess
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	t.Helper()
-	s := &system{t: t, folder: t.TempDir()}
-	s.startStore("127.0.0.1:0")
-	run(t, "bundle", "keygen", s.path("signer"))
+	s := newEmptySystem(t)
 	for i := range 3 {
-		s.startInstance(fmt.Sprintf("n%d", i+1), "kgl-a")
+		s.startUpstream(s.startNode(fmt.Sprintf("n%d", i+1), "kgl-a"))
 	}
 	s.roll(1, "testdata/bundle.toml")
 	for _, in := range s.instances {
@@ -54,6 +52,15 @@
 	return s
 }
 
+// newEmptySystem returns a system with a store and a signer's key.
+func newEmptySystem(t testing.TB) *system {
+	t.Helper()
+	s := &system{t: t, folder: t.TempDir()}
+	s.startStore("127.0.0.1:0")
+	run(t, "bundle", "keygen", s.path("signer"))
+	return s
+}
+
 func (s *system) path(name string) string { return filepath.Join(s.folder, name) }
 
 func (s *system) startStore(listen string) {
@@ -61,7 +68,8 @@
 	s.store = start(s.t, "store", &s.endpoint, "dev", "store", "--listen", listen, "--output", "json")
 }
 
-func (s *system) startInstance(id, dataCentre string) {
+// startNode starts a node without an upstream.
+func (s *system) startNode(id, dataCentre string) *instanceProcess {
 	s.t.Helper()
 	in := &instanceProcess{id: id, settings: s.path(id + ".toml")}
 	seeds := ""
@@ -82,9 +90,16 @@
 `, id, dataCentre, seeds, s.endpoint.Endpoint)
 	assert.NilError(s.t, os.WriteFile(in.settings, []byte(text), 0o600))
 	in.node = start(s.t, id, &in.addr, "node", "run", "--settings", in.settings, "--output", "json")
-	in.upstream = start(s.t, id+" upstream", &in.up, "dev", "upstream", "--service", "catalogue",
-		"--node", in.addr.Local, "--callers", in.addr.Callers, "--output", "json")
 	s.instances = append(s.instances, in)
+	return in
+}
+
+// startUpstream starts the upstream beside the node.
+func (s *system) startUpstream(in *instanceProcess, args ...string) {
+	s.t.Helper()
+	args = append([]string{"dev", "upstream", "--service", "catalogue", "--node", in.addr.Local,
+		"--callers", in.addr.Callers, "--output", "json"}, args...)
+	in.upstream = start(s.t, in.id+" upstream", &in.up, args...)
 }
 
 // roll rolls the source out as the version.
@@ -169,7 +184,7 @@
 	})
 }
 
-func newKey(t *testing.T) string {
+func newKey(t testing.TB) string {
 	t.Helper()
 	key, err := uuid.NewV7()
 	assert.NilError(t, err)
--- a/node/control.go
+++ b/node/control.go
@@ -66,12 +66,10 @@
 	c.duty = newBorderDuty(c.membership)
 	c.distributor = bundle.NewDistributor(bundle.Config{
 		Trust: trust, InForce: n.Bundles, Store: held, Log: n.Log,
-		Broadcast: broadcaster{c.membership}, Duty: c.duty,
+		Broadcast: c.membership, Duty: c.duty,
 		Peers: fleetPeers{n.fleet, self.ID}, Client: peerrpc.NewBundleClient(c.peers),
 	})
-	c.membership.Handle(bundle.Topic, func(from instance.ID, payload []byte) {
-		c.distributor.Received(payload, c.addrOf(from))
-	})
+	c.membership.Handle(bundle.Topic, func(_ instance.ID, payload []byte) { c.distributor.Received(payload) })
 	messages := peerrpc.NewIdempotencyPeers(c.peers)
 	c.keeper = idempotency.NewKeeper(idempotency.Identity{ID: string(self.ID), Incarnation: self.Incarnation}, held, messages)
 	c.keys = idempotency.NewClient(c.keeper, held, messages)
--- a/node/duty.go
+++ b/node/duty.go
@@ -63,15 +63,6 @@
 	}
 }
 
-// broadcaster sends broadcasts of the bundle through the membership. One that is too large or lost is
-// made up for by the versions in the messages between members.
-type broadcaster struct{ membership *datacentre.Membership }
-
-// Broadcast implements bundle.Broadcaster.
-func (b broadcaster) Broadcast(topic, id string, payload []byte) {
-	_ = b.membership.Broadcast(topic, id, payload)
-}
-
 // fleetPeers names nodes to fetch a bundle from.
 type fleetPeers struct {
 	fleet *instance.Fleet
