Show what a node knows in its metrics, and wait for that in process tests

Cause: the process tests waited until every upstream had answered a node, which routing does not promise: a node prefers the upstream beside it. Under load three tests failed for that reason, one after 60 s.

Change: /metrics shows the known instances by state and the bundle version; the tests wait for these. The planned-stop test sends half of its long requests through the leaving node, so that some are certain to be in flight there. What the tests check of outcomes is unchanged.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -142,9 +142,10 @@
 	s := newSystem(t)
 	s.awaitOrders(s.instances[0])
 	leaving := s.instances[2]
-	slow := make(chan result, 8)
-	for range cap(slow) { // enough that the leaving node has some of them
-		go func() { slow <- call(s.instances[0], http.MethodGet, "/catalogue/slow?work=3s", "") }()
+	slow := make(chan result, 16)
+	for i := range cap(slow) { // half of them enter at the leaving node, which prefers its own upstream
+		entry := s.instances[i%2*2]
+		go func() { slow <- call(entry, http.MethodGet, "/catalogue/slow?work=3s", "") }()
 	}
 	time.Sleep(500 * time.Millisecond)
 	l := newLoad(t, s.instances[0], s.instances[1])
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -164,18 +165,32 @@
 	}
 }
 
-// awaitMembers waits until calls to the node are answered by count different upstreams.
+// awaitMembers waits until the node has a bundle and knows count upstreams as ready.
 func (s *system) awaitMembers(in *instanceProcess, count int) {
 	s.t.Helper()
-	seen := make(map[string]bool)
-	s.await(fmt.Sprintf("%s reaches %d upstreams", in.id, count), func() bool {
-		if r := call(in, http.MethodGet, "/catalogue/tools", ""); r.status == http.StatusOK {
-			seen[r.upstream] = true
-		}
-		return len(seen) == count
+	want := fmt.Sprintf("magnoliawharf_instances{state=%q} %d\n", "ready", count)
+	s.await(fmt.Sprintf("%s knows %d ready upstreams", in.id, count), func() bool {
+		return get(in, "/readyz") == "ready\n" && strings.Contains(get(in, "/metrics"), want)
 	})
 }
 
+// get returns what the local listener of the node answers, "" when it does not.
+func get(in *instanceProcess, path string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.addr.Local+path, nil)
+	if err != nil {
+		return ""
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
 // awaitOrders waits until at-most-once requests are served at the node.
 func (s *system) awaitOrders(in *instanceProcess) {
 	s.t.Helper()
--- a/node/node.go
+++ b/node/node.go
@@ -240,5 +240,16 @@
 	return ""
 }
 
-// WriteMetrics implements localhttp.State.
-func (n *Node) WriteMetrics(w io.Writer) { metrics.Write(w) }
+// WriteMetrics implements localhttp.State. Counters are those of the process; what follows them is of
+// this node.
+func (n *Node) WriteMetrics(w io.Writer) {
+	metrics.Write(w)
+	counts := make(map[instance.State]int)
+	for _, r := range n.fleet.Select(func(instance.Record) bool { return true }) {
+		counts[r.State]++
+	}
+	for state := instance.Unannounced; state.Valid(); state++ {
+		fmt.Fprintf(w, "magnoliawharf_instances{state=%q} %d\n", state, counts[state])
+	}
+	fmt.Fprintf(w, "magnoliawharf_bundle_version %d\n", versionOf(n.Bundles))
+}
