--- /dev/null
+++ b/e2e/system_test.go
@@ -0,0 +1,223 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	callLimit = 30 * time.Second
+	pollStep  = 50 * time.Millisecond
+)
+
+// instanceProcess is a node with the upstream beside it.
+type instanceProcess struct {
+	id       string
+	settings string
+	node     *process
+	upstream *process
+	addr     struct{ Callers, Peers, Local string }
+	up       struct{ Addr string }
+}
+
+// system is a store, three instances in one data centre and a bundle in force.
+type system struct {
+	t         testing.TB
+	folder    string
+	store     *process
+	endpoint  struct{ Endpoint string }
+	instances []*instanceProcess
+}
+
+func newSystem(t testing.TB) *system {
+	t.Helper()
+	s := newEmptySystem(t)
+	for i := range 3 {
+		s.startUpstream(s.startNode(fmt.Sprintf("n%d", i+1), "kgl-a"))
+	}
+	s.roll(1, "testdata/bundle.toml")
+	for _, in := range s.instances {
+		s.awaitMembers(in, len(s.instances))
+	}
+	return s
+}
+
+// newEmptySystem returns a system with a store and a signer's key.
+func newEmptySystem(t testing.TB) *system {
+	t.Helper()
+	s := &system{t: t, folder: t.TempDir()}
+	s.startStore("127.0.0.1:0")
+	run(t, "bundle", "keygen", s.path("signer"))
+	return s
+}
+
+func (s *system) path(name string) string { return filepath.Join(s.folder, name) }
+
+func (s *system) startStore(listen string) {
+	s.t.Helper()
+	s.store = start(s.t, "store", &s.endpoint, "dev", "store", "--listen", listen, "--output", "json")
+}
+
+// startNode starts a node without an upstream.
+func (s *system) startNode(id, dataCentre string) *instanceProcess {
+	s.t.Helper()
+	in := &instanceProcess{id: id, settings: s.path(id + ".toml")}
+	seeds := ""
+	if len(s.instances) > 0 {
+		seeds = fmt.Sprintf("%q", s.instances[0].addr.Peers)
+	}
+	text := fmt.Sprintf(`id = %q
+data_centre = %q
+region = "kigali"
+seeds = [%s]
+trusted_keys = ["signer.pub"]
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+local = "127.0.0.1:0"
+[store]
+endpoints = [%q]
+`, id, dataCentre, seeds, s.endpoint.Endpoint)
+	assert.NilError(s.t, os.WriteFile(in.settings, []byte(text), 0o600))
+	in.node = start(s.t, id, &in.addr, "node", "run", "--settings", in.settings, "--output", "json")
+	s.instances = append(s.instances, in)
+	return in
+}
+
+// startUpstream starts the upstream beside the node.
+func (s *system) startUpstream(in *instanceProcess, args ...string) {
+	s.t.Helper()
+	args = append([]string{"dev", "upstream", "--service", "catalogue", "--node", in.addr.Local,
+		"--callers", in.addr.Callers, "--output", "json"}, args...)
+	in.upstream = start(s.t, in.id+" upstream", &in.up, args...)
+}
+
+// roll rolls the source out as the version.
+func (s *system) roll(version int, source string) {
+	s.t.Helper()
+	file := s.path(fmt.Sprintf("%d.bundle", version))
+	run(s.t, "bundle", "prepare", source, "--version", fmt.Sprint(version), "--out", file)
+	run(s.t, "bundle", "approve", file, "--key", s.path("signer"))
+	run(s.t, "bundle", "roll", file, "--store", s.endpoint.Endpoint, "--trust", s.path("signer.pub"))
+}
+
+// result is how one call ended.
+type result struct {
+	err                    error
+	status                 int
+	upstream, refusal, ran string
+	version                string
+	run                    string // run ID of the stand-in
+}
+
+func (r result) String() string {
+	return fmt.Sprintf("status %d upstream %q refusal %q ran %q error %v", r.status, r.upstream, r.refusal, r.ran, r.err)
+}
+
+// call sends one request to the instance's node. key may be empty.
+func call(in *instanceProcess, method, path, key string) (out result) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+in.addr.Callers+path, http.NoBody)
+	if err != nil {
+		return result{err: err}
+	}
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	var echo struct{ Run string }
+	_ = json.Unmarshal(body, &echo) // a refusal has no run ID
+	return result{
+		err: err, status: response.StatusCode, run: echo.Run,
+		upstream: response.Header.Get("Magnoliawharf-Upstream"),
+		refusal:  response.Header.Get("Magnoliawharf-Refusal"),
+		ran:      response.Header.Get("Magnoliawharf-Ran"),
+		version:  response.Header.Get("Magnoliawharf-Version"),
+	}
+}
+
+// await repeats check until it is true.
+func (s *system) await(what string, check func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(startLimit)
+	for !check() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(pollStep)
+	}
+}
+
+// awaitMembers waits until the node has a bundle and knows count upstreams as ready.
+func (s *system) awaitMembers(in *instanceProcess, count int) {
+	s.t.Helper()
+	want := fmt.Sprintf("magnoliawharf_instances{state=%q} %d\n", "ready", count)
+	s.await(fmt.Sprintf("%s knows %d ready upstreams", in.id, count), func() bool {
+		return get(in, "/readyz") == "ready\n" && strings.Contains(get(in, "/metrics"), want)
+	})
+}
+
+// get returns what the local listener of the node answers, "" when it does not.
+func get(in *instanceProcess, path string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.addr.Local+path, nil)
+	if err != nil {
+		return ""
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
+// awaitOrders waits until at-most-once requests are served at the node.
+func (s *system) awaitOrders(in *instanceProcess) {
+	s.t.Helper()
+	s.await(in.id+" takes orders", func() bool {
+		return call(in, http.MethodPost, "/catalogue/orders", newKey(s.t)).status == http.StatusOK
+	})
+}
+
+func newKey(t testing.TB) string {
+	t.Helper()
+	key, err := uuid.NewV7()
+	assert.NilError(t, err)
+	return key.String()
+}
+
+// runs returns how often requests with the key ran at all upstreams.
+func (s *system) runs(key string) int {
+	s.t.Helper()
+	total := 0
+	for _, in := range s.instances {
+		response, err := http.Get("http://" + in.up.Addr + "/standin/runs")
+		assert.NilError(s.t, err)
+		var counts map[string]int
+		err = json.NewDecoder(response.Body).Decode(&counts)
+		response.Body.Close()
+		assert.NilError(s.t, err)
+		total += counts[key]
+	}
+	return total
+}
--- a/node/home.go
+++ b/node/home.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -24,51 +26,69 @@
 	Bundles     *bundle.InForce
 	Upstream    *upstream.Upstream
 	Client      UpstreamClient
+
+	inFlight inFlight
 }
 
 // Serve admits the request, sends it to the upstream and returns the answer. The slot is given
 // back when the body of the answer is closed. incarnation is the life of the node that the sender
 // meant. The error is a *caller.Refusal.
 func (h *Home) Serve(ctx context.Context, req *caller.Request, incarnation uint64) (*caller.Answer, error) {
-	class, refusal := h.check(req, incarnation)
+	ticket, refusal := h.check(req, incarnation)
 	if refusal != nil {
 		return nil, refusal
 	}
-	release, err := h.Upstream.Admit(ctx, upstream.Ticket{
-		ID: req.ID, Class: class, Deadline: req.Deadline, Fingerprint: req.Fingerprint,
-	})
+	release, err := h.Upstream.Admit(ctx, ticket)
 	if err != nil {
 		return nil, err
 	}
-	announced, _ := h.Upstream.Announced(req.Deadline)
+	// The upstream may have changed while the request waited.
+	announced, counts := h.Upstream.Announced(time.Now())
+	if !counts || announced.Service != req.Service {
+		release()
+		return nil, caller.Refuse(caller.NotReady, homeStep, h.ID)
+	}
+	done := h.inFlight.begin()
 	answer, err := h.Client.Send(ctx, req, announced.Addr)
 	if err != nil {
 		release()
+		done()
 		return nil, err
 	}
 	answer.Upstream = h.ID
-	answer.Body = &releasingBody{ReadCloser: answer.Body, release: release}
+	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() { release(); done() }}
 	return answer, nil
 }
 
-func (h *Home) check(req *caller.Request, incarnation uint64) (bundle.Class, *caller.Refusal) {
+func (h *Home) check(req *caller.Request, incarnation uint64) (upstream.Ticket, *caller.Refusal) {
 	if incarnation != h.Incarnation {
-		return bundle.Class{}, caller.Refuse(caller.StaleIncarnation, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.StaleIncarnation, homeStep, h.ID)
 	}
 	current := h.Bundles.Load()
 	if current == nil {
-		return bundle.Class{}, caller.Refuse(caller.NoBundle, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.NoBundle, homeStep, h.ID)
 	}
+	// The entry node has matched the request, so what is unknown here belongs to another version.
 	contract, ok := current.Contracts[req.Service]
-	if !ok {
-		return bundle.Class{}, caller.Refuse(caller.NoService, homeStep, h.ID)
+	if !ok || !hasRoute(contract, req.Route) {
+		return upstream.Ticket{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
 	}
 	class, ok := contract.Class(req.Class)
 	if !ok {
-		return bundle.Class{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
+		return upstream.Ticket{}, caller.Refuse(caller.StaleBundle, homeStep, h.ID)
 	}
-	return class, nil
+	return upstream.Ticket{
+		ID: req.ID, Class: class, Rules: upstream.RulesOf(contract),
+		Deadline: req.Deadline, Fingerprint: req.Fingerprint,
+	}, nil
 }
 
+func hasRoute(contract *bundle.Contract, name string) bool {
+	return slices.ContainsFunc(contract.Routes, func(r bundle.Route) bool { return r.Name == name })
+}
+
+// Idle returns when no request is in flight at the upstream, or with the error of ctx.
+func (h *Home) Idle(ctx context.Context) error { return h.inFlight.wait(ctx) }
+
 // Report returns the state of the upstream for the nodes of callers.
 func (h *Home) Report() link.Report { return h.Upstream.Report() }
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -12,7 +12,11 @@
 	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
-const receiveStep = "receive forward"
+const (
+	receiveStep = "receive forward"
+	// connectionSlack is the time after the deadline of a request at which its connection is given up.
+	connectionSlack = time.Second
+)
 
 // Home serves forwarded requests at the node beside the upstream.
 type Home interface {
@@ -21,7 +25,10 @@
 }
 
 // Server is the http.Handler of forwarded requests.
-type Server struct{ Home Home }
+type Server struct {
+	Home  Home
+	pacer link.Pacer
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -29,35 +36,55 @@
 	if err != nil {
 		refusal := caller.Refuse(caller.BadRequest, receiveStep, "")
 		refusal.Cause = err
-		s.refuse(w, refusal)
+		transport.WriteRefusal(w, refusal)
 		return
 	}
-	deadline := time.Now().Add(c.timeLeft)
+	w.Header().Set(transport.HeaderRequestID, c.id)
+	received := time.Now()
+	deadline := received.Add(c.timeLeft)
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(deadline.Add(connectionSlack))
+	_ = controller.SetWriteDeadline(deadline.Add(connectionSlack))
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	answer, err := s.Home.Serve(ctx, requestOf(r, c, deadline), c.incarnation)
 	if err != nil {
-		s.refuse(w, asRefusal(err))
+		s.report(w, received)
+		transport.WriteRefusal(w, asRefusal(err))
 		return
 	}
-	w.Header().Set(headerReport, encodeReport(s.Home.Report()))
-	w.Header().Set(transport.HeaderRequestID, c.id)
-	transport.WriteAnswer(w, answer)
+	s.report(w, received)
+	if err := transport.WriteAnswer(w, answer); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func requestOf(r *http.Request, c call, deadline time.Time) *caller.Request {
 	return &caller.Request{
 		ID: c.id, Service: c.service, Route: c.route, Class: c.class, Key: c.key,
 		Method: r.Method, Path: strings.TrimPrefix(r.URL.RequestURI(), ForwardPrefix),
-		Header: transport.EndToEnd(r.Header), Body: caller.NewBody(r.Body, r.ContentLength),
+		Header: transport.EndToEnd(r.Header), Body: bodyOf(r),
 		Fingerprint: c.fingerprint, Deadline: deadline,
 		Attempt: c.attempt, Depth: c.depth, BundleVersion: c.bundleVersion,
 	}
 }
 
-func (s *Server) refuse(w http.ResponseWriter, refusal *caller.Refusal) {
-	w.Header().Set(headerReport, encodeReport(s.Home.Report()))
-	transport.WriteRefusal(w, refusal)
+func bodyOf(r *http.Request) *caller.Body {
+	if r.Body == http.NoBody {
+		return caller.NewBody(nil, 0)
+	}
+	return caller.NewBody(r.Body, r.ContentLength)
+}
+
+// report adds the report with the time that the request has spent at this node, from which the entry
+// node learns the time on the network. Most answers of a busy upstream carry none.
+func (s *Server) report(w http.ResponseWriter, received time.Time) {
+	report := s.Home.Report()
+	if !s.pacer.Due(time.Now(), report) {
+		return
+	}
+	report.Took = time.Since(received)
+	w.Header().Set(headerReport, encodeReport(report))
 }
 
 func asRefusal(err error) *caller.Refusal {
