--- a/datacentre/border.go
+++ b/datacentre/border.go
@@ -109,15 +109,16 @@
 }
 
 // noteRole repeats the recent changes to the other data centres when this node becomes a border node.
-func (m *Membership) noteRole(was *bool) {
+func (m *Membership) noteRole() {
 	border := m.IsBorder()
-	if border && !*was {
-		recent := m.recent.since(time.Now().Add(-recentAge))
-		for _, peer := range m.borderTargets() {
-			m.outbox.sendTo(peer, recent, nil)
-		}
+	if was := m.wasBorder.Swap(border); was || !border {
+		return
+	}
+	recent := m.recent.since(time.Now().Add(-recentAge))
+	recent = slices.DeleteFunc(recent, func(r instance.Record) bool { return r.DataCentre != m.home.Name })
+	for _, peer := range m.borderTargets() {
+		m.outbox.sendTo(peer, recent, nil)
 	}
-	*was = border
 }
 
 // recentChanges holds the last changes that this node learned.
--- a/datacentre/membership.go
+++ b/datacentre/membership.go
@@ -58,6 +58,8 @@
 
 	settled atomic.Bool // the table may be compared and members judged
 	joining atomic.Bool
+	// wasBorder is the role at the last look.
+	wasBorder atomic.Bool
 
 	mu         sync.Mutex
 	self       instance.Record
--- a/datacentre/membership_test.go
+++ b/datacentre/membership_test.go
@@ -28,12 +28,19 @@
 		size, centres int
 		change        func(n *network, members []*member)
 	}{
-		"crash in a centre of 188":    {188, 1, func(n *network, m []*member) { n.kill(m[70], false) }},
-		"silent loss in 188":          {188, 1, func(n *network, m []*member) { n.kill(m[71], true) }},
-		"rack of 40 of 188 lost":      {188, 1, func(n *network, m []*member) { loseRack(n, m[:40]) }},
-		"drain in one of 17 centres":  {12, 17, func(_ *network, m []*member) { m[5].Announce("catalogue", instance.Draining, 12) }},
-		"silent loss in 17 centres":   {12, 17, func(n *network, m []*member) { n.kill(m[6], true) }},
-		"border nodes of a centre":    {12, 17, loseBorders},
+		"crash in a centre of 188":   {188, 1, func(n *network, m []*member) { n.kill(m[70], false) }},
+		"silent loss in 188":         {188, 1, func(n *network, m []*member) { n.kill(m[71], true) }},
+		"rack of 40 of 188 lost":     {188, 1, func(n *network, m []*member) { loseRack(n, m[:40]) }},
+		"drain in one of 17 centres": {12, 17, func(_ *network, m []*member) { m[5].Announce("catalogue", instance.Draining, 12) }},
+		"silent loss in 17 centres":  {12, 17, func(n *network, m []*member) { n.kill(m[6], true) }},
+		"border nodes of a centre":   {12, 17, loseBorders},
+		"change while those are lost": {12, 17, func(n *network, m []*member) {
+			loseBorders(n, m)
+			ring := m[0].home.Ring()
+			for _, r := range ring {
+				n.members[r.PeerAddr].Announce("catalogue", instance.Draining, 12)
+			}
+		}},
 		"restart at the same address": {12, 4, restart},
 		"polite leave": {12, 4, func(n *network, m []*member) {
 			m[3].Leave(context.Background())
@@ -156,6 +163,52 @@
 	}
 }
 
+// Guards against two halves of a data centre that declared each other failed and never meet again.
+func TestHalvesOfADataCentreFindTogether(t *testing.T) {
+	inBubble(t, func(n *network) {
+		members := n.fill(12, centres(1, 1)...)
+		half := make(map[*member]bool)
+		for _, m := range members[:6] {
+			half[m] = true
+		}
+		n.mu.Lock()
+		n.cut = func(a, b *member) bool { return half[a] != half[b] }
+		n.mu.Unlock()
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(members[0].fleet.DataCentre("dc0")), 6)
+		n.mu.Lock()
+		n.cut = func(_, _ *member) bool { return false }
+		n.mu.Unlock()
+		t.Logf("together after %s", n.agreeWithin(20*time.Second))
+	})
+}
+
+// Guards against a member that was frozen for longer than the others remember gone members, and
+// that brings such a member back to them.
+func TestLongFrozenMemberBringsNobodyBack(t *testing.T) {
+	inBubble(t, func(n *network) {
+		members := n.fill(5, centres(1, 1)...)
+		n.mu.Lock()
+		members[0].freeze()
+		n.mu.Unlock()
+		lost := members[0].home.Successors(members[0].config.Self.ID, 2)[1] // not judged by the frozen one
+		time.Sleep(5 * time.Second)                                         // nobody tells the frozen one any more
+		n.kill(n.members[lost.PeerAddr], true)
+		time.Sleep(instance.GoneRetention + 5*time.Minute)
+		n.mu.Lock()
+		members[0].thaw()
+		n.mu.Unlock()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, m := range n.live() {
+				held, found := m.fleet.Get(lost.ID)
+				assert.Assert(t, m == members[0] || !found || held.State.Gone())
+			}
+		}
+		n.agreeWithin(0)
+	})
+}
+
 // Guards against the loss of the members of a data centre that is only unreachable, and against
 // members that stay for ever.
 func TestUnreachableDataCentreIsKeptForAnHour(t *testing.T) {
--- a/datacentre/outbox.go
+++ b/datacentre/outbox.go
@@ -80,6 +80,7 @@
 	o.records, o.casts, o.armed = make(map[instance.ID]newsRecord), nil, false
 	o.mu.Unlock()
 
+	o.m.noteRole() // the news may have made this node a border node
 	self := o.m.config.Self
 	for _, peer := range o.m.home.Fingers(self.ID) {
 		o.sendNews(peer, records, casts)
--- a/datacentre/tick.go
+++ b/datacentre/tick.go
@@ -31,7 +31,6 @@
 	last     time.Time
 	count    int
 	finger   int
-	border   bool
 	nextJoin time.Time
 	joinWait time.Duration
 
@@ -65,7 +64,7 @@
 		t.m.wake(pause)
 		t.lastSettled = now
 	}
-	t.m.noteRole(&t.border)
+	t.m.noteRole()
 	t.m.forgetUnreachable(now)
 	t.rejoin(now)
 	if t.count%sweepEvery == 0 {
@@ -116,14 +115,14 @@
 func (m *Membership) wake(pause time.Duration) {
 	pauses.Inc()
 	m.settled.Store(false)
+	addrs := m.knownAddresses()
 	if pause > rejoinLimit {
 		m.dropTable()
 	}
-	m.workers.start(func(ctx context.Context) { m.settle(ctx, m.knownAddresses()) })
+	m.workers.start(func(ctx context.Context) { m.settle(ctx, addrs) })
 }
 
-// dropTable forgets all instances but this one. The peers' addresses are lost with it; the node
-// joins by seeds and contacts.
+// dropTable forgets all instances but this one.
 func (m *Membership) dropTable() {
 	for _, r := range m.fleet.Select(func(r instance.Record) bool { return r.ID != m.config.Self.ID }) {
 		m.fleet.Remove(r.ID)
