--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -109,7 +109,7 @@
 }
 
 // Broadcast delivers late, out of order, twice or not at all.
-func (m *member) Broadcast(_, _ string, payload []byte) error {
+func (m *member) Broadcast(_, _ string, payload []byte) {
 	m.fleet.mu.Lock()
 	m.fleet.sent = append(m.fleet.sent, payload)
 	m.fleet.mu.Unlock()
@@ -119,11 +119,10 @@
 			late := time.Duration(m.fleet.rng.IntN(400)) * time.Millisecond
 			m.fleet.mu.Unlock()
 			if peer := m.other(strconv.Itoa(i)); peer != nil && peer != m {
-				time.AfterFunc(late, func() { peer.Received(payload) })
+				time.AfterFunc(late, func() { peer.Received(payload, m.id) })
 			}
 		}
 	}
-	return nil
 }
 
 func (m *member) Some(n int) []string {
--- a/bundle/targets.go
+++ b/bundle/targets.go
@@ -32,6 +32,7 @@
 // with the release read there.
 type target struct {
 	peer      string
+	sender    string // of the broadcast that told of the version, for anyPeer
 	version   uint64
 	release   *Release
 	tries     int
@@ -60,7 +61,7 @@
 	case ok && known.version >= found.version:
 		return
 	case ok:
-		known.version, known.release = found.version, found.release
+		known.version, known.release, known.sender = found.version, found.release, found.sender
 		if found.release != nil {
 			known.tries, known.notBefore = 0, time.Time{}
 		}
--- a/transport/peerrpc/bundle_wire_test.go
+++ b/transport/peerrpc/bundle_wire_test.go
@@ -28,11 +28,10 @@
 
 func (n *wireNode) Some(int) []string { return n.ask }
 
-func (n *wireNode) Broadcast(_, _ string, payload []byte) error {
+func (n *wireNode) Broadcast(_, _ string, payload []byte) {
 	if n.next != nil {
-		n.next.Received(payload)
+		n.next.Received(payload, n.addr)
 	}
-	return nil
 }
 
 func startWireNode(t *testing.T, storeURL string, trust bundle.Trust, onDuty bool, ask ...string) *wireNode {
