--- a/policybench/policy_test.go
+++ b/policybench/policy_test.go
@@ -16,6 +16,7 @@
 var (
 	full      = flag.Bool("policy.full", false, "measure all policies and scenarios and print the tables")
 	seeds     = flag.Int("policy.seeds", 3, "number of seeds for -policy.full")
+	firstSeed = flag.Uint64("policy.first", 1, "first seed for -policy.full")
 	scenarios = flag.String("policy.scenarios", ".", "scenarios for -policy.full")
 	policies  = flag.String("policy.policies", ".", "policies for -policy.full")
 	workers   = flag.Int("policy.workers", 4, "runs at the same time for -policy.full")
@@ -49,7 +50,7 @@
 					for _, p := range Policies {
 						for seed := 0; p.Name == rows[i].Policy && seed < *seeds; seed++ {
 							slots <- struct{}{}
-							rows[i].Result.Merge(measure(t, d, s, p, uint64(seed+1)))
+							rows[i].Result.Merge(measure(t, d, s, p, *firstSeed+uint64(seed)))
 							<-slots
 						}
 					}
