Quarantine requests that crash upstreams, fix answers of protected routes

Cause: a request that crashes its upstream was sent to the next one with each resend.

Change: quarantine.Watch recognises the crash of an upstream process (refused connection, lapsed or renewed announcement after a lost connection); quarantine.List counts distinct crashes by fingerprint as a set that merges in any order, refuses for 5 min after 2, and lets one trial through afterwards. node.Guard asks it at the entry node, Home at the upstream; notices travel as broadcasts. An announcement may carry the name of its process.

Conclusion: in the fuzzing, innocents that succeeded since are never refused, and a killer takes down at most 2 upstreams plus those it reached before the notice of the second crash.

--- a/node/home.go
+++ b/node/home.go
@@ -25,6 +25,7 @@
 	Bundles     *bundle.InForce
 	Upstream    *upstream.Upstream
 	Client      UpstreamClient
+	Crashes     *Crashes // nil: requests are not watched for crashes
 
 	inFlight inFlight
 }
@@ -41,9 +42,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if refusal := h.Crashes.check(req); refusal != nil {
+		release()
+		return nil, refusal
+	}
 	done := h.inFlight.begin()
 	announced, _ := h.Upstream.Announced(time.Now())
+	began := time.Now()
 	answer, err := h.Client.Send(ctx, req, announced.Addr)
+	h.Crashes.sent(ctx, req, began, answer, err)
 	if err != nil {
 		release()
 		done()
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
 	"github.com/magnoliawharf/magnoliawharf/settings"
 	"github.com/magnoliawharf/magnoliawharf/transport/callerhttp"
 	"github.com/magnoliawharf/magnoliawharf/transport/httpserver"
@@ -71,6 +72,7 @@
 		return err
 	}
 	n.self = NewSelf(beside, n.Log, n.control.membership)
+	n.watchCrashes()
 	n.callers.Handle(httpserver.LimitBody(n.entry(), int64(n.Settings.Limits.MaxRequestBody)))
 	n.peers.Handle(routes)
 	n.local.Handle(localhttp.New(n, n.self))
@@ -103,9 +105,18 @@
 		Forward: &ShortCut{Home: n.home, Remote: n.remote},
 		Prober:  link.NewProber(peerrpc.NewProbePeers(n.control.peers)),
 	}
-	return &callerhttp.Handler{Bundles: n.Bundles, Dispatcher: &Protector{
-		Bundles: n.Bundles, Keys: n.control.keys, Next: dispatcher,
-	}}
+	protector := &Protector{Bundles: n.Bundles, Keys: n.control.keys, Next: dispatcher}
+	return &callerhttp.Handler{Bundles: n.Bundles, Dispatcher: &Guard{Suspects: n.home.Crashes.Suspects, Next: protector}}
+}
+
+// watchCrashes shares what this node and all others learn of requests that crash upstreams.
+func (n *Node) watchCrashes() {
+	life := fmt.Sprintf("%s-%x", n.Settings.ID, n.home.Incarnation)
+	spread := peerrpc.NewQuarantineSpread(n.control.membership, life)
+	suspects := quarantine.NewList(spread)
+	spread.Feed(suspects)
+	n.home.Crashes = &Crashes{Suspects: suspects, Watch: quarantine.NewWatch(suspects, life)}
+	n.self.WatchProcess(n.home.Crashes.Watch)
 }
 
 func (n *Node) record() instance.Record {
--- a/node/protect.go
+++ b/node/protect.go
@@ -114,7 +114,8 @@
 	}()
 	answer, err := next.Dispatch(ctx, req)
 	returned = true
-	if refusal := asRefusal(ctx, err); refusal != nil {
+	if err != nil {
+		refusal := asRefusal(ctx, err)
 		outcome := idempotency.OutcomeUnknown
 		if refusal.Ran == caller.NotRun {
 			outcome = idempotency.OutcomeNotRun
--- a/node/self.go
+++ b/node/self.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
 	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
@@ -23,6 +24,7 @@
 
 	mu       sync.Mutex
 	shown    shown
+	process  ProcessWatch
 	expiry   *time.Timer
 	stopping bool
 }
@@ -39,6 +41,15 @@
 	return &Self{upstream: beside, publisher: publisher, log: log}
 }
 
+// ProcessWatch learns when the process of the upstream was replaced or ended.
+type ProcessWatch interface {
+	Announced(now time.Time, s quarantine.Sign)
+	Ended(now time.Time)
+}
+
+// WatchProcess sets who learns of the upstream's process. It is called once, before announcements.
+func (s *Self) WatchProcess(w ProcessWatch) { s.process = w }
+
 // Announce implements upstreamhttp.Announcer.
 func (s *Self) Announce(now time.Time, a upstream.Announcement) {
 	s.mu.Lock()
@@ -48,6 +59,9 @@
 	}
 	s.upstream.Announce(now, a)
 	s.change(shown{a.Service, a.State, a.Slots})
+	if s.process != nil {
+		s.process.Announced(now, quarantine.Sign{Process: a.Process, Addr: a.Addr, Cold: a.State == instance.Cold})
+	}
 	if s.expiry != nil {
 		s.expiry.Stop()
 	}
@@ -73,7 +87,11 @@
 func (s *Self) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, counts := s.upstream.Announced(time.Now()); !counts {
+	now := time.Now()
+	if _, counts := s.upstream.Announced(now); !counts {
+		if s.process != nil {
+			s.process.Ended(now)
+		}
 		s.change(shown{s.shown.service, instance.Unannounced, s.shown.slots})
 	}
 }
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,275 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// Guards against a killer that goes on, an innocent neighbour that is refused, and a quarantine
+// that never ends or ends for all at once.
+func TestListRules(t *testing.T) {
+	const killer, neighbour = Fingerprint(1), Fingerprint(2)
+	crash := func(l *List, seconds float64, c Crash, in ...Fingerprint) { l.Report(at(seconds), c, in) }
+	for _, test := range []struct {
+		name  string
+		steps func(l *List)
+		at    float64
+		f     Fingerprint
+		want  Ruling
+	}{
+		{"one crash", func(l *List) { crash(l, 0, 1, killer) }, 1, killer, Pass},
+		{"two crashes", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 2, killer) }, 2, killer, Refuse},
+		{"one crash reported twice", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 1, killer) }, 2, killer, Pass},
+		{"neighbour of one crash", func(l *List) { crash(l, 0, 1, killer, neighbour); crash(l, 1, 2, killer) }, 2, neighbour, Pass},
+		{"neighbour cleared between", func(l *List) {
+			crash(l, 0, 1, killer, neighbour)
+			l.Succeeded(at(0.5), neighbour)
+			crash(l, 1, 2, killer, neighbour)
+		}, 2, neighbour, Pass},
+		{"success elsewhere after the second crash", func(l *List) {
+			crash(l, 0, 1, neighbour)
+			crash(l, 1, 2, neighbour)
+			l.Receive(at(1.1), Notice{Kind: Cleared, Fingerprints: []Fingerprint{neighbour}, Crashes: []Crash{1, 2}})
+		}, 2, neighbour, Pass},
+		{"clearance arrives before its crash", func(l *List) {
+			l.Receive(at(0), Notice{Kind: Cleared, Fingerprints: []Fingerprint{neighbour}, Crashes: []Crash{1}})
+			crash(l, 0.5, 1, neighbour)
+			crash(l, 1, 2, neighbour)
+		}, 2, neighbour, Pass},
+		{"end of the term", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 2, killer) }, 302, killer, Trial},
+		{"second request during a trial", func(l *List) {
+			crash(l, 0, 1, killer)
+			crash(l, 1, 2, killer)
+			l.Admit(at(302), killer)
+		}, 303, killer, Refuse},
+		{"trial of another node", func(l *List) {
+			crash(l, 0, 1, killer)
+			crash(l, 1, 2, killer)
+			l.Receive(at(302), Notice{Kind: Tried, Fingerprints: []Fingerprint{killer}})
+		}, 303, killer, Refuse},
+		{"trial that did not run", func(l *List) {
+			crash(l, 0, 1, killer)
+			crash(l, 1, 2, killer)
+			l.Admit(at(302), killer)
+			l.TrialEnded(killer)
+		}, 303, killer, Trial},
+		{"trial that crashed", func(l *List) {
+			crash(l, 0, 1, killer)
+			crash(l, 1, 2, killer)
+			l.Admit(at(302), killer)
+			crash(l, 303, 3, killer)
+		}, 340, killer, Refuse},
+		{"crashes long ago", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 2, killer) }, 1000, killer, Pass},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := NewList(nil)
+			test.steps(l)
+			ruling, _ := l.Admit(at(test.at), test.f)
+			assert.Equal(t, ruling, test.want)
+			assert.Equal(t, l.Quarantined(at(test.at), test.f), test.want == Refuse && test.at < 301 || test.name == "trial that crashed")
+		})
+	}
+}
+
+// Guards against a lost connection that is taken for a crash, and a crash that is missed or counted
+// twice.
+func TestWatchRecognisesCrashes(t *testing.T) {
+	const f = Fingerprint(9)
+	sign := Sign{Process: "a", Addr: "127.0.0.1:80"}
+	for _, test := range []struct {
+		name    string
+		steps   func(w *Watch)
+		crashes int
+	}{
+		{"lost connection only", func(w *Watch) { w.Finished(at(1), at(0), f, Lost); w.Announced(at(2), sign) }, 0},
+		{"refused next", func(w *Watch) { w.Finished(at(1), at(0), f, Lost); w.Ended(at(1.1)) }, 1},
+		{"new process", func(w *Watch) {
+			w.Finished(at(1), at(0), f, Lost)
+			w.Announced(at(2), Sign{Process: "b", Addr: sign.Addr})
+		}, 1},
+		{"cold again without process name", func(w *Watch) {
+			w.Announced(at(0), Sign{Addr: sign.Addr})
+			w.Finished(at(1), at(0), f, Lost)
+			w.Announced(at(2), Sign{Addr: sign.Addr, Cold: true})
+		}, 1},
+		{"refused and then a new process", func(w *Watch) {
+			w.Finished(at(1), at(0), f, Lost)
+			w.Ended(at(1.1))
+			w.Announced(at(1.5), Sign{Process: "b", Addr: sign.Addr})
+		}, 1},
+		{"loss found after the refusal", func(w *Watch) {
+			w.Finished(at(1), at(0), 8, Lost)
+			w.Ended(at(1.1))
+			w.Finished(at(1.2), at(0.5), f, Lost)
+		}, 1},
+		{"request of the new process", func(w *Watch) {
+			w.Finished(at(1), at(0), 8, Lost)
+			w.Ended(at(1.1))
+			w.Finished(at(1.4), at(1.3), f, Lost)
+		}, 0},
+		{"planned restart", func(w *Watch) { w.Ended(at(1)); w.Announced(at(2), Sign{Process: "b"}) }, 0},
+		{"long before", func(w *Watch) { w.Finished(at(1), at(0), f, Lost); w.Ended(at(9)) }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := NewList(nil)
+			w := NewWatch(l, "n")
+			w.Announced(at(0), sign)
+			test.steps(w)
+			s, _ := l.suspects.Get(f)
+			assert.Equal(t, s.against(), test.crashes)
+		})
+	}
+}
+
+// simulated fleet: each node has a list; notices reach the others late, twice and out of order.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	lists   []*List
+	pending []pendingNotice
+	delay   int // longest delay in steps of 100 ms
+}
+
+type pendingNotice struct {
+	at     time.Time
+	to     int
+	notice Notice
+}
+
+type fromNode struct {
+	f    *fleet
+	node int
+}
+
+func (s fromNode) Spread(n Notice) {
+	for to := range s.f.lists {
+		if to == s.node {
+			continue
+		}
+		if s.f.delay == 0 {
+			s.f.lists[to].Receive(s.f.now, n)
+			continue
+		}
+		for range 1 + rapid.IntRange(0, 1).Draw(s.f.t, "copies") {
+			wait := time.Duration(rapid.IntRange(0, s.f.delay).Draw(s.f.t, "delay")) * 100 * time.Millisecond
+			s.f.pending = append(s.f.pending, pendingNotice{s.f.now.Add(wait), to, n})
+		}
+	}
+}
+
+func (f *fleet) step(d time.Duration) {
+	f.now = f.now.Add(d)
+	var later []pendingNotice
+	for _, p := range f.pending {
+		if p.at.After(f.now) {
+			later = append(later, p)
+			continue
+		}
+		f.lists[p.to].Receive(f.now, p.notice)
+	}
+	f.pending = later
+}
+
+// Guards against killers that take down more than a few upstreams, and innocents that are refused
+// although they succeeded after the crash at which they were in flight.
+func TestFuzzKillersAndNeighbours(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, now: start, delay: rapid.SampledFrom([]int{0, 5}).Draw(t, "delay bound")}
+		for range rapid.IntRange(2, 6).Draw(t, "nodes") {
+			f.lists = append(f.lists, NewList(fromNode{f, len(f.lists)}))
+		}
+		killers := rapid.IntRange(1, 3).Draw(t, "killers")
+		crashes, slipped := map[Fingerprint]int{}, map[Fingerprint]int{}
+		lastCrash, lastSuccess := map[Fingerprint]time.Time{}, map[Fingerprint]time.Time{}
+		serial := Crash(0)
+		for range rapid.IntRange(5, 60).Draw(t, "rounds") {
+			f.step(time.Duration(rapid.IntRange(1, 20).Draw(t, "pause")) * 100 * time.Millisecond)
+			list := f.lists[rapid.IntRange(0, len(f.lists)-1).Draw(t, "node")]
+			var running []Fingerprint
+			killed := false
+			wanted := rapid.SliceOfNDistinct(rapid.IntRange(1, 12), 1, 6, rapid.ID[int]).Draw(t, "in flight")
+			for _, id := range wanted {
+				g := Fingerprint(id)
+				ruling, _ := list.Admit(f.now, g)
+				innocent := id > killers
+				spread := time.Duration(f.delay) * 100 * time.Millisecond
+				if innocent && ruling == Refuse && lastSuccess[g].After(lastCrash[g].Add(spread)) && f.now.Sub(lastSuccess[g]) > spread {
+					t.Fatalf("innocent %d is refused %v after a success", id, f.now.Sub(lastSuccess[g]))
+				}
+				if ruling == Refuse {
+					continue
+				}
+				running = append(running, g)
+				if !innocent {
+					killed = true
+					if crashes[g] >= Threshold && f.now.Sub(lastCrash[g]) <= spread {
+						slipped[g]++ // started before the notice of the last crash arrived
+					}
+				}
+			}
+			if killed {
+				serial++
+				list.Report(f.now, serial, running)
+				for _, g := range running {
+					lastCrash[g] = f.now
+					crashes[g]++
+				}
+				continue
+			}
+			for _, g := range running {
+				list.Succeeded(f.now, g)
+				lastSuccess[g] = f.now
+			}
+		}
+		for id := 1; id <= killers; id++ {
+			// Rounds last at most 120 s, less than a term: no trial takes place.
+			if most := Threshold + slipped[Fingerprint(id)]; crashes[Fingerprint(id)] > most {
+				t.Fatal(fmt.Sprintf("killer %d took down %d upstreams, more than %d", id, crashes[Fingerprint(id)], most))
+			}
+		}
+	})
+}
+
+// Guards against a list that grows without bound, or that forgets a killer to make room.
+func TestListIsBounded(t *testing.T) {
+	l := NewList(nil)
+	l.Report(at(0), 1, []Fingerprint{1})
+	l.Report(at(0), 2, []Fingerprint{1})
+	for i := range 3 * maxSuspects {
+		l.Report(at(1), 3, []Fingerprint{Fingerprint(100 + i)})
+	}
+	assert.Assert(t, l.Len() <= maxSuspects)
+	assert.Equal(t, l.Dropped(), 2*maxSuspects+1)
+	assert.Assert(t, l.Quarantined(at(2), 1))
+	l.Report(at(2000), 4, []Fingerprint{2})
+	assert.Equal(t, l.Len(), 1)
+}
+
+func BenchmarkList(b *testing.B) {
+	for _, suspects := range []int{0, 100, 4000} {
+		l := NewList(nil)
+		for i := range suspects {
+			l.Report(at(0), 1, []Fingerprint{Fingerprint(i)})
+		}
+		b.Run(fmt.Sprintf("admit/suspects=%d", suspects), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				l.Admit(at(1), Fingerprint(1_000_000+i))
+			}
+		})
+		b.Run(fmt.Sprintf("succeeded/suspects=%d", suspects), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				l.Succeeded(at(1), Fingerprint(1_000_000+i))
+			}
+		})
+	}
+}
--- a/transport/upstreamhttp/announce.go
+++ b/transport/upstreamhttp/announce.go
@@ -21,6 +21,7 @@
 const (
 	maxAnnouncement = 4 << 10 // bytes
 	maxSlots        = 1 << 16
+	maxProcess      = 64 // bytes
 )
 
 var servicePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -39,6 +40,9 @@
 	TTLMilliseconds int `json:"ttl_ms"`
 	// Load is the number of requests that the upstream runs now. It is optional.
 	Load *int `json:"load,omitempty"`
+	// Process names the process of the upstream, so that a quick restart is recognised. It is
+	// optional, up to 64 bytes, and differs between two processes at the same address.
+	Process string `json:"process,omitempty"`
 }
 
 // Announcer takes what the upstream beside the node says of itself.
@@ -101,10 +105,14 @@
 		return upstream.Announcement{}, fmt.Errorf("announcement: slots %d is not from 1 to %d", a.Slots, maxSlots)
 	case a.TTLMilliseconds < 1 || ttl > upstream.MaxTimeToLive:
 		return upstream.Announcement{}, fmt.Errorf("announcement: ttl_ms %d is not from 1 to %d", a.TTLMilliseconds, upstream.MaxTimeToLive.Milliseconds())
+	case len(a.Process) > maxProcess:
+		return upstream.Announcement{}, fmt.Errorf("announcement: process is longer than %d bytes", maxProcess)
 	case a.Load != nil && (*a.Load < 0 || *a.Load > maxSlots):
 		return upstream.Announcement{}, fmt.Errorf("announcement: load %d is not from 0 to %d", *a.Load, maxSlots)
 	}
-	return upstream.Announcement{Service: a.Service, Addr: a.Address, State: state, Slots: a.Slots, TimeToLive: ttl}, nil
+	return upstream.Announcement{
+		Service: a.Service, Addr: a.Address, State: state, Slots: a.Slots, TimeToLive: ttl, Process: a.Process,
+	}, nil
 }
 
 func validAddress(address string) bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -24,6 +24,7 @@
 	State      instance.State
 	Slots      int
 	TimeToLive time.Duration
+	Process    string // names the process of the upstream, "" when it does not say
 }
 
 // Upstream is the upstream beside this node. It is safe for concurrent use.
