Bind the store outage to the epoch; measure keys, claims and their wire

Cause: an outsider took the store outage from its own contract; after a change of the contract it could replace a group whose members still granted by the older, longer value. A stopped node's outsider could found the group again.

Change: the record carries the outage of its epoch; an outsider that stops acts no more.

--- a/idempotency/change.go
+++ b/idempotency/change.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/google/uuid"
 )
 
 const (
@@ -216,7 +214,7 @@
 	}
 	if now.Mono >= c.ready {
 		c.stage = swapping
-		next := g.record.next(g.nextMembers(now), g.ceilings(), uuid.NewString())
+		next := g.record.next(g.nextMembers(now), g.ceilings(), g.config.StoreOutage)
 		return []Output{SwapRecord{Record: next, Revision: c.revision}}
 	}
 	if now.Mono < c.nextAsk {
--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Config holds the times of a keeper group. All members of a group must agree on them.
+// Config holds the times of a keeper group. Tenure and Margin are the same at all nodes.
 type Config struct {
 	Tenure      time.Duration // D: length of a tenure
 	Margin      time.Duration // largest difference between the wall clocks of two nodes
-	StoreOutage time.Duration // time without the store after which a member stops granting
+	StoreOutage time.Duration // time without the store after which a member stops granting; in force from the next epoch on
 	Reread      time.Duration // interval of reads of the record
 }
 
@@ -80,25 +80,6 @@
 	from  Identity
 }
 
-// promise is what this node granted an owner in the epoch.
-type promise struct {
-	until   time.Duration // monotonic time at which it ends
-	ceiling int64         // the owner accepts no key issued later by it
-}
-
-type round struct {
-	number  uint64
-	started Instant
-	ceiling int64
-	granted map[Identity]bool
-}
-
-type tenure struct {
-	held    bool
-	started Instant
-	ceiling int64
-}
-
 // NewGroup returns the part of a node in the keeper group of a service, before it knows the record.
 // It begins when it is told of a record, or when a message of a member makes it read the store.
 func NewGroup(self Identity, service string, config Config, table *Table) *Group {
@@ -138,50 +119,6 @@
 	return g.record.Member(g.self)
 }
 
-// holdsTenure judges the tenure by the clock that has advanced most. A process that was frozen, or
-// whose machine was suspended with one clock stopped, finds its tenure ended.
-func (g *Group) holdsTenure(now Instant) bool {
-	if !g.tenure.held || g.sealed || g.stopping {
-		return false
-	}
-	if g.broken.noFreezeCheck {
-		return now.Mono-g.tenure.started.Mono < g.config.Tenure
-	}
-	return now.gap(g.tenure.started) <= maxClockGap && now.atMost(g.tenure.started) < g.config.Tenure
-}
-
-// mayGrant reports whether the node is bound to the current epoch and has confirmed it recently.
-func (g *Group) mayGrant(now Instant) bool {
-	if _, ok := g.member(); !ok || g.sealed || g.confirmed == nil {
-		return false
-	}
-	return now.atMost(*g.confirmed) < g.config.StoreOutage
-}
-
-// Grant answers a member that asks for support of its tenure.
-func (g *Group) Grant(now Instant, r GrantRequest) GrantReply {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.record == nil || r.Epoch != g.record.Epoch {
-		return GrantReply{Group: g.behindOf(now, r.Epoch)}
-	}
-	_, asked := g.record.Member(r.From)
-	highest := now.Wall.Add(g.config.Tenure + 2*g.config.Margin).UnixMilli()
-	if !asked || r.To != g.self || r.Ceiling > highest || !g.mayGrant(now) {
-		return GrantReply{}
-	}
-	g.promise(now, r.From, r.Ceiling)
-	return GrantReply{Granted: true}
-}
-
-func (g *Group) promise(now Instant, to Identity, ceiling int64) {
-	given := g.promises[to.ID]
-	g.promises[to.ID] = promise{
-		until:   max(given.until, now.Mono+withDrift(g.config.Tenure)),
-		ceiling: max(given.ceiling, ceiling),
-	}
-}
-
 // behindOf handles a message of another epoch: it returns the record to a sender that is behind,
 // and reads the store soon when this node is.
 func (g *Group) behindOf(now Instant, epoch uint64) *Record {
@@ -285,15 +222,6 @@
 	return append(out, g.advance(now)...)
 }
 
-// roundInterval is D/3. Right after an epoch began the members confirm it at different moments, so
-// that a member without tenure asks more often.
-func (g *Group) roundInterval(now Instant) time.Duration {
-	if !g.tenure.held && now.Mono-g.adopted.Mono < g.config.Tenure {
-		return g.config.Tenure / 15
-	}
-	return g.config.Tenure / 3
-}
-
 func (g *Group) read(now Instant) Output {
 	g.reading, g.lastRead = true, now.Mono
 	g.nextRead = never // an Outsider reads for a node that is no member
@@ -303,63 +231,6 @@
 	return ReadRecord{}
 }
 
-// startRound asks the other members for grants. A member that may not grant itself asks as well,
-// to learn who is there.
-func (g *Group) startRound(now Instant) []Output {
-	if g.stopping || g.sealed {
-		return nil
-	}
-	ceiling := now.Wall.Add(g.config.Tenure + g.config.Margin).UnixMilli()
-	g.round = round{number: g.round.number + 1, started: now, ceiling: ceiling}
-	if g.mayGrant(now) {
-		g.promise(now, g.self, ceiling)
-		g.round.granted = map[Identity]bool{g.self: true}
-	}
-	var out []Output
-	for _, m := range g.record.Members {
-		if m.Identity == g.self {
-			continue
-		}
-		out = append(out, AskGrant{Round: g.round.number, To: m, Request: GrantRequest{
-			Service: g.service, Epoch: g.record.Epoch, From: g.self, To: m.Identity, Ceiling: ceiling,
-		}})
-	}
-	g.finishRound(now)
-	return out
-}
-
-func (g *Group) grantAnswered(now Instant, in GrantAnswered) []Output {
-	if in.Reply.Group != nil {
-		return g.adopt(now, in.Reply.Group)
-	}
-	if _, ok := g.record.Member(in.From); !ok || in.Round != g.round.number {
-		return nil
-	}
-	g.heard[in.From.ID] = now.Mono
-	if in.Reply.Granted && g.round.granted != nil {
-		g.round.granted[in.From] = true
-		g.finishRound(now)
-	}
-	return nil
-}
-
-// majorityHeard reports whether a majority has answered within the last tenure.
-func (g *Group) majorityHeard(now Instant) bool {
-	count := 1
-	for _, at := range g.heard {
-		if now.Mono-at < g.config.Tenure {
-			count++
-		}
-	}
-	return count >= g.record.Majority()
-}
-
-func (g *Group) finishRound(now Instant) {
-	if len(g.round.granted) >= g.record.Majority() && g.mayGrant(now) {
-		g.tenure = tenure{held: true, started: g.round.started, ceiling: g.round.ceiling}
-	}
-}
-
 // recordRead takes what the store holds. A read of the current epoch without a mark confirms it.
 func (g *Group) recordRead(now Instant, in RecordRead) []Output {
 	g.reading = false
--- a/idempotency/keeper_test.go
+++ b/idempotency/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 	from    Identity
 	keepers map[Identity]*Keeper
 	down    map[Identity]bool
+	grants  *atomic.Int64
 }
 
 func (d direct) as(from Identity) *direct {
@@ -56,6 +58,7 @@
 }
 
 func (d *direct) Grant(ctx context.Context, to Member, r GrantRequest) (GrantReply, error) {
+	d.grants.Add(1)
 	return send(ctx, d, to, func(k *Keeper) GrantReply { return k.Grant(r) })
 }
 
@@ -99,7 +102,7 @@
 }
 
 func startFleet(nodes int) *testFleet {
-	f := &testFleet{wire: &direct{keepers: map[Identity]*Keeper{}, down: map[Identity]bool{}}, store: kvstore.NewMemory()}
+	f := &testFleet{wire: &direct{keepers: map[Identity]*Keeper{}, down: map[Identity]bool{}, grants: new(atomic.Int64)}, store: kvstore.NewMemory()}
 	for i := range nodes {
 		id := Identity{ID: fmt.Sprintf("n%d", i), Incarnation: 1}
 		f.peers = append(f.peers, Peer{Identity: id, Addr: id.ID, DataCentre: fmt.Sprintf("dc%d", i%3), Region: "r", Serves: true})
--- a/idempotency/orphan.go
+++ b/idempotency/orphan.go
@@ -34,6 +34,7 @@
 	revision int64
 	read     bool // the record has been read at least once
 	reading  bool
+	stopping bool
 	nextRead time.Duration
 	lastRead time.Duration
 	marked   int64 // revision of the own mark, 0: none
@@ -70,9 +71,11 @@
 	switch in := in.(type) {
 	case Tick:
 		return o.tick(now)
+	case StopAsked:
+		o.stopping, o.nextRead = true, never
 	case PeersChanged:
 		o.peers = in.Peers
-		if o.read && o.orphaned() {
+		if o.read && !o.stopping && o.orphaned() {
 			o.nextRead = min(o.nextRead, max(now.Mono, o.lastRead+readPause))
 		}
 	case Told:
@@ -88,11 +91,12 @@
 }
 
 func (o *Outsider) tick(now Instant) []Output {
-	if now.Mono < o.nextRead || o.reading {
+	if o.stopping || now.Mono < o.nextRead || o.reading {
 		return nil
 	}
 	turn := o.turn()
-	if turn < 0 || (o.read && o.record != nil && turn > 0 && !o.holdsMark()) {
+	vacant := o.record == nil || len(o.record.Members) == 0
+	if turn < 0 || (o.read && !vacant && turn > 0 && !o.holdsMark()) {
 		o.nextRead = now.Mono + o.config.Reread
 		return nil
 	}
@@ -138,6 +142,9 @@
 
 func (o *Outsider) recordRead(now Instant, in RecordRead) []Output {
 	o.reading = false
+	if o.stopping {
+		return nil
+	}
 	if in.Failed {
 		o.nextRead = now.Mono + o.config.Reread/6
 		return nil
@@ -187,9 +194,9 @@
 	if len(members) == 0 {
 		return nil
 	}
-	record := &Record{Epoch: 1, Members: members, Nonce: uuid.NewString()}
+	record := &Record{Epoch: 1, Members: members, Outage: o.config.StoreOutage.Milliseconds(), Nonce: uuid.NewString()}
 	if o.record != nil {
-		record = o.record.next(members, ceilings, uuid.NewString())
+		record = o.record.next(members, ceilings, o.config.StoreOutage)
 	}
 	record.Region = region
 	return []Output{SwapRecord{Record: record, Revision: o.revision}}
@@ -211,7 +218,7 @@
 	case o.marked != o.revision:
 		o.marked, o.markedAt = o.revision, now.Mono
 		return nil
-	case now.Mono-o.markedAt < withDrift(o.config.StoreOutage+markMargin):
+	case now.Mono-o.markedAt < withDrift(o.record.outage()+markMargin):
 		return nil
 	}
 	ceiling := now.Wall.Add(2*o.config.Margin + o.config.Tenure).UnixMilli()
@@ -227,6 +234,9 @@
 }
 
 func (o *Outsider) swapDone(now Instant, in SwapDone) []Output {
+	if o.stopping {
+		return nil
+	}
 	if !in.Swapped {
 		o.nextRead = min(o.nextRead, now.Mono+readPause)
 		return nil
--- a/idempotency/record.go
+++ b/idempotency/record.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 )
 
 const (
@@ -17,6 +19,7 @@
 	maxRecordSize = 16 << 10
 	maxNameLength = 256
 	storePrefix   = "/keepers/"
+	maxOutage     = 7 * 24 * time.Hour
 )
 
 // StoreKey returns the store key of the record of a service's keeper group.
@@ -67,6 +70,7 @@
 	Members []Member `json:"members"`
 	Past    []Past   `json:"past,omitempty"` // newest first
 	Barrier int64    `json:"barrier,omitempty"`
+	Outage  int64    `json:"outage"` // store outage of this epoch's members and of its outsider, in ms
 	Mark    *Mark    `json:"mark,omitempty"`
 	Nonce   string   `json:"nonce"` // tells the writes of two proposers apart
 }
@@ -96,7 +100,7 @@
 
 // Check reports whether the record is within its bounds.
 func (r *Record) Check() error {
-	if r.Epoch == 0 || len(r.Past) > maxPast || len(r.Region) > maxNameLength || len(r.Nonce) > maxNameLength {
+	if r.Epoch == 0 || r.Outage <= 0 || r.Outage > maxOutage.Milliseconds() || len(r.Past) > maxPast || len(r.Region) > maxNameLength || len(r.Nonce) > maxNameLength {
 		return errRecord
 	}
 	for _, past := range r.Past {
@@ -162,14 +166,21 @@
 	return x ^ x>>31
 }
 
+// outage is the time without the store after which a member of the epoch stops granting. It is part
+// of the record, because a member and an outsider that disagree on it could both serve a key.
+func (r *Record) outage() time.Duration { return time.Duration(r.Outage) * time.Millisecond }
+
 // next returns the record that follows r with the members. ceilings bounds by ID the keys that each
 // member of r accepted; a member that is missing accepted none.
-func (r *Record) next(members []Member, ceilings map[string]int64, nonce string) *Record {
+func (r *Record) next(members []Member, ceilings map[string]int64, outage time.Duration) *Record {
 	ended := slices.Clone(r.Members)
 	for i := range ended {
 		ended[i].Ceiling = ceilings[ended[i].ID]
 	}
-	n := &Record{Epoch: r.Epoch + 1, Region: r.Region, Members: members, Barrier: r.Barrier, Nonce: nonce, Past: r.Past}
+	n := &Record{
+		Epoch: r.Epoch + 1, Region: r.Region, Members: members, Barrier: r.Barrier, Past: r.Past,
+		Outage: outage.Milliseconds(), Nonce: uuid.NewString(),
+	}
 	if len(ended) > 0 {
 		n.Past = append([]Past{{Epoch: r.Epoch, Members: ended}}, r.Past...)
 	}
--- a/idempotency/transfer.go
+++ b/idempotency/transfer.go
@@ -94,6 +94,9 @@
 	for _, attempt := range item.Finished {
 		e.finish(attempt)
 	}
+	if e.state == held && e.has(e.holder) {
+		e.state, e.holder = free, Attempt{}
+	}
 	incoming := state(item.State)
 	if incoming == held && e.has(item.Holder) {
 		incoming = free
--- /dev/null
+++ b/transport/peerrpc/idempotency_test.go
@@ -0,0 +1,238 @@
+package peerrpc
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	api "github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1"
+	"github.com/magnoliawharf/magnoliawharf/idempotency"
+)
+
+// idempotencyEcho answers each message with one that fills every field, and keeps what it received.
+type idempotencyEcho struct {
+	record *idempotency.Record
+	answer *idempotency.Answer
+	claim  idempotency.ClaimRequest
+	settle idempotency.SettleRequest
+	chunk  idempotency.Chunk
+	told   *idempotency.Record
+}
+
+func (e *idempotencyEcho) Claim(r idempotency.ClaimRequest) idempotency.ClaimReply {
+	e.claim = r
+	return idempotency.ClaimReply{Verdict: idempotency.Done, Answer: e.answer, Group: e.record}
+}
+
+func (e *idempotencyEcho) Settle(r idempotency.SettleRequest) idempotency.SettleReply {
+	e.settle = r
+	return idempotency.SettleReply{Accepted: true}
+}
+
+func (e *idempotencyEcho) Grant(idempotency.GrantRequest) idempotency.GrantReply {
+	return idempotency.GrantReply{Granted: true}
+}
+
+func (e *idempotencyEcho) Seal(idempotency.SealRequest) idempotency.SealReply {
+	return idempotency.SealReply{Sealed: true, Highest: 7, Promises: []idempotency.Promise{{Owner: "n1", Remaining: time.Second, Ceiling: 9}}}
+}
+
+func (e *idempotencyEcho) TakeOver(c idempotency.Chunk) bool {
+	e.chunk = c
+	return true
+}
+
+func (e *idempotencyEcho) GroupInfo(r idempotency.InfoRequest) *idempotency.Record {
+	e.told = r.Tell
+	return e.record
+}
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{conn, &l.bytes}, err
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type idempotencyBench struct {
+	echo    *idempotencyEcho
+	peers   *IdempotencyPeers
+	to      idempotency.Member
+	counter *countingListener
+	key     idempotency.Key
+}
+
+func startIdempotency(t testing.TB) *idempotencyBench {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	id, err := uuid.NewV7()
+	assert.NilError(t, err)
+	b := &idempotencyBench{counter: &countingListener{Listener: listener}, key: idempotency.Key(id[:])}
+	b.to = idempotency.Member{Identity: idempotency.Identity{ID: "kigali-1-node-014", Incarnation: 1767225600000000000}, Addr: listener.Addr().String()}
+	record := &idempotency.Record{Epoch: 4, Region: "kigali", Outage: 1e6, Nonce: "n", Members: []idempotency.Member{b.to}}
+	b.echo = &idempotencyEcho{record: record, answer: &idempotency.Answer{Status: 201, Body: []byte("receipt"), Header: map[string][]string{"X-A": {"1"}}}}
+	mux := http.NewServeMux()
+	mux.Handle(NewIdempotencyHandler(b.echo))
+	server := httptest.NewUnstartedServer(mux)
+	server.Listener = b.counter
+	server.Start()
+	t.Cleanup(server.Close)
+	b.peers = NewIdempotencyPeers(server.Client())
+	return b
+}
+
+func (b *idempotencyBench) claimRequest() idempotency.ClaimRequest {
+	return idempotency.ClaimRequest{
+		Service: "reservations", Epoch: 4, To: b.to.Identity, Key: b.key, Attempt: idempotency.NewAttempt(), TimeLeft: 5 * time.Second,
+	}
+}
+
+// Guards against a field that is lost or altered on the wire.
+func TestIdempotencyMessagesArriveWhole(t *testing.T) {
+	b := startIdempotency(t)
+	ctx := context.Background()
+	claim := b.claimRequest()
+	reply, err := b.peers.Claim(ctx, b.to, claim)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply, idempotency.ClaimReply{Verdict: idempotency.Done, Answer: b.echo.answer, Group: b.echo.record})
+	assert.DeepEqual(t, b.echo.claim, claim)
+
+	settle := idempotency.SettleRequest{
+		Service: "reservations", Epoch: 4, To: b.to.Identity, Key: b.key, Attempt: claim.Attempt,
+		Outcome: idempotency.OutcomeDone, Answer: b.echo.answer,
+	}
+	_, err = b.peers.Settle(ctx, b.to, settle)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, b.echo.settle, settle)
+
+	sealed, err := b.peers.Seal(ctx, b.to, idempotency.SealRequest{Service: "s", Epoch: 4, From: b.to.Identity, To: b.to.Identity})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, sealed, b.echo.Seal(idempotency.SealRequest{}))
+
+	chunk := idempotency.Chunk{
+		Service: "s", From: b.to.Identity, To: b.to.Identity, Epoch: 3, Meant: 4, Number: 2, Last: true, Horizon: 12,
+		Items: []idempotency.Item{{Key: b.key, State: 1, Holder: claim.Attempt, TimeLeft: time.Second, Answer: b.echo.answer, Finished: []idempotency.Attempt{{3}}}},
+	}
+	accepted, err := b.peers.HandOver(ctx, b.to, chunk)
+	assert.NilError(t, err)
+	assert.Assert(t, accepted)
+	assert.DeepEqual(t, b.echo.chunk, chunk)
+
+	record, err := b.peers.GroupInfo(ctx, b.to, idempotency.InfoRequest{Service: "s", Tell: b.echo.record})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, record, b.echo.record)
+	assert.DeepEqual(t, b.echo.told, b.echo.record)
+}
+
+// Guards against a message out of bounds that reaches a decision.
+func TestIdempotencyMessagesOutOfBoundsAreRefused(t *testing.T) {
+	b := startIdempotency(t)
+	good := b.claimRequest()
+	for name, change := range map[string]func(*idempotency.ClaimRequest){
+		"no service":    func(r *idempotency.ClaimRequest) { r.Service = "" },
+		"long service":  func(r *idempotency.ClaimRequest) { r.Service = fmt.Sprintf("%0300d", 1) },
+		"short key":     func(r *idempotency.ClaimRequest) { r.Key = r.Key[:8] },
+		"key not v7":    func(r *idempotency.ClaimRequest) { r.Key = idempotency.Key(make([]byte, 16)) },
+		"no member":     func(r *idempotency.ClaimRequest) { r.To.ID = "" },
+		"long deadline": func(r *idempotency.ClaimRequest) { r.TimeLeft = 48 * time.Hour },
+	} {
+		request := good
+		change(&request)
+		_, err := b.peers.Claim(context.Background(), b.to, request)
+		assert.ErrorContains(t, err, "out of bounds", name)
+	}
+	var reader idempotencyReader
+	reader.answer(&api.StoredAnswer{Status: 200, Body: make([]byte, idempotency.MaxAnswerBody+1)})
+	assert.Assert(t, reader.err() != nil)
+	reader = idempotencyReader{}
+	reader.group(&api.KeeperGroup{Record: []byte(`{"epoch":0}`)})
+	assert.Assert(t, reader.err() != nil)
+}
+
+// BenchmarkIdempotencyWire reports the bytes of one exchange, request and answer with headers, on a
+// connection that is already open.
+func BenchmarkIdempotencyWire(b *testing.B) {
+	ctx := context.Background()
+	for _, exchange := range []struct {
+		name string
+		send func(s *idempotencyBench) error
+	}{
+		{"claim", func(s *idempotencyBench) error {
+			s.echo.answer, s.echo.record = &idempotency.Answer{Status: 200}, nil
+			_, err := s.peers.Claim(ctx, s.to, s.claimRequest())
+			return err
+		}},
+		{"settle", func(s *idempotencyBench) error {
+			_, err := s.peers.Settle(ctx, s.to, idempotency.SettleRequest{Service: "reservations", Epoch: 4, To: s.to.Identity, Key: s.key, Outcome: idempotency.OutcomeNotRun})
+			return err
+		}},
+		{"grant", func(s *idempotencyBench) error {
+			_, err := s.peers.Grant(ctx, s.to, idempotency.GrantRequest{Service: "reservations", Epoch: 4, From: s.to.Identity, To: s.to.Identity, Ceiling: time.Now().UnixMilli()})
+			return err
+		}},
+		{"seal", func(s *idempotencyBench) error {
+			_, err := s.peers.Seal(ctx, s.to, idempotency.SealRequest{Service: "reservations", Epoch: 4, From: s.to.Identity, To: s.to.Identity})
+			return err
+		}},
+	} {
+		b.Run(exchange.name, func(b *testing.B) {
+			s := startIdempotency(b)
+			assert.NilError(b, exchange.send(s))
+			before := s.counter.bytes.Load()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				assert.NilError(b, exchange.send(s))
+			}
+			b.ReportMetric(float64(s.counter.bytes.Load()-before)/float64(b.N), "wireB/op")
+		})
+	}
+}
+
+// BenchmarkIdempotencyHandOver reports the bytes of one chunk by the number of keys.
+func BenchmarkIdempotencyHandOver(b *testing.B) {
+	for _, keys := range []int{10, 100, 500} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			s := startIdempotency(b)
+			chunk := idempotency.Chunk{Service: "reservations", From: s.to.Identity, To: s.to.Identity, Epoch: 3, Meant: 4, Last: true}
+			for range keys {
+				chunk.Items = append(chunk.Items, idempotency.Item{Key: s.key, State: 1, Holder: idempotency.NewAttempt(), TimeLeft: time.Second})
+			}
+			before := s.counter.bytes.Load()
+			for range b.N {
+				_, err := s.peers.HandOver(context.Background(), s.to, chunk)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(s.counter.bytes.Load()-before)/float64(b.N), "wireB/op")
+		})
+	}
+}
