--- a/idempotency/fuzz_test.go
+++ b/idempotency/fuzz_test.go
@@ -53,6 +53,13 @@
 // simulate runs the plan and returns the first violation.
 func simulate(seed uint64, nodes int, plan []fault, broken breakage) (*world, error) {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1)), broken: broken, oracle: newOracle()}
+	w.play(nodes, plan)
+	w.heal()
+	return w, w.err
+}
+
+// play starts the nodes and carries out the plan until faultsEnd.
+func (w *world) play(nodes int, plan []fault) {
 	for i := range nodes {
 		w.nodes = append(w.nodes, w.newNode(i))
 	}
@@ -73,8 +80,6 @@
 		w.after(at-w.now, w.randomCalls)
 	}
 	w.runUntil(faultsEnd)
-	w.heal()
-	return w, w.err
 }
 
 // randomCalls issues a key and sends it once or several times through random entry nodes.
@@ -123,7 +128,7 @@
 	case "entry-freeze":
 		e.frozen = max(e.frozen, w.now+f.length)
 	case "wall-step":
-		n.skew = time.Duration(w.random.Int64N(int64(1800*time.Millisecond))) - 900*time.Millisecond
+		n.skew = w.randomSkew()
 	}
 }
 
@@ -174,6 +179,26 @@
 	})
 }
 
+// Guards against a division of keys between owners that rests on clocks: with clocks whose rates
+// differ by a factor of 7 and whose times differ by 12 s, a key still runs at most once.
+func TestFuzzHostileClocks(t *testing.T) {
+	granted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		plan := rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(t, "plan")
+		w := &world{random: rand.New(rand.NewPCG(seed, 1)), hostile: true, oracle: newOracle()}
+		w.play(simNodes, plan)
+		if w.err != nil {
+			t.Fatalf("%v", w.err)
+		}
+		granted += w.oracle.counts["verdict 1"]
+	})
+	t.Logf("%d claims granted", granted)
+	if granted == 0 {
+		t.Fatal("no claim was granted")
+	}
+}
+
 // Guards against a fuzzing that would find nothing: three broken variants of the protocol must be
 // caught by the same oracle.
 func TestFuzzCatchesBrokenVariants(t *testing.T) {
--- a/idempotency/sim_test.go
+++ b/idempotency/sim_test.go
@@ -18,6 +18,7 @@
 	view    int // version of the membership
 	broken  breakage
 	faulty  bool // messages are delayed, doubled and lost
+	hostile bool // clocks beyond what the tenure supports; an orphaned group is not replaced
 	nodes   []*simNode
 	entries []*simEntry
 	store   simStore
@@ -69,7 +70,9 @@
 		}
 		w.now = e.at
 		e.run()
-		w.checkTenure()
+		if !w.hostile {
+			w.checkTenure()
+		}
 	}
 	w.now = end
 }
@@ -195,10 +198,18 @@
 		DataCentre: fmt.Sprintf("dc%d", index%3), Region: "r", Serves: true,
 	}}
 	n.w = w
-	n.skew = time.Duration(w.random.Int64N(int64(1800*time.Millisecond))) - 900*time.Millisecond
+	n.skew = w.randomSkew()
 	return n
 }
 
+func (w *world) randomSkew() time.Duration {
+	most := 900 * time.Millisecond
+	if w.hostile {
+		most = 6 * time.Second
+	}
+	return time.Duration(w.random.Int64N(2*int64(most))) - most
+}
+
 var simConfig = Config{
 	Tenure: DefaultTenure, Margin: DefaultMargin, StoreOutage: 40 * time.Second, Reread: 10 * time.Second,
 }
@@ -209,11 +220,16 @@
 	n.life++
 	n.alive, n.frozen, n.stopped, n.started = true, 0, 0, n.w.now
 	n.rate = 0.955 + 0.09*n.w.random.Float64()
+	config := simConfig
+	if n.w.hostile {
+		n.rate = 0.3 + 2*n.w.random.Float64()
+		config.StoreOutage = time.Hour
+	}
 	n.peer.Incarnation, n.peer.Gone = uint64(n.w.now)+1, false
 	n.table = NewTable(simBounds)
-	n.group = NewGroup(n.peer.Identity, "s", simConfig, n.table)
+	n.group = NewGroup(n.peer.Identity, "s", config, n.table)
 	n.group.broken = n.w.broken
-	n.outsider = NewOutsider(n.instant(), n.peer.Identity, "s", simConfig, time.Duration(n.w.random.Int64N(1e9)))
+	n.outsider = NewOutsider(n.instant(), n.peer.Identity, "s", config, time.Duration(n.w.random.Int64N(1e9)))
 	n.ticking, n.view = 0, 0
 	n.w.announce()
 	n.within(0, n.schedule)
