--- a/idempotency/orphan.go
+++ b/idempotency/orphan.go
@@ -75,12 +75,11 @@
 		o.stopping, o.nextRead = true, never
 	case PeersChanged:
 		o.peers = in.Peers
-		if o.read && !o.stopping && o.orphaned() {
-			o.nextRead = min(o.nextRead, max(now.Mono, o.lastRead+readPause))
-		}
+		o.hurry(now)
 	case Told:
 		if o.record == nil || in.Record.Epoch > o.record.Epoch {
 			o.record, o.read = in.Record, true
+			o.hurry(now)
 		}
 	case RecordRead:
 		return o.recordRead(now, in)
@@ -128,6 +127,13 @@
 	return o.record != nil && o.record.Mark != nil && o.record.Mark.By == o.self
 }
 
+// hurry brings the next read forward when the group looks orphaned.
+func (o *Outsider) hurry(now Instant) {
+	if o.read && !o.stopping && o.orphaned() {
+		o.nextRead = min(o.nextRead, max(now.Mono, o.lastRead+readPause))
+	}
+}
+
 // orphaned reports whether membership knows less than a majority of the group as present.
 func (o *Outsider) orphaned() bool {
 	if o.record == nil || len(o.record.Members) == 0 {
