--- a/bundle/distributor.go
+++ b/bundle/distributor.go
@@ -16,7 +16,7 @@
 
 // Broadcaster passes a payload on to the other nodes. Payloads with an id seen before are dropped.
 type Broadcaster interface {
-	Broadcast(topic, id string, payload []byte)
+	Broadcast(topic, id string, payload []byte) error
 }
 
 // Peers names up to n other nodes that may have a bundle, in random order and preferably in the same
@@ -84,11 +84,10 @@
 	}
 }
 
-// Received takes a release broadcast by a peer. When it needs more than it carries, the rest is fetched
-// from any peer that has it: the nodes on duty have it first, and each node that has it gives it on,
-// so that the sender does not serve the whole fleet. The sender itself is asked only when no other
-// peer is known.
-func (d *Distributor) Received(payload []byte, peer string) {
+// Received takes a broadcast release. When it needs more than it carries, the rest is fetched from
+// any peer that has it: the nodes on duty have it first, and each node that has it gives it on, so
+// that no single node serves the whole fleet.
+func (d *Distributor) Received(payload []byte) {
 	r, err := DecodeRelease(payload)
 	if err != nil {
 		countRefusal(err)
@@ -105,7 +104,7 @@
 	manifest, whole := Next(held, r)
 	parts := r.Bodies()
 	if !whole || len(Missing(held, manifest, parts)) > 0 {
-		d.targets.add(target{peer: anyPeer, sender: peer, version: r.Version})
+		d.targets.add(target{peer: anyPeer, version: r.Version})
 		return
 	}
 	next, err := Apply(held, r, manifest, parts)
@@ -191,5 +190,7 @@
 		return // it was decoded within the same limits
 	}
 	id := HashPart(payload)
-	d.Broadcast.Broadcast(Topic, hex.EncodeToString(id[:8]), payload)
+	if err := d.Broadcast.Broadcast(Topic, hex.EncodeToString(id[:8]), payload); err != nil {
+		d.Log.Warn("bundle not broadcast", "version", r.Version, "error", err)
+	}
 }
--- a/bundle/distributor_test.go
+++ b/bundle/distributor_test.go
@@ -91,15 +91,15 @@
 			}
 			raw, err := release.Encode()
 			assert.NilError(t, err)
-			node.Received(raw, "")
+			node.Received(raw)
 		}
 		give(5, 0, key, nil)
 		cases := []struct {
 			reason string
 			give   func()
 		}{
-			{"malformed", func() { node.Received([]byte("{}"), "") }},
-			{"too-large", func() { node.Received([]byte(strings.Repeat(" ", bundle.MaxRelease+1)), "") }},
+			{"malformed", func() { node.Received([]byte("{}")) }},
+			{"too-large", func() { node.Received([]byte(strings.Repeat(" ", bundle.MaxRelease+1))) }},
 			{"unsigned", func() { give(6, 1, key, func(r *bundle.Release) { r.Signature = nil }) }},
 			{"untrusted-key", func() { give(6, 1, stranger, nil) }},
 			{"bad-signature", func() { give(6, 1, key, func(r *bundle.Release) { r.Version = 9 }) }},
--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -195,10 +195,11 @@
 	}
 	peer := t.peer
 	if peer == anyPeer {
-		peer = t.sender
-		if some := d.Peers.Some(1); len(some) > 0 {
-			peer = some[0]
+		some := d.Peers.Some(1)
+		if len(some) == 0 {
+			return errNotYet.New("there is no peer to fetch version %d from", t.version)
 		}
+		peer = some[0]
 	}
 	r, err := d.Client.Release(ctx, peer)
 	if err != nil {
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -109,7 +109,7 @@
 }
 
 // Broadcast delivers late, out of order, twice or not at all.
-func (m *member) Broadcast(_, _ string, payload []byte) {
+func (m *member) Broadcast(_, _ string, payload []byte) error {
 	m.fleet.mu.Lock()
 	m.fleet.sent = append(m.fleet.sent, payload)
 	m.fleet.mu.Unlock()
@@ -119,10 +119,11 @@
 			late := time.Duration(m.fleet.rng.IntN(400)) * time.Millisecond
 			m.fleet.mu.Unlock()
 			if peer := m.other(strconv.Itoa(i)); peer != nil && peer != m {
-				time.AfterFunc(late, func() { peer.Received(payload, m.id) })
+				time.AfterFunc(late, func() { peer.Received(payload) })
 			}
 		}
 	}
+	return nil
 }
 
 func (m *member) Some(n int) []string {
--- a/bundle/stateful_test.go
+++ b/bundle/stateful_test.go
@@ -125,13 +125,13 @@
 	case "heal":
 		m.set(func(m *member) { m.cut = false })
 	case "forge":
-		m.Received(r.forge(s.Arg), r.nodes[s.Arg].id)
+		m.Received(r.forge(s.Arg))
 	case "replay":
 		r.mu.Lock()
 		sent := r.sent
 		r.mu.Unlock()
 		if len(sent) > 0 {
-			m.Received(sent[s.Arg%len(sent)], "nobody")
+			m.Received(sent[s.Arg%len(sent)])
 		}
 	case "lie":
 		m.Seen(uint64(s.Arg)<<40, r.nodes[s.Arg].id)
--- a/bundle/targets.go
+++ b/bundle/targets.go
@@ -32,7 +32,6 @@
 // with the release read there.
 type target struct {
 	peer      string
-	sender    string // of the broadcast that told of the version, for anyPeer
 	version   uint64
 	release   *Release
 	tries     int
@@ -61,7 +60,7 @@
 	case ok && known.version >= found.version:
 		return
 	case ok:
-		known.version, known.release, known.sender = found.version, found.release, found.sender
+		known.version, known.release = found.version, found.release
 		if found.release != nil {
 			known.tries, known.notBefore = 0, time.Time{}
 		}
--- a/transport/peerrpc/bundle_wire_test.go
+++ b/transport/peerrpc/bundle_wire_test.go
@@ -28,10 +28,11 @@
 
 func (n *wireNode) Some(int) []string { return n.ask }
 
-func (n *wireNode) Broadcast(_, _ string, payload []byte) {
+func (n *wireNode) Broadcast(_, _ string, payload []byte) error {
 	if n.next != nil {
-		n.next.Received(payload, n.addr)
+		n.next.Received(payload)
 	}
+	return nil
 }
 
 func startWireNode(t *testing.T, storeURL string, trust bundle.Trust, onDuty bool, ask ...string) *wireNode {
