--- a/node/control.go
+++ b/node/control.go
@@ -69,7 +69,9 @@
 		Broadcast: c.membership, Duty: c.duty,
 		Peers: fleetPeers{n.fleet, self.ID}, Client: peerrpc.NewBundleClient(c.peers),
 	})
-	c.membership.Handle(bundle.Topic, func(_ instance.ID, payload []byte) { c.distributor.Received(payload) })
+	c.membership.Handle(bundle.Topic, func(_ instance.ID, payload []byte) {
+		c.distributor.Received(payload)
+	})
 	messages := peerrpc.NewIdempotencyPeers(c.peers)
 	c.keeper = idempotency.NewKeeper(idempotency.Identity{ID: string(self.ID), Incarnation: self.Incarnation}, held, messages)
 	c.keys = idempotency.NewClient(c.keeper, held, messages)
