Test the loss of a whole data centre

Cause: the hour of retention was tested with a cut only. Change: the test also kills all members of a data centre and starts them again; the messenger closes idle connections before the servers do. Conclusion: both ways are covered.

--- a/datacentre/membership_test.go
+++ b/datacentre/membership_test.go
@@ -209,24 +209,50 @@
 	})
 }
 
-// Guards against the loss of the members of a data centre that is only unreachable, and against
-// members that stay for ever.
+// Guards against the loss of the members of a data centre that is only unreachable, against
+// members that stay for ever, and against others that declare a whole data centre failed.
 func TestUnreachableDataCentreIsKeptForAnHour(t *testing.T) {
-	inBubble(t, func(n *network) {
-		members := n.fill(3, centres(3, 1)...)
-		n.mu.Lock()
-		n.cut = func(a, b *member) bool { return (a.home.Name == "dc0") != (b.home.Name == "dc0") }
-		n.mu.Unlock()
-		held := func() int { return len(members[8].fleet.DataCentre("dc0")) }
-		time.Sleep(59 * time.Minute)
-		assert.Equal(t, held(), 3)
-		time.Sleep(2 * time.Minute)
-		assert.Equal(t, held(), 0)
-		n.mu.Lock()
-		n.cut = func(_, _ *member) bool { return false }
-		n.mu.Unlock()
-		t.Logf("back after %s", n.agreeWithin(30*time.Second))
-	})
+	for name, c := range map[string]struct {
+		away, back func(n *network, lost []*member)
+	}{
+		"cut off": {
+			func(n *network, _ []*member) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.cut = func(a, b *member) bool { return (a.home.Name == "dc0") != (b.home.Name == "dc0") }
+			},
+			func(n *network, _ []*member) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.cut = func(_, _ *member) bool { return false }
+			},
+		},
+		"lost": {
+			loseRack,
+			func(n *network, lost []*member) {
+				n.seeds = []string{"dc1-node-0:7000"}
+				for _, m := range lost {
+					n.start(m.config.Self, nil)
+				}
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(n *network) {
+				members := n.fill(3, centres(3, 1)...)
+				before := declaredFailed.Get()
+				c.away(n, members[:3])
+				held := func() int { return len(members[8].fleet.DataCentre("dc0")) }
+				time.Sleep(59 * time.Minute)
+				assert.Equal(t, held(), 3)
+				time.Sleep(2 * time.Minute)
+				assert.Equal(t, held(), 0)
+				assert.Equal(t, declaredFailed.Get()-before, uint64(0))
+				c.back(n, members[:3])
+				t.Logf("back after %s", n.agreeWithin(30*time.Second))
+			})
+		})
+	}
 }
 
 // Guards against members that do not find each other, with the store and without it, and against
--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -18,8 +18,9 @@
 
 const (
 	memberDialTimeout = time.Second
-	// memberIdleTimeout is longer than the time in which a node with 8 fingers syncs with each of them.
-	memberIdleTimeout = 2 * time.Minute
+	// memberIdleTimeout is longer than the 16 s in which a node with 9 fingers syncs with each of them,
+	// and shorter than that of the servers.
+	memberIdleTimeout = 90 * time.Second
 	memberIdlePeer    = 2
 	// memberReadLimit bounds one message. The largest are 64 broadcasts of 16 KiB or 8,192 records.
 	memberReadLimit = 2 << 20
