--- a/idempotency/change.go
+++ b/idempotency/change.go
@@ -97,7 +97,7 @@
 		return "", turn
 	case g.replaceable(now):
 		return "", turn
-	case settled >= vacancyDelay && len(g.fill(now, g.record.Members, nil)) > len(g.record.Members):
+	case settled >= vacancyDelay && len(worthwhile(g.record.Members, g.fill(now, g.record.Members, nil))) > len(g.record.Members):
 		return "", turn
 	}
 	if m, ok := misplaced(g.record, g.candidates(now)); ok && settled >= placementDelay {
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"bytes"
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -22,7 +24,10 @@
 	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
-var downloadBytes = flag.Int64("download-bytes", 64<<20, "size of the answer in TestDownloadMemory")
+var (
+	downloadBytes = flag.Int64("download-bytes", 64<<20, "size of the answer in TestDownloadMemory")
+	gcPercent     = flag.Int("gc-percent", settings.DefaultGCPercent, "GC percent of the benchmarks")
+)
 
 const (
 	callRate   = 344 // calls/s that arrive at one node at the target scale
@@ -76,8 +81,17 @@
 }
 
 func (b bench) call(tb testing.TB, url string) time.Duration {
+	return b.send(tb, http.MethodGet, url, nil)
+}
+
+func (b bench) send(tb testing.TB, method, url string, body []byte) time.Duration {
+	request, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
+	if err != nil {
+		tb.Error(err)
+		return 0
+	}
 	began := time.Now()
-	response, err := b.client.Get(url)
+	response, err := b.client.Do(request)
 	if err != nil {
 		tb.Error(err)
 		return 0
@@ -101,7 +115,7 @@
 // BenchmarkPaced measures the added time of one call at the target rate of one node. A call direct,
 // one over the short cut and one over both hops take turns, each at the full rate.
 func BenchmarkPaced(b *testing.B) {
-	defer debug.SetGCPercent(debug.SetGCPercent(settings.DefaultGCPercent))
+	defer debug.SetGCPercent(debug.SetGCPercent(*gcPercent))
 	set := newBench(b)
 	urls := [3]string{set.direct, set.home, set.entry}
 	var histograms [3]*hdrhistogram.Histogram
@@ -134,9 +148,18 @@
 // pause. Allocations are those of the whole process, caller and upstream included; the direct call
 // gives the part that is not the product's.
 func BenchmarkClosedLoop(b *testing.B) {
-	defer debug.SetGCPercent(debug.SetGCPercent(settings.DefaultGCPercent))
+	defer debug.SetGCPercent(debug.SetGCPercent(*gcPercent))
 	set := newBench(b)
-	for _, c := range []struct{ name, url string }{{"direct", set.direct}, {"home", set.home}, {"entry", set.entry}} {
+	for _, c := range []struct {
+		name, method, url string
+		body              []byte
+	}{
+		{"direct", http.MethodGet, set.direct, nil},
+		{"home", http.MethodGet, set.home, nil},
+		{"entry", http.MethodGet, set.entry, nil},
+		{"direct-post", http.MethodPost, set.direct, make([]byte, 1<<10)},
+		{"entry-post", http.MethodPost, set.entry, make([]byte, 1<<10)},
+	} {
 		b.Run(c.name, func(b *testing.B) {
 			set.call(b, c.url)
 			histogram := newHistogram()
@@ -147,7 +170,7 @@
 			for loop := range loops {
 				wait.Go(func() {
 					for i := loop; i < b.N; i += loops {
-						took := set.call(b, c.url)
+						took := set.send(b, c.method, c.url, c.body)
 						lock.Lock()
 						_ = histogram.RecordValue(took.Microseconds())
 						lock.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 // entry returns the handler of callers' requests with what stands behind it.
 func (n *Node) entry() *callerhttp.Handler {
 	dispatcher := &Dispatcher{
-		Links: link.NewTable(n.fleet), Bundles: n.Bundles, Budgets: caller.NewBudgets(),
+		Links: link.NewTable(n.fleet, link.At(n.Settings.DataCentre)), Bundles: n.Bundles, Budgets: caller.NewBudgets(),
 		Forward: &ShortCut{Home: n.home, Remote: n.remote},
 		Prober:  link.NewProber(peerrpc.NewProbePeers(n.control.peers)),
 	}
@@ -251,5 +251,16 @@
 	return ""
 }
 
-// WriteMetrics implements localhttp.State.
-func (n *Node) WriteMetrics(w io.Writer) { metrics.Write(w) }
+// WriteMetrics implements localhttp.State. Counters are those of the process; what follows them is of
+// this node.
+func (n *Node) WriteMetrics(w io.Writer) {
+	metrics.Write(w)
+	counts := make(map[instance.State]int)
+	for _, r := range n.fleet.Select(func(instance.Record) bool { return true }) {
+		counts[r.State]++
+	}
+	for state := instance.Unannounced; state.Valid(); state++ {
+		fmt.Fprintf(w, "magnoliawharf_instances{state=%q} %d\n", state, counts[state])
+	}
+	fmt.Fprintf(w, "magnoliawharf_bundle_version %d\n", versionOf(n.Bundles))
+}
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -25,7 +25,10 @@
 }
 
 // Server is the http.Handler of forwarded requests.
-type Server struct{ Home Home }
+type Server struct {
+	Home  Home
+	pacer link.Pacer
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -36,6 +39,7 @@
 		transport.WriteRefusal(w, refusal)
 		return
 	}
+	w.Header().Set(transport.HeaderRequestID, c.id)
 	received := time.Now()
 	deadline := received.Add(c.timeLeft)
 	controller := http.NewResponseController(w)
@@ -50,7 +54,6 @@
 		return
 	}
 	s.report(w, received)
-	w.Header().Set(transport.HeaderRequestID, c.id)
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -74,9 +77,12 @@
 }
 
 // report adds the report with the time that the request has spent at this node, from which the entry
-// node learns the time on the network.
+// node learns the time on the network. Most answers of a busy upstream carry none.
 func (s *Server) report(w http.ResponseWriter, received time.Time) {
 	report := s.Home.Report()
+	if !s.pacer.Due(time.Now(), report) {
+		return
+	}
 	report.Took = time.Since(received)
 	w.Header().Set(headerReport, encodeReport(report))
 }
