Let calls carry the bundle versions both ways, and bound short messages

Cause: only control messages told a node of a newer bundle; a peer could hold a control request or a local request open without end; served calls were not counted.

Change: a forward names its sender, and its answer carries the version in force at the home node; the node that lags fetches from the other. Control messages and the local listener have 10 s to read and write. Counters for calls and answers.

Conclusion: a node partitioned from membership learns of a version by its first call.

--- a/node/control.go
+++ b/node/control.go
@@ -76,10 +76,10 @@
 	c.keeper = idempotency.NewKeeper(idempotency.Identity{ID: string(self.ID), Incarnation: self.Incarnation}, held, messages)
 	c.keys = idempotency.NewClient(c.keeper, held, messages)
 	c.feed = &KeeperFeed{Self: self.ID, Fleet: n.fleet, Bundles: n.Bundles, Keeper: c.keeper}
-	routes.Handle(peerrpc.NewMembershipHandler(c.membership))
-	routes.Handle(peerrpc.NewBundleHandler(c.distributor))
-	routes.Handle(peerrpc.NewProbeHandler(NewMeasurement(n.home)))
-	routes.Handle(peerrpc.NewIdempotencyHandler(c.keeper))
+	routes.HandleControl(peerrpc.NewMembershipHandler(c.membership))
+	routes.HandleControl(peerrpc.NewBundleHandler(c.distributor))
+	routes.HandleControl(peerrpc.NewProbeHandler(NewMeasurement(n.home)))
+	routes.HandleControl(peerrpc.NewIdempotencyHandler(c.keeper))
 	return c, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,8 @@
 		n.Bundles = bundle.NewInForce()
 	}
 	n.fleet = instance.NewFleet()
-	n.remote, n.upstream = peerhttp.NewClient(), upstreamhttp.NewClient()
+	n.remote = peerhttp.NewClient(instance.ID(n.Settings.ID), n.versionSeen)
+	n.upstream = upstreamhttp.NewClient()
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -65,7 +66,9 @@
 		Bundles: n.Bundles, Upstream: beside, Client: n.upstream,
 	}
 	routes := &httpserver.Routes{}
-	routes.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{Home: n.home})
+	routes.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{
+		Home: n.home, Version: func() uint64 { return versionOf(n.Bundles) }, Seen: n.versionSeen,
+	})
 	var err error
 	if n.control, err = newControl(n, routes); err != nil {
 		return err
@@ -77,6 +80,13 @@
 	return nil
 }
 
+// versionSeen fetches the bundle of a node that has a newer one.
+func (n *Node) versionSeen(version uint64, peer instance.ID) {
+	if version > versionOf(n.Bundles) {
+		n.control.versionSeen(version, peer)
+	}
+}
+
 // listen binds the listeners.
 func (n *Node) listen() (err error) {
 	for _, l := range []struct {
@@ -88,7 +98,7 @@
 		{&n.peers, "peers", n.Settings.Listen.Peers, httpserver.PeerHeaderBytes},
 		{&n.local, "local", n.Settings.Listen.Local, httpserver.CallerHeaderBytes},
 	} {
-		*l.server, err = httpserver.Listen(httpserver.Options{Name: l.name, Addr: l.addr, MaxHeaderBytes: l.header, Log: n.Log})
+		*l.server, err = httpserver.Listen(httpserver.Options{Name: l.name, Addr: l.addr, MaxHeaderBytes: l.header, Log: n.Log, Short: l.name == "local"})
 		if err != nil {
 			return fmt.Errorf("listener %s: %w; choose another listen.%s", l.name, err, l.name)
 		}
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -60,7 +60,7 @@
 	for _, record := range records {
 		fleet.Merge(record)
 	}
-	dispatcher := &node.Dispatcher{Links: link.NewTable(fleet), Forward: peerhttp.NewClient()}
+	dispatcher := &node.Dispatcher{Links: link.NewTable(fleet), Forward: peerhttp.NewClient("entry", nil)}
 	entry := httptest.NewServer(&callerhttp.Handler{Bundles: bundles, Dispatcher: dispatcher})
 	t.Cleanup(entry.Close)
 	return entry.URL
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -31,6 +31,11 @@
 	Dispatch(ctx context.Context, req *caller.Request) (*caller.Answer, error)
 }
 
+var (
+	callsTotal   = metrics.Counter("magnoliawharf_calls_total")
+	answersTotal = metrics.Counter("magnoliawharf_answers_total")
+)
+
 // Handler is the http.Handler of the callers' listener.
 type Handler struct {
 	Bundles    *bundle.InForce
@@ -39,6 +44,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	callsTotal.Inc()
 	req, refusal := h.accept(w, r)
 	if refusal != nil {
 		refuse(w, refusal)
@@ -58,6 +64,7 @@
 		metrics.Refusal(caller.BodyCut)
 		panic(http.ErrAbortHandler)
 	}
+	answersTotal.Inc()
 }
 
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request) (*caller.Request, *caller.Refusal) {
--- a/transport/httpserver/routes.go
+++ b/transport/httpserver/routes.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
@@ -27,6 +28,18 @@
 	slices.SortFunc(r.entries, func(a, b entry) int { return len(b.prefix) - len(a.prefix) })
 }
 
+// HandleControl adds the handler of control messages for paths that begin with prefix. They are short,
+// so that a peer that sends or reads slowly is cut off.
+func (r *Routes) HandleControl(prefix string, handler http.Handler) {
+	r.Handle(prefix, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		controller := http.NewResponseController(w)
+		limit := time.Now().Add(controlTimeout)
+		_ = controller.SetReadDeadline(limit)
+		_ = controller.SetWriteDeadline(limit)
+		handler.ServeHTTP(w, request)
+	}))
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Routes) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	for i := range r.entries {
--- a/transport/httpserver/server.go
+++ b/transport/httpserver/server.go
@@ -17,6 +17,8 @@
 	// idleTimeout is longer than the idle timeouts of the project's own clients, so that the client
 	// closes an idle connection first and no request meets a closed one.
 	idleTimeout = 120 * time.Second
+	// controlTimeout bounds the reading and writing of a short message.
+	controlTimeout = 10 * time.Second
 	// CallerHeaderBytes bounds the header of a caller's request.
 	CallerHeaderBytes = 32 << 10
 	// PeerHeaderBytes leaves room for the metadata that a node adds to a caller's header.
@@ -28,6 +30,7 @@
 	Name           string // name in logs and errors
 	Addr           string // host:port; port 0 takes a free port
 	MaxHeaderBytes int
+	Short          bool // requests and answers are short: each must be read and written within 10 s
 	Log            *slog.Logger
 }
 
@@ -49,12 +52,16 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	handler := &closing{}
-	return &Server{name: o.Name, listener: listener, closing: handler, server: &http.Server{
+	server := &http.Server{
 		Handler: handler, Protocols: protocols,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: o.MaxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(o.Log.With("listener", o.Name).Handler(), slog.LevelDebug),
-	}}, nil
+	}
+	if o.Short {
+		server.ReadTimeout, server.WriteTimeout = controlTimeout, controlTimeout
+	}
+	return &Server{name: o.Name, listener: listener, closing: handler, server: server}, nil
 }
 
 // Handle sets the handler of all requests.
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -24,11 +24,18 @@
 )
 
 // Client forwards requests to other nodes.
-type Client struct{ out *transport.Outbound }
+type Client struct {
+	self instance.ID
+	seen VersionSeen
+	out  *transport.Outbound
+}
+
+// VersionSeen is told of the bundle version that another node has in force. It must not block.
+type VersionSeen func(version uint64, peer instance.ID)
 
-// NewClient returns a client with its own connection pool.
-func NewClient() *Client {
-	return &Client{out: transport.NewOutbound(transport.Pool{
+// NewClient returns a client of the node self with its own connection pool. seen may be nil.
+func NewClient(self instance.ID, seen VersionSeen) *Client {
+	return &Client{self: self, seen: seen, out: transport.NewOutbound(transport.Pool{
 		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerHost: idleConnections, HeaderBytes: maxAnswerHeader,
 	})}
 }
@@ -48,7 +55,7 @@
 	if req.Deadline.Sub(now) <= hopMargin {
 		return nil, nil, caller.Refuse(caller.DeadlinePassed, forwardStep, peer)
 	}
-	out.Header.Set(headerCall, encodeCall(req, target.Incarnation, now))
+	out.Header.Set(headerCall, encodeCall(req, c.self, target.Incarnation, now))
 	response, sent, err := c.out.RoundTrip(ctx, out)
 	if err != nil {
 		failure := transport.Failure{
@@ -56,6 +63,9 @@
 		}
 		return nil, nil, failure.RefusalOf(ctx, req, err)
 	}
+	if version, err := strconv.ParseUint(response.Header.Get(transport.HeaderVersion), 10, 64); err == nil && c.seen != nil {
+		c.seen(version, target.ID)
+	}
 	return c.answer(req, response, peer)
 }
 
--- a/transport/peerhttp/client_test.go
+++ b/transport/peerhttp/client_test.go
@@ -108,7 +108,7 @@
 			if c.cancel {
 				time.AfterFunc(50*time.Millisecond, cancel)
 			}
-			answer, _, err := peerhttp.NewClient().Forward(ctx, req, instance.Record{ID: "peer", PeerAddr: addr})
+			answer, _, err := peerhttp.NewClient("self", nil).Forward(ctx, req, instance.Record{ID: "peer", PeerAddr: addr})
 			assert.Assert(t, answer == nil)
 			var refusal *caller.Refusal
 			assert.Assert(t, errors.As(err, &refusal), "%v", err)
@@ -138,7 +138,7 @@
 	for name, respond := range cases {
 		t.Run(name, func(t *testing.T) {
 			req := newRequest(caller.NewBody(nil, 0))
-			answer, _, err := peerhttp.NewClient().Forward(context.Background(), req, instance.Record{ID: "peer", PeerAddr: rawPeer(t, respond)})
+			answer, _, err := peerhttp.NewClient("self", nil).Forward(context.Background(), req, instance.Record{ID: "peer", PeerAddr: rawPeer(t, respond)})
 			assert.NilError(t, err)
 			defer answer.Body.Close()
 			_, err = io.ReadAll(answer.Body)
@@ -150,7 +150,7 @@
 // Guards against a malformed report that spoils a good answer.
 func TestMalformedReportIsIgnored(t *testing.T) {
 	addr := rawPeer(t, answerWith("200 OK\nMagnoliawharf-Request-Id: id-1\nMagnoliawharf-Report: s=99&n=-1\nContent-Length: 2", "ok"))
-	answer, report, err := peerhttp.NewClient().Forward(context.Background(), newRequest(caller.NewBody(nil, 0)), instance.Record{ID: "peer", PeerAddr: addr})
+	answer, report, err := peerhttp.NewClient("self", nil).Forward(context.Background(), newRequest(caller.NewBody(nil, 0)), instance.Record{ID: "peer", PeerAddr: addr})
 	assert.NilError(t, err)
 	defer answer.Body.Close()
 	assert.Assert(t, report == nil)
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,7 +27,10 @@
 
 // Server is the http.Handler of forwarded requests.
 type Server struct {
-	Home  Home
+	Home    Home
+	Version func() uint64 // bundle version in force, told with each answer; nil tells none
+	Seen    VersionSeen   // told of the version that each request carries; may be nil
+
 	pacer link.Pacer
 }
 
@@ -40,6 +44,7 @@
 		return
 	}
 	w.Header().Set(transport.HeaderRequestID, c.id)
+	s.exchangeVersions(w, c)
 	received := time.Now()
 	deadline := received.Add(c.timeLeft)
 	controller := http.NewResponseController(w)
@@ -59,6 +64,17 @@
 	}
 }
 
+// exchangeVersions tells both nodes of the bundle version of the other, so that the one that lags
+// fetches the newer one.
+func (s *Server) exchangeVersions(w http.ResponseWriter, c call) {
+	if s.Version != nil {
+		w.Header().Set(transport.HeaderVersion, strconv.FormatUint(s.Version(), 10))
+	}
+	if s.Seen != nil {
+		s.Seen(c.bundleVersion, c.from)
+	}
+}
+
 func requestOf(r *http.Request, c call, deadline time.Time) *caller.Request {
 	return &caller.Request{
 		ID: c.id, Service: c.service, Route: c.route, Class: c.class, Key: c.key,
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -36,6 +36,7 @@
 // need not agree.
 type call struct {
 	id, service, route, class, key string
+	from                           instance.ID // node that forwards
 	fingerprint                    uint64
 	timeLeft                       time.Duration
 	attempt, depth                 int
@@ -46,15 +47,15 @@
 // callFields is the number of fields of a call, the version included.
 const (
 	callVersion = "1"
-	callFields  = 12
+	callFields  = 13
 )
 
 // encodeCall returns the fields joined by '&', texts escaped. Positions instead of names keep it short
 // and cheap to read.
-func encodeCall(req *caller.Request, incarnation uint64, now time.Time) string {
+func encodeCall(req *caller.Request, from instance.ID, incarnation uint64, now time.Time) string {
 	out := make([]byte, 0, maxFieldLength)
 	out = append(out, callVersion...)
-	for _, text := range [...]string{req.ID, req.Service, req.Route, req.Class, req.Key} {
+	for _, text := range [...]string{req.ID, req.Service, req.Route, req.Class, req.Key, string(from)} {
 		out = append(out, '&')
 		out = append(out, url.QueryEscape(text)...)
 	}
@@ -83,13 +84,13 @@
 	var r callReader
 	c := call{
 		id: r.text(fields[1], 1), service: r.text(fields[2], 1), route: r.text(fields[3], 1), class: r.text(fields[4], 1),
-		key:           r.text(fields[5], 0),
-		fingerprint:   r.number(fields[6], 16, ^uint64(0)),
-		timeLeft:      time.Duration(r.number(fields[7], 10, uint64(maxTimeout.Microseconds()))) * time.Microsecond,
-		attempt:       int(r.number(fields[8], 10, maxAttempts)),
-		depth:         int(r.number(fields[9], 10, caller.MaxDepth)),
-		bundleVersion: r.number(fields[10], 10, ^uint64(0)),
-		incarnation:   r.number(fields[11], 10, ^uint64(0)),
+		key: r.text(fields[5], 0), from: instance.ID(r.text(fields[6], 1)),
+		fingerprint:   r.number(fields[7], 16, ^uint64(0)),
+		timeLeft:      time.Duration(r.number(fields[8], 10, uint64(maxTimeout.Microseconds()))) * time.Microsecond,
+		attempt:       int(r.number(fields[9], 10, maxAttempts)),
+		depth:         int(r.number(fields[10], 10, caller.MaxDepth)),
+		bundleVersion: r.number(fields[11], 10, ^uint64(0)),
+		incarnation:   r.number(fields[12], 10, ^uint64(0)),
 	}
 	return c, r.err
 }
--- a/transport/peerhttp/wire_test.go
+++ b/transport/peerhttp/wire_test.go
@@ -17,14 +17,14 @@
 	text := encodeCall(&caller.Request{
 		ID: "id 1", Service: "ledger", Route: "a&b", Class: "short", Key: "k=1&2", Fingerprint: 1 << 63,
 		Deadline: now.Add(time.Second), Attempt: 2, Depth: 3, BundleVersion: 9,
-	}, 77, now)
+	}, "n 1", 77, now)
 	got, err := decodeCall(text)
 	assert.NilError(t, err)
 	assert.Equal(t, got, call{
-		id: "id 1", service: "ledger", route: "a&b", class: "short", key: "k=1&2", fingerprint: 1 << 63,
+		id: "id 1", service: "ledger", route: "a&b", class: "short", key: "k=1&2", from: "n 1", fingerprint: 1 << 63,
 		timeLeft: time.Second - hopMargin, attempt: 2, depth: 3, bundleVersion: 9, incarnation: 77,
 	})
-	const valid = "1&id&sv&rt&cl&&0&1000&1&0&1&7"
+	const valid = "1&id&sv&rt&cl&&n1&0&1000&1&0&1&7"
 	_, err = decodeCall(valid)
 	assert.NilError(t, err)
 	for name, changed := range map[string]string{
@@ -33,6 +33,7 @@
 		"field missing":    strings.TrimSuffix(valid, "&7"),
 		"field too many":   valid + "&8",
 		"no service":       strings.Replace(valid, "&sv&", "&&", 1),
+		"no sender":        strings.Replace(valid, "&n1&", "&&", 1),
 		"long service":     strings.Replace(valid, "&sv&", "&"+strings.Repeat("s", 300)+"&", 1),
 		"bad escape":       strings.Replace(valid, "&sv&", "&%zz&", 1),
 		"deadline passed":  strings.Replace(valid, "&1000&", "&-1&", 1),
