--- a/idempotency/orphan.go
+++ b/idempotency/orphan.go
@@ -34,6 +34,7 @@
 	revision int64
 	read     bool // the record has been read at least once
 	reading  bool
+	stopping bool
 	nextRead time.Duration
 	lastRead time.Duration
 	marked   int64 // revision of the own mark, 0: none
@@ -70,14 +71,15 @@
 	switch in := in.(type) {
 	case Tick:
 		return o.tick(now)
+	case StopAsked:
+		o.stopping, o.nextRead = true, never
 	case PeersChanged:
 		o.peers = in.Peers
-		if o.read && o.orphaned() {
-			o.nextRead = min(o.nextRead, max(now.Mono, o.lastRead+readPause))
-		}
+		o.hurry(now)
 	case Told:
 		if o.record == nil || in.Record.Epoch > o.record.Epoch {
 			o.record, o.read = in.Record, true
+			o.hurry(now)
 		}
 	case RecordRead:
 		return o.recordRead(now, in)
@@ -88,11 +90,12 @@
 }
 
 func (o *Outsider) tick(now Instant) []Output {
-	if now.Mono < o.nextRead || o.reading {
+	if o.stopping || now.Mono < o.nextRead || o.reading {
 		return nil
 	}
 	turn := o.turn()
-	if turn < 0 || (o.read && o.record != nil && turn > 0 && !o.holdsMark()) {
+	vacant := o.record == nil || len(o.record.Members) == 0
+	if turn < 0 || (o.read && !vacant && turn > 0 && !o.holdsMark()) {
 		o.nextRead = now.Mono + o.config.Reread
 		return nil
 	}
@@ -101,10 +104,12 @@
 	return []Output{ReadRecord{}}
 }
 
-// turn ranks this node among the serving nodes outside the group; -1: not among them.
+// turn ranks this node among the serving nodes outside the group, in the region of a new group; -1:
+// not among them.
 func (o *Outsider) turn() int {
+	region := regionFor(o.service, o.peers)
 	ranked := slices.DeleteFunc(rank(o.service, o.peers), func(p Peer) bool {
-		if !p.Serves || p.Gone {
+		if !p.Serves || p.Gone || p.Region != region {
 			return true
 		}
 		if o.record == nil {
@@ -122,6 +127,13 @@
 	return o.record != nil && o.record.Mark != nil && o.record.Mark.By == o.self
 }
 
+// hurry brings the next read forward when the group looks orphaned.
+func (o *Outsider) hurry(now Instant) {
+	if o.read && !o.stopping && o.orphaned() {
+		o.nextRead = min(o.nextRead, max(now.Mono, o.lastRead+readPause))
+	}
+}
+
 // orphaned reports whether membership knows less than a majority of the group as present.
 func (o *Outsider) orphaned() bool {
 	if o.record == nil || len(o.record.Members) == 0 {
@@ -138,6 +150,9 @@
 
 func (o *Outsider) recordRead(now Instant, in RecordRead) []Output {
 	o.reading = false
+	if o.stopping {
+		return nil
+	}
 	if in.Failed {
 		o.nextRead = now.Mono + o.config.Reread/6
 		return nil
@@ -180,16 +195,17 @@
 	return o.markedAt + time.Duration(turn)*createTurn
 }
 
-// found returns the swap to a new group that keeps no member for its place.
+// found returns the swap to a new group of this node alone. It grows by nodes that agree to join.
 func (o *Outsider) found(ceilings map[string]int64) []Output {
-	region := regionFor(o.service, o.peers)
-	members := fill(o.service, region, nil, o.peers, nil)
-	if len(members) == 0 {
+	i := slices.IndexFunc(o.peers, func(p Peer) bool { return p.Identity == o.self })
+	if i < 0 {
 		return nil
 	}
-	record := &Record{Epoch: 1, Members: members, Nonce: uuid.NewString()}
+	region := o.peers[i].Region
+	members := []Member{{Identity: o.self, Addr: o.peers[i].Addr, DataCentre: o.peers[i].DataCentre}}
+	record := &Record{Epoch: 1, Members: members, Outage: o.config.StoreOutage.Milliseconds(), Nonce: uuid.NewString()}
 	if o.record != nil {
-		record = o.record.next(members, ceilings, uuid.NewString())
+		record = o.record.next(members, ceilings, o.config.StoreOutage)
 	}
 	record.Region = region
 	return []Output{SwapRecord{Record: record, Revision: o.revision}}
@@ -211,7 +227,7 @@
 	case o.marked != o.revision:
 		o.marked, o.markedAt = o.revision, now.Mono
 		return nil
-	case now.Mono-o.markedAt < withDrift(o.config.StoreOutage+markMargin):
+	case now.Mono-o.markedAt < withDrift(o.record.outage()+markMargin):
 		return nil
 	}
 	ceiling := now.Wall.Add(2*o.config.Margin + o.config.Tenure).UnixMilli()
@@ -227,6 +243,9 @@
 }
 
 func (o *Outsider) swapDone(now Instant, in SwapDone) []Output {
+	if o.stopping {
+		return nil
+	}
 	if !in.Swapped {
 		o.nextRead = min(o.nextRead, now.Mono+readPause)
 		return nil
--- a/node/home.go
+++ b/node/home.go
@@ -26,6 +26,7 @@
 	Bundles     *bundle.InForce
 	Upstream    *upstream.Upstream
 	Client      UpstreamClient
+	Crashes     *Crashes // nil: requests are not watched for crashes
 
 	inFlight inFlight
 }
@@ -48,8 +49,14 @@
 		release()
 		return nil, caller.Refuse(caller.NotReady, homeStep, h.ID)
 	}
+	if refusal := h.Crashes.check(req); refusal != nil {
+		release()
+		return nil, refusal
+	}
 	done := h.inFlight.begin()
+	began := time.Now()
 	answer, err := h.Client.Send(ctx, req, announced.Addr)
+	h.Crashes.sent(ctx, req, began, answer, err)
 	if err != nil {
 		release()
 		done()
