Fill a set of links before any call uses it

Cause: the second of two concurrent first calls of a service found the set before its links were read and was refused as no-upstream. Seen once in TestPlannedStop (1 of 15 runs).

Change: all first calls wait until the set has been filled once. The process tests show the counters of the nodes when they fail.

--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -46,6 +46,7 @@
 	for i := range 3 {
 		s.startUpstream(s.startNode(fmt.Sprintf("n%d", i+1), "kgl-a"))
 	}
+	t.Cleanup(s.logCounters) // runs before the processes are killed
 	s.roll(1, "testdata/bundle.toml")
 	for _, in := range s.instances {
 		s.awaitMembers(in, len(s.instances))
@@ -62,6 +63,20 @@
 	return s
 }
 
+// logCounters shows the counters of the nodes that still run, if the test has failed.
+func (s *system) logCounters() {
+	if !s.t.Failed() {
+		return
+	}
+	for _, in := range s.instances {
+		for line := range strings.Lines(get(in, "/metrics")) {
+			if strings.HasPrefix(line, "magnoliawharf_") && !strings.HasSuffix(line, " 0\n") {
+				s.t.Logf("%s: %s", in.id, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 func (s *system) path(name string) string { return filepath.Join(s.folder, name) }
 
 func (s *system) startStore(listen string) {
--- a/link/set.go
+++ b/link/set.go
@@ -48,6 +48,8 @@
 
 // Set is the links of one service. It is safe for concurrent use.
 type Set struct {
+	filled sync.Once // first read of the fleet
+
 	wayTo  func(dataCentre string) *Way
 	quota  quota
 	tail   quantile // latency of short requests over all links
--- a/link/table.go
+++ b/link/table.go
@@ -57,12 +57,13 @@
 	if len(t.changes) > 0 {
 		t.follow()
 	}
-	if set, ok := t.sets.Get(service); ok {
-		return set
+	set, ok := t.sets.Get(service)
+	if !ok {
+		set = t.sets.GetOrCreate(service, func() *Set { return newSet(t.Way) })
 	}
-	set := t.sets.GetOrCreate(service, func() *Set { return newSet(t.Way) })
-	// The fleet is read after the set can be found, so that no change falls between the two.
-	set.replace(time.Now(), t.fleet.Service(service))
+	// The fleet is read after the set can be found, so that no change falls between the two. Other
+	// first calls wait for it, since an empty set would refuse them as no-upstream.
+	set.filled.Do(func() { set.replace(time.Now(), t.fleet.Service(service)) })
 	return set
 }
 
