Show the quarantine in the demo and test it with processes

Cause: the quarantine was wired and had no test with upstreams that really end.

Change: the upstream stand-in names its process in announcements; the demo and a process test send a request that crashes each upstream until it is refused.

Conclusion: the third upstream stays up.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -15,6 +15,14 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
+const (
+	// demoCrashes bounds the sends of the request that crashes upstreams; the third is expected to be
+	// refused.
+	demoCrashes = 10
+	// demoCrashPause is longer than the restart of a crashed upstream.
+	demoCrashPause = 1500 * time.Millisecond
+)
+
 func newDemo() *cobra.Command {
 	var keep bool
 	var level string
@@ -62,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 4*demoWait)
 	defer cancel()
 	for _, step := range []func(context.Context) error{
-		d.rollFirst, d.plainCalls, d.atMostOnce, d.refusals, d.drain, d.rollSecond,
+		d.rollFirst, d.plainCalls, d.atMostOnce, d.refusals, d.crashes, d.drain, d.rollSecond,
 	} {
 		if err := step(ctx); err != nil {
 			return err
@@ -194,8 +202,6 @@
 			refused(caller.KeyMissing, caller.NotRun)},
 		{demoCall{Title: "unknown service", Method: http.MethodGet, Path: "/nothing"},
 			refused(caller.NoService, caller.NotRun)},
-		{demoCall{Title: "request that crashes its upstream", Method: http.MethodPost, Path: "/catalogue/notes?crash=1"},
-			refused(caller.UpstreamLost, caller.Unknown)},
 	} {
 		if _, err := d.call(ctx, 1, step.call, step.check); err != nil {
 			return err
@@ -204,6 +210,25 @@
 	return nil
 }
 
+// crashes sends a request that crashes each upstream that runs it until it is in quarantine.
+func (d *demo) crashes(ctx context.Context) error {
+	deadly := demoCall{Title: "request that crashes its upstream", Method: http.MethodPost, Path: "/catalogue/notes?crash=1"}
+	for range demoCrashes {
+		last, err := d.call(ctx, 1, deadly, func(c demoCall) bool { return c.Refusal != "" })
+		if err != nil {
+			return err
+		}
+		if last.Refusal == string(caller.Quarantined) {
+			return nil
+		}
+		deadly.Title = "sent again"
+		if !pause(ctx, demoCrashPause) {
+			return ctx.Err()
+		}
+	}
+	return errors.New("a request that crashes upstreams was not put into quarantine")
+}
+
 // drain stops one upstream as planned while it runs a request.
 func (d *demo) drain(ctx context.Context) error {
 	type result struct {
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -227,6 +227,33 @@
 	assert.Equal(t, r.version, "1", fmt.Sprint(r))
 }
 
+// Guards against a request that takes down one upstream after the other, and against a quarantine
+// that only some nodes know or that stops other requests.
+func TestCrashingRequest(t *testing.T) {
+	s := newSystem(t)
+	crashed := 0
+	last := result{}
+	for i := range 5 {
+		last = call(s.instances[i%len(s.instances)], http.MethodPost, "/catalogue/notes?crash=1", "")
+		if last.refusal == "quarantined" {
+			break
+		}
+		crashed++
+		assert.Equal(t, last.refusal, "upstream-lost", last)
+		assert.Equal(t, last.ran, "unknown", last)
+		time.Sleep(4 * time.Second) // the announcement of the crashed process lapses after 1.5 s
+	}
+	assert.Equal(t, last.refusal, "quarantined", last)
+	assert.Equal(t, last.ran, "not-run", last)
+	assert.Equal(t, crashed, 2)
+	for _, in := range s.instances {
+		r := call(in, http.MethodPost, "/catalogue/notes?crash=1", "")
+		assert.Equal(t, r.refusal, "quarantined", "%s: %v", in.id, r)
+		r = call(in, http.MethodPost, "/catalogue/notes", "")
+		assert.Equal(t, r.status, http.StatusOK, "%s: %v", in.id, r)
+	}
+}
+
 // Guards against a demo that fails or prints what is not JSON.
 func TestDemo(t *testing.T) {
 	out, err := exec.Command(binary, "demo", "--output", "json").Output()
--- a/standin/backend/announce.go
+++ b/standin/backend/announce.go
@@ -57,7 +57,7 @@
 	load := b.inUse
 	body, err := json.Marshal(upstreamhttp.Announcement{
 		Service: b.options.Service, Address: b.addr, State: b.state(),
-		Slots: b.options.Slots, TTLMilliseconds: int(b.options.TTL.Milliseconds()), Load: &load,
+		Slots: b.options.Slots, TTLMilliseconds: int(b.options.TTL.Milliseconds()), Load: &load, Process: b.process,
 	})
 	return body, err == nil
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // Defaults of Options.
@@ -63,6 +65,7 @@
 	draining bool
 	closed   bool
 	coldTill time.Time
+	process  string // new after each crash, as a new process would be
 
 	wake chan struct{} // asks for an announcement at once
 	done chan struct{} // closed by Close
@@ -122,6 +125,7 @@
 	}
 	b.addr = listener.Addr().String()
 	b.coldTill = time.Now().Add(b.options.Cold)
+	b.process = uuid.NewString()
 	server := &http.Server{Handler: b.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
 	b.server = server
 	b.wait.Go(func() { _ = server.Serve(listener) })
