--- a/idempotency/orphan.go
+++ b/idempotency/orphan.go
@@ -34,10 +34,13 @@
 	revision int64
 	read     bool // the record has been read at least once
 	reading  bool
+	unsure   bool // a write of this node may have taken effect unheard
 	stopping bool
 	nextRead time.Duration
 	lastRead time.Duration
-	marked   int64 // revision of the own mark, 0: none
+	invited  time.Duration // monotonic time at which other nodes were asked to join, 0: not asked
+	willing  map[Identity]bool
+	marked   int64 // revision of the mark under observation, 0: none
 	markedAt time.Duration
 }
 
@@ -76,6 +79,10 @@
 	case PeersChanged:
 		o.peers = in.Peers
 		o.hurry(now)
+	case JoinAnswered:
+		if o.willing != nil {
+			o.willing[in.From] = true
+		}
 	case Told:
 		if o.record == nil || in.Record.Epoch > o.record.Epoch {
 			o.record, o.read = in.Record, true
@@ -95,7 +102,7 @@
 	}
 	turn := o.turn()
 	vacant := o.record == nil || len(o.record.Members) == 0
-	if turn < 0 || (o.read && !vacant && turn > 0 && !o.holdsMark()) {
+	if turn < 0 || (o.read && !vacant && turn > 0 && !o.holdsMark() && !o.unsure) {
 		o.nextRead = now.Mono + o.config.Reread
 		return nil
 	}
@@ -160,7 +167,7 @@
 	if in.Record != nil && o.record != nil && in.Record.Epoch < o.record.Epoch {
 		return nil
 	}
-	o.read, o.record, o.revision = true, in.Record, in.Revision
+	o.read, o.record, o.revision, o.unsure = true, in.Record, in.Revision, false
 	turn := o.turn()
 	switch {
 	case turn < 0:
@@ -182,7 +189,7 @@
 		o.nextRead = due
 		return nil
 	}
-	return o.found(nil)
+	return o.found(now, nil)
 }
 
 func (o *Outsider) createDue(now Instant, turn int) time.Duration {
@@ -195,35 +202,45 @@
 	return o.markedAt + time.Duration(turn)*createTurn
 }
 
-// found returns the swap to a new group of this node alone. It grows by nodes that agree to join.
-func (o *Outsider) found(ceilings map[string]int64) []Output {
+// found returns the swap to a new group of this node and those that agreed to join. It asks them
+// first, and goes on with the next read.
+func (o *Outsider) found(now Instant, ceilings map[string]int64) []Output {
 	i := slices.IndexFunc(o.peers, func(p Peer) bool { return p.Identity == o.self })
 	if i < 0 {
 		return nil
 	}
-	region := o.peers[i].Region
-	members := []Member{{Identity: o.self, Addr: o.peers[i].Addr, DataCentre: o.peers[i].DataCentre}}
+	self := o.peers[i]
+	own := []Member{{Identity: o.self, Addr: self.Addr, DataCentre: self.DataCentre}}
+	if o.invited == 0 || now.Mono-o.invited > willingFor {
+		o.invited, o.willing = now.Mono, map[Identity]bool{}
+		o.nextRead = now.Mono + sealGrace
+		var out []Output
+		for _, m := range fill(o.service, self.Region, own, o.peers, nil)[1:] {
+			out = append(out, AskJoin{To: m, Request: JoinRequest{Service: o.service, To: m.Identity}})
+		}
+		return out
+	}
+	willing := slices.DeleteFunc(slices.Clone(o.peers), func(p Peer) bool { return !o.willing[p.Identity] })
+	members := worthwhile(own, fill(o.service, self.Region, own, willing, nil))
+	o.invited = 0
 	record := &Record{Epoch: 1, Members: members, Outage: o.config.StoreOutage.Milliseconds(), Nonce: uuid.NewString()}
 	if o.record != nil {
 		record = o.record.next(members, ceilings, o.config.StoreOutage)
 	}
-	record.Region = region
+	record.Region = self.Region
 	return []Output{SwapRecord{Record: record, Revision: o.revision}}
 }
 
-// mark claims an orphaned group, or replaces it when the own mark has stood long enough. A member
-// that read the record after the mark was written has seen it and does not count that read as a
-// confirmation; one that has not stopped granting by then, since its last confirmation is older
+// mark claims an orphaned group, or replaces it when a mark has stood long enough, whoever wrote it.
+// A member that read the record after the mark was written has seen it and does not count that read
+// as a confirmation; one that has not stopped granting by then, since its last confirmation is older
 // than the store outage.
 func (o *Outsider) mark(now Instant) []Output {
-	held := o.record.Mark
 	switch {
-	case held == nil || (held.By != o.self && !o.present(held.By)):
+	case o.record.Mark == nil:
 		o.marked = 0
 		marked := o.record.withMark(&Mark{By: o.self, Nonce: uuid.NewString()})
 		return []Output{SwapRecord{Record: marked, Revision: o.revision}}
-	case held.By != o.self:
-		return nil
 	case o.marked != o.revision:
 		o.marked, o.markedAt = o.revision, now.Mono
 		return nil
@@ -235,11 +252,7 @@
 	for _, m := range o.record.Members {
 		ceilings[m.ID] = ceiling
 	}
-	return o.found(ceilings)
-}
-
-func (o *Outsider) present(id Identity) bool {
-	return slices.ContainsFunc(o.peers, func(p Peer) bool { return p.Identity == id && !p.Gone })
+	return o.found(now, ceilings)
 }
 
 func (o *Outsider) swapDone(now Instant, in SwapDone) []Output {
@@ -247,6 +260,7 @@
 		return nil
 	}
 	if !in.Swapped {
+		o.unsure = true // it may have taken effect
 		o.nextRead = min(o.nextRead, now.Mono+readPause)
 		return nil
 	}
