Prefer the node's own upstream

A node took its own upstream for half a millisecond away, the start value of its data centre, while the learned way to another node was shorter: in TestKilledNode of e2e all reads at n1 went to n2. The links to the own instance now have a way of their own of zero, which does not make the rest of the data centre look as near.

TestOwnUpstreamIsPreferred fails without the option.

--- a/link/route_test.go
+++ b/link/route_test.go
@@ -268,3 +268,19 @@
 		_, _ = table.Set("s").Choose(time.Now(), link.Short, none)
 	}
 }
+
+// Guards against a node that sends requests over the network while its own upstream has room.
+func TestOwnUpstreamIsPreferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _ := fleetOf(map[string]int{"a": 4})
+		table := link.NewTable(fleet, link.At("a"), link.Beside("a2"))
+		counts := send(table, 300, 10*time.Millisecond, func(id instance.ID) response {
+			answer := ok(5 * time.Millisecond)
+			if id == "a2" {
+				answer.report.Took = 0
+			}
+			return answer
+		})
+		assert.Assert(t, counts["a2"] > 290, "%d of 300", counts["a2"])
+	})
+}
--- a/link/set.go
+++ b/link/set.go
@@ -50,7 +50,7 @@
 type Set struct {
 	filled sync.Once // first read of the fleet
 
-	wayTo  func(dataCentre string) *Way
+	wayTo  func(instance.Record) *Way
 	quota  quota
 	tail   quantile // latency of short requests over all links
 	middle quantile
@@ -77,7 +77,7 @@
 	links []*Link
 }
 
-func newSet(wayTo func(string) *Way) *Set {
+func newSet(wayTo func(instance.Record) *Way) *Set {
 	s := &Set{wayTo: wayTo, probes: NewProbeBudget(time.Now(), 0), links: make(map[instance.ID]*Link)}
 	s.tail.share, s.middle.share = tailShare, middleShare
 	s.view.Store(&view{})
@@ -160,7 +160,7 @@
 		return
 	}
 	s.remove(record.ID)
-	s.links[record.ID] = newLink(s, s.wayTo(record.DataCentre), record, now)
+	s.links[record.ID] = newLink(s, s.wayTo(record), record, now)
 }
 
 func (s *Set) remove(id instance.ID) {
@@ -243,7 +243,7 @@
 			return trial, nil
 		}
 		if found > 0 {
-			wanted = 1
+			wanted = max(1, near-c.count)
 			if c.count > near {
 				i += rand.IntN(max(1, len(v.groups)-i-1))
 				wanted = min(wanted, maxCandidates-c.count)
--- a/link/table.go
+++ b/link/table.go
@@ -15,11 +15,13 @@
 
 // Table holds the links of a node by service. It follows the changes of the fleet.
 type Table struct {
-	fleet *instance.Fleet
-	here  string
-	known map[string]time.Duration
-	sets  *shard.Map[string, *Set]
-	ways  *shard.Map[string, *Way]
+	fleet  *instance.Fleet
+	here   string
+	own    instance.ID
+	ownWay *Way
+	known  map[string]time.Duration
+	sets   *shard.Map[string, *Set]
+	ways   *shard.Map[string, *Way]
 
 	changes <-chan instance.Record
 	mu      sync.Mutex // taken by the one call that brings the sets up to date
@@ -32,6 +34,9 @@
 // measured.
 func At(dataCentre string) Option { return func(t *Table) { t.here = dataCentre } }
 
+// Beside names this node's own instance, to which no network leads.
+func Beside(id instance.ID) Option { return func(t *Table) { t.own = id } }
+
 // WithRoundTrips gives the network round trips by data centre from the settings. They are the
 // start values of what is learned.
 func WithRoundTrips(known map[string]time.Duration) Option {
@@ -41,9 +46,9 @@
 // NewTable returns a table of links to the instances of the fleet.
 func NewTable(fleet *instance.Fleet, options ...Option) *Table {
 	t := &Table{
-		fleet: fleet,
-		sets:  shard.NewString[string, *Set](setShards),
-		ways:  shard.NewString[string, *Way](wayShards),
+		fleet: fleet, ownWay: newWay(0),
+		sets: shard.NewString[string, *Set](setShards),
+		ways: shard.NewString[string, *Way](wayShards),
 	}
 	for _, option := range options {
 		option(t)
@@ -59,7 +64,7 @@
 	}
 	set, ok := t.sets.Get(service)
 	if !ok {
-		set = t.sets.GetOrCreate(service, func() *Set { return newSet(t.Way) })
+		set = t.sets.GetOrCreate(service, func() *Set { return newSet(t.wayTo) })
 	}
 	// The fleet is read after the set can be found, so that no change falls between the two. Other
 	// first calls wait for it, since an empty set would refuse them as no-upstream.
@@ -67,6 +72,15 @@
 	return set
 }
 
+// wayTo returns the way to an instance. The own one is a way of its own, since it would make the
+// others in the data centre look as near.
+func (t *Table) wayTo(r instance.Record) *Way {
+	if r.ID == t.own {
+		return t.ownWay
+	}
+	return t.Way(r.DataCentre)
+}
+
 // Way returns the learned network round trip to a data centre.
 func (t *Table) Way(dataCentre string) *Way {
 	return t.ways.GetOrCreate(dataCentre, func() *Way {
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 // entry returns the handler of callers' requests with what stands behind it.
 func (n *Node) entry() *callerhttp.Handler {
 	dispatcher := &Dispatcher{
-		Links: link.NewTable(n.fleet, link.At(n.Settings.DataCentre)), Bundles: n.Bundles, Budgets: caller.NewBudgets(),
+		Links: link.NewTable(n.fleet, link.At(n.Settings.DataCentre), link.Beside(instance.ID(n.Settings.ID))), Bundles: n.Bundles, Budgets: caller.NewBudgets(),
 		Forward: &ShortCut{Home: n.home, Remote: n.remote},
 		Prober:  link.NewProber(peerrpc.NewProbePeers(n.control.peers)),
 	}
