--- a/idempotency/choose.go
+++ b/idempotency/choose.go
@@ -72,6 +72,15 @@
 	return members
 }
 
+// worthwhile returns the grown group, or the present one when growth would only make it two: either
+// loss closes a group of two, and only one of them a group of one.
+func worthwhile(present, grown []Member) []Member {
+	if len(present) == 1 && len(grown) == 2 {
+		return present
+	}
+	return grown
+}
+
 func holdsID(members []Member, id string) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id })
 }
