Add runnable examples of the parts that others embed

Cause: the coordination parts had no example, so an embedder had to read tests in the same package to learn the order of the calls.

--- /dev/null
+++ b/quarantine/example_test.go
@@ -0,0 +1,25 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
+)
+
+// A fingerprint that was in flight at the crashes of two upstream processes is refused.
+func ExampleList() {
+	suspects := quarantine.NewList(nil) // nil: the notices stay in this process
+	now := time.Now()
+	const content quarantine.Fingerprint = 42
+	for _, crash := range []quarantine.Crash{1, 2} {
+		suspects.Report(now, crash, []quarantine.Fingerprint{content})
+		fmt.Println(suspects.Quarantined(now, content))
+	}
+	ruling, retryAfter := suspects.Admit(now, content)
+	fmt.Println(ruling == quarantine.Refuse, retryAfter)
+	// Output:
+	// false
+	// true
+	// true 5m0s
+}
