Complete doc comments where a stranger lacks units, errors or lifecycles

Cause: go doc left open the units of incarnations, slots and rates, the errors of Choose, Broadcast, Admit, Receiver, Provision, Validate and Run, and what an implementation of Messenger, Peers, Broadcaster, PeerClient, ProbeSender or Spreader must do. Three comments were wrong: ErrNotReplayable named a method Rewind that does not exist, Report claimed to ride on every answer, and Buffer did not say that it panics when the length is unknown. Change: comments only; the code without comments is the same as before, compared file by file.

--- a/bundle/distributor.go
+++ b/bundle/distributor.go
@@ -14,19 +14,21 @@
 // Topic is the topic under which releases are broadcast.
 const Topic = "bundle"
 
-// Broadcaster passes a payload on to the other nodes. Payloads with an id seen before are dropped.
+// Broadcaster passes a payload of at most MaxRelease bytes on to the other nodes. Payloads with an id
+// seen before are dropped. An error says that nothing was sent. datacentre.Membership implements it.
 type Broadcaster interface {
 	Broadcast(topic, id string, payload []byte) error
 }
 
 // Peers names up to n other nodes that may have a bundle, in random order and preferably in the same
-// data centre.
+// data centre. A name is passed to PeerClient as it is.
 type Peers interface {
 	Some(n int) []string
 }
 
 // PeerClient reads from another node. Manifest fails when the peer has another version in force;
-// Parts may return fewer parts than asked for.
+// Parts may return fewer parts than asked for. An error may be of any type; the Distributor then may
+// try again, with another peer when it may choose one.
 type PeerClient interface {
 	Release(ctx context.Context, peer string) (*Release, error)
 	Manifest(ctx context.Context, peer string, version uint64) (Manifest, error)
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -6,7 +6,7 @@
 // it; a Read error other than io.EOF means that the answer is incomplete and must not be passed on
 // as whole.
 type Answer struct {
-	Status   int
+	Status   int                 // HTTP status code
 	Header   map[string][]string // end-to-end header fields; canonical names
 	Body     io.ReadCloser
 	Length   int64  // bytes of Body, or -1 when unknown
--- a/caller/body.go
+++ b/caller/body.go
@@ -10,7 +10,8 @@
 // ReplayLimit is the number of body bytes kept so that a request can be sent to another upstream.
 const ReplayLimit = 64 << 10
 
-// ErrNotReplayable is returned by Rewind when more than ReplayLimit bytes were read.
+// ErrNotReplayable is returned by Attempt after more than ReplayLimit bytes were read, and by Buffer
+// for a longer body.
 var ErrNotReplayable = errors.New("request body is larger than the replay buffer")
 
 // Body is the streamed body of a request. It keeps the first ReplayLimit bytes, so that an attempt
@@ -47,8 +48,10 @@
 	return &attemptBody{body: b}, nil
 }
 
-// Buffer reads the whole body into the kept bytes and returns them. It is meant for short bodies of
-// known length; a longer one than ReplayLimit is ErrNotReplayable.
+// Buffer reads the whole body into the kept bytes and returns them. It is called before the first
+// Attempt. The length must be known: Buffer panics when Length is -1. A longer body than ReplayLimit
+// is ErrNotReplayable; other errors are those of the source, or
+// io.ErrUnexpectedEOF when it ends early.
 func (b *Body) Buffer() ([]byte, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/datacentre/broadcast.go
+++ b/datacentre/broadcast.go
@@ -46,7 +46,8 @@
 
 // Broadcast sends the payload to all nodes. Each node handles one (topic, id) once, including this
 // one if another node sent it before; the sender's own handler is not called. Delivery is not
-// certain: a node that cannot be reached for more than a second misses it.
+// certain: a node that cannot be reached for more than a second misses it. The error is ErrTooLarge,
+// or ErrInvalid for an empty or too long topic or id; nothing is sent then.
 func (m *Membership) Broadcast(topic, id string, payload []byte) error {
 	if len(payload) > MaxPayload {
 		return ErrTooLarge.New("broadcast %s of %d bytes", topic, len(payload))
--- a/datacentre/membership.go
+++ b/datacentre/membership.go
@@ -88,7 +88,8 @@
 	return m
 }
 
-// Run joins the fleet and takes part in it until ctx ends. It returns after its goroutines ended.
+// Run joins the fleet and takes part in it until ctx ends. It returns nil after its goroutines
+// ended. It is called once.
 func (m *Membership) Run(ctx context.Context) error {
 	m.workers.open(ctx)
 	defer m.workers.close()
--- a/datacentre/message.go
+++ b/datacentre/message.go
@@ -7,8 +7,10 @@
 	"github.com/magnoliawharf/magnoliawharf/instance"
 )
 
-// Messenger sends messages to other nodes, named by the address of their peer listener. An error
-// says that no usable response came; the receiver may have taken the message all the same.
+// Messenger sends messages to other nodes, named by the address (host:port) of their peer listener.
+// Each method calls the method of the Receiver there with the prefix Receive, and returns when the
+// response came or ctx ended. An error of any type says that no usable response came; the receiver
+// may have taken the message all the same. It is used by many goroutines.
 type Messenger interface {
 	Sync(ctx context.Context, addr string, req SyncRequest) (SyncResponse, error)
 	Push(ctx context.Context, addr string, req PushRequest) (PushResponse, error)
@@ -18,7 +20,8 @@
 }
 
 // Receiver takes the messages of other nodes. Membership implements it; an adapter calls it. An
-// error says that the message was refused.
+// error says that the message was refused: ErrInvalid for a value out of bounds, ErrUnreachable when
+// this node has not joined yet or doesn't know the node that the message is about.
 type Receiver interface {
 	ReceiveSync(ctx context.Context, req SyncRequest) (SyncResponse, error)
 	ReceivePush(ctx context.Context, req PushRequest) (PushResponse, error)
@@ -30,9 +33,9 @@
 // Sender identifies the sender of a message and the versions it holds.
 type Sender struct {
 	ID            instance.ID
-	Incarnation   uint64
+	Incarnation   uint64 // start time in ns since the Unix epoch
 	StateVersion  uint64
-	BundleVersion uint64
+	BundleVersion uint64 // 0 before there is a bundle
 }
 
 // Contact is the time since the last known contact with a data centre.
@@ -56,8 +59,8 @@
 }
 
 // SyncResponse holds the digests of the receiver when the roots differ, and the Contacts that are
-// later than those asked for. Newer is its record of the
-// sender when that is newer than the sender's own; Behind says that it holds none or an older one.
+// later than those asked for. Newer is its record of the sender when that is newer than the sender's
+// own; Behind says that it holds none or an older one.
 type SyncResponse struct {
 	Sender   Sender
 	Root     uint64
--- a/idempotency/message.go
+++ b/idempotency/message.go
@@ -92,7 +92,9 @@
 	Tell    *Record
 }
 
-// Peers sends messages to other members. Every error leaves open whether the message arrived.
+// Peers sends messages to other members. Each method calls the method of the same name of the Keeper
+// there (HandOver calls TakeOver) and returns when its reply came or ctx ended. An error may be of any
+// type and leaves open whether the message arrived. It is used by many goroutines.
 type Peers interface {
 	Claim(ctx context.Context, to Member, r ClaimRequest) (ClaimReply, error)
 	Settle(ctx context.Context, to Member, r SettleRequest) (SettleReply, error)
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -21,7 +21,7 @@
 
 // Answer is the stored answer of a key that ran.
 type Answer struct {
-	Status   int
+	Status   int // HTTP status code
 	Header   map[string][]string
 	Body     []byte
 	Upstream string
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -207,8 +207,9 @@
 	})
 }
 
-// Subscribe returns a channel of changed records and a function that ends the subscription. A
-// subscriber that lags by more than the buffer misses changes and must re-read the fleet.
+// Subscribe returns a channel of changed records and a function that ends the subscription. The
+// function leaves the channel open, so a reader must also wait for something else to end. A
+// subscriber that lags by more than the channel's capacity misses changes and must re-read the fleet.
 func (f *Fleet) Subscribe() (<-chan Record, func()) {
 	ch := make(chan Record, subscriberBuffer)
 	f.mu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -45,15 +45,15 @@
 // grows with each change of state within one incarnation.
 type Record struct {
 	ID           ID
-	Incarnation  uint64
+	Incarnation  uint64 // start time in ns since the Unix epoch
 	DataCentre   string
 	Region       string
 	CallerAddr   string // host:port of the callers' listener
 	PeerAddr     string // host:port of the nodes' listener
 	Service      string // service of the upstream beside the node, "" before it announces
 	State        State
-	Slots        int // requests the upstream runs at the same time
-	StateVersion uint64
+	Slots        int    // requests the upstream runs at the same time
+	StateVersion uint64 // grows with each change within one incarnation
 }
 
 // Newer reports whether r replaces other: a higher incarnation, or the same incarnation with a
--- a/link/probe.go
+++ b/link/probe.go
@@ -69,13 +69,15 @@
 	return true
 }
 
-// ProbeSender asks the node beside an upstream for a report.
+// ProbeSender asks the node beside an upstream for a report. The error is ErrProbeBudget when the
+// budget of the upstream is used up; any other says that no report came.
 type ProbeSender interface {
 	Probe(ctx context.Context, target instance.Record) (Report, error)
 }
 
 // Prober sends probes over links that get no requests and so no reports, while their service has
-// traffic. It is driven by the calls of the service and never works on its own.
+// traffic. It is driven by the calls of the service and never works on its own. Each probe runs in a
+// goroutine that ends by itself within 100 ms. It is safe for concurrent use.
 type Prober struct {
 	sender ProbeSender
 	slots  chan struct{}
--- a/link/report.go
+++ b/link/report.go
@@ -7,7 +7,8 @@
 	"github.com/magnoliawharf/magnoliawharf/instance"
 )
 
-// Report is what the node beside an upstream says of it. It rides on every answer.
+// Report is what the node beside an upstream says of it. It rides on answers and refusals, as often
+// as a Pacer allows.
 type Report struct {
 	State      instance.State
 	Slots      int           // requests the upstream may run at the same time now
--- a/link/set.go
+++ b/link/set.go
@@ -227,7 +227,8 @@
 
 func (c *candidates) has(l *Link) bool { return slices.Contains(c.links[:c.count], l) }
 
-// Choose returns a link for a request, leaving out the instances for which exclude reports true. It
+// Choose returns a link for a request, leaving out the instances for which exclude reports true;
+// exclude must not be nil. The error is ErrNoUpstream. It
 // compares a few random links: most of them in the nearest data centre, one in the next and one in
 // any of the others, so that work spills over when queueing here costs more than the way there.
 func (s *Set) Choose(now time.Time, kind Kind, exclude func(instance.ID) bool) (*Link, error) {
--- a/link/table.go
+++ b/link/table.go
@@ -13,7 +13,8 @@
 	wayShards = 8
 )
 
-// Table holds the links of a node by service. It follows the changes of the fleet.
+// Table holds the links of a node by service. It follows the changes of the fleet, without a
+// goroutine and for as long as the fleet lives: it has no end of its own. It is safe for concurrent use.
 type Table struct {
 	fleet *instance.Fleet
 	here  string
--- a/node/home.go
+++ b/node/home.go
@@ -22,7 +22,7 @@
 // Home is the node beside an upstream: it admits requests to it.
 type Home struct {
 	ID          string
-	Incarnation uint64
+	Incarnation uint64 // start time in ns since the Unix epoch
 	Bundles     *bundle.InForce
 	Upstream    *upstream.Upstream
 	Client      UpstreamClient
--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,8 @@
 }
 
 // Provision builds the node and binds its listeners. It serves nothing yet. Cleanup must follow,
-// also after an error.
+// also after an error. The error is that of a listener, or of a trusted key (bundle.ErrNoKey,
+// bundle.ErrKeyFile).
 func (n *Node) Provision() error {
 	if n.Log == nil {
 		n.Log = slog.New(slog.DiscardHandler)
@@ -145,7 +146,8 @@
 	return bound.Addr()
 }
 
-// Validate checks that the node can be reached under what it advertises.
+// Validate checks the settings, and that the node can be reached under what it advertises. It is
+// called after Provision. The error holds a *settings.Error for each fault.
 func (n *Node) Validate() error {
 	if err := settings.Check("settings", n.Settings); err != nil {
 		return err
@@ -161,7 +163,8 @@
 }
 
 // Run serves until ctx ends and then stops gracefully: no request in flight is cut off unless the
-// stop takes longer than the settings allow.
+// stop takes longer than the settings allow. It returns nil after a graceful stop, else the error of
+// a listener, of a stop that took too long, or of another instance that was started under the same ID.
 func (n *Node) Run(ctx context.Context) error {
 	failed := make(chan error, 3)
 	for _, server := range n.servers() {
@@ -217,7 +220,7 @@
 	return []*httpserver.Server{n.callers, n.peers, n.local}
 }
 
-// Cleanup closes what Provision opened.
+// Cleanup closes what Provision opened, after Run has returned. The error joins those of the listeners.
 func (n *Node) Cleanup() error {
 	var err error
 	for _, server := range n.servers() {
@@ -236,6 +239,7 @@
 }
 
 // Announce takes what the upstream beside the node says of itself, for upstreams in the same process.
+// It is repeated within the announcement's time to live.
 func (n *Node) Announce(now time.Time, a upstream.Announcement) { n.self.Announce(now, a) }
 
 // Fleet returns what the node knows of all instances.
@@ -250,7 +254,7 @@
 // LocalAddr returns the bound address of the local listener.
 func (n *Node) LocalAddr() string { return n.local.Addr() }
 
-// NotReady implements localhttp.State.
+// NotReady returns why the node is not ready, "" when it is. It implements localhttp.State.
 func (n *Node) NotReady() string {
 	if n.stopping.Load() {
 		return "the node is stopping"
--- a/node/protect.go
+++ b/node/protect.go
@@ -24,7 +24,7 @@
 	Dispatch(ctx context.Context, req *caller.Request) (*caller.Answer, error)
 }
 
-// KeyClient claims and settles idempotency keys at their owner.
+// KeyClient claims and settles idempotency keys at their owner. idempotency.Client implements it.
 type KeyClient interface {
 	Claim(ctx context.Context, service string, key idempotency.Key, attempt idempotency.Attempt, deadline time.Time) (idempotency.Verdict, *idempotency.Answer)
 	Settle(service string, key idempotency.Key, attempt idempotency.Attempt, outcome idempotency.Outcome, answer *idempotency.Answer) bool
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -75,7 +75,7 @@
 		len(n.Crashes) <= MaxNoticeCrashes && (n.Kind != Crashed || len(n.Crashes) == 1)
 }
 
-// Spreader tells all other nodes. It does not block.
+// Spreader tells all other nodes. It does not block, and a notice that can't be sent is lost.
 type Spreader interface{ Spread(n Notice) }
 
 // Ruling says what is to happen to a request.
--- a/store/client.go
+++ b/store/client.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// DefaultRate and DefaultBurst bound the calls of one node. 3,200 nodes share about 2,000 reads
+	// DefaultRate, in calls a second, and DefaultBurst, in calls, bound the calls of one node. 3,200 nodes share about 2,000 reads
 	// and several hundred writes a second, and only border nodes and keepers call regularly.
 	DefaultRate  = 5
 	DefaultBurst = 20
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -19,11 +19,11 @@
 
 // Ticket is what admission needs to know of a request.
 type Ticket struct {
-	ID          string
-	Class       bundle.Class
-	Rules       Rules
-	Deadline    time.Time
-	Fingerprint uint64
+	ID          string       // of the request
+	Class       bundle.Class // class of the contract
+	Rules       Rules        // those of the last ticket hold for all requests
+	Deadline    time.Time    // end of the call; a request that can't meet it is refused
+	Fingerprint uint64       // as caller.Request
 }
 
 // lease is one slot held by a request.
@@ -37,7 +37,9 @@
 }
 
 // Admit waits for a slot and returns the function that gives it back; calls after the first have no
-// effect. The error is a *caller.Refusal that says not-run.
+// effect. It waits until the deadline of the ticket, the longest wait of its class or the end of ctx.
+// The error is a *caller.Refusal that says not-run, with the reason NotReady, Draining, ColdUpstream,
+// QueueFull, DeadlineUnmeetable, DeadlinePassed, Overload or Cancelled.
 func (u *Upstream) Admit(ctx context.Context, t Ticket) (func(), error) {
 	w, refusal := u.enter(time.Now(), t)
 	if refusal != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -22,9 +22,9 @@
 	Service    string
 	Addr       string // host:port at which the upstream serves HTTP
 	State      instance.State
-	Slots      int
-	TimeToLive time.Duration
-	Process    string // names the process of the upstream, "" when it does not say
+	Slots      int           // requests that the upstream runs at the same time
+	TimeToLive time.Duration // more than MaxTimeToLive counts as MaxTimeToLive
+	Process    string        // names the process of the upstream, "" when it does not say
 }
 
 // Upstream is the upstream beside this node. It is safe for concurrent use.
