Limit the connections of callers, test the depth of calls end to end

Cause: a flood of callers' connections could use up the file descriptors that a node needs for its upstream and its peers; the depth limit was tested at one hop only.

Change: limits.max_connections (default 10000); further connections wait in the accept queue. A chain of six calls is served and the seventh refused.

--- a/node/node.go
+++ b/node/node.go
@@ -92,17 +92,23 @@
 // listen binds the listeners.
 func (n *Node) listen() (err error) {
 	for _, l := range []struct {
-		server     **httpserver.Server
-		name, addr string
-		header     int
+		server  **httpserver.Server
+		options httpserver.Options
 	}{
-		{&n.callers, "callers", n.Settings.Listen.Callers, httpserver.CallerHeaderBytes},
-		{&n.peers, "peers", n.Settings.Listen.Peers, httpserver.PeerHeaderBytes},
-		{&n.local, "local", n.Settings.Listen.Local, httpserver.CallerHeaderBytes},
+		{&n.callers, httpserver.Options{
+			Name: "callers", Addr: n.Settings.Listen.Callers, MaxHeaderBytes: httpserver.CallerHeaderBytes,
+			MaxConnections: n.Settings.Limits.MaxConnections,
+		}},
+		{&n.peers, httpserver.Options{
+			Name: "peers", Addr: n.Settings.Listen.Peers, MaxHeaderBytes: httpserver.PeerHeaderBytes,
+		}},
+		{&n.local, httpserver.Options{
+			Name: "local", Addr: n.Settings.Listen.Local, MaxHeaderBytes: httpserver.CallerHeaderBytes, Short: true,
+		}},
 	} {
-		*l.server, err = httpserver.Listen(httpserver.Options{Name: l.name, Addr: l.addr, MaxHeaderBytes: l.header, Log: n.Log, Short: l.name == "local"})
-		if err != nil {
-			return fmt.Errorf("listener %s: %w; choose another listen.%s", l.name, err, l.name)
+		l.options.Log = n.Log
+		if *l.server, err = httpserver.Listen(l.options); err != nil {
+			return fmt.Errorf("listener %s: %w; choose another listen.%s", l.options.Name, err, l.options.Name)
 		}
 	}
 	return nil
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -300,3 +301,19 @@
 		assert.Equal(t, err == nil, whole, "%s: %d bytes, %v", path, read, err)
 	}
 }
+
+// Guards against a chain of calls that loses its depth at an upstream: six calls below one another
+// are served and the seventh is refused.
+func TestDepthOfCalls(t *testing.T) {
+	n := startNode(t, &node.Node{Settings: testSettings(t, "n1"), Bundles: testBundle()})
+	startBackend(t, backend.Options{Service: "catalogue", Node: n.LocalAddr(), Callers: n.CallerAddr()})
+	awaitState(t, n.Fleet(), "n1", instance.Ready)
+	path := "/catalogue/leaf"
+	for depth := 1; depth <= caller.MaxDepth+1; depth++ {
+		response, body := get(t, "http://"+n.CallerAddr()+path)
+		assert.Equal(t, response.StatusCode, http.StatusOK, body)
+		assert.Equal(t, strings.Count(body, `"run"`), min(depth, caller.MaxDepth), body)
+		assert.Equal(t, strings.Contains(body, string(caller.DepthExceeded)), depth > caller.MaxDepth, body)
+		path = "/catalogue/above?call=" + url.QueryEscape(path)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,7 @@
 	DefaultStopTimeout    = 30 * time.Second
 	DefaultDrainNotice    = 3 * time.Second
 	DefaultMaxRequestBody = 1 << 30 // bytes
+	DefaultMaxConnections = 10_000
 )
 
 // Settings are the settings of one node. The field comments are the settings reference; the names
@@ -74,6 +75,9 @@
 type Limits struct {
 	// MaxRequestBody is the largest request body, such as "64MiB". Default 1GiB.
 	MaxRequestBody Size `toml:"max_request_body" validate:"min=1024"`
+	// MaxConnections is the number of connections of callers that are served at the same time.
+	// Further ones wait to be accepted. Default 10000.
+	MaxConnections int `toml:"max_connections" validate:"min=1,max=1000000"`
 }
 
 // Runtime holds the settings of the process.
@@ -94,7 +98,7 @@
 // Default returns the settings with the defaults of the optional ones.
 func Default() Settings {
 	return Settings{
-		Limits: Limits{MaxRequestBody: DefaultMaxRequestBody},
+		Limits: Limits{MaxRequestBody: DefaultMaxRequestBody, MaxConnections: DefaultMaxConnections},
 		Runtime: Runtime{
 			GCPercent: DefaultGCPercent, MemoryLimit: DefaultMemoryLimit, LogLevel: "info",
 			StopTimeout: Duration(DefaultStopTimeout), DrainNotice: Duration(DefaultDrainNotice),
--- a/transport/httpserver/server.go
+++ b/transport/httpserver/server.go
@@ -30,6 +30,7 @@
 	Name           string // name in logs and errors
 	Addr           string // host:port; port 0 takes a free port
 	MaxHeaderBytes int
+	MaxConnections int  // connections served at the same time; 0 sets no limit
 	Short          bool // requests and answers are short: each must be read and written within 10 s
 	Log            *slog.Logger
 }
@@ -48,6 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.MaxConnections > 0 {
+		listener = limitConnections(listener, o.MaxConnections)
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
