--- a/link/probe.go
+++ b/link/probe.go
@@ -13,6 +13,9 @@
 const (
 	// probeTimeout bounds one probe; a report that comes later says little.
 	probeTimeout = 100 * time.Millisecond
+	// lookInterval is the least time between two searches for a link to probe. A search looks at all
+	// links of the service, which no call may do each time.
+	lookInterval = 100 * time.Millisecond
 	// maxProbes bounds the probes under way from one node.
 	maxProbes = 16
 )
@@ -26,6 +29,7 @@
 	mu       sync.Mutex
 	interval time.Duration
 	next     time.Time
+	lookedAt time.Time // last search for a link to probe
 }
 
 // NewProbeBudget returns a budget of perSecond pieces of work. A rate of 0 allows none.
@@ -124,16 +128,21 @@
 	l.Take(now, report)
 }
 
-// probeDue reports whether the budget may have a probe, without taking it.
+// probeDue reports whether it is time to look for a link to probe: the budget may have a probe, and
+// no call has looked within lookInterval.
 func (s *Set) probeDue(now time.Time, perSecond float64) bool {
 	s.probes.SetRate(now, perSecond)
 	s.probes.mu.Lock()
 	defer s.probes.mu.Unlock()
-	return !now.Before(s.probes.next)
+	if now.Before(s.probes.next) || now.Sub(s.probes.lookedAt) < lookInterval {
+		return false
+	}
+	s.probes.lookedAt = now
+	return true
 }
 
 // stalest returns the link with the oldest report among those for which a probe is worth its cost,
-// nil when there is none. It looks at all links, but only as often as the budget allows a probe.
+// nil when there is none. It looks at all links, but only once in lookInterval.
 func (s *Set) stalest(now time.Time) *Link {
 	var found *Link
 	oldest := s.policy().ReportMaxAge
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -114,3 +114,12 @@
 		assert.Equal(t, len(h.sent), 0)
 	})
 }
+
+// Guards against a search of all links on each call while no link is worth a probe.
+func BenchmarkRefreshWithoutWork(b *testing.B) {
+	_, table := fleetOf(map[string]int{"a": 1000})
+	prober, contract, set := link.NewProber(nil), &bundle.Contract{ProbePerSecond: 100}, table.Set("s")
+	for b.Loop() {
+		prober.Refresh(time.Now(), set, contract)
+	}
+}
