Read the links of a service from the fleet once a minute

The fleet does not publish the removal of members of a data centre that it has not heard of for an hour, so their links stayed, ejected, for the life of the node, and counted in the share that may be ejected. Records are read under the lock of the set, so that a change that arrives meanwhile is not undone.

TestRemovedInstanceIsForgotten fails without the interval.

--- a/link/route_test.go
+++ b/link/route_test.go
@@ -284,3 +284,14 @@
 		assert.Assert(t, counts["a2"] > 290, "%d of 300", counts["a2"])
 	})
 }
+
+// Guards against links to instances that the fleet removed without a change of state.
+func TestRemovedInstanceIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, table := fleetOf(map[string]int{"a": 4})
+		assert.Equal(t, table.Set("s").Len(), 4)
+		fleet.Remove("a0")
+		time.Sleep(61 * time.Second)
+		assert.Equal(t, table.Set("s").Len(), 3)
+	})
+}
--- a/link/set.go
+++ b/link/set.go
@@ -59,6 +59,7 @@
 	mu    sync.Mutex // guards links and the building of view
 	links map[instance.ID]*Link
 
+	readAt atomic.Int64 // time of the last replace, ns
 	view   atomic.Pointer[view]
 	rules  atomic.Pointer[Policy]
 	others atomic.Uint64 // float64 bits: average load per slot that other nodes cause
@@ -116,10 +117,13 @@
 	return all
 }
 
-// replace makes the set hold exactly the records.
-func (s *Set) replace(now time.Time, records []instance.Record) {
+// replace makes the set hold exactly the records that read returns. They are read under the lock, so
+// that no change of the fleet that apply brings meanwhile is undone.
+func (s *Set) replace(now time.Time, read func() []instance.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.readAt.Store(now.UnixNano())
+	records := read()
 	kept := make(map[instance.ID]struct{}, len(records))
 	for _, record := range records {
 		kept[record.ID] = struct{}{}
--- a/link/table.go
+++ b/link/table.go
@@ -11,6 +11,9 @@
 const (
 	setShards = 16
 	wayShards = 8
+	// readInterval is how often a set is read from the fleet although no change was published. The
+	// fleet does not publish the removal of members that it has not heard of for long.
+	readInterval = time.Minute
 )
 
 // Table holds the links of a node by service. It follows the changes of the fleet.
@@ -68,10 +71,18 @@
 	}
 	// The fleet is read after the set can be found, so that no change falls between the two. Other
 	// first calls wait for it, since an empty set would refuse them as no-upstream.
-	set.filled.Do(func() { set.replace(time.Now(), t.fleet.Service(service)) })
+	now := time.Now()
+	set.filled.Do(func() { t.read(set, service, now) })
+	if last := set.readAt.Load(); now.UnixNano()-last > int64(readInterval) && set.readAt.CompareAndSwap(last, now.UnixNano()) {
+		t.read(set, service, now)
+	}
 	return set
 }
 
+func (t *Table) read(set *Set, service string, now time.Time) {
+	set.replace(now, func() []instance.Record { return t.fleet.Service(service) })
+}
+
 // wayTo returns the way to an instance. The own one is a way of its own, since it would make the
 // others in the data centre look as near.
 func (t *Table) wayTo(r instance.Record) *Way {
@@ -114,7 +125,7 @@
 		return
 	}
 	t.sets.Range(func(service string, set *Set) bool {
-		set.replace(now, t.fleet.Service(service))
+		t.read(set, service, now)
 		return true
 	})
 }
