Use bundle.DutySwitch for the duty of border nodes

Cause: node/duty.go repeated the switch of package bundle. Change: borderDuty embeds the switch and only follows the fleet. Conclusion: one piece of code for the change of duty.

--- a/node/duty.go
+++ b/node/duty.go
@@ -2,51 +2,21 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 
+	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/datacentre"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 )
 
 // borderDuty is the duty of border nodes to watch the store. It follows the fleet.
 type borderDuty struct {
+	*bundle.DutySwitch
 	membership *datacentre.Membership
-
-	mu      sync.Mutex
-	onDuty  bool
-	changed chan struct{}
 }
 
 // newBorderDuty returns the duty of this node as the membership sees it now.
 func newBorderDuty(membership *datacentre.Membership) *borderDuty {
-	return &borderDuty{membership: membership, onDuty: membership.IsBorder(), changed: make(chan struct{})}
-}
-
-// OnDuty implements bundle.Duty.
-func (d *borderDuty) OnDuty() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.onDuty
-}
-
-// Changed implements bundle.Duty.
-func (d *borderDuty) Changed() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.changed
-}
-
-// check takes over what the membership says now.
-func (d *borderDuty) check() {
-	now := d.membership.IsBorder()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now == d.onDuty {
-		return
-	}
-	d.onDuty = now
-	close(d.changed)
-	d.changed = make(chan struct{})
+	return &borderDuty{DutySwitch: bundle.NewDutySwitch(membership.IsBorder()), membership: membership}
 }
 
 // follow checks at each change of the fleet until done is closed.
@@ -54,7 +24,7 @@
 	changes, cancel := fleet.Subscribe()
 	defer cancel()
 	for {
-		d.check()
+		d.Set(d.membership.IsBorder())
 		select {
 		case <-changes:
 		case <-done:
