Deliver large broadcasts under loss to every member

Cause: a member asks one holder for an offered payload and declines the others' offers; when that holder's payload was lost, its next offer was declined as well, and three attempts were too few. Change: a holder that offers again is asked again; the payload is pushed again without a new offer; five attempts. Result: go test ./datacentre -run TestBroadcastReachesEachMemberOnce failed 3 of 10 times before, 0 of 200 after. Conclusion: a holder that dies between offer and payload is still not made up for; bundles catch up by version.

--- a/datacentre/broadcast.go
+++ b/datacentre/broadcast.go
@@ -11,7 +11,8 @@
 	// castMemory is the number of broadcasts that are remembered, so that none is handled twice.
 	// 8,300 releases a day are 6 a minute; the rest is room for crash fingerprints.
 	castMemory = 4096
-	// offerWait is how long an offered broadcast that was asked for is not asked for again.
+	// offerWait is how long an offered broadcast that one holder was asked for is not asked for from
+	// another one.
 	offerWait = 300 * time.Millisecond
 )
 
@@ -26,14 +27,20 @@
 	handlers map[string]Handler
 	seen     map[castKey]map[instance.ID]struct{} // peers known to hold the broadcast
 	order    []castKey
-	asked    map[castKey]time.Time
+	asked    map[castKey]askedOffer
+}
+
+// askedOffer is an offer that was accepted and whose payload has not come yet.
+type askedOffer struct {
+	holder instance.ID
+	at     time.Time
 }
 
 func newCastTable() *castTable {
 	return &castTable{
 		handlers: make(map[string]Handler),
 		seen:     make(map[castKey]map[instance.ID]struct{}),
-		asked:    make(map[castKey]time.Time),
+		asked:    make(map[castKey]askedOffer),
 	}
 }
 
@@ -102,7 +109,8 @@
 	return ok
 }
 
-// wanted returns the indexes of the offers that are not known and not just being fetched.
+// wanted returns the indexes of the offers that are not known and not just being fetched from another
+// holder. A holder that offers again has not got its payload through.
 func (t *castTable) wanted(offers []Offer, holder instance.ID, now time.Time) []int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -113,13 +121,13 @@
 			holders[holder] = struct{}{}
 			continue
 		}
-		if now.Sub(t.asked[key]) < offerWait {
+		if asked := t.asked[key]; asked.holder != holder && now.Sub(asked.at) < offerWait {
 			continue
 		}
 		if len(t.asked) >= castMemory {
 			clear(t.asked)
 		}
-		t.asked[key] = now
+		t.asked[key] = askedOffer{holder, now}
 		indexes = append(indexes, i)
 	}
 	return indexes
--- a/datacentre/outbox.go
+++ b/datacentre/outbox.go
@@ -15,9 +15,10 @@
 const (
 	// batchTime is how long a change waits for others, so that the loss of a rack shares messages.
 	batchTime = 20 * time.Millisecond
-	// pushTimeout bounds one push. A lost one is repeated; the redundant fingers cover the wait.
+	// pushTimeout bounds one push. A lost one is repeated; the redundant fingers cover the wait. With 3
+	// attempts at a loss of 5 % in each direction 3 of 10 broadcasts missed one of 160 members.
 	pushTimeout  = 500 * time.Millisecond
-	pushAttempts = 3
+	pushAttempts = 5
 	// maxPushRecords keeps a push near 30 KB.
 	maxPushRecords = 256
 	// offerSize is the payload size from which a broadcast is offered before it is sent. Each node
@@ -297,7 +298,18 @@
 	for _, index := range response.Wanted {
 		follow.Broadcasts = append(follow.Broadcasts, offered[index])
 	}
-	_, err = m.push(ctx, peer, follow)
+	return m.pushAgain(ctx, peer, follow)
+}
+
+// pushAgain repeats a push until it is answered, up to pushAttempts times. The peer asked for what it
+// carries and meanwhile declines the offers of others.
+func (m *Membership) pushAgain(ctx context.Context, peer instance.Record, request PushRequest) error {
+	var err error
+	for range pushAttempts {
+		if _, err = m.push(ctx, peer, request); err == nil || !m.isLive(peer) {
+			return err
+		}
+	}
 	return err
 }
 
