--- a/datacentre/example_test.go
+++ b/datacentre/example_test.go
@@ -60,7 +60,7 @@
 	return receiver.ReceivePingVia(ctx, req)
 }
 
-// Two members find each other and one learns what the other announces.
+// Two members find each other and learn what the other announces.
 func Example() {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -77,29 +77,39 @@
 		messenger[string(id)+":7000"] = member
 		return member, fleet
 	}
-	first, _ := join("n1", "n2:7000")
-	second, fleet := join("n2", "n1:7000")
-	changes, unsubscribe := fleet.Subscribe()
-	defer unsubscribe()
+	first, fleet1 := join("n1", "n2:7000")
+	second, fleet2 := join("n2", "n1:7000")
+	changes1, unsubscribe1 := fleet1.Subscribe()
+	defer unsubscribe1()
+	changes2, unsubscribe2 := fleet2.Subscribe()
+	defer unsubscribe2()
 
 	ended := make(chan error, 2)
 	for _, member := range []*datacentre.Membership{first, second} {
 		go func() { ended <- member.Run(ctx) }()
 	}
 	first.Announce("catalogue", instance.Ready, 12)
-	for record := range changes {
+	second.Announce("catalogue", instance.Ready, 6)
+	for record := range changes2 {
 		if record.ID == "n1" && record.State == instance.Ready {
 			fmt.Println(record.ID, record.Service, record.Slots)
 			break
 		}
 	}
-	first.Leave(ctx) // tells the peers; then end Run
+	for record := range changes1 {
+		if record.ID == "n2" && record.State == instance.Ready {
+			fmt.Println(record.ID, record.Service, record.Slots)
+			break
+		}
+	}
+	first.Leave(ctx) // tells the peers that it knows; then end Run
 	cancel()
 	<-ended
 	<-ended
-	left, _ := fleet.Get("n1")
+	left, _ := fleet2.Get("n1")
 	fmt.Println(left.State)
 	// Output:
 	// n1 catalogue 12
+	// n2 catalogue 6
 	// left
 }
