Name the errors of bundle and store functions in their doc comments

Cause: Approve, Admit, Verify, Apply and Shelf.Manifest didn't say which of the error types they return, and Store didn't say that every method may return ErrUnavailable. Change: comments only; the code without comments is the same, compared file by file. shard.Map says that it is safe for concurrent use. Conclusion: fields that hold versions, epochs and rounds in the messages of datacentre and idempotency still have no comment of their own.

--- a/bundle/apply.go
+++ b/bundle/apply.go
@@ -40,7 +40,8 @@
 }
 
 // Admit checks that the release is validly signed and newer than the snapshot in force, which may
-// be nil. A release that is in force already gives fresh false without an error.
+// be nil. A release that is in force already gives fresh false without an error. The error is one of
+// Verify, ErrOlder or ErrEquivocation.
 func Admit(held *Snapshot, r *Release, trust Trust, now time.Time) (fresh bool, err error) {
 	if held != nil && r.Version == held.Release.Version && r.Root == held.Release.Root {
 		return false, nil // the usual repetition, without the cost of a signature
@@ -102,7 +103,8 @@
 
 // Apply returns the snapshot of an admitted release with its manifest. Contracts that have not
 // changed are shared with the snapshot in force, which may be nil. Every part is checked against
-// its hash and validated.
+// its hash and validated. The error is ErrRootMismatch, ErrMissingPart, ErrMalformed, or that of an
+// invalid contract.
 func Apply(held *Snapshot, r *Release, m Manifest, parts map[Hash][]byte) (*Snapshot, error) {
 	if m.Root() != r.Root {
 		return nil, ErrRootMismatch.New("manifest of release %d does not have the signed root", r.Version)
--- a/bundle/prepare.go
+++ b/bundle/prepare.go
@@ -51,7 +51,7 @@
 	p.Root = p.Manifest.Root()
 }
 
-// Approve returns p signed with the key.
+// Approve returns p signed with the key. The error is ErrNoKey or ErrKeyExpired.
 func Approve(p *Prepared, key *SigningKey, now time.Time) (*Prepared, error) {
 	if key == nil {
 		return nil, ErrNoKey.New("no signing key is given")
--- a/bundle/release.go
+++ b/bundle/release.go
@@ -85,7 +85,8 @@
 	return append(message, root[:]...)
 }
 
-// Verify checks the signature of the release against the trusted keys at the time now.
+// Verify checks the signature of the release against the trusted keys at the time now. The error is
+// ErrUnsigned, ErrUntrustedKey, ErrKeyExpired or ErrBadSignature.
 func (r *Release) Verify(trust Trust, now time.Time) error {
 	if len(r.Signature) == 0 || r.KeyID == "" {
 		return ErrUnsigned.New("release %d is not signed", r.Version)
--- a/bundle/shelf.go
+++ b/bundle/shelf.go
@@ -50,7 +50,8 @@
 	return r, entry.Revision, err
 }
 
-// Manifest returns the manifest of the release.
+// Manifest returns the manifest of the release. The error is one of the store, store.ErrNotFound when
+// the version is no longer kept, or one of DecodeManifest.
 func (s Shelf) Manifest(ctx context.Context, r *Release) (Manifest, error) {
 	entry, err := s.Store.Get(ctx, manifestKey(r.Version, r.Root))
 	if err != nil {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Map is a sharded map. Create it with NewString or NewUint64.
+// Map is a sharded map. Create it with NewString or NewUint64. It is safe for concurrent use.
 type Map[K comparable, V any] struct {
 	shards []bucket[K, V]
 	hash   func(K) uint64
--- a/store/store.go
+++ b/store/store.go
@@ -27,8 +27,9 @@
 	Deleted bool
 }
 
-// Store is the platform's key-value service. Values hold up to 1 MB. Each call counts against the
-// rate that the platform allows, a waiting watch as one.
+// Store is the platform's key-value service. Beside the errors named below, each method returns
+// ErrUnavailable when the store can't be reached or refuses the call. Values hold up to 1 MB. Each
+// call counts against the rate that the platform allows, a waiting watch as one.
 type Store interface {
 	// Get returns the entry of key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
@@ -41,7 +42,8 @@
 	// Delete removes the key when its revision is still revision. It returns
 	// ErrConflict when the revision differs or the key does not exist, or ErrUncertain.
 	Delete(ctx context.Context, key string, revision int64) error
-	// GrantLease returns a lease that lapses after ttl unless it is renewed.
+	// GrantLease returns a lease that lapses after ttl unless it is renewed. The ttl may be rounded up
+	// to whole seconds.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// RenewLease extends the lease by its ttl, or returns ErrLeaseLapsed.
 	RenewLease(ctx context.Context, id LeaseID) error
