Test the loss of a node soon after the first order

Cause: the process tests wait for three keepers before they bring about faults; a node killed earlier had left the keys of a group of one closed. Change: a test without that wait.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -191,6 +191,18 @@
 	assert.Equal(t, r.status, http.StatusOK, r)
 }
 
+// Guards against a keeper group that is founded too small: the loss of one node soon after the first
+// order must not close the service's keys.
+func TestNodeKilledAfterFirstOrder(t *testing.T) {
+	s := newSystem(t)
+	s.awaitOrders(s.instances[0])
+	time.Sleep(time.Second)
+	s.instances[2].node.kill()
+	time.Sleep(8 * time.Second)
+	s.awaitOrders(s.instances[0])
+	s.awaitOrders(s.instances[1])
+}
+
 // Guards against two processes that act as one instance: the later one stays.
 func TestSameIDTwice(t *testing.T) {
 	s := newSystem(t)
