--- a/bundle/source.go
+++ b/bundle/source.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"errors"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -195,7 +194,7 @@
 // defaultRule takes only methods that HTTP defines as safe for idempotent.
 func defaultRule(method string) Rule {
 	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions:
+	case "GET", "HEAD", "OPTIONS":
 		return Idempotent
 	}
 	return NotIdempotent
