--- a/bundle/distributor.go
+++ b/bundle/distributor.go
@@ -41,13 +41,13 @@
 	InForce   *InForce
 	Store     *store.Client
 	Broadcast Broadcaster
-	Duty      Duty
+	WatchRole WatchRole
 	Peers     Peers
 	Client    PeerClient
 	Log       *slog.Logger
 }
 
-// Distributor brings each version to one node: from the store when the node is on duty, by broadcast,
+// Distributor brings each version to one node: from the store when the node watches it, by broadcast,
 // and from a peer that has a higher version. It takes only releases that are validly signed and newer
 // than the one in force; whatever else arrives is counted and dropped. It is safe for concurrent use.
 type Distributor struct {
@@ -87,7 +87,7 @@
 }
 
 // Received takes a broadcast release. When it needs more than it carries, the rest is fetched from
-// any peer that has it: the nodes on duty have it first, and each node that has it gives it on, so
+// any peer that has it: the nodes that watch the store have it first, and each node that has it gives it on, so
 // that no single node serves the whole fleet.
 func (d *Distributor) Received(payload []byte) {
 	r, err := DecodeRelease(payload)
@@ -137,11 +137,11 @@
 	return true
 }
 
-// watchStore follows the head in the store while this node is on duty.
+// watchStore follows the head in the store while this node has the role.
 func (d *Distributor) watchStore(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := d.Duty.Changed()
-		if d.Duty.OnDuty() {
+		changed := d.WatchRole.Changed()
+		if d.WatchRole.Watching() {
 			d.followHead(ctx, changed)
 			continue
 		}
@@ -152,7 +152,7 @@
 	}
 }
 
-// followHead follows the head until duty changes.
+// followHead follows the head until the role changes.
 func (d *Distributor) followHead(ctx context.Context, changed <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/bundle/distributor_test.go
+++ b/bundle/distributor_test.go
@@ -82,7 +82,7 @@
 		defer cancel()
 		key, stranger := newKey(t), newKey(t)
 		f := newFleet(ctx, 1, bundle.Trust{key.Public}, 1)
-		f.nodes[0].duty.Set(false)
+		f.nodes[0].watchRole.Set(false)
 		node := f.nodes[0]
 		give := func(version uint64, variant int, by *bundle.SigningKey, change func(*bundle.Release)) {
 			release := approve(t, services(t, 3, variant), version, by).Release(nil)
--- a/bundle/example_test.go
+++ b/bundle/example_test.go
@@ -58,19 +58,19 @@
 		return err // bundle.ErrVersionTaken when another operator won
 	}
 
-	shelf := bundle.Shelf{Store: held}
-	release, _, err := shelf.Head(ctx)
+	reader := bundle.StoreReader{Store: held}
+	release, _, err := reader.Head(ctx)
 	if err != nil {
 		return err
 	}
 	if _, err = bundle.Admit(nil, release, trust, time.Now()); err != nil {
 		return err // not validly signed, or older than what is held
 	}
-	manifest, err := shelf.Manifest(ctx, release)
+	manifest, err := reader.Manifest(ctx, release)
 	if err != nil {
 		return err
 	}
-	parts, err := shelf.Parts(ctx, bundle.Missing(nil, manifest, nil))
+	parts, err := reader.Parts(ctx, bundle.Missing(nil, manifest, nil))
 	if err != nil {
 		return err
 	}
--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	if t.release != nil {
-		fresh, err := d.take(ctx, t.release, Shelf{d.Store}, originStore)
+		fresh, err := d.take(ctx, t.release, StoreReader{d.Store}, originStore)
 		if fresh {
 			d.announce(t.release)
 		}
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -30,11 +30,11 @@
 // member is one node: what a Distributor sees of the others.
 type member struct {
 	*bundle.Distributor
-	fleet  *fleet
-	id     string
-	cut    bool // from all others
-	duty   *bundle.DutySwitch
-	cancel context.CancelFunc
+	fleet     *fleet
+	id        string
+	cut       bool // from all others
+	watchRole *bundle.WatchRoleSwitch
+	cancel    context.CancelFunc
 }
 
 var errLost = errors.New("lost")
@@ -49,12 +49,12 @@
 }
 
 // restart replaces a node by one without a bundle.
-func (f *fleet) restart(i int, duty bool) {
+func (f *fleet) restart(i int, watchRole bool) {
 	ctx, cancel := context.WithCancel(f.ctx)
-	m := &member{fleet: f, id: strconv.Itoa(i), duty: bundle.NewDutySwitch(duty), cancel: cancel}
+	m := &member{fleet: f, id: strconv.Itoa(i), watchRole: bundle.NewWatchRoleSwitch(watchRole), cancel: cancel}
 	m.Distributor = bundle.NewDistributor(bundle.Config{
 		Trust: f.trust, InForce: bundle.NewInForce(), Store: store.NewClient(f.memory, 0, 0),
-		Broadcast: m, Duty: m.duty, Peers: m, Client: m,
+		Broadcast: m, WatchRole: m.watchRole, Peers: m, Client: m,
 	})
 	f.mu.Lock()
 	old := f.nodes[i]
--- a/bundle/publisher.go
+++ b/bundle/publisher.go
@@ -23,8 +23,8 @@
 // end: it succeeds when the head already has its version and root. collectErr is the failure of the
 // removal of old versions, which does not affect the roll.
 func (p *Publisher) Roll(ctx context.Context, approved *Prepared) (rolled *Release, collectErr, err error) {
-	shelf := Shelf{p.Store}
-	head, revision, err := shelf.Head(ctx)
+	reader := StoreReader{p.Store}
+	head, revision, err := reader.Head(ctx)
 	if err != nil && !Is(err, ErrNoRelease) {
 		return nil, nil, err
 	}
@@ -36,7 +36,7 @@
 	}
 	var base Manifest
 	if head != nil {
-		base, err = shelf.Manifest(ctx, head)
+		base, err = reader.Manifest(ctx, head)
 		if err != nil && !store.Is(err, store.ErrNotFound) {
 			return nil, nil, err
 		}
@@ -136,7 +136,7 @@
 	if !store.Is(cause, store.ErrConflict) && !store.Is(cause, store.ErrUncertain) {
 		return nil, nil, cause
 	}
-	head, _, err := Shelf{p.Store}.Head(ctx)
+	head, _, err := StoreReader{p.Store}.Head(ctx)
 	switch {
 	case err != nil:
 		return nil, nil, cause
--- a/bundle/publisher_test.go
+++ b/bundle/publisher_test.go
@@ -34,7 +34,7 @@
 	for i, err := range errs {
 		if err == nil {
 			winners++
-			head, _, err := bundle.Shelf{Store: memory}.Head(t.Context())
+			head, _, err := bundle.StoreReader{Store: memory}.Head(t.Context())
 			assert.NilError(t, err)
 			assert.Equal(t, head.Root, approve(t, services(t, 3, i), 1, key).Root)
 			continue
@@ -95,12 +95,12 @@
 // checkShelf fails unless the head is the bundle and everything it refers to is in the store.
 func checkShelf(t *testing.T, memory *kvstore.Memory, want *bundle.Prepared) {
 	t.Helper()
-	shelf := bundle.Shelf{Store: memory}
-	head, _, err := shelf.Head(t.Context())
+	reader := bundle.StoreReader{Store: memory}
+	head, _, err := reader.Head(t.Context())
 	assert.NilError(t, err)
-	manifest, err := shelf.Manifest(t.Context(), head)
+	manifest, err := reader.Manifest(t.Context(), head)
 	assert.NilError(t, err)
-	parts, err := shelf.Parts(t.Context(), bundle.Missing(nil, manifest, nil))
+	parts, err := reader.Parts(t.Context(), bundle.Missing(nil, manifest, nil))
 	assert.NilError(t, err)
 	held, err := bundle.Apply(nil, head, manifest, parts)
 	assert.NilError(t, err)
--- a/bundle/stateful_test.go
+++ b/bundle/stateful_test.go
@@ -32,7 +32,7 @@
 }
 
 var steps = rapid.Custom(func(t *rapid.T) step {
-	kinds := []string{"roll", "roll", "race", "store", "loss", "cut", "heal", "forge", "replay", "lie", "restart", "duty"}
+	kinds := []string{"roll", "roll", "race", "store", "loss", "cut", "heal", "forge", "replay", "lie", "restart", "watchRole"}
 	return step{
 		Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
 		Node: rapid.IntRange(0, fleetSize-1).Draw(t, "node"),
@@ -65,7 +65,7 @@
 		defer cancel()
 		version := uint64(1)
 		client := store.NewClient(r.memory, 1000, 1000)
-		head, _, err := bundle.Shelf{Store: client}.Head(ctx)
+		head, _, err := bundle.StoreReader{Store: client}.Head(ctx)
 		if err == nil {
 			version = head.Version + 1
 		} else if !bundle.Is(err, bundle.ErrNoRelease) {
@@ -83,7 +83,7 @@
 // forge returns a release that no node may take.
 func (r *run) forge(kind int) []byte {
 	version := uint64(kind + 1)
-	if head, _, err := (bundle.Shelf{Store: r.memory}).Head(r.ctx); err == nil {
+	if head, _, err := (bundle.StoreReader{Store: r.memory}).Head(r.ctx); err == nil {
 		version = head.Version + 1
 	}
 	forged := approve(r.t, services(r.t, 2, 500), version, r.stranger).Release(nil)
@@ -136,9 +136,9 @@
 	case "lie":
 		m.Seen(uint64(s.Arg)<<40, r.nodes[s.Arg].id)
 	case "restart":
-		r.restart(s.Node, m.duty.OnDuty())
-	case "duty":
-		m.duty.Set(!m.duty.OnDuty())
+		r.restart(s.Node, m.watchRole.Watching())
+	case "watchRole":
+		m.watchRole.Set(!m.watchRole.Watching())
 	}
 	time.Sleep(s.Wait)
 }
@@ -165,7 +165,7 @@
 		for _, m := range r.nodes {
 			m.set(func(m *member) { m.cut = false })
 		}
-		r.nodes[0].duty.Set(true)
+		r.nodes[0].watchRole.Set(true)
 		r.rolls.Wait()
 		time.Sleep(settle)
 		synctest.Wait()
@@ -184,7 +184,7 @@
 
 // agree fails unless every node has the head of the store in force.
 func (r *run) agree() error {
-	head, _, err := bundle.Shelf{Store: r.memory}.Head(r.ctx)
+	head, _, err := bundle.StoreReader{Store: r.memory}.Head(r.ctx)
 	if bundle.Is(err, bundle.ErrNoRelease) {
 		return nil
 	}
--- a/bundle/shelf.go
+++ b/bundle/store_reader.go
@@ -33,12 +33,12 @@
 	return version, ok && err == nil
 }
 
-// Shelf reads bundles from the store.
-type Shelf struct{ Store store.Store }
+// StoreReader reads bundles from the store.
+type StoreReader struct{ Store store.Store }
 
 // Head returns the release that was rolled out last and the revision of its entry, or ErrNoRelease
 // with revision 0.
-func (s Shelf) Head(ctx context.Context) (*Release, int64, error) {
+func (s StoreReader) Head(ctx context.Context) (*Release, int64, error) {
 	entry, err := s.Store.Get(ctx, HeadKey)
 	if store.Is(err, store.ErrNotFound) {
 		return nil, 0, ErrNoRelease.New("no bundle has been rolled out yet")
@@ -52,7 +52,7 @@
 
 // Manifest returns the manifest of the release. The error is one of the store, store.ErrNotFound when
 // the version is no longer kept, or one of DecodeManifest.
-func (s Shelf) Manifest(ctx context.Context, r *Release) (Manifest, error) {
+func (s StoreReader) Manifest(ctx context.Context, r *Release) (Manifest, error) {
 	entry, err := s.Store.Get(ctx, manifestKey(r.Version, r.Root))
 	if err != nil {
 		return nil, err
@@ -61,7 +61,7 @@
 }
 
 // Parts returns the parts with the hashes, as far as the store has them.
-func (s Shelf) Parts(ctx context.Context, hashes []Hash) (map[Hash][]byte, error) {
+func (s StoreReader) Parts(ctx context.Context, hashes []Hash) (map[Hash][]byte, error) {
 	found := make(map[Hash][]byte, len(hashes))
 	if len(hashes) <= listAbove {
 		for _, hash := range hashes {
--- a/cli/bundle_make.go
+++ b/cli/bundle_make.go
@@ -116,15 +116,15 @@
 		return 0, nil, err
 	}
 	defer cancel()
-	shelf := bundle.Shelf{Store: client}
-	head, _, err := shelf.Head(ctx)
+	reader := bundle.StoreReader{Store: client}
+	head, _, err := reader.Head(ctx)
 	if bundle.Is(err, bundle.ErrNoRelease) {
 		return 1, nil, nil
 	}
 	if err != nil {
 		return 0, nil, err
 	}
-	base, err := shelf.Manifest(ctx, head)
+	base, err := reader.Manifest(ctx, head)
 	return head.Version + 1, base, err
 }
 
--- a/cli/bundle_roll.go
+++ b/cli/bundle_roll.go
@@ -74,12 +74,12 @@
 			return err
 		}
 		defer cancel()
-		shelf := bundle.Shelf{Store: client}
-		head, _, err := shelf.Head(ctx)
+		reader := bundle.StoreReader{Store: client}
+		head, _, err := reader.Head(ctx)
 		if err != nil {
 			return bundleError(err)
 		}
-		manifest, err := shelf.Manifest(ctx, head)
+		manifest, err := reader.Manifest(ctx, head)
 		if err != nil {
 			return bundleError(err)
 		}
@@ -144,19 +144,19 @@
 		return nil, err
 	}
 	defer cancel()
-	return storedParts(ctx, bundle.Shelf{Store: client})
+	return storedParts(ctx, bundle.StoreReader{Store: client})
 }
 
-func storedParts(ctx context.Context, shelf bundle.Shelf) (map[string]json.RawMessage, error) {
-	head, _, err := shelf.Head(ctx)
+func storedParts(ctx context.Context, reader bundle.StoreReader) (map[string]json.RawMessage, error) {
+	head, _, err := reader.Head(ctx)
 	if err != nil {
 		return nil, err
 	}
-	manifest, err := shelf.Manifest(ctx, head)
+	manifest, err := reader.Manifest(ctx, head)
 	if err != nil {
 		return nil, err
 	}
-	found, err := shelf.Parts(ctx, bundle.Missing(nil, manifest, nil))
+	found, err := reader.Parts(ctx, bundle.Missing(nil, manifest, nil))
 	if err != nil {
 		return nil, err
 	}
--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -54,7 +54,7 @@
 		due := time.Since(lastCheck) >= contactCheck || starting
 		if err == nil && due && m.IsBorder() {
 			lastCheck = time.Now()
-			m.meetStrangers(ctx)
+			m.syncUnknownContacts(ctx)
 		}
 		if err == nil {
 			wait = contactRenew - rand.N(contactRenew/10)
@@ -146,29 +146,29 @@
 	return found
 }
 
-// meetStrangers compares tables with contacts and seeds that are not in the table.
-func (m *Membership) meetStrangers(ctx context.Context) {
+// syncUnknownContacts compares tables with contacts and seeds that are not in the table.
+func (m *Membership) syncUnknownContacts(ctx context.Context) {
 	known := make(map[string]bool)
 	for _, r := range m.fleet.Select(func(r instance.Record) bool { return !r.State.Gone() }) {
 		known[r.PeerAddr] = true
 	}
-	strangers := make(map[string]string) // address to data centre
+	unknown := make(map[string]string) // address to data centre
 	for _, addr := range m.config.Seeds {
-		strangers[addr] = ""
+		unknown[addr] = ""
 	}
-	maps.Copy(strangers, m.contacts(ctx))
+	maps.Copy(unknown, m.contacts(ctx))
 	tried := 0
-	for addr, name := range strangers {
+	for addr, name := range unknown {
 		if known[addr] || addr == m.config.Self.PeerAddr || tried == joinAttempts {
 			continue
 		}
 		tried++
-		m.meet(ctx, addr, name)
+		m.syncContact(ctx, addr, name)
 	}
 }
 
-// meet takes the records of a node that is not in the table.
-func (m *Membership) meet(ctx context.Context, addr, centre string) {
+// syncContact takes the records of a node that is not in the table.
+func (m *Membership) syncContact(ctx context.Context, addr, centre string) {
 	response, err := m.syncWith(ctx, addr, joinTimeout)
 	if err != nil {
 		return
--- a/datacentre/membership.go
+++ b/datacentre/membership.go
@@ -158,7 +158,7 @@
 	m.publish(next, m.config.Self.ID)
 }
 
-// publish takes a record that is news to this node and passes it on.
+// publish takes a record that is new to this node and passes it on.
 func (m *Membership) publish(r instance.Record, from instance.ID) bool {
 	if !m.fleet.Merge(r) {
 		return false
@@ -168,7 +168,7 @@
 	return true
 }
 
-// merge takes a record received from a peer and reports whether it was news.
+// merge takes a record received from a peer and reports whether it was new.
 func (m *Membership) merge(r instance.Record, from instance.ID) bool {
 	if r.ID == m.config.Self.ID {
 		m.mergeSelf(r)
--- a/datacentre/outbox.go
+++ b/datacentre/outbox.go
@@ -30,37 +30,37 @@
 	deferSpread = 200 * time.Millisecond
 )
 
-// outbox collects the news of a node and sends it to its fingers and, at a border node, to the other
+// outbox collects the updates of a node and sends them to its fingers and, at a border node, to the other
 // data centres. Each peer has a lane with at most one push under way.
 type outbox struct {
 	m     *Membership
 	lanes *shard.Map[instance.ID, *lane]
 
 	mu      sync.Mutex
-	records map[instance.ID]newsRecord
-	casts   []newsCast
+	records map[instance.ID]recordUpdate
+	casts   []broadcastUpdate
 	armed   bool
 }
 
-type newsRecord struct {
+type recordUpdate struct {
 	record instance.Record
 	from   instance.ID
 }
 
-type newsCast struct {
+type broadcastUpdate struct {
 	cast Broadcast
 	from instance.ID
 }
 
 func newOutbox(m *Membership) *outbox {
-	return &outbox{m: m, lanes: shard.NewString[instance.ID, *lane](memberShards), records: make(map[instance.ID]newsRecord)}
+	return &outbox{m: m, lanes: shard.NewString[instance.ID, *lane](memberShards), records: make(map[instance.ID]recordUpdate)}
 }
 
 // addRecord passes a record on, but not to the peer that it came from.
 func (o *outbox) addRecord(r instance.Record, from instance.ID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.records[r.ID] = newsRecord{r, from}
+	o.records[r.ID] = recordUpdate{r, from}
 	o.arm()
 }
 
@@ -68,7 +68,7 @@
 func (o *outbox) addCast(b Broadcast, from instance.ID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.casts = append(o.casts, newsCast{b, from})
+	o.casts = append(o.casts, broadcastUpdate{b, from})
 	o.arm()
 }
 
@@ -83,10 +83,10 @@
 func (o *outbox) flush() {
 	o.mu.Lock()
 	records, casts := o.records, o.casts
-	o.records, o.casts, o.armed = make(map[instance.ID]newsRecord), nil, false
+	o.records, o.casts, o.armed = make(map[instance.ID]recordUpdate), nil, false
 	o.mu.Unlock()
 
-	o.m.noteRole() // the news may have made this node a border node
+	o.m.noteRole() // the updates may have made this node a border node
 	self := o.m.config.Self
 	own, relayed := o.splitCasts(casts)
 	if len(own) > 0 {
@@ -95,22 +95,22 @@
 	fingers := o.m.home.Fingers(self.ID)
 	for i, peer := range fingers {
 		if i < len(fingers)/2 {
-			o.sendNews(peer, records, relayed)
+			o.sendUpdates(peer, records, relayed)
 			continue
 		}
-		o.sendNews(peer, records, slices.Concat(relayed, own))
+		o.sendUpdates(peer, records, slices.Concat(relayed, own))
 	}
 	// Each data centre tells the others only what began in it. The rest reaches them directly, or by
 	// comparison of digests where two of them cannot reach each other.
-	maps.DeleteFunc(records, func(_ instance.ID, n newsRecord) bool { return n.record.DataCentre != self.DataCentre })
-	relayed = slices.DeleteFunc(relayed, func(n newsCast) bool { return n.cast.DataCentre != self.DataCentre })
+	maps.DeleteFunc(records, func(_ instance.ID, n recordUpdate) bool { return n.record.DataCentre != self.DataCentre })
+	relayed = slices.DeleteFunc(relayed, func(n broadcastUpdate) bool { return n.cast.DataCentre != self.DataCentre })
 	for _, peer := range o.m.borderTargets() {
-		o.sendNews(peer, records, relayed)
+		o.sendUpdates(peer, records, relayed)
 	}
 }
 
 // splitCasts separates the large broadcasts that began at this node from the others.
-func (o *outbox) splitCasts(casts []newsCast) (own, relayed []newsCast) {
+func (o *outbox) splitCasts(casts []broadcastUpdate) (own, relayed []broadcastUpdate) {
 	for _, n := range casts {
 		if n.cast.From == o.m.config.Self.ID && len(n.cast.Payload) >= offerSize {
 			own = append(own, n)
@@ -125,26 +125,26 @@
 // now, and to the other data centres. A release is read from the store and broadcast by all border
 // nodes: the later ones have learned by then who holds it, and the two of one data centre share the
 // others between them.
-func (o *outbox) sendDeferred(own []newsCast) {
+func (o *outbox) sendDeferred(own []broadcastUpdate) {
 	self := o.m.config.Self.ID
 	fingers := o.m.home.Fingers(self)
 	for _, peer := range fingers[:len(fingers)/2] {
-		o.sendNews(peer, nil, own)
+		o.sendUpdates(peer, nil, own)
 	}
 	rank, _ := o.m.home.BorderRank(self)
 	shared := len(o.m.home.Borders()) == borderCount
 	for i, peer := range o.m.borderTargets() {
 		if !shared || i%borderCount == rank {
-			o.sendNews(peer, nil, own)
+			o.sendUpdates(peer, nil, own)
 		}
 	}
 }
 
-func (o *outbox) sendNews(peer instance.Record, records map[instance.ID]newsRecord, casts []newsCast) {
-	var news []instance.Record
+func (o *outbox) sendUpdates(peer instance.Record, records map[instance.ID]recordUpdate, casts []broadcastUpdate) {
+	var updates []instance.Record
 	for _, n := range records {
 		if n.from != peer.ID && n.record.ID != peer.ID {
-			news = append(news, n.record)
+			updates = append(updates, n.record)
 		}
 	}
 	var broadcasts []Broadcast
@@ -153,10 +153,10 @@
 			broadcasts = append(broadcasts, n.cast)
 		}
 	}
-	o.sendTo(peer, news, broadcasts)
+	o.sendTo(peer, updates, broadcasts)
 }
 
-// sendTo pushes to one peer. While an earlier push is under way the news waits for it.
+// sendTo pushes to one peer. While an earlier push is under way the updates wait for it.
 func (o *outbox) sendTo(peer instance.Record, records []instance.Record, casts []Broadcast) {
 	if len(records) == 0 && len(casts) == 0 {
 		return
@@ -175,7 +175,7 @@
 		if !ok {
 			return
 		}
-		if err := o.m.pushNews(ctx, peer, records, casts); err == nil {
+		if err := o.m.pushUpdates(ctx, peer, records, casts); err == nil {
 			failures = 0
 			continue
 		}
@@ -278,8 +278,8 @@
 	return ok && !held.State.Gone() && held.Incarnation == peer.Incarnation
 }
 
-// pushNews pushes records and broadcasts. Large broadcasts are offered, and sent when wanted.
-func (m *Membership) pushNews(ctx context.Context, peer instance.Record, records []instance.Record, casts []Broadcast) error {
+// pushUpdates pushes records and broadcasts. Large broadcasts are offered, and sent when wanted.
+func (m *Membership) pushUpdates(ctx context.Context, peer instance.Record, records []instance.Record, casts []Broadcast) error {
 	request := PushRequest{Sender: m.sender(), Records: records}
 	var offered []Broadcast
 	for _, b := range casts {
@@ -328,7 +328,7 @@
 	return response, nil
 }
 
-// targets returns the peers to which this node passes news: its fingers and, at a border node, one
+// targets returns the peers to which this node passes updates: its fingers and, at a border node, one
 // node of each other data centre.
 func (m *Membership) targets() []instance.Record {
 	return slices.Concat(m.home.Fingers(m.config.Self.ID), m.borderTargets())
--- a/datacentre/suspicion.go
+++ b/datacentre/suspicion.go
@@ -12,7 +12,7 @@
 
 const (
 	// syncTimeout bounds a Sync with a neighbour. Together with two rounds of pings, the second to the
-	// next Sync and the spread of the news, a failure is known everywhere within 3 s.
+	// next Sync and the spread of the updates, a failure is known everywhere within 3 s.
 	syncTimeout = 300 * time.Millisecond
 	// pingTimeout bounds one round of pings.
 	pingTimeout    = 400 * time.Millisecond
--- a/idempotency/bench_test.go
+++ b/idempotency/bench_test.go
@@ -26,7 +26,7 @@
 			table, now := benchTable(size)
 			self := Identity{ID: "n", Incarnation: 1}
 			g := NewGroup(self, "s", DefaultConfig(), table)
-			g.Handle(now, Told{Record: &Record{Epoch: 1, Region: "r", Outage: 1e6, Members: []Member{{Identity: self}}}})
+			g.Handle(now, RecordReceived{Record: &Record{Epoch: 1, Region: "r", Outage: 1e6, Members: []Member{{Identity: self}}}})
 			g.Handle(now, RecordRead{Started: now, Record: g.Record(), Revision: 1})
 			g.Handle(now, Tick{})
 			keys := make([]Key, b.N)
--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -183,7 +183,7 @@
 	case JoinAnswered:
 		g.willing[in.From] = now.Mono
 		return g.tick(now)
-	case Told:
+	case RecordReceived:
 		return g.adopt(now, in.Record)
 	case PeersChanged:
 		g.peers = in.Peers
@@ -300,16 +300,16 @@
 	old := g.record
 	out := g.adopt(now, in.Record)
 	g.confirm(in.Started)
-	return append(out, g.tellAll(old, in.Record)...)
+	return append(out, g.sendToAll(old, in.Record)...)
 }
 
-func (g *Group) tellAll(old, record *Record) []Output {
+func (g *Group) sendToAll(old, record *Record) []Output {
 	var out []Output
 	told := map[string]bool{g.self.ID: true}
 	for _, m := range append(append([]Member{}, record.Members...), old.Members...) {
 		if !told[m.ID] {
 			told[m.ID] = true
-			out = append(out, Tell{To: m, Record: record})
+			out = append(out, SendRecord{To: m, Record: record})
 		}
 	}
 	return out
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -186,11 +186,11 @@
 	}
 	if record != nil {
 		if _, ok := record.Member(k.self); ok {
-			k.do(p, p.group.Handle, p.group.Handle(k.clock.Now(), Told{Record: record}))
+			k.do(p, p.group.Handle, p.group.Handle(k.clock.Now(), RecordReceived{Record: record}))
 		}
 	}
 	if held := p.group.Record(); held != nil {
-		p.outsider.Handle(k.clock.Now(), Told{Record: held})
+		p.outsider.Handle(k.clock.Now(), RecordReceived{Record: held})
 	}
 }
 
@@ -221,7 +221,7 @@
 			return nil
 		}
 		return JoinAnswered{From: out.To.Identity}
-	case Tell:
+	case SendRecord:
 		ctx, cancel := context.WithTimeout(k.ctx, messageTimeout)
 		defer cancel()
 		_, _ = k.peers.GroupInfo(ctx, out.To, InfoRequest{Service: p.service, Tell: out.Record})
--- a/idempotency/message.go
+++ b/idempotency/message.go
@@ -144,8 +144,8 @@
 // JoinAnswered says that a node would become a member.
 type JoinAnswered struct{ From Identity }
 
-// Told carries a record learned from a peer.
-type Told struct{ Record *Record }
+// RecordReceived carries a record learned from a peer.
+type RecordReceived struct{ Record *Record }
 
 // PeersChanged carries what membership knows of the nodes beside the service's upstreams.
 type PeersChanged struct{ Peers []Peer }
@@ -153,15 +153,15 @@
 // StopAsked begins the planned stop of this node.
 type StopAsked struct{}
 
-func (Tick) input()          {}
-func (RecordRead) input()    {}
-func (SwapDone) input()      {}
-func (GrantAnswered) input() {}
-func (SealAnswered) input()  {}
-func (JoinAnswered) input()  {}
-func (Told) input()          {}
-func (PeersChanged) input()  {}
-func (StopAsked) input()     {}
+func (Tick) input()           {}
+func (RecordRead) input()     {}
+func (SwapDone) input()       {}
+func (GrantAnswered) input()  {}
+func (SealAnswered) input()   {}
+func (JoinAnswered) input()   {}
+func (RecordReceived) input() {}
+func (PeersChanged) input()   {}
+func (StopAsked) input()      {}
 
 // Output is something to be done for a Group or Outsider outside its lock.
 type Output interface{ output() }
@@ -194,8 +194,8 @@
 	Request JoinRequest
 }
 
-// Tell informs a member of a record.
-type Tell struct {
+// SendRecord informs a member of a record.
+type SendRecord struct {
 	To     Member
 	Record *Record
 }
@@ -211,5 +211,5 @@
 func (AskGrant) output()   {}
 func (AskSeal) output()    {}
 func (AskJoin) output()    {}
-func (Tell) output()       {}
+func (SendRecord) output() {}
 func (HandOver) output()   {}
--- a/idempotency/orphan.go
+++ b/idempotency/orphan.go
@@ -83,7 +83,7 @@
 		if o.willing != nil {
 			o.willing[in.From] = true
 		}
-	case Told:
+	case RecordReceived:
 		if o.record == nil || in.Record.Epoch > o.record.Epoch {
 			o.record, o.read = in.Record, true
 			o.hurry(now)
@@ -273,7 +273,7 @@
 	o.marked = 0
 	var out []Output
 	for _, m := range in.Record.Members {
-		out = append(out, Tell{To: m, Record: in.Record})
+		out = append(out, SendRecord{To: m, Record: in.Record})
 	}
 	return out
 }
--- a/idempotency/serve.go
+++ b/idempotency/serve.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	if r.Tell != nil {
-		k.do(p, p.group.Handle, p.group.Handle(k.clock.Now(), Told{Record: r.Tell}))
+		k.do(p, p.group.Handle, p.group.Handle(k.clock.Now(), RecordReceived{Record: r.Tell}))
 		p.poke()
 	}
 	if record := p.group.Record(); record != nil {
--- a/idempotency/sim_test.go
+++ b/idempotency/sim_test.go
@@ -288,11 +288,11 @@
 		n.do(handle, handle(n.instant(), in))
 		if record := recordOf(in); record != nil {
 			if _, ok := record.Member(n.peer.Identity); ok {
-				n.do(n.group.Handle, n.group.Handle(n.instant(), Told{Record: record}))
+				n.do(n.group.Handle, n.group.Handle(n.instant(), RecordReceived{Record: record}))
 			}
 		}
 		if held := n.group.Record(); held != nil {
-			n.outsider.Handle(n.instant(), Told{Record: held})
+			n.outsider.Handle(n.instant(), RecordReceived{Record: held})
 		}
 		n.schedule()
 	}
@@ -358,10 +358,10 @@
 				}
 			})
 		})
-	case Tell:
+	case SendRecord:
 		w.toNode(&n.simProcess, out.To, func(to *simNode) {
 			post(w, &n.simProcess, &to.simProcess, func() bool {
-				to.do(to.group.Handle, to.group.Handle(to.instant(), Told{Record: out.Record}))
+				to.do(to.group.Handle, to.group.Handle(to.instant(), RecordReceived{Record: out.Record}))
 				to.schedule()
 				return true
 			}, func(bool) {})
--- a/link/cost.go
+++ b/link/cost.go
@@ -45,12 +45,12 @@
 	return l.lateness(now)
 }
 
-// predict returns the time to an answer by what is known of the load: the way and the service time,
+// predict returns the time to an answer by what is known of the load: the network round trip and the service time,
 // and the queue for the slots that serve the kind.
 func (l *Link) predict(now time.Time, kind Kind) time.Duration {
 	slots, occupied := l.occupancy(now, kind)
 	waiting := max(0, occupied+1-slots) / slots
-	return l.way.RoundTrip() + time.Duration(float64(l.serviceOf(kind))*(1+waiting))
+	return l.path.RoundTrip() + time.Duration(float64(l.serviceOf(kind))*(1+waiting))
 }
 
 // occupancy returns the slots that serve the kind and the requests known or expected to be there:
@@ -120,7 +120,7 @@
 func (l *Link) eligible(now time.Time, draw float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.serves(now) && !l.ejection.out && draw < min(l.warmth(now), l.ejection.warmth(now))
+	return l.serves(now) && !l.ejection.out && draw < min(l.rampShare(now), l.ejection.rampShare(now))
 }
 
 // claimTrial reports whether the request is to test the ejected link, and reserves the test.
@@ -171,8 +171,8 @@
 	return !recent || l.report.State.Serves()
 }
 
-// warmth returns the share of its normal traffic that the upstream receives.
-func (l *Link) warmth(now time.Time) float64 {
+// rampShare returns the share of its normal traffic that the upstream receives.
+func (l *Link) rampShare(now time.Time) float64 {
 	ramp := l.set.policy().ColdStart
 	if l.coldSince.IsZero() || ramp <= 0 || l.record.State != instance.Cold {
 		return 1
--- a/link/ejection.go
+++ b/link/ejection.go
@@ -37,8 +37,8 @@
 	return true
 }
 
-// warmth returns the share of its traffic that a link receives after its return.
-func (e *ejection) warmth(now time.Time) float64 {
+// rampShare returns the share of its traffic that a link receives after its return.
+func (e *ejection) rampShare(now time.Time) float64 {
 	if e.returnedAt.IsZero() {
 		return 1
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -15,7 +15,7 @@
 	// defaultService is the service time assumed before one was reported or measured.
 	defaultService = 5 * time.Millisecond
 	// longService is the service time assumed of long work. The exact value matters little: it makes
-	// a wait for a slot weigh more than any way.
+	// a wait for a slot weigh more than any network path.
 	longService = time.Second
 	// othersTime is the time constant over which the load in reports is averaged. Requests are
 	// replaced within milliseconds, so that a single report says little of the next moment; the
@@ -43,9 +43,9 @@
 
 // Link is the link from this node to one upstream instance. It is safe for concurrent use.
 type Link struct {
-	id  instance.ID
-	set *Set
-	way *Way
+	id   instance.ID
+	set  *Set
+	path *NetworkPath
 
 	mu        sync.Mutex
 	record    instance.Record
@@ -69,9 +69,9 @@
 	ejection  ejection
 }
 
-func newLink(set *Set, way *Way, record instance.Record, now time.Time) *Link {
+func newLink(set *Set, path *NetworkPath, record instance.Record, now time.Time) *Link {
 	l := &Link{
-		id: record.ID, set: set, way: way, record: record, epoch: now,
+		id: record.ID, set: set, path: path, record: record, epoch: now,
 		tail: quantile{share: tailShare}, middle: quantile{share: middleShare},
 	}
 	if record.State == instance.Cold {
@@ -170,7 +170,7 @@
 	if token != nil {
 		own[token.kind]--
 		if took := now.Sub(token.started); report.Took > 0 && took >= report.Took {
-			l.way.observe(took - report.Took)
+			l.path.observe(took - report.Took)
 		}
 	}
 	weight := 1.0
@@ -191,7 +191,7 @@
 }
 
 // learn compares the latency of a short answer with the prediction. An upstream that claims to be
-// idle but answers late is found this way, whatever it reports.
+// idle but answers late is found so, whatever it reports.
 func (l *Link) learn(now time.Time, token *Token) {
 	if token.kind != Short {
 		return
--- a/link/way.go
+++ b/link/network_path.go
@@ -15,21 +15,21 @@
 	wayFall = 1.0 / 4
 )
 
-// Way is the learned network round trip to one data centre, shared by all links into it.
-type Way struct{ roundTrip atomic.Int64 }
+// NetworkPath is the learned network round trip to one data centre, shared by all links into it.
+type NetworkPath struct{ roundTrip atomic.Int64 }
 
-func newWay(initial time.Duration) *Way {
-	w := &Way{}
+func newNetworkPath(initial time.Duration) *NetworkPath {
+	w := &NetworkPath{}
 	w.roundTrip.Store(int64(initial))
 	return w
 }
 
 // RoundTrip returns the network time of a request and its answer.
-func (w *Way) RoundTrip() time.Duration { return time.Duration(w.roundTrip.Load()) }
+func (w *NetworkPath) RoundTrip() time.Duration { return time.Duration(w.roundTrip.Load()) }
 
 // observe takes the network part of one answer: its latency without the time at the far node.
 // Concurrent samples may overwrite each other; each is only a small correction.
-func (w *Way) observe(sample time.Duration) {
+func (w *NetworkPath) observe(sample time.Duration) {
 	held := w.roundTrip.Load()
 	weight := wayRise
 	if int64(sample) < held {
--- a/link/route_test.go
+++ b/link/route_test.go
@@ -109,7 +109,7 @@
 		respond := func(id instance.ID) response {
 			if id != "a0" {
 				answer := ok(9 * time.Millisecond)
-				answer.report.Took = 5 * time.Millisecond // the way: 4 ms
+				answer.report.Took = 5 * time.Millisecond // the path: 4 ms
 				return answer
 			}
 			if stalled {
@@ -129,8 +129,8 @@
 	})
 }
 
-// Guards against traffic over the longer way while the nearer data centre has room, and against
-// queueing there once that costs more than the way.
+// Guards against traffic over the longer path while the nearer data centre has room, and against
+// queueing there once that costs more than the path.
 func TestLocality(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -138,8 +138,8 @@
 		low, top float64 // share that leaves the data centre
 	}{
 		{"room here", 0, 0, 0.02},
-		{"short queue here costs less than the way", 16, 0, 0.05},
-		{"long queue here costs more than the way", 320, 0.9, 1},
+		{"short queue here costs less than the path", 16, 0, 0.05},
+		{"long queue here costs more than the path", 320, 0.9, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -152,7 +152,7 @@
 						answer.report.Took = answer.took - 200*time.Microsecond
 					}
 					if id[0] != 'a' {
-						answer.took += 4 * time.Millisecond // the way: 4.2 ms
+						answer.took += 4 * time.Millisecond // the path: 4.2 ms
 					}
 					return answer
 				}
--- a/link/set.go
+++ b/link/set.go
@@ -50,7 +50,7 @@
 type Set struct {
 	filled sync.Once // first read of the fleet
 
-	wayTo  func(instance.Record) *Way
+	pathTo func(instance.Record) *NetworkPath
 	quota  quota
 	tail   quantile // latency of short requests over all links
 	middle quantile
@@ -74,12 +74,12 @@
 
 // group is the links into one data centre.
 type group struct {
-	way   *Way
+	path  *NetworkPath
 	links []*Link
 }
 
-func newSet(wayTo func(instance.Record) *Way) *Set {
-	s := &Set{wayTo: wayTo, probes: NewProbeBudget(time.Now(), 0), links: make(map[instance.ID]*Link)}
+func newSet(pathTo func(instance.Record) *NetworkPath) *Set {
+	s := &Set{pathTo: pathTo, probes: NewProbeBudget(time.Now(), 0), links: make(map[instance.ID]*Link)}
 	s.tail.share, s.middle.share = tailShare, middleShare
 	s.view.Store(&view{})
 	s.Adopt(Policy{})
@@ -164,7 +164,7 @@
 		return
 	}
 	s.remove(record.ID)
-	s.links[record.ID] = newLink(s, s.wayTo(record), record, now)
+	s.links[record.ID] = newLink(s, s.pathTo(record), record, now)
 }
 
 func (s *Set) remove(id instance.ID) {
@@ -177,13 +177,13 @@
 // build arranges the links by data centre.
 func (s *Set) build(now time.Time) {
 	next := &view{size: len(s.links), sortedAt: now}
-	at := make(map[*Way]int)
+	at := make(map[*NetworkPath]int)
 	for _, l := range s.links {
-		i, ok := at[l.way]
+		i, ok := at[l.path]
 		if !ok {
 			i = len(next.groups)
-			at[l.way] = i
-			next.groups = append(next.groups, group{way: l.way})
+			at[l.path] = i
+			next.groups = append(next.groups, group{path: l.path})
 		}
 		next.groups[i].links = append(next.groups[i].links, l)
 	}
@@ -199,7 +199,7 @@
 }
 
 func (v *view) sort() {
-	slices.SortFunc(v.groups, func(a, b group) int { return int(a.way.RoundTrip() - b.way.RoundTrip()) })
+	slices.SortFunc(v.groups, func(a, b group) int { return int(a.path.RoundTrip() - b.path.RoundTrip()) })
 }
 
 // arrangement returns the view, put in order again from time to time.
@@ -234,7 +234,7 @@
 // Choose returns a link for a request, leaving out the instances for which exclude reports true;
 // exclude must not be nil. The error is ErrNoUpstream. It
 // compares a few random links: most of them in the nearest data centre, one in the next and one in
-// any of the others, so that work spills over when queueing here costs more than the way there.
+// any of the others, so that work spills over when queueing here costs more than the network path there.
 func (s *Set) Choose(now time.Time, kind Kind, exclude func(instance.ID) bool) (*Link, error) {
 	v := s.arrangement(now)
 	if exclude == nil {
--- a/link/table.go
+++ b/link/table.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	setShards = 16
-	wayShards = 8
+	setShards  = 16
+	pathShards = 8
 	// readInterval is how often a set is read from the fleet although no change was published. The
 	// fleet does not publish the removal of members that it has not heard of for long.
 	readInterval = time.Minute
@@ -19,13 +19,13 @@
 // Table holds the links of a node by service. It follows the changes of the fleet, without a
 // goroutine and for as long as the fleet lives: it has no end of its own. It is safe for concurrent use.
 type Table struct {
-	fleet  *instance.Fleet
-	here   string
-	own    instance.ID
-	ownWay *Way
-	known  map[string]time.Duration
-	sets   *shard.Map[string, *Set]
-	ways   *shard.Map[string, *Way]
+	fleet   *instance.Fleet
+	here    string
+	own     instance.ID
+	ownPath *NetworkPath
+	known   map[string]time.Duration
+	sets    *shard.Map[string, *Set]
+	paths   *shard.Map[string, *NetworkPath]
 
 	changes <-chan instance.Record
 	mu      sync.Mutex // taken by the one call that brings the sets up to date
@@ -50,9 +50,9 @@
 // NewTable returns a table of links to the instances of the fleet.
 func NewTable(fleet *instance.Fleet, options ...Option) *Table {
 	t := &Table{
-		fleet: fleet, ownWay: newWay(0),
-		sets: shard.NewString[string, *Set](setShards),
-		ways: shard.NewString[string, *Way](wayShards),
+		fleet: fleet, ownPath: newNetworkPath(0),
+		sets:  shard.NewString[string, *Set](setShards),
+		paths: shard.NewString[string, *NetworkPath](pathShards),
 	}
 	for _, option := range options {
 		option(t)
@@ -68,7 +68,7 @@
 	}
 	set, ok := t.sets.Get(service)
 	if !ok {
-		set = t.sets.GetOrCreate(service, func() *Set { return newSet(t.wayTo) })
+		set = t.sets.GetOrCreate(service, func() *Set { return newSet(t.pathTo) })
 	}
 	// The fleet is read after the set can be found, so that no change falls between the two. Other
 	// first calls wait for it, since an empty set would refuse them as no-upstream.
@@ -84,25 +84,25 @@
 	set.replace(now, func() []instance.Record { return t.fleet.Service(service) })
 }
 
-// wayTo returns the way to an instance. The own one is a way of its own, since it would make the
+// pathTo returns the network path to an instance. The own one is apart, since it would make the
 // others in the data centre look as near.
-func (t *Table) wayTo(r instance.Record) *Way {
+func (t *Table) pathTo(r instance.Record) *NetworkPath {
 	if r.ID == t.own {
-		return t.ownWay
+		return t.ownPath
 	}
-	return t.Way(r.DataCentre)
+	return t.Path(r.DataCentre)
 }
 
-// Way returns the learned network round trip to a data centre.
-func (t *Table) Way(dataCentre string) *Way {
-	return t.ways.GetOrCreate(dataCentre, func() *Way {
+// Path returns the learned network round trip to a data centre.
+func (t *Table) Path(dataCentre string) *NetworkPath {
+	return t.paths.GetOrCreate(dataCentre, func() *NetworkPath {
 		if known, ok := t.known[dataCentre]; ok {
-			return newWay(known)
+			return newNetworkPath(known)
 		}
 		if dataCentre == t.here {
-			return newWay(defaultNearWay)
+			return newNetworkPath(defaultNearWay)
 		}
-		return newWay(defaultFarWay)
+		return newNetworkPath(defaultFarWay)
 	})
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -27,7 +27,7 @@
 	fleet       *instance.Fleet
 	membership  *datacentre.Membership
 	messenger   *peerrpc.MembershipMessenger
-	duty        *borderDuty
+	watchRole   *borderWatchRole
 	distributor *bundle.Distributor
 	keeper      *idempotency.Keeper
 	keys        *idempotency.Client
@@ -63,10 +63,10 @@
 			}
 		},
 	})
-	c.duty = newBorderDuty(c.membership)
+	c.watchRole = newBorderWatchRole(c.membership)
 	c.distributor = bundle.NewDistributor(bundle.Config{
 		Trust: trust, InForce: n.Bundles, Store: held, Log: n.Log,
-		Broadcast: c.membership, Duty: c.duty,
+		Broadcast: c.membership, WatchRole: c.watchRole,
 		Peers: fleetPeers{n.fleet, self.ID}, Client: peerrpc.NewBundleClient(c.peers),
 	})
 	c.membership.Handle(bundle.Topic, func(_ instance.ID, payload []byte) { c.distributor.Received(payload) })
@@ -116,7 +116,7 @@
 			log.Error("membership ended", "err", err)
 		}
 	})
-	c.group.Go(func() { c.duty.follow(c.fleet, ctx.Done()) })
+	c.group.Go(func() { c.watchRole.follow(c.fleet, ctx.Done()) })
 	c.group.Go(func() { c.distributor.Run(ctx) })
 	c.group.Go(func() { c.feed.Run(ctx) })
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -21,14 +21,14 @@
 // Dispatch implements CallDispatcher.
 func (g *Guard) Dispatch(ctx context.Context, req *caller.Request) (*caller.Answer, error) {
 	fingerprint := quarantine.Fingerprint(req.Fingerprint)
-	ruling, after := g.Suspects.Admit(time.Now(), fingerprint)
-	if ruling == quarantine.Refuse {
+	decision, after := g.Suspects.Admit(time.Now(), fingerprint)
+	if decision == quarantine.Refuse {
 		refusal := caller.Refuse(caller.Quarantined, quarantineStep, "")
 		refusal.RetryAfter = after
 		return nil, refusal
 	}
 	answer, err := g.Next.Dispatch(ctx, req)
-	if ruling == quarantine.Trial && err != nil && asRefusal(ctx, err).Ran == caller.NotRun {
+	if decision == quarantine.Trial && err != nil && asRefusal(ctx, err).Ran == caller.NotRun {
 		g.Suspects.TrialEnded(fingerprint)
 	}
 	return answer, err
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -79,7 +79,7 @@
 
 // Guards against a home node that does not see its upstream crash, takes a healthy request for the
 // cause, or sends a killer to a third process.
-func TestHomeQuarantinesKiller(t *testing.T) {
+func TestHomeQuarantinesCrashingRequest(t *testing.T) {
 	c := newCrashingHome(t)
 	for range quarantine.Threshold {
 		c.start()
--- a/node/duty.go
+++ b/node/watch_role.go
@@ -8,19 +8,19 @@
 	"github.com/magnoliawharf/magnoliawharf/instance"
 )
 
-// borderDuty is the duty of border nodes to watch the store. It follows the fleet.
-type borderDuty struct {
-	*bundle.DutySwitch
+// borderWatchRole is the role of border nodes that watch the store. It follows the fleet.
+type borderWatchRole struct {
+	*bundle.WatchRoleSwitch
 	membership *datacentre.Membership
 }
 
-// newBorderDuty returns the duty of this node as the membership sees it now.
-func newBorderDuty(membership *datacentre.Membership) *borderDuty {
-	return &borderDuty{DutySwitch: bundle.NewDutySwitch(membership.IsBorder()), membership: membership}
+// newBorderWatchRole returns the role of this node as the membership sees it now.
+func newBorderWatchRole(membership *datacentre.Membership) *borderWatchRole {
+	return &borderWatchRole{WatchRoleSwitch: bundle.NewWatchRoleSwitch(membership.IsBorder()), membership: membership}
 }
 
 // follow checks at each change of the fleet until done is closed.
-func (d *borderDuty) follow(fleet *instance.Fleet, done <-chan struct{}) {
+func (d *borderWatchRole) follow(fleet *instance.Fleet, done <-chan struct{}) {
 	changes, cancel := fleet.Subscribe()
 	defer cancel()
 	for {
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -16,8 +16,8 @@
 		suspects.Report(now, crash, []quarantine.Fingerprint{content})
 		fmt.Println(suspects.Quarantined(now, content))
 	}
-	ruling, retryAfter := suspects.Admit(now, content)
-	fmt.Println(ruling == quarantine.Refuse, retryAfter)
+	decision, retryAfter := suspects.Admit(now, content)
+	fmt.Println(decision == quarantine.Refuse, retryAfter)
 	// Output:
 	// false
 	// true
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -78,14 +78,14 @@
 // Spreader tells all other nodes. It does not block, and a notice that can't be sent is lost.
 type Spreader interface{ Spread(n Notice) }
 
-// Ruling says what is to happen to a request.
-type Ruling uint8
+// Decision says what is to happen to a request.
+type Decision uint8
 
-// Rulings.
+// Decisions.
 const (
-	Pass   Ruling = iota // nothing is held against it
-	Trial                // let it through alone and report its end by TrialEnded
-	Refuse               // refuse it as quarantined
+	Pass   Decision = iota // nothing is held against it
+	Trial                  // let it through alone and report its end by TrialEnded
+	Refuse                 // refuse it as quarantined
 )
 
 type crashNote struct {
@@ -140,11 +140,11 @@
 
 // Admit rules on a request at its entry node. With Refuse it returns the time after which a resend
 // may help.
-func (l *List) Admit(now time.Time, f Fingerprint) (Ruling, time.Duration) {
+func (l *List) Admit(now time.Time, f Fingerprint) (Decision, time.Duration) {
 	if l.count.Load() == 0 {
 		return Pass, 0
 	}
-	ruling, after := Pass, time.Duration(0)
+	decision, after := Pass, time.Duration(0)
 	l.update(f, func(s suspect, found bool) (suspect, bool) {
 		if !found || !s.forget(now) {
 			return s, false
@@ -152,18 +152,18 @@
 		switch {
 		case s.against() == 0 || s.until.IsZero():
 		case now.Before(s.until):
-			ruling, after = Refuse, s.until.Sub(now)
+			decision, after = Refuse, s.until.Sub(now)
 		case now.Before(s.trial):
-			ruling, after = Refuse, s.trial.Sub(now)
+			decision, after = Refuse, s.trial.Sub(now)
 		default:
-			ruling, s.trial = Trial, now.Add(trialTime)
+			decision, s.trial = Trial, now.Add(trialTime)
 		}
 		return s, true
 	})
-	if ruling == Trial {
+	if decision == Trial {
 		l.tell(Notice{Kind: Tried, Fingerprints: []Fingerprint{f}})
 	}
-	return ruling, after
+	return decision, after
 }
 
 // Quarantined reports whether the fingerprint is refused now. The node beside an upstream asks it
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -13,67 +13,67 @@
 
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
-// Guards against a killer that goes on, an innocent neighbour that is refused, and a quarantine
+// Guards against a crashing request that goes on, an innocent one that is refused, and a quarantine
 // that never ends or ends for all at once.
 func TestListRules(t *testing.T) {
-	const killer, neighbour = Fingerprint(1), Fingerprint(2)
+	const crashing, other = Fingerprint(1), Fingerprint(2)
 	crash := func(l *List, seconds float64, c Crash, in ...Fingerprint) { l.Report(at(seconds), c, in) }
 	for _, test := range []struct {
 		name  string
 		steps func(l *List)
 		at    float64
 		f     Fingerprint
-		want  Ruling
+		want  Decision
 	}{
-		{"one crash", func(l *List) { crash(l, 0, 1, killer) }, 1, killer, Pass},
-		{"two crashes", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 2, killer) }, 2, killer, Refuse},
-		{"one crash reported twice", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 1, killer) }, 2, killer, Pass},
-		{"neighbour of one crash", func(l *List) { crash(l, 0, 1, killer, neighbour); crash(l, 1, 2, killer) }, 2, neighbour, Pass},
-		{"neighbour cleared between", func(l *List) {
-			crash(l, 0, 1, killer, neighbour)
-			l.Succeeded(at(0.5), neighbour)
-			crash(l, 1, 2, killer, neighbour)
-		}, 2, neighbour, Pass},
+		{"one crash", func(l *List) { crash(l, 0, 1, crashing) }, 1, crashing, Pass},
+		{"two crashes", func(l *List) { crash(l, 0, 1, crashing); crash(l, 1, 2, crashing) }, 2, crashing, Refuse},
+		{"one crash reported twice", func(l *List) { crash(l, 0, 1, crashing); crash(l, 1, 1, crashing) }, 2, crashing, Pass},
+		{"other of one crash", func(l *List) { crash(l, 0, 1, crashing, other); crash(l, 1, 2, crashing) }, 2, other, Pass},
+		{"other cleared between", func(l *List) {
+			crash(l, 0, 1, crashing, other)
+			l.Succeeded(at(0.5), other)
+			crash(l, 1, 2, crashing, other)
+		}, 2, other, Pass},
 		{"success elsewhere after the second crash", func(l *List) {
-			crash(l, 0, 1, neighbour)
-			crash(l, 1, 2, neighbour)
-			l.Receive(at(1.1), Notice{Kind: Cleared, Fingerprints: []Fingerprint{neighbour}, Crashes: []Crash{1, 2}})
-		}, 2, neighbour, Pass},
+			crash(l, 0, 1, other)
+			crash(l, 1, 2, other)
+			l.Receive(at(1.1), Notice{Kind: Cleared, Fingerprints: []Fingerprint{other}, Crashes: []Crash{1, 2}})
+		}, 2, other, Pass},
 		{"clearance arrives before its crash", func(l *List) {
-			l.Receive(at(0), Notice{Kind: Cleared, Fingerprints: []Fingerprint{neighbour}, Crashes: []Crash{1}})
-			crash(l, 0.5, 1, neighbour)
-			crash(l, 1, 2, neighbour)
-		}, 2, neighbour, Pass},
-		{"end of the term", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 2, killer) }, 302, killer, Trial},
+			l.Receive(at(0), Notice{Kind: Cleared, Fingerprints: []Fingerprint{other}, Crashes: []Crash{1}})
+			crash(l, 0.5, 1, other)
+			crash(l, 1, 2, other)
+		}, 2, other, Pass},
+		{"end of the term", func(l *List) { crash(l, 0, 1, crashing); crash(l, 1, 2, crashing) }, 302, crashing, Trial},
 		{"second request during a trial", func(l *List) {
-			crash(l, 0, 1, killer)
-			crash(l, 1, 2, killer)
-			l.Admit(at(302), killer)
-		}, 303, killer, Refuse},
+			crash(l, 0, 1, crashing)
+			crash(l, 1, 2, crashing)
+			l.Admit(at(302), crashing)
+		}, 303, crashing, Refuse},
 		{"trial of another node", func(l *List) {
-			crash(l, 0, 1, killer)
-			crash(l, 1, 2, killer)
-			l.Receive(at(302), Notice{Kind: Tried, Fingerprints: []Fingerprint{killer}})
-		}, 303, killer, Refuse},
+			crash(l, 0, 1, crashing)
+			crash(l, 1, 2, crashing)
+			l.Receive(at(302), Notice{Kind: Tried, Fingerprints: []Fingerprint{crashing}})
+		}, 303, crashing, Refuse},
 		{"trial that did not run", func(l *List) {
-			crash(l, 0, 1, killer)
-			crash(l, 1, 2, killer)
-			l.Admit(at(302), killer)
-			l.TrialEnded(killer)
-		}, 303, killer, Trial},
+			crash(l, 0, 1, crashing)
+			crash(l, 1, 2, crashing)
+			l.Admit(at(302), crashing)
+			l.TrialEnded(crashing)
+		}, 303, crashing, Trial},
 		{"trial that crashed", func(l *List) {
-			crash(l, 0, 1, killer)
-			crash(l, 1, 2, killer)
-			l.Admit(at(302), killer)
-			crash(l, 303, 3, killer)
-		}, 340, killer, Refuse},
-		{"crashes long ago", func(l *List) { crash(l, 0, 1, killer); crash(l, 1, 2, killer) }, 1000, killer, Pass},
+			crash(l, 0, 1, crashing)
+			crash(l, 1, 2, crashing)
+			l.Admit(at(302), crashing)
+			crash(l, 303, 3, crashing)
+		}, 340, crashing, Refuse},
+		{"crashes long ago", func(l *List) { crash(l, 0, 1, crashing); crash(l, 1, 2, crashing) }, 1000, crashing, Pass},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			l := NewList(nil)
 			test.steps(l)
-			ruling, _ := l.Admit(at(test.at), test.f)
-			assert.Equal(t, ruling, test.want)
+			decision, _ := l.Admit(at(test.at), test.f)
+			assert.Equal(t, decision, test.want)
 			assert.Equal(t, l.Quarantined(at(test.at), test.f), test.want == Refuse && test.at < 301 || test.name == "trial that crashed")
 		})
 	}
@@ -178,15 +178,15 @@
 	f.pending = later
 }
 
-// Guards against killers that take down more than a few upstreams, and innocents that are refused
+// Guards against crashing requests that take down more than a few upstreams, and innocents that are refused
 // although they succeeded after the crash at which they were in flight.
-func TestFuzzKillersAndNeighbours(t *testing.T) {
+func TestFuzzCrashingAndOtherRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{t: t, now: start, delay: rapid.SampledFrom([]int{0, 5}).Draw(t, "delay bound")}
 		for range rapid.IntRange(2, 6).Draw(t, "nodes") {
 			f.lists = append(f.lists, NewList(fromNode{f, len(f.lists)}))
 		}
-		killers := rapid.IntRange(1, 3).Draw(t, "killers")
+		crashing := rapid.IntRange(1, 3).Draw(t, "crashing")
 		crashes, slipped := map[Fingerprint]int{}, map[Fingerprint]int{}
 		lastCrash, lastSuccess := map[Fingerprint]time.Time{}, map[Fingerprint]time.Time{}
 		serial := Crash(0)
@@ -198,13 +198,13 @@
 			wanted := rapid.SliceOfNDistinct(rapid.IntRange(1, 12), 1, 6, rapid.ID[int]).Draw(t, "in flight")
 			for _, id := range wanted {
 				g := Fingerprint(id)
-				ruling, _ := list.Admit(f.now, g)
-				innocent := id > killers
+				decision, _ := list.Admit(f.now, g)
+				innocent := id > crashing
 				spread := time.Duration(f.delay) * 100 * time.Millisecond
-				if innocent && ruling == Refuse && lastSuccess[g].After(lastCrash[g].Add(spread)) && f.now.Sub(lastSuccess[g]) > spread {
+				if innocent && decision == Refuse && lastSuccess[g].After(lastCrash[g].Add(spread)) && f.now.Sub(lastSuccess[g]) > spread {
 					t.Fatalf("innocent %d is refused %v after a success", id, f.now.Sub(lastSuccess[g]))
 				}
-				if ruling == Refuse {
+				if decision == Refuse {
 					continue
 				}
 				running = append(running, g)
@@ -229,16 +229,16 @@
 				lastSuccess[g] = f.now
 			}
 		}
-		for id := 1; id <= killers; id++ {
+		for id := 1; id <= crashing; id++ {
 			// Rounds last at most 120 s, less than a term: no trial takes place.
 			if most := Threshold + slipped[Fingerprint(id)]; crashes[Fingerprint(id)] > most {
-				t.Fatal(fmt.Sprintf("killer %d took down %d upstreams, more than %d", id, crashes[Fingerprint(id)], most))
+				t.Fatal(fmt.Sprintf("crashing %d took down %d upstreams, more than %d", id, crashes[Fingerprint(id)], most))
 			}
 		}
 	})
 }
 
-// Guards against a list that grows without bound, or that forgets a killer to make room.
+// Guards against a list that grows without bound, or that forgets a crashing request to make room.
 func TestListIsBounded(t *testing.T) {
 	l := NewList(nil)
 	l.Report(at(0), 1, []Fingerprint{1})
--- a/transport/peerrpc/bundle_wire_test.go
+++ b/transport/peerrpc/bundle_wire_test.go
@@ -35,13 +35,13 @@
 	return nil
 }
 
-func startWireNode(t *testing.T, storeURL string, trust bundle.Trust, onDuty bool, ask ...string) *wireNode {
+func startWireNode(t *testing.T, storeURL string, trust bundle.Trust, watching bool, ask ...string) *wireNode {
 	t.Helper()
 	adapter := kvhttp.NewClient(storeURL, 0)
 	n := &wireNode{ask: ask}
 	n.Distributor = bundle.NewDistributor(bundle.Config{
 		Trust: trust, InForce: bundle.NewInForce(), Store: store.NewClient(adapter, 0, 0), Broadcast: n,
-		Duty: bundle.NewDutySwitch(onDuty), Peers: n, Client: peerrpc.NewBundleClient(http.DefaultClient),
+		WatchRole: bundle.NewWatchRoleSwitch(watching), Peers: n, Client: peerrpc.NewBundleClient(http.DefaultClient),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(peerrpc.NewBundleHandler(n))
@@ -76,7 +76,7 @@
 }
 
 // Guards against adapters that do not fit together: a version goes through the store's protocol to
-// the node on duty, by broadcast and by the peers' service to others, and reaches a node that starts
+// the node that watches the store, by broadcast and by the peers' service to others, and reaches a node that starts
 // while the store is down.
 func TestBundleOverTheWire(t *testing.T) {
 	memory := kvstore.NewMemory()
@@ -85,9 +85,9 @@
 	key, err := bundle.GenerateKey(time.Time{})
 	assert.NilError(t, err)
 	trust := bundle.Trust{key.Public}
-	duty := startWireNode(t, server.URL, trust, true)
-	other := startWireNode(t, server.URL, trust, false, duty.addr)
-	duty.next = other
+	watchRole := startWireNode(t, server.URL, trust, true)
+	other := startWireNode(t, server.URL, trust, false, watchRole.addr)
+	watchRole.next = other
 
 	publisher := &bundle.Publisher{Store: store.NewClient(kvhttp.NewClient(server.URL, 0), 1000, 1000), Trust: trust}
 	for version := uint64(1); version <= 3; version++ {
@@ -102,7 +102,7 @@
 		assert.NilError(t, err)
 		_, _, err = publisher.Roll(t.Context(), approved)
 		assert.NilError(t, err)
-		duty.await(t, version)
+		watchRole.await(t, version)
 		other.await(t, version)
 	}
 	memory.SetFaults(kvstore.Faults{Down: true})
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -47,8 +47,8 @@
 	if w.done == nil { // granted at once; the lease of a queued request may be written by now
 		return w.lease.release, nil
 	}
-	patience, reason := w.patience()
-	timer := time.NewTimer(patience)
+	waitLimit, reason := w.waitLimit()
+	timer := time.NewTimer(waitLimit)
 	defer timer.Stop()
 	select {
 	case <-w.done:
@@ -83,7 +83,7 @@
 		u.start(now, w)
 		return w, nil
 	}
-	if refusal := u.hopeless(now, w); refusal != nil {
+	if refusal := u.refuseUnmeetable(now, w); refusal != nil {
 		return nil, refusal
 	}
 	if refusal := u.makeRoom(now, w); refusal != nil {
@@ -95,8 +95,8 @@
 	return w, nil
 }
 
-// hopeless refuses a request that would have to wait longer than it may.
-func (u *Upstream) hopeless(now time.Time, w *waiter) *caller.Refusal {
+// refuseUnmeetable refuses a request that would have to wait longer than it may.
+func (u *Upstream) refuseUnmeetable(now time.Time, w *waiter) *caller.Refusal {
 	if u.fits(now, w.ticket.Class) {
 		return nil
 	}
@@ -148,8 +148,8 @@
 	return refusal
 }
 
-// patience returns how long the request may wait, and the reason for refusing it then.
-func (w *waiter) patience() (time.Duration, caller.Reason) {
+// waitLimit returns how long the request may wait, and the reason for refusing it then.
+func (w *waiter) waitLimit() (time.Duration, caller.Reason) {
 	left := w.ticket.Deadline.Sub(w.arrived)
 	if most := w.ticket.Class.MaxWait; most > 0 && most < left {
 		return most, caller.Overload
