Report load every 200 ms and count the wire in one way

Cause: the bytes of keys' messages left out TCP/IP headers, which membership counts, and the calls to the store were estimated; with both counted a border node spent 6,261 B/s and a keeper 6,203 B/s of 6,000. Change: package standin/traffic counts connections for all benchmarks; the calls to the store are measured; a report in 200 ms.

--- a/link/report.go
+++ b/link/report.go
@@ -22,8 +22,8 @@
 
 // reportSpacing is the least time between two reports on answers of one upstream. At 344 calls a
 // second each way a report every 10 ms would cost a node twice the control traffic that it may
-// spend; the measured latencies hardly differ between 10 and 100 ms.
-const reportSpacing = 100 * time.Millisecond
+// spend; the measured latencies hardly differ between 10 and 200 ms.
+const reportSpacing = 200 * time.Millisecond
 
 // Pacer decides at the node beside an upstream which answers carry a report. The zero value is ready
 // for use.
--- a/transport/peerrpc/idempotency_test.go
+++ b/transport/peerrpc/idempotency_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	api "github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1"
 	"github.com/magnoliawharf/magnoliawharf/idempotency"
+	"github.com/magnoliawharf/magnoliawharf/standin/traffic"
 )
 
 // idempotencyEcho answers each message with one that fills every field, and keeps what it received.
@@ -57,39 +57,11 @@
 	return e.record
 }
 
-// countingListener counts the bytes of its connections in both directions.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return &countingConn{conn, &l.bytes}, err
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 type idempotencyBench struct {
 	echo    *idempotencyEcho
 	peers   *IdempotencyPeers
 	to      idempotency.Member
-	counter *countingListener
+	counter *traffic.Counter
 	key     idempotency.Key
 }
 
@@ -98,14 +70,14 @@
 	assert.NilError(t, err)
 	id, err := uuid.NewV7()
 	assert.NilError(t, err)
-	b := &idempotencyBench{counter: &countingListener{Listener: listener}, key: idempotency.Key(id[:])}
+	b := &idempotencyBench{counter: &traffic.Counter{}, key: idempotency.Key(id[:])}
 	b.to = idempotency.Member{Identity: idempotency.Identity{ID: "kigali-1-node-014", Incarnation: 1767225600000000000}, Addr: listener.Addr().String()}
 	record := &idempotency.Record{Epoch: 4, Region: "kigali", Outage: 1e6, Nonce: "n", Members: []idempotency.Member{b.to}}
 	b.echo = &idempotencyEcho{record: record, answer: &idempotency.Answer{Status: 201, Body: []byte("receipt"), Header: map[string][]string{"X-A": {"1"}}}}
 	mux := http.NewServeMux()
 	mux.Handle(NewIdempotencyHandler(b.echo))
 	server := httptest.NewUnstartedServer(mux)
-	server.Listener = b.counter
+	server.Listener = b.counter.Listener(listener)
 	server.Start()
 	t.Cleanup(server.Close)
 	b.peers = NewIdempotencyPeers(server.Client())
@@ -213,13 +185,13 @@
 		b.Run(exchange.name, func(b *testing.B) {
 			s := startIdempotency(b)
 			assert.NilError(b, exchange.send(s))
-			before := s.counter.bytes.Load()
+			before := s.counter.Total()
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
 				assert.NilError(b, exchange.send(s))
 			}
-			b.ReportMetric(float64(s.counter.bytes.Load()-before)/float64(b.N), "wireB/op")
+			b.ReportMetric(float64(s.counter.Total()-before)/float64(b.N), "wireB/op")
 		})
 	}
 }
@@ -233,12 +205,12 @@
 			for range keys {
 				chunk.Items = append(chunk.Items, idempotency.Item{Key: s.key, State: 1, Holder: idempotency.NewAttempt(), TimeLeft: time.Second})
 			}
-			before := s.counter.bytes.Load()
+			before := s.counter.Total()
 			for range b.N {
 				_, err := s.peers.HandOver(context.Background(), s.to, chunk)
 				assert.NilError(b, err)
 			}
-			b.ReportMetric(float64(s.counter.bytes.Load()-before)/float64(b.N), "wireB/op")
+			b.ReportMetric(float64(s.counter.Total()-before)/float64(b.N), "wireB/op")
 		})
 	}
 }
--- a/transport/peerrpc/membership_measure_test.go
+++ b/transport/peerrpc/membership_measure_test.go
@@ -8,7 +8,6 @@
 	"runtime"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,62 +16,15 @@
 
 	"github.com/magnoliawharf/magnoliawharf/datacentre"
 	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/standin/traffic"
 	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
 )
 
-const (
-	segmentPayload = 1448 // bytes of payload in a segment on Ethernet
-	segmentHeader  = 52   // IPv4 20, TCP 20, timestamps 12
-)
-
-// traffic counts the bytes of one node in both directions as a network would carry them: the payload,
-// the header of each segment, and an empty segment that acknowledges each segment of a response. The
-// acknowledgement of a request is part of its response, which comes within 40 ms.
-type traffic struct{ sent, received, acks atomic.Int64 }
-
-func (t *traffic) total() int64 { return t.sent.Load() + t.received.Load() + t.acks.Load() }
-
-type countingConn struct {
-	net.Conn
-	traffic *traffic
-	dialled bool
-}
-
-func segments(n int) int64 { return int64((n + segmentPayload - 1) / segmentPayload) }
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.sent.Add(int64(n) + segments(n)*segmentHeader)
-	if !c.dialled {
-		c.traffic.acks.Add(segments(n) * segmentHeader)
-	}
-	return n, err
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.traffic.received.Add(int64(n) + segments(n)*segmentHeader)
-	if c.dialled {
-		c.traffic.acks.Add(segments(n) * segmentHeader)
-	}
-	return n, err
-}
-
-type countingListener struct {
-	net.Listener
-	traffic *traffic
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return countingConn{conn, l.traffic, false}, err
-}
-
 // realNode is a membership on loopback with its own listener and messenger.
 type realNode struct {
 	*datacentre.Membership
 	fleet   *instance.Fleet
-	traffic traffic
+	traffic traffic.Counter
 	server  *http.Server
 	client  *peerrpc.MembershipMessenger
 	ctx     context.Context
@@ -84,10 +36,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(tb, err)
 	n := &realNode{fleet: instance.NewFleet(), done: make(chan struct{})}
-	n.client = peerrpc.NewMembershipMessenger(func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
-		return countingConn{conn, &n.traffic, true}, err
-	})
+	n.client = peerrpc.NewMembershipMessenger(n.traffic.Dial)
 	n.Membership = datacentre.New(datacentre.Config{
 		Self: instance.Record{
 			ID: instance.ID(id), Incarnation: uint64(time.Now().UnixNano()), DataCentre: centre, Region: "nl-midden",
@@ -99,7 +48,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerrpc.NewMembershipHandler(n.Membership))
 	n.server = &http.Server{Handler: mux}
-	go func() { _ = n.server.Serve(countingListener{listener, &n.traffic}) }()
+	go func() { _ = n.server.Serve(n.traffic.Listener(listener)) }()
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	return n
 }
@@ -158,11 +107,11 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			assert.NilError(b, send())
-			before, used := from.traffic.total(), processorTime()
+			before, used := from.traffic.Total(), processorTime()
 			for b.Loop() {
 				assert.NilError(b, send())
 			}
-			b.ReportMetric(float64(from.traffic.total()-before)/float64(b.N), "wirebytes/op")
+			b.ReportMetric(float64(from.traffic.Total()-before)/float64(b.N), "wirebytes/op")
 			b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/op")
 		})
 	}
@@ -251,7 +200,7 @@
 func totals(nodes []*realNode) []int64 {
 	counts := make([]int64, len(nodes))
 	for i, n := range nodes {
-		counts[i] = n.traffic.total()
+		counts[i] = n.traffic.Total()
 	}
 	return counts
 }
