Count what a planned stop of a keeper waits for under one lock

Cause: the race detector found the hand-over's WaitGroup being added to while the stop waited: between an input and its outputs another goroutine could end the stop and cut the hand-over off. The test also changed its list of nodes and the set of lost nodes while keepers read them. Change: inputs in work and hand-overs are counted under the lock that ends the stop; the test gives each keeper a copy and keeps lost nodes in a sync.Map.

--- a/idempotency/client_test.go
+++ b/idempotency/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,7 +91,7 @@
 func TestClientWithoutGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		held := kvstore.NewMemory()
-		client := NewClient(nil, held, &direct{})
+		client := NewClient(nil, held, &direct{down: &sync.Map{}})
 		for range 20 {
 			started := time.Now()
 			verdict, _ := client.Claim(context.Background(), "s", newKey(time.Now(), 1), NewAttempt(), time.Now().Add(time.Minute))
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -55,9 +55,9 @@
 	table    *Table
 	wake     chan struct{} // holds one element when the timer must be set anew
 
-	mu       sync.Mutex
-	leaving  chan struct{} // closed when the node has left the group, nil before a planned stop
-	handOver sync.WaitGroup
+	mu      sync.Mutex
+	leaving chan struct{} // closed when the node has left the group, nil before a planned stop
+	pending int           // inputs whose outputs are not all started, and hand-overs under way
 }
 
 // NewKeeper returns the keeper of the node with the identity.
@@ -124,9 +124,8 @@
 
 // feed gives an input to both machines of the part and does what they ask for.
 func (k *Keeper) feed(p *part, in Input) {
-	now := k.clock.Now()
-	k.do(p, p.group.Handle, p.group.Handle(now, in))
-	k.do(p, p.outsider.Handle, p.outsider.Handle(now, in))
+	k.handle(p, p.group.Handle, in)
+	k.handle(p, p.outsider.Handle, in)
 	p.poke()
 }
 
@@ -136,26 +135,37 @@
 	case p.wake <- struct{}{}:
 	default:
 	}
+	p.count(0)
+}
+
+// count changes the number of pending steps. A planned stop ends when the node is no member any more
+// and nothing is pending, so that no hand-over is cut off that an input has just asked for.
+func (p *part) count(change int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.leaving != nil && !p.group.IsMember() {
-		select {
-		case <-p.leaving:
-		default:
-			close(p.leaving)
-		}
+	p.pending += change
+	if p.leaving == nil || p.pending > 0 || p.group.IsMember() {
+		return
+	}
+	select {
+	case <-p.leaving:
+	default:
+		close(p.leaving)
 	}
 }
 
 type handler func(Instant, Input) []Output
 
-// do carries out the outputs of a machine, each in a goroutine that ends with its call.
-func (k *Keeper) do(p *part, handle handler, outputs []Output) {
-	for _, out := range outputs {
+// handle gives an input to a machine and carries out its outputs, each in a goroutine that ends with
+// its call.
+func (k *Keeper) handle(p *part, machine handler, in Input) {
+	p.count(1)
+	defer p.count(-1)
+	for _, out := range machine(k.clock.Now(), in) {
 		release := func() {}
 		if _, ok := out.(HandOver); ok {
-			p.handOver.Add(1)
-			release = p.handOver.Done
+			p.count(1)
+			release = func() { p.count(-1) }
 		}
 		started := k.start(func() {
 			defer release()
@@ -163,7 +173,7 @@
 			if in == nil || k.ctx.Err() != nil {
 				return
 			}
-			k.do(p, handle, handle(k.clock.Now(), in))
+			k.handle(p, machine, in)
 			k.share(p, in)
 			p.poke()
 		})
@@ -186,7 +196,7 @@
 	}
 	if record != nil {
 		if _, ok := record.Member(k.self); ok {
-			k.do(p, p.group.Handle, p.group.Handle(k.clock.Now(), RecordReceived{Record: record}))
+			k.handle(p, p.group.Handle, RecordReceived{Record: record})
 		}
 	}
 	if held := p.group.Record(); held != nil {
--- a/idempotency/keeper_test.go
+++ b/idempotency/keeper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -19,7 +21,7 @@
 type direct struct {
 	from    Identity
 	keepers map[Identity]*Keeper
-	down    map[Identity]bool
+	down    *sync.Map // Identity of each node that is cut off
 	grants  *atomic.Int64
 }
 
@@ -35,12 +37,17 @@
 	case <-time.After(time.Millisecond):
 	}
 	k, ok := d.keepers[to.Identity]
-	if !ok || d.down[to.Identity] || d.down[d.from] {
+	if !ok || d.isDown(to.Identity) || d.isDown(d.from) {
 		return nil, errors.New("unreachable")
 	}
 	return k, nil
 }
 
+func (d *direct) isDown(id Identity) bool {
+	_, down := d.down.Load(id)
+	return down
+}
+
 func send[R any](ctx context.Context, d *direct, to Member, serve func(*Keeper) R) (reply R, err error) {
 	k, err := d.reach(ctx, to)
 	if err != nil {
@@ -106,7 +113,7 @@
 }
 
 func startFleet(nodes int) *testFleet {
-	f := &testFleet{wire: &direct{keepers: map[Identity]*Keeper{}, down: map[Identity]bool{}, grants: new(atomic.Int64)}, store: kvstore.NewMemory()}
+	f := &testFleet{wire: &direct{keepers: map[Identity]*Keeper{}, down: &sync.Map{}, grants: new(atomic.Int64)}, store: kvstore.NewMemory()}
 	for i := range nodes {
 		id := Identity{ID: fmt.Sprintf("n%d", i), Incarnation: 1}
 		f.peers = append(f.peers, Peer{Identity: id, Addr: id.ID, DataCentre: fmt.Sprintf("dc%d", i%3), Region: "r", Serves: true})
@@ -120,7 +127,7 @@
 func (f *testFleet) update() {
 	for _, p := range f.peers {
 		if !p.Gone {
-			f.wire.keepers[p.Identity].Update("s", testSetting(), f.peers)
+			f.wire.keepers[p.Identity].Update("s", testSetting(), slices.Clone(f.peers))
 		}
 	}
 }
@@ -190,7 +197,7 @@
 	started := time.Now()
 	f.wire.keepers[owner.Identity].Stop(stopCtx)
 	t.Logf("planned stop took %v", time.Since(started))
-	f.wire.down[owner.Identity] = true
+	f.wire.down.Store(owner.Identity, true)
 	f.update()
 	time.Sleep(3 * time.Second)
 	verdict, _ = f.claim(entry, key)
@@ -204,7 +211,7 @@
 
 	record = f.record(t)
 	owner = record.Owner(fresh)
-	f.wire.down[owner.Identity] = true // lost without warning
+	f.wire.down.Store(owner.Identity, true) // lost without warning
 	for i, p := range f.peers {
 		if p.Identity == owner.Identity {
 			f.peers[i].Gone, f.peers[i].Serves = true, false
--- a/idempotency/serve.go
+++ b/idempotency/serve.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	if r.Tell != nil {
-		k.do(p, p.group.Handle, p.group.Handle(k.clock.Now(), RecordReceived{Record: r.Tell}))
+		k.handle(p, p.group.Handle, RecordReceived{Record: r.Tell})
 		p.poke()
 	}
 	if record := p.group.Record(); record != nil {
@@ -100,16 +100,6 @@
 	k.feed(p, StopAsked{})
 	select {
 	case <-left:
-	case <-ctx.Done():
-		return
-	}
-	handed := make(chan struct{})
-	go func() {
-		p.handOver.Wait()
-		close(handed)
-	}()
-	select {
-	case <-handed:
 	case <-ctx.Done():
 	}
 }
