Use one wait in package node

Cause: node.go had a wait of its own beside pause in dispatcher.go. Change: the planned stop calls pause; waitFor is gone. Behaviour is the same.

--- a/node/node.go
+++ b/node/node.go
@@ -200,7 +200,7 @@
 	n.stopping.Store(true)
 	n.self.Stop(time.Now())
 	n.callers.Drain()
-	waitFor(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
+	pause(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
 	err := n.home.Idle(ctx)
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	n.control.stop(ctx)
@@ -212,15 +212,6 @@
 	return nil
 }
 
-func waitFor(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // servers returns the listeners.
 func (n *Node) servers() []*httpserver.Server {
 	return []*httpserver.Server{n.callers, n.peers, n.local}
