--- /dev/null
+++ b/contract/contract.go
@@ -0,0 +1,110 @@
+// Package contract holds what the operator wants done with the traffic of a deployment: one version of all routes,
+// services and limits. A Contracts value is immutable; InForce holds the newest one of a process.
+package contract
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+)
+
+// Part is one of the services among which a route divides its requests.
+type Part struct {
+	Service string
+	Weight  int // share of the requests, relative to the other parts
+}
+
+// Route says how the requests to one host and path prefix are handled.
+type Route struct {
+	Name       string
+	Host       string // lower case, without port
+	PathPrefix string // begins and ends with a slash
+	Rule       bundle.Rule
+	Timeout    time.Duration // longest time that a request is kept waiting; 0 sets no limit
+	Objective  time.Duration // time within which an answer has its full value
+	Priority   int           // 0 is served first
+	Attempts   int           // upstreams to which one request may be sent
+	Parts      []Part
+}
+
+// Service is what the operator says of the upstreams of one service.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int // connections that one upstream accepts from all callers together
+}
+
+// Limits bound what one caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Contracts are one version of everything. They are immutable after New.
+type Contracts struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+	Source   []byte // the operator's document, passed on to nodes that lag
+
+	byHost map[string][]*Route // longest prefix first
+}
+
+// New checks c, indexes its routes and returns it. The error names the route that is at fault.
+func New(c Contracts) (*Contracts, error) {
+	c.byHost = make(map[string][]*Route)
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if err := check(route, c.Services); err != nil {
+			return nil, fmt.Errorf("contracts version %d: route %s: %w", c.Version, route.Name, err)
+		}
+		host := strings.ToLower(route.Host)
+		c.byHost[host] = append(c.byHost[host], route)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return &c, nil
+}
+
+func check(r *Route, services map[string]Service) error {
+	total := 0
+	for _, part := range r.Parts {
+		if _, ok := services[part.Service]; !ok {
+			return fmt.Errorf("service %q is not defined", part.Service)
+		}
+		if part.Weight < 0 {
+			return fmt.Errorf("weight %d of service %q is negative", part.Weight, part.Service)
+		}
+		total += part.Weight
+	}
+	switch {
+	case total == 0:
+		return fmt.Errorf("no part has a weight")
+	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
+		return fmt.Errorf("path prefix %q does not begin and end with a slash", r.PathPrefix)
+	case r.Attempts < 1:
+		return fmt.Errorf("attempts %d is less than 1", r.Attempts)
+	}
+	return nil
+}
+
+// Match returns the route of a request: among those of the host, the one with the longest prefix of the path.
+func (c *Contracts) Match(host, path string) (*Route, bool) {
+	if bare, _, err := net.SplitHostPort(host); err == nil {
+		host = bare
+	}
+	for _, route := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/contract/contract_test.go
@@ -0,0 +1,89 @@
+package contract_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/contract"
+)
+
+func version(t *testing.T, number uint64, routes ...contract.Route) *contract.Contracts {
+	t.Helper()
+	c, err := contract.New(contract.Contracts{
+		Version: number, Routes: routes,
+		Services: map[string]contract.Service{"a": {Name: "a"}, "b": {Name: "b"}},
+	})
+	assert.NilError(t, err)
+	return c
+}
+
+func route(name, host, prefix string, parts ...contract.Part) contract.Route {
+	if len(parts) == 0 {
+		parts = []contract.Part{{Service: "a", Weight: 1}}
+	}
+	return contract.Route{Name: name, Host: host, PathPrefix: prefix, Rule: bundle.Idempotent, Attempts: 1, Parts: parts}
+}
+
+// Guards against a request that takes the route of a shorter prefix or of another host.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	c := version(t, 1, route("short", "x.example", "/a/"), route("long", "x.example", "/a/b/"), route("other", "y.example", "/a/b/c/"))
+	for _, test := range []struct{ host, path, want string }{
+		{"x.example", "/a/b/c/d", "long"},
+		{"X.Example:8080", "/a/c", "short"},
+		{"y.example", "/a/b/c/", "other"},
+		{"y.example", "/a/b/", ""},
+		{"x.example", "/a", ""},
+		{"z.example", "/a/", ""},
+	} {
+		got, ok := c.Match(test.host, test.path)
+		assert.Equal(t, ok, test.want != "", "%s%s", test.host, test.path)
+		if ok {
+			assert.Equal(t, got.Name, test.want)
+		}
+	}
+}
+
+// Guards against contracts that would send requests nowhere.
+func TestNewRefusesFaultyRoutes(t *testing.T) {
+	services := map[string]contract.Service{"a": {}}
+	for name, r := range map[string]contract.Route{
+		"unknown service": route("r", "h", "/p/", contract.Part{Service: "c", Weight: 1}),
+		"no weight":       route("r", "h", "/p/", contract.Part{Service: "a"}),
+		"negative weight": route("r", "h", "/p/", contract.Part{Service: "a", Weight: -1}),
+		"bare prefix":     route("r", "h", "/p"),
+		"no attempts":     {Name: "r", Host: "h", PathPrefix: "/p/", Parts: []contract.Part{{Service: "a", Weight: 1}}},
+	} {
+		_, err := contract.New(contract.Contracts{Version: 1, Routes: []contract.Route{r}, Services: services})
+		assert.ErrorContains(t, err, "route r", name)
+	}
+}
+
+// Guards against a version that reverts within a process.
+func TestInForceNeverGoesBack(t *testing.T) {
+	f := contract.NewInForce()
+	var told []uint64
+	f.OnAdopt(func(c *contract.Contracts) { told = append(told, c.Version) })
+	for _, number := range []uint64{3, 2, 3, 7, 5} {
+		f.Adopt(version(t, number))
+	}
+	assert.Equal(t, f.Version(), uint64(7))
+	assert.DeepEqual(t, told, []uint64{3, 7})
+}
+
+// Guards against parts that get more or less than their share over a few hundred requests.
+func TestSplitsKeepTheWeights(t *testing.T) {
+	splits := contract.NewSplits()
+	divide := func(r contract.Route, n int) map[string]int {
+		counts := make(map[string]int)
+		for range n {
+			counts[splits.Next(&r)]++
+		}
+		return counts
+	}
+	first := divide(route("r", "h", "/p/", contract.Part{Service: "a", Weight: 90}, contract.Part{Service: "b", Weight: 10}), 300)
+	assert.Assert(t, first["b"] >= 29 && first["b"] <= 31, "%v", first)
+	changed := divide(route("r", "h", "/p/", contract.Part{Service: "a", Weight: 1}, contract.Part{Service: "b", Weight: 3}), 300)
+	assert.Assert(t, changed["b"] >= 224 && changed["b"] <= 226, "%v", changed)
+}
