--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -74,8 +74,10 @@
 	PeerLost            Reason = "peer-lost"
 	UpstreamUnreachable Reason = "upstream-unreachable"
 	UpstreamLost        Reason = "upstream-lost"
+	UpstreamRejected    Reason = "upstream-rejected"
 	AnswerMismatch      Reason = "answer-mismatch"
 	BodyCut             Reason = "body-cut"
+	BodyTooLarge        Reason = "body-too-large"
 )
 
 // Reasons lists every reason, in the order of the constants.
@@ -84,7 +86,7 @@
 	StaleIncarnation, StaleBundle, QueueFull, DeadlineUnmeetable, DeadlinePassed, Cancelled,
 	Overload, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
 	KeyInProgress, KeyUnknown, KeyAlreadyRun, NoKeeper, PeerUnreachable, PeerLost,
-	UpstreamUnreachable, UpstreamLost, AnswerMismatch, BodyCut,
+	UpstreamUnreachable, UpstreamLost, UpstreamRejected, AnswerMismatch, BodyCut, BodyTooLarge,
 }
 
 func init() { metrics.RegisterReasons(Reasons) }
--- a/caller/request.go
+++ b/caller/request.go
@@ -25,9 +25,10 @@
 	Key           string // idempotency key, "" when absent
 	Fingerprint   uint64 // identifies the content of the request across resends
 	Deadline      time.Time
-	Attempt       int    // 1 for the first; counted over the whole chain of calls
-	Depth         int    // number of services' calls above this one
-	BundleVersion uint64 // version from which Route and Class were taken
+	Attempt       int        // 1 for the first; counted over the whole chain of calls
+	Depth         int        // number of services' calls above this one
+	BundleVersion uint64     // version from which Route and Class were taken
+	Placement     *Placement // nil unless an entry node of package entry placed the request
 }
 
 // FingerprintBody is the largest body that is part of a fingerprint, in bytes.
--- a/caller/retry.go
+++ b/caller/retry.go
@@ -33,7 +33,8 @@
 var costs = map[Reason]Cost{
 	Draining: Free, NotReady: Free, StaleIncarnation: Free, PeerUnreachable: Free,
 	StaleBundle: Work, UpstreamUnreachable: Work, PeerLost: Work, UpstreamLost: Work, AnswerMismatch: Work,
-	ColdUpstream: Overhead, QueueFull: Overhead, DeadlineUnmeetable: Overhead, Overload: Overhead,
+	UpstreamRejected: Work,
+	ColdUpstream:     Overhead, QueueFull: Overhead, DeadlineUnmeetable: Overhead, Overload: Overhead,
 }
 
 // CostOf returns the cost class of a refusal.
--- a/inflight/inflight.go
+++ b/inflight/inflight.go
@@ -1,26 +1,28 @@
-package node
+// Package inflight counts requests in flight, so that a planned stop can wait for the last one.
+package inflight
 
 import (
 	"context"
 	"sync"
 )
 
-// inFlight counts requests in flight and lets a stop wait for the last one.
-type inFlight struct {
+// Counter counts requests in flight and lets a stop wait for the last one. The zero value is ready for use. It is safe
+// for concurrent use.
+type Counter struct {
 	mu    sync.Mutex
 	count int
 	idle  chan struct{} // closed when count falls to 0; nil unless someone waits
 }
 
-// begin counts a request until the returned function is called once.
-func (f *inFlight) begin() func() {
+// Begin counts a request until the returned function is called once.
+func (f *Counter) Begin() func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count++
 	return f.end
 }
 
-func (f *inFlight) end() {
+func (f *Counter) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count--
@@ -30,8 +32,8 @@
 	}
 }
 
-// wait returns when no request is in flight, or with the error of ctx.
-func (f *inFlight) wait(ctx context.Context) error {
+// Wait returns when no request is in flight, or with the error of ctx.
+func (f *Counter) Wait(ctx context.Context) error {
 	f.mu.Lock()
 	if f.count == 0 {
 		f.mu.Unlock()
@@ -49,3 +51,10 @@
 		return ctx.Err()
 	}
 }
+
+// Len returns the number of requests in flight.
+func (f *Counter) Len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -47,3 +47,8 @@
 	set.WritePrometheus(w)
 	vm.WriteProcessMetrics(w)
 }
+
+// Histogram returns the histogram of the name for one value of a label, creating it when needed.
+func Histogram(name, label, value string) *vm.Histogram {
+	return set.GetOrCreateHistogram(fmt.Sprintf("%s{%s=%q}", name, label, value))
+}
--- a/node/home.go
+++ b/node/home.go
@@ -7,7 +7,9 @@
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/inflight"
 	"github.com/magnoliawharf/magnoliawharf/link"
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
 	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
@@ -26,9 +28,9 @@
 	Bundles     *bundle.InForce
 	Upstream    *upstream.Upstream
 	Client      UpstreamClient
-	Crashes     *Crashes // nil: requests are not watched for crashes
+	Crashes     *quarantine.Crashes // nil: requests are not watched for crashes
 
-	inFlight inFlight
+	inFlight inflight.Counter
 }
 
 // Serve admits the request, sends it to the upstream and returns the answer. The slot is given
@@ -49,14 +51,14 @@
 		release()
 		return nil, caller.Refuse(caller.NotReady, homeStep, h.ID)
 	}
-	if refusal := h.Crashes.check(req); refusal != nil {
+	if refusal := h.Crashes.Check(req); refusal != nil {
 		release()
 		return nil, refusal
 	}
-	done := h.inFlight.begin()
+	done := h.inFlight.Begin()
 	began := time.Now()
 	answer, err := h.Client.Send(ctx, req, announced.Addr)
-	h.Crashes.sent(ctx, req, began, answer, err)
+	h.Crashes.Sent(ctx, req, began, answer, err)
 	if err != nil {
 		release()
 		done()
@@ -95,7 +97,7 @@
 }
 
 // Idle returns when no request is in flight at the upstream, or with the error of ctx.
-func (h *Home) Idle(ctx context.Context) error { return h.inFlight.wait(ctx) }
+func (h *Home) Idle(ctx context.Context) error { return h.inFlight.Wait(ctx) }
 
 // Report returns the state of the upstream for the nodes of callers.
 func (h *Home) Report() link.Report { return h.Upstream.Report() }
--- a/node/node.go
+++ b/node/node.go
@@ -132,7 +132,7 @@
 	spread := peerrpc.NewQuarantineSpread(n.control.membership, life)
 	suspects := quarantine.NewList(spread)
 	spread.Feed(suspects)
-	n.home.Crashes = &Crashes{Suspects: suspects, Watch: quarantine.NewWatch(suspects, life)}
+	n.home.Crashes = &quarantine.Crashes{Suspects: suspects, Watch: quarantine.NewWatch(suspects, life)}
 	n.self.WatchProcess(n.home.Crashes.Watch)
 }
 
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -37,7 +37,7 @@
 	c := &crashingHome{t: t, list: list, self: node.NewSelf(beside, slog.New(slog.DiscardHandler), noPublisher{})}
 	c.home = &node.Home{
 		ID: "home-1", Incarnation: incarnation, Bundles: testBundle(), Upstream: beside, Client: upstreamhttp.NewClient(),
-		Crashes: &node.Crashes{Suspects: list, Watch: quarantine.NewWatch(list, "home-1")},
+		Crashes: &quarantine.Crashes{Suspects: list, Watch: quarantine.NewWatch(list, "home-1")},
 	}
 	c.self.WatchProcess(c.home.Crashes.Watch)
 	return c
--- a/settings/read.go
+++ b/settings/read.go
@@ -44,33 +44,50 @@
 
 // Load reads and checks the settings file. The error joins one *Error per fault.
 func Load(file string) (Settings, error) {
+	data, err := ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	parsed, err := Parse(file, data)
+	for i, key := range parsed.TrustedKeys {
+		if !filepath.IsAbs(key) {
+			parsed.TrustedKeys[i] = filepath.Join(filepath.Dir(file), key)
+		}
+	}
+	return parsed, err
+}
+
+// ReadFile returns the bytes of a settings file. The error is a *Error.
+func ReadFile(file string) ([]byte, error) {
 	opened, err := os.Open(file)
 	if err != nil {
-		return Settings{}, &Error{File: file, Allowed: "cannot be read: " + err.Error()}
+		return nil, &Error{File: file, Allowed: "cannot be read: " + err.Error()}
 	}
 	defer opened.Close()
 	data, err := io.ReadAll(io.LimitReader(opened, maxFileSize+1))
 	if err != nil {
-		return Settings{}, &Error{File: file, Allowed: "cannot be read: " + err.Error()}
+		return nil, &Error{File: file, Allowed: "cannot be read: " + err.Error()}
 	}
 	if len(data) > maxFileSize {
-		return Settings{}, &Error{File: file, Allowed: fmt.Sprintf("a settings file has at most %d bytes", maxFileSize)}
+		return nil, &Error{File: file, Allowed: fmt.Sprintf("a settings file has at most %d bytes", maxFileSize)}
 	}
-	parsed, err := Parse(file, data)
-	for i, key := range parsed.TrustedKeys {
-		if !filepath.IsAbs(key) {
-			parsed.TrustedKeys[i] = filepath.Join(filepath.Dir(file), key)
-		}
+	return data, nil
+}
+
+// Decode reads settings of any kind strictly into the struct that into points to, and checks it by its validate tags.
+// The error joins one *Error per fault; file names their origin.
+func Decode(file string, data []byte, into any) error {
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(into); err != nil {
+		return decodeError(file, err)
 	}
-	return parsed, err
+	return faults(file, checker.Struct(into))
 }
 
 // Parse reads and checks settings; file names their origin in errors.
 func Parse(file string, data []byte) (Settings, error) {
 	parsed := Default()
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := decoder.Decode(&parsed); err != nil {
-		return Settings{}, decodeError(file, err)
+	if err := Decode(file, data, &parsed); err != nil {
+		return Settings{}, err
 	}
 	if err := Check(file, parsed); err != nil {
 		return Settings{}, err
@@ -84,6 +101,11 @@
 	if err == nil && len(s.Store.Endpoints) == 0 && len(s.Seeds) == 0 {
 		return &Error{File: file, Key: "store.endpoints", Allowed: "is required unless seeds lists the peer address of another node"}
 	}
+	return faults(file, err)
+}
+
+// faults turns the error of the checker into one *Error per fault.
+func faults(file string, err error) error {
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
 		return err
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -7,9 +7,12 @@
 )
 
 // Reference lists the known keys with their type and whether they are required, one a line.
-func Reference() string {
+func Reference() string { return ReferenceOf(reflect.TypeFor[Settings]()) }
+
+// ReferenceOf lists the keys of the settings in a struct type, as Reference does.
+func ReferenceOf(of reflect.Type) string {
 	var text strings.Builder
-	describe(&text, "", reflect.TypeFor[Settings]())
+	describe(&text, "", of)
 	return text.String()
 }
 
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -13,14 +13,23 @@
 	maxBackoff = 8 * time.Second
 )
 
-// Backoff spaces tries after failures: waits double from 50 ms to 8 s and are jittered over their
+// Backoff spaces tries after failures: waits double from 50 ms to Longest and are jittered over their
 // full range, so that processes that failed together do not return together. The zero value is
 // ready for use. It is not safe for concurrent use.
-type Backoff struct{ limit time.Duration }
+type Backoff struct {
+	// Longest bounds the waits. 0 stands for 8 s.
+	Longest time.Duration
+
+	limit time.Duration
+}
 
 // Wait waits for the next try, or returns the error of ctx.
 func (b *Backoff) Wait(ctx context.Context) error {
-	b.limit = min(max(2*b.limit, 2*minBackoff), maxBackoff)
+	longest := b.Longest
+	if longest <= 0 {
+		longest = maxBackoff
+	}
+	b.limit = min(max(2*b.limit, 2*minBackoff), max(longest, 2*minBackoff))
 	timer := time.NewTimer(minBackoff + rand.N(b.limit-minBackoff))
 	defer timer.Stop()
 	select {
--- a/store/client.go
+++ b/store/client.go
@@ -20,6 +20,9 @@
 // Client wraps an adapter with a rate limit for this process and settles uncertain writes. It is a
 // Store itself and safe for concurrent use.
 type Client struct {
+	// LongestWait bounds the waits of Follow between two tries. 0 stands for 8 s. It is set before use.
+	LongestWait time.Duration
+
 	adapter Store
 	limiter *rate.Limiter
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -24,7 +24,7 @@
 // break watches and reads anew with jittered back-off. While the store is away, what update last
 // received stands.
 func (c *Client) Follow(ctx context.Context, prefix string, update func([]Entry)) error {
-	f := follower{client: c, prefix: prefix, update: update}
+	f := follower{client: c, prefix: prefix, update: update, backoff: Backoff{Longest: c.LongestWait}}
 	for ctx.Err() == nil {
 		f.watch(ctx)
 		if err := f.backoff.Wait(ctx); err != nil {
--- a/store/session.go
+++ b/store/session.go
@@ -21,6 +21,9 @@
 // that a holder that was paused does not act under a lease that it lost meanwhile. It is safe for
 // concurrent use.
 type Session struct {
+	// LongestWait bounds the waits between two tries. 0 stands for 8 s. It is set before Run.
+	LongestWait time.Duration
+
 	store Store
 	ttl   time.Duration
 	clock func() reading
@@ -70,7 +73,7 @@
 // writes the keys of the session under the lease; when that fails the lease is given up. A lease
 // that lapsed is replaced.
 func (s *Session) Run(ctx context.Context, granted func(ctx context.Context, id LeaseID) error) error {
-	var backoff Backoff
+	backoff := Backoff{Longest: s.LongestWait}
 	for {
 		if id, err := s.grant(ctx); err == nil {
 			if err := granted(ctx, id); err == nil {
@@ -97,22 +100,32 @@
 
 // renew keeps the lease until it may have lapsed or ctx ends.
 func (s *Session) renew(ctx context.Context, id LeaseID) {
-	ticker := time.NewTicker(s.ttl / renewalsPerTTL)
-	defer ticker.Stop()
+	backoff := Backoff{Longest: min(s.ttl/renewalsPerTTL, s.LongestWait)}
+	timer := time.NewTimer(s.ttl / renewalsPerTTL)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		sent := s.clock()
 		err := s.store.RenewLease(ctx, id)
 		if err == nil {
 			s.confirm(id, sent)
+			backoff.Reset()
 		}
 		if _, held := s.Lease(); !held || Is(err, ErrLeaseLapsed) {
 			return
 		}
+		if err != nil && backoff.Wait(ctx) != nil {
+			return
+		}
+		if err != nil {
+			timer.Reset(0)
+			continue
+		}
+		timer.Reset(s.ttl / renewalsPerTTL)
 	}
 }
 
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -56,6 +56,9 @@
 		return nil, nil, caller.Refuse(caller.DeadlinePassed, forwardStep, peer)
 	}
 	out.Header.Set(headerCall, encodeCall(req, c.self, target.Incarnation, now))
+	if req.Placement != nil {
+		out.Header.Set(headerPlacement, encodePlacement(req.Placement))
+	}
 	response, sent, err := c.out.RoundTrip(ctx, out)
 	if err != nil {
 		failure := transport.Failure{
@@ -96,8 +99,8 @@
 	if !refusal.Reason.Known() || refusal.Ran == caller.Answered {
 		return caller.Lost(caller.PeerLost, forwardStep, peer, errors.New("peer sent an unknown refusal"))
 	}
-	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil && seconds > 0 {
-		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	if milliseconds, err := strconv.ParseUint(header.Get(transport.HeaderRetryAfter), 10, 31); err == nil {
+		refusal.RetryAfter = time.Duration(milliseconds) * time.Millisecond
 	}
 	return refusal
 }
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -37,6 +37,10 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := decodeCall(r.Header.Get(headerCall))
+	var placement *caller.Placement
+	if err == nil {
+		placement, err = decodePlacement(r.Header.Get(headerPlacement))
+	}
 	if err != nil {
 		refusal := caller.Refuse(caller.BadRequest, receiveStep, "")
 		refusal.Cause = err
@@ -52,7 +56,9 @@
 	_ = controller.SetWriteDeadline(deadline.Add(connectionSlack))
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	answer, err := s.Home.Serve(ctx, requestOf(r, c, deadline), c.incarnation)
+	req := requestOf(r, c, deadline)
+	req.Placement = placement
+	answer, err := s.Home.Serve(ctx, req, c.incarnation)
 	if err != nil {
 		s.report(w, received)
 		transport.WriteRefusal(w, asRefusal(err))
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -19,6 +19,8 @@
 const (
 	headerCall   = "Magnoliawharf-Call"
 	headerReport = "Magnoliawharf-Report"
+	// headerPlacement is only there when an entry node of package entry placed the request.
+	headerPlacement = "Magnoliawharf-Placement"
 )
 
 // ForwardPrefix is the path prefix of forwarded requests on the nodes' listener.
@@ -153,3 +155,45 @@
 	}
 	return report, r.err
 }
+
+// placementFields is the number of fields of a placement.
+const placementFields = 6
+
+// maxPriority bounds the priority of a request.
+const maxPriority = 1 << 16
+
+// encodePlacement returns the fields joined by '&', as encodeCall does.
+func encodePlacement(p *caller.Placement) string {
+	out := make([]byte, 0, maxFieldLength)
+	for _, text := range [...]string{p.Host, p.Origin, p.Upstream} {
+		out = append(append(out, url.QueryEscape(text)...), '&')
+	}
+	out = strconv.AppendInt(out, int64(p.Priority), 10)
+	out = strconv.AppendInt(append(out, '&'), p.Objective.Microseconds(), 10)
+	repeatable := byte('0')
+	if p.Repeatable {
+		repeatable = '1'
+	}
+	return string(append(out, '&', repeatable))
+}
+
+// decodePlacement reads what encodePlacement wrote. An absent header is no placement.
+func decodePlacement(text string) (*caller.Placement, error) {
+	if text == "" {
+		return nil, nil
+	}
+	fields := strings.Split(text, "&")
+	if len(fields) != placementFields {
+		return nil, fmt.Errorf("placement has %d fields, want %d", len(fields), placementFields)
+	}
+	var r fieldReader
+	p := &caller.Placement{
+		Host: r.text(fields[0], 1), Origin: r.text(fields[1], 0), Upstream: r.text(fields[2], 1),
+		Priority: int(r.number(fields[3], 10, maxPriority)), Objective: r.microseconds(fields[4]),
+		Repeatable: r.number(fields[5], 10, 1) == 1,
+	}
+	if r.err != nil {
+		return nil, fmt.Errorf("placement: %w", r.err)
+	}
+	return p, nil
+}
--- a/transport/peerhttp/wire_test.go
+++ b/transport/peerhttp/wire_test.go
@@ -45,3 +45,21 @@
 		assert.Assert(t, err != nil, name)
 	}
 }
+
+// Guards against a placement that is lost between nodes, and against a malformed one that enters a decision.
+func TestPlacementMetadata(t *testing.T) {
+	placed := caller.Placement{Host: "a.example:80", Origin: "led&ger", Upstream: "i-1", Priority: 3, Objective: 400 * time.Millisecond, Repeatable: true}
+	got, err := decodePlacement(encodePlacement(&placed))
+	assert.NilError(t, err)
+	assert.Equal(t, *got, placed)
+	none, err := decodePlacement("")
+	assert.NilError(t, err)
+	assert.Assert(t, none == nil)
+	for name, text := range map[string]string{
+		"field missing": "h&o&u&1&2", "field too many": "h&o&u&1&2&1&3", "no host": "&o&u&1&2&1", "no upstream": "h&o&&1&2&1",
+		"priority": "h&o&u&-1&2&1", "objective": "h&o&u&1&999999999999999&1", "repeatable": "h&o&u&1&2&yes",
+	} {
+		_, err := decodePlacement(text)
+		assert.Assert(t, err != nil, name)
+	}
+}
--- a/transport/refusal.go
+++ b/transport/refusal.go
@@ -24,6 +24,8 @@
 		return http.StatusGatewayTimeout
 	case caller.Quarantined:
 		return http.StatusUnprocessableEntity
+	case caller.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case caller.Cancelled:
 		return statusClientClosed
 	case caller.DepthExceeded:
@@ -43,6 +45,7 @@
 	header.Set(HeaderRan, refusal.Ran.String())
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+		header.Set(HeaderRetryAfter, strconv.FormatInt(refusal.RetryAfter.Milliseconds(), 10))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(StatusOf(refusal))
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -21,6 +21,7 @@
 	HeaderUpstream    = "Magnoliawharf-Upstream"
 	HeaderVersion     = "Magnoliawharf-Version"
 	HeaderRequestID   = "Magnoliawharf-Request-Id"
+	HeaderRetryAfter  = "Magnoliawharf-Retry-After" // whole milliseconds, where Retry-After has seconds
 	HeaderIdempotency = "Idempotency-Key"
 )
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,7 +12,7 @@
 	"github.com/magnoliawharf/magnoliawharf/link"
 )
 
-// MaxTimeToLive is the longest time for which an announcement counts.
+// MaxTimeToLive is the longest time for which an announcement counts by default.
 const MaxTimeToLive = 2 * time.Second
 
 const admitStep = "admit"
@@ -39,10 +39,28 @@
 	queues    queueSet
 	limit     adaptiveLimit
 	service   estimate // service times of all classes that are not long
+	options   Options
+}
+
+// Options change how an upstream is treated. Zero values stand for the defaults.
+type Options struct {
+	// TimeToLive is the longest time for which an announcement counts. Default MaxTimeToLive.
+	TimeToLive time.Duration
+	// SlotShare is the share of the announced slots that are used. By default the number of slots in use adapts to how
+	// service times grow with it.
+	SlotShare float64
 }
 
 // New returns an upstream that has not announced itself.
-func New() *Upstream { return &Upstream{rules: Rules{}.withDefaults()} }
+func New() *Upstream { return NewWith(Options{}) }
+
+// NewWith returns an upstream with options that has not announced itself.
+func NewWith(o Options) *Upstream {
+	if o.TimeToLive <= 0 {
+		o.TimeToLive = MaxTimeToLive
+	}
+	return &Upstream{rules: Rules{}.withDefaults(), options: o}
+}
 
 // Announce takes what the upstream says of itself. Waiting requests are refused when it no longer
 // serves.
@@ -51,7 +69,7 @@
 	defer u.mu.Unlock()
 	u.trackCold(now, a.State)
 	u.announced = a
-	timeToLive := min(a.TimeToLive, MaxTimeToLive)
+	timeToLive := min(a.TimeToLive, u.options.TimeToLive)
 	u.expires = now.Add(timeToLive)
 	if u.expiry == nil {
 		u.expiry = time.AfterFunc(timeToLive, u.expire)
