Place requests by load asked at the moment of choice

Load shifts within 150 ms, so a report that rides on an earlier answer says little. The entry node asks the home nodes of the service by a datagram and takes the cheapest; the home node is the only way to its upstream, matches answers by ID on connections of its own, and refuses as not run what must not reach the upstream.

--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,66 @@
+package logs_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/logs"
+)
+
+// lockedBuffer is a buffer that two goroutines may use.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.String()
+}
+
+// Guards against lines that are lost at a stop or written out of order.
+func TestLinesComeInOrder(t *testing.T) {
+	var out lockedBuffer
+	w := logs.NewWriter(&out, logs.DefaultBuffer)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, _ = w.Write([]byte(line))
+	}
+	w.Close()
+	assert.Equal(t, out.String(), "a\nb\nc\n")
+}
+
+// Guards against a request that waits for the reader of the log, and against memory that grows with what is not read.
+func TestBlockedReaderHoldsNobodyUp(t *testing.T) {
+	reader, writer := io.Pipe()
+	w := logs.NewWriter(writer, 100)
+	began := time.Now()
+	for range 1000 {
+		_, _ = w.Write([]byte("0123456789\n"))
+	}
+	assert.Assert(t, time.Since(began) < time.Second)
+	read := make(chan string)
+	go func() {
+		all, _ := io.ReadAll(reader)
+		read <- string(all)
+	}()
+	time.Sleep(200 * time.Millisecond)
+	_, _ = w.Write([]byte("last\n"))
+	w.Close()
+	_ = writer.Close()
+	text := <-read
+	assert.Assert(t, strings.Contains(text, "log lines dropped"), text)
+	assert.Assert(t, strings.HasSuffix(text, "last\n"), text)
+}
--- /dev/null
+++ b/peer/roster.go
@@ -0,0 +1,303 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/shard"
+)
+
+const (
+	rosterShards = 16
+	// meetInterval is how often a node introduces itself to a few others and to those that went silent.
+	meetInterval = 500 * time.Millisecond
+	// meetCount is the number of nodes met each time, beside the silent ones.
+	meetCount = 2
+	// forgetAfter is the silence after which a node is forgotten. It is longer than the partitions between regions that
+	// are to be borne, since nodes that were cut off from each other find each other again by asking.
+	forgetAfter = 10 * time.Minute
+	// silentPerMeet bounds the silent nodes asked at one time.
+	silentPerMeet = 8
+	// maxNotified bounds the nodes told of a change at once; the others learn of it with the next load that they ask for.
+	maxNotified = 256
+	// repeatNotice is the time after which a notice is sent again, for those that missed the first.
+	repeatNotice = 150 * time.Millisecond
+	// MaxKnown bounds the addresses that one introduction passes on.
+	MaxKnown = 6
+)
+
+// Sender sends datagrams to other nodes. None of its calls blocks, and any datagram may be lost.
+type Sender interface {
+	// Ask asks a node for its load.
+	Ask(to netip.AddrPort, number uint32)
+	// Introduce tells a node the status of this one, and addresses of others. With reply the other node answers in kind.
+	Introduce(to netip.AddrPort, status Status, known []netip.AddrPort, reply bool)
+}
+
+// Self is this node as the others see it.
+type Self interface {
+	Status() Status
+	Load(now time.Time) Load
+}
+
+// Options of a roster.
+type Options struct {
+	Zone     string
+	Address  netip.AddrPort // where this node takes datagrams
+	FreshFor time.Duration  // age up to which a load is used without asking again
+	ZoneCost time.Duration  // cost of moving 1 KiB between zones, as time to the answer that it may save
+	Sender   Sender
+	Self     Self
+	Log      *slog.Logger
+}
+
+// Roster holds the nodes that this one knows, itself included. It is safe for concurrent use.
+type Roster struct {
+	zone     string
+	freshFor time.Duration
+	zoneCost time.Duration
+	sender   Sender
+	selfNode Self
+	self     *Peer
+	log      *slog.Logger
+
+	peers    *shard.Map[string, *Peer] // by datagram address
+	services *shard.Map[string, []*Peer]
+	moving   sync.Mutex // held while a peer moves from one service to another
+	numbers  atomic.Uint32
+	notices  chan struct{}
+}
+
+// NewRoster returns a roster that knows only this node.
+func NewRoster(o Options) *Roster {
+	r := &Roster{
+		zone: o.Zone, freshFor: o.FreshFor, zoneCost: o.ZoneCost, sender: o.Sender, selfNode: o.Self, log: o.Log,
+		peers:    shard.NewString[string, *Peer](rosterShards),
+		services: shard.NewString[string, []*Peer](rosterShards),
+		notices:  make(chan struct{}, 1),
+	}
+	r.self = &Peer{addr: o.Address, self: true}
+	r.peers.Set(o.Address.String(), r.self)
+	return r
+}
+
+// Service returns the nodes whose upstream belongs to the service. The caller must not change the list.
+func (r *Roster) Service(name string) []*Peer {
+	list, _ := r.services.Get(name)
+	return list
+}
+
+// Len returns the number of known nodes, this one included.
+func (r *Roster) Len() int { return r.peers.Len() }
+
+// Addresses returns up to most random addresses of nodes other than this one that are not silent.
+func (r *Roster) Addresses(most int) []netip.AddrPort {
+	var all []netip.AddrPort
+	now := time.Now()
+	r.peers.Range(func(_ string, p *Peer) bool {
+		if !p.self && !p.silent(now) {
+			all = append(all, p.addr)
+		}
+		return true
+	})
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
+}
+
+// ForwardAddress returns where the node at a datagram address takes forwarded requests, "" when it is unknown.
+func (r *Roster) ForwardAddress(addr netip.AddrPort) string {
+	if p, ok := r.peers.Get(addr.String()); ok {
+		return p.Status().Address
+	}
+	return ""
+}
+
+// peer returns the node at the address, adding it when it is new.
+func (r *Roster) peer(addr netip.AddrPort) (p *Peer, added bool) {
+	p = r.peers.GetOrCreate(addr.String(), func() *Peer {
+		added = true
+		return &Peer{addr: addr, heardAt: time.Now()}
+	})
+	return p, added
+}
+
+// Learn takes the address of a node that may be there, and introduces this node to it when it is new.
+func (r *Roster) Learn(addr netip.AddrPort) {
+	if p, added := r.peer(addr); added && !p.self {
+		r.introduce(p, true)
+	}
+}
+
+// Heard takes the introduction of another node.
+func (r *Roster) Heard(from netip.AddrPort, s Status, known []netip.AddrPort, reply bool) {
+	p, added := r.peer(from)
+	if p.self {
+		return
+	}
+	before := p.takeStatus(time.Now(), s)
+	r.move(p, before, p.Status())
+	if reply || added {
+		r.introduce(p, false)
+	}
+	for _, addr := range known {
+		r.Learn(addr)
+	}
+}
+
+// HeardLoad takes the answer of a node to a question.
+func (r *Roster) HeardLoad(from netip.AddrPort, number uint32, load Load) {
+	p, added := r.peer(from)
+	if p.self {
+		return
+	}
+	if stale := p.takeLoad(time.Now(), number, load); stale || added {
+		r.introduce(p, true)
+	}
+}
+
+// Answer returns the load of this node for one that asks. An unknown asker is introduced to.
+func (r *Roster) Answer(from netip.AddrPort) Load {
+	r.Learn(from)
+	return r.selfNode.Load(time.Now())
+}
+
+// Changed tells the other nodes that the status of this one has changed.
+func (r *Roster) Changed() {
+	status := r.selfNode.Status()
+	before := r.self.takeStatus(time.Now(), status)
+	r.move(r.self, before, status)
+	r.notify()
+	select {
+	case r.notices <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Roster) notify() {
+	status := r.selfNode.Status()
+	for _, addr := range r.Addresses(maxNotified) {
+		r.sender.Introduce(addr, status, nil, false)
+	}
+}
+
+// refreshSelf brings the load of this node itself up to date and reports whether p is this node.
+func (r *Roster) refreshSelf(p *Peer, now time.Time) bool {
+	if !p.self {
+		return false
+	}
+	load := r.selfNode.Load(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.load, p.loadAt, p.heardAt = load, now, now
+	return true
+}
+
+func (r *Roster) introduce(p *Peer, reply bool) {
+	r.sender.Introduce(p.addr, r.selfNode.Status(), r.Addresses(MaxKnown), reply)
+}
+
+// move brings the lists of services up to date after a change of status.
+func (r *Roster) move(p *Peer, before, after Status) {
+	if before.Boot == after.Boot && before.Revision == after.Revision {
+		return
+	}
+	r.log.Info("peer changed", "peer", after.Node, "boot", after.Boot, "revision", after.Revision, "service", after.Service,
+		"upstream", after.Upstream, "serving", after.Serving, "slots", after.Slots, "zone", after.Zone)
+	if before.Service == after.Service {
+		return
+	}
+	r.moving.Lock()
+	defer r.moving.Unlock()
+	if before.Service != "" {
+		r.services.Update(before.Service, func(held []*Peer, _ bool) ([]*Peer, bool) {
+			next := slices.DeleteFunc(slices.Clone(held), func(other *Peer) bool { return other == p })
+			return next, len(next) > 0
+		})
+	}
+	if after.Service != "" {
+		r.services.Update(after.Service, func(held []*Peer, _ bool) ([]*Peer, bool) {
+			return append(slices.Clone(held), p), true
+		})
+	}
+}
+
+// Run keeps in touch with the other nodes until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	ticker := time.NewTicker(meetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.notices:
+			if pause(ctx, repeatNotice) {
+				r.notify()
+			}
+		case <-ticker.C:
+			r.meet(time.Now())
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// meet introduces this node to a few others and to some of the silent ones, and forgets those that are long silent.
+func (r *Roster) meet(now time.Time) {
+	var silent []*Peer
+	r.peers.Range(func(key string, p *Peer) bool {
+		switch {
+		case p.self:
+		case p.silentFor(now) > forgetAfter:
+			r.forget(key, p)
+		case p.silent(now) || p.Status().Boot == 0:
+			silent = append(silent, p)
+		}
+		return true
+	})
+	for _, p := range sample(silent, silentPerMeet) {
+		r.introduce(p, true)
+	}
+	for _, addr := range r.Addresses(meetCount) {
+		if p, ok := r.peers.Get(addr.String()); ok {
+			p.met(now)
+			r.introduce(p, true)
+		}
+	}
+}
+
+// met counts the introduction as a question, so that a node to which no request goes is found silent too.
+func (p *Peer) met(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire(now)
+	if !p.question.open && now.Sub(p.heardAt) > meetInterval {
+		p.question.open, p.question.sentAt = true, now
+	}
+}
+
+func (p *Peer) silentFor(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.heardAt)
+}
+
+func (r *Roster) forget(key string, p *Peer) {
+	before := p.Status()
+	r.peers.Delete(key)
+	r.move(p, before, Status{Node: before.Node, Boot: before.Boot, Revision: before.Revision + 1})
+}
--- /dev/null
+++ b/transport/entryhttp/handler.go
@@ -0,0 +1,208 @@
+// Package entryhttp is the adapter towards the callers of a node of package sidecar: it reads HTTP requests, finds their
+// route, and writes answers and refusals in the header fields of the deployment's dialect.
+package entryhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/contract"
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/transport"
+)
+
+const (
+	acceptStep = "accept"
+	// noTimeout is the longest time for a request for which neither its caller nor its route sets a limit.
+	noTimeout = 30 * time.Second
+	// startPause is the time after which a caller may come again while the node knows no contracts.
+	startPause = 200 * time.Millisecond
+	// defaultPause is the time after which a caller may come again when the refusal names none.
+	defaultPause = 100 * time.Millisecond
+	// connectionSlack is the time after the deadline of a request at which its connection is given up.
+	connectionSlack = time.Second
+)
+
+// Dispatcher takes a request to an upstream. The error is a *caller.Refusal.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, req *caller.Request, route *contract.Route) (*caller.Answer, error)
+}
+
+// Handler is the http.Handler of the callers' listener. Its fields are set before the first request.
+type Handler struct {
+	Contracts  *contract.InForce
+	Splits     *contract.Splits
+	Dispatcher Dispatcher
+	Dialect    caller.Dialect
+	Origin     string // service of this machine
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	req, route, refusal := h.accept(w, r, began)
+	if refusal != nil {
+		h.refuse(w, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
+	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(began)
+	if err != nil {
+		h.refuse(w, asRefusal(err))
+		return
+	}
+	if _, ok := answer.Header["Content-Type"]; !ok {
+		w.Header()["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	if err := transport.WriteAnswer(w, answer); err != nil {
+		metrics.Refusal(caller.BodyCut)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// accept reads the request up to its body, which is read ahead when it is short.
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*caller.Request, *contract.Route, *caller.Refusal) {
+	contracts := h.Contracts.Load()
+	if contracts == nil {
+		refusal := caller.Refuse(caller.NoBundle, acceptStep, "")
+		refusal.RetryAfter = startPause
+		return nil, nil, refusal
+	}
+	route, ok := contracts.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		return nil, nil, caller.Refuse(caller.NoRoute, acceptStep, "")
+	}
+	limit := contracts.Limits.MaxBodyBytes
+	if limit > 0 && r.ContentLength > limit {
+		return nil, nil, caller.Refuse(caller.BodyTooLarge, acceptStep, "")
+	}
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	deadline := now.Add(h.timeLimit(r, route))
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(deadline.Add(connectionSlack))
+	_ = controller.SetWriteDeadline(deadline.Add(connectionSlack))
+	body, short, refusal := readAhead(r)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	path := r.URL.RequestURI()
+	req := &caller.Request{
+		ID: h.requestID(r), Service: h.Splits.Next(route), Route: route.Name, Class: route.Name, Method: r.Method, Path: path,
+		Header: h.header(r), Body: body, Deadline: deadline, Attempt: 1, BundleVersion: contracts.Version,
+		Placement:   &caller.Placement{Host: r.Host, Origin: h.Origin, Repeatable: route.Rule == bundle.Idempotent},
+		Fingerprint: caller.Fingerprint(route.Name+" "+h.Origin, r.Method, path, short),
+	}
+	return req, route, nil
+}
+
+// requestID returns the caller's ID of the request. One without an ID gets one for the logs only.
+func (h *Handler) requestID(r *http.Request) string {
+	if id := r.Header.Get(h.Dialect.RequestID); id != "" {
+		return id
+	}
+	return uuid.NewString()
+}
+
+// header returns the fields that go on, without those that only the system may set.
+func (h *Handler) header(r *http.Request) http.Header {
+	out := transport.EndToEnd(r.Header)
+	for _, name := range []string{h.Dialect.Origin, h.Dialect.Expect, h.Dialect.TimeLimit} {
+		out.Del(name)
+	}
+	return out
+}
+
+// timeLimit returns the shorter of the caller's limit and the route's.
+func (h *Handler) timeLimit(r *http.Request, route *contract.Route) time.Duration {
+	limit := noTimeout
+	if route.Timeout > 0 {
+		limit = route.Timeout
+	}
+	if milliseconds, err := strconv.ParseUint(r.Header.Get(h.Dialect.TimeLimit), 10, 31); err == nil {
+		limit = min(limit, time.Duration(milliseconds)*time.Millisecond)
+	}
+	return limit
+}
+
+// readAhead reads the body when it is short enough to be sent again, and returns what counts for the fingerprint.
+func readAhead(r *http.Request) (body *caller.Body, short []byte, refusal *caller.Refusal) {
+	if r.Body == http.NoBody || r.ContentLength == 0 {
+		return caller.NewBody(nil, 0), nil, nil
+	}
+	if r.ContentLength > caller.ReplayLimit {
+		return caller.NewBody(r.Body, r.ContentLength), nil, nil
+	}
+	var held bytes.Buffer
+	n, err := io.CopyN(&held, r.Body, caller.ReplayLimit+1)
+	switch {
+	case err == nil:
+		return caller.NewBody(io.MultiReader(&held, r.Body), -1), nil, nil
+	case !errors.Is(err, io.EOF):
+		refusal := caller.Refuse(caller.BodyCut, acceptStep, "")
+		refusal.Cause = err
+		return nil, nil, refusal
+	}
+	if n <= caller.FingerprintBody {
+		short = held.Bytes()
+	}
+	return caller.NewBody(bytes.NewReader(held.Bytes()), n), short, nil
+}
+
+// statusOf returns the HTTP status of a refusal. 503 promises that the request has not run and will not.
+func statusOf(refusal *caller.Refusal) int {
+	switch refusal.Reason {
+	case caller.NoRoute:
+		return http.StatusNotFound
+	case caller.BadRequest, caller.BodyCut:
+		if refusal.Ran == caller.NotRun {
+			return http.StatusBadRequest
+		}
+	case caller.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	switch {
+	case refusal.Ran == caller.NotRun:
+		return http.StatusServiceUnavailable
+	case refusal.Reason == caller.DeadlinePassed:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, refusal *caller.Refusal) {
+	metrics.Refusal(refusal.Reason)
+	header := w.Header()
+	header.Set(transport.HeaderRefusal, string(refusal.Reason))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	status := statusOf(refusal)
+	if status == http.StatusServiceUnavailable {
+		after := refusal.RetryAfter
+		if after <= 0 {
+			after = defaultPause
+		}
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, string(refusal.Reason)+": the request is "+refusal.Ran.String()+"\n")
+}
+
+func asRefusal(err error) *caller.Refusal {
+	var refusal *caller.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return caller.Lost(caller.PeerLost, acceptStep, "", err)
+}
