Run the product on the users' platform

platform/ translates the store's calls, the operator's document, announcements and header names; sidecar assembles the node; deploy/ says how it runs.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -47,7 +47,7 @@
 	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
 		return usageError(fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath()))
 	})
-	root.AddCommand(newNode(), newSettings(), newDev(), newDemo(), newVersion())
+	root.AddCommand(newNode(), newSidecar(), newSettings(), newDev(), newDemo(), newVersion())
 	root.AddCommand(newBundle())
 	return root
 }
--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -15,6 +15,7 @@
 func TestDecisionsImportNoTransport(t *testing.T) {
 	decisions := []string{
 		"shard", "instance", "datacentre", "link", "bundle", "upstream", "caller", "idempotency", "quarantine", "store",
+		"contract", "peer", "gate", "entry", "inflight", "logs",
 	}
 	forbidden := []string{"net/http", "connectrpc.com/", "google.golang.org/protobuf", "/transport", "/api/"}
 	for _, folder := range decisions {
@@ -35,3 +36,30 @@
 		}
 	}
 }
+
+// Guards against names of the platform that spread beyond the adapter, and against an adapter that decides: only the
+// wiring of the command line imports platform, and platform imports no part that decides beyond the types it fills.
+func TestOnlyTheWiringKnowsThePlatform(t *testing.T) {
+	const module = "github.com/magnoliawharf/magnoliawharf/"
+	filled := map[string]bool{
+		"bundle": true, "caller": true, "contract": true, "gate": true, "sidecar": true, "store": true,
+	}
+	files, err := filepath.Glob("../*/*.go")
+	assert.NilError(t, err)
+	deeper, err := filepath.Glob("../*/*/*.go")
+	assert.NilError(t, err)
+	for _, file := range append(files, deeper...) {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+		assert.NilError(t, err)
+		folder := filepath.Base(filepath.Dir(file))
+		for _, spec := range parsed.Imports {
+			path := strings.Trim(spec.Path.Value, `"`)
+			switch {
+			case path == module+"platform":
+				assert.Check(t, folder == "cli" || strings.HasSuffix(file, "_test.go"), "%s imports the platform", file)
+			case folder == "platform" && strings.HasPrefix(path, module) && !strings.HasSuffix(file, "_test.go"):
+				assert.Check(t, filled[strings.TrimPrefix(path, module)], "%s imports %s", file, path)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/follow.go
@@ -0,0 +1,167 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/store"
+)
+
+const (
+	// entryTTL is the life of the entry by which other nodes find this one, after its last renewal.
+	entryTTL = 20 * time.Second
+	// longestStoreWait bounds the waits between two tries at the store, so that the node is back soon after it returns.
+	longestStoreWait = time.Second
+	// relistEvery is how often the entries of all nodes are read, for nodes that no other has told of.
+	relistEvery = time.Minute
+	// watchGrace is the time for which a node that hears of a newer version waits for its own watch to bring it.
+	watchGrace = 150 * time.Millisecond
+	// fetchTimeout bounds the fetching of contracts from another node.
+	fetchTimeout = time.Second
+	// maxDocument bounds a document of contracts, in bytes.
+	maxDocument = 8 << 20
+)
+
+var (
+	adoptedTotal = metrics.Counter("magnoliawharf_sidecar_contracts_adopted_total")
+	refusedTotal = metrics.Counter("magnoliawharf_sidecar_contracts_refused_total")
+)
+
+// followStore keeps up with the contracts and with the entries of nodes until ctx ends.
+func (s *Sidecar) followStore(ctx context.Context) {
+	client := store.NewClient(s.Platform.Store, 0, 0)
+	client.LongestWait = longestStoreWait
+	go func() {
+		_ = client.Follow(ctx, s.Platform.ContractsPrefix, s.readContracts) // returns when ctx ends
+	}()
+	session := store.NewSession(client, entryTTL)
+	session.LongestWait = longestStoreWait
+	go func() {
+		_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { return s.enter(ctx, client, id) }) // as above
+	}()
+	go s.relist(ctx, client)
+}
+
+// readContracts takes the keys that are watched for the contracts.
+func (s *Sidecar) readContracts(entries []store.Entry) {
+	for _, e := range entries {
+		if e.Key == s.Platform.ContractsKey {
+			s.adopt(e.Value, "store", fmt.Sprint(e.Revision))
+		}
+	}
+}
+
+// adopt puts a document in force when it can be read and is newer.
+func (s *Sidecar) adopt(document []byte, from, revision string) {
+	decoded, err := s.Platform.DecodeContracts(document)
+	if err != nil {
+		refusedTotal.Inc()
+		s.Log.Error("contracts not taken", "from", from, "revision", revision, "in_force", s.contracts.Version(), "cause", err.Error())
+		return
+	}
+	before := s.contracts.Version()
+	if s.contracts.Adopt(decoded) {
+		adoptedTotal.Inc()
+		s.Log.Info("contracts in force", "version", decoded.Version, "before", before, "routes", len(decoded.Routes),
+			"services", len(decoded.Services), "from", from, "revision", revision)
+	}
+}
+
+// versionSeen fetches the contracts of a node that has newer ones, unless the store brings them first.
+func (s *Sidecar) versionSeen(version uint64, from netip.AddrPort) {
+	if version <= s.contracts.Version() || !s.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.fetching.Store(false)
+		if s.contracts.Load() != nil {
+			time.Sleep(watchGrace)
+		}
+		address := s.roster.ForwardAddress(from)
+		if version <= s.contracts.Version() || address == "" {
+			return
+		}
+		document, err := s.fetch(address)
+		if err != nil {
+			s.Log.Warn("contracts not fetched", "peer", address, "version", version, "cause", err.Error())
+			return
+		}
+		s.adopt(document, address, "")
+	}()
+}
+
+func (s *Sidecar) fetch(address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+contractsPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := s.control.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxDocument))
+}
+
+// serveContracts gives the contracts in force to a node that lags.
+func (s *Sidecar) serveContracts(w http.ResponseWriter, _ *http.Request) {
+	current := s.contracts.Load()
+	if current == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(current.Source)
+}
+
+// enter writes the entry of this node and reads those of all others. It writes first, so that of two nodes that start
+// together at least one finds the other.
+func (s *Sidecar) enter(ctx context.Context, client *store.Client, id store.LeaseID) error {
+	key := fmt.Sprintf("%s%s-%x", s.Platform.EntriesPrefix, s.Settings.Node, s.boot)
+	if _, err := client.Swap(ctx, key, []byte(s.socket.Addr().String()), 0, id); err != nil {
+		s.Log.Warn("entry not written", "key", key, "lease", int64(id), "cause", err.Error())
+		return err
+	}
+	s.Log.Info("entry written", "key", key, "lease", int64(id))
+	return s.list(ctx, client)
+}
+
+func (s *Sidecar) list(ctx context.Context, client *store.Client) error {
+	entries, err := client.List(ctx, s.Platform.EntriesPrefix)
+	if err != nil {
+		s.Log.Warn("entries of nodes not read", "cause", err.Error())
+		return err
+	}
+	for _, e := range entries {
+		if addr, err := netip.ParseAddrPort(string(e.Value)); err == nil {
+			s.roster.Learn(addr)
+		}
+	}
+	s.Log.Info("entries of nodes read", "count", len(entries))
+	return nil
+}
+
+// relist reads the entries of all nodes now and then, until ctx ends.
+func (s *Sidecar) relist(ctx context.Context, client *store.Client) {
+	for {
+		timer := time.NewTimer(relistEvery + rand.N(relistEvery/4))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			_ = s.list(ctx, client) // logged; the next reading makes up for it
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/forward.go
@@ -0,0 +1,21 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/entry"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/link"
+)
+
+var _ entry.Forwarder = (*forwarder)(nil)
+
+// Forward implements entry.Forwarder.
+func (f *forwarder) Forward(ctx context.Context, req *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
+	if target.Incarnation != f.self {
+		return f.remote.Forward(ctx, req, target)
+	}
+	answer, err := f.gate.Serve(ctx, req, target.Incarnation)
+	return answer, nil, err
+}
