--- a/caller/answer.go
+++ b/caller/answer.go
@@ -12,3 +12,21 @@
 	Length   int64  // bytes of Body, or -1 when unknown
 	Upstream string // ID of the instance that served the request
 }
+
+// Statuses by which an upstream answers that it failed (RFC 9110, section 15.6).
+const (
+	statusInternalError = 500
+	statusBadGateway    = 502
+	statusUnavailable   = 503
+	statusGatewayTime   = 504
+)
+
+// Failed reports whether the upstream answered that it failed, rather than that the request is at fault. A fast failure
+// must not make an upstream look lightly loaded.
+func (a *Answer) Failed() bool {
+	switch a.Status {
+	case statusInternalError, statusBadGateway, statusUnavailable, statusGatewayTime:
+		return true
+	}
+	return false
+}
--- a/entry/again.go
+++ b/entry/again.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
@@ -68,18 +68,9 @@
 	return false
 }
 
-// failure reports whether the upstream answered that it failed.
-func failure(status int) bool {
-	switch status {
-	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	}
-	return false
-}
-
 // betterElsewhere reports whether the request is sent to another upstream after one answered that it failed.
 func (c *call) betterElsewhere(ctx context.Context, answer *caller.Answer) bool {
-	if !failure(answer.Status) || c.route.Rule != bundle.Idempotent || c.offered >= c.route.Attempts {
+	if !answer.Failed() || c.route.Rule != bundle.Idempotent || c.offered >= c.route.Attempts {
 		return false
 	}
 	if ctx.Err() != nil || len(c.tried) >= maxPlaced || !c.req.Body.Replayable() || !c.timeLeft() || !c.pay() {
@@ -88,7 +79,7 @@
 	_ = answer.Body.Close()
 	c.ran = caller.Unknown
 	metrics.Retry(caller.UpstreamLost)
-	c.refusals = append(c.refusals, http.StatusText(answer.Status))
+	c.refusals = append(c.refusals, strconv.Itoa(answer.Status))
 	return true
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,7 +135,7 @@
 		return nil, refusal
 	}
 	c.offered++
-	if failure(answer.Status) {
+	if answer.Failed() {
 		chosen.Observe(now, peer.Failed, now.Sub(sent), work)
 		return answer, nil
 	}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +43,7 @@
 		return nil, refusal
 	}
 	result := link.Served
-	if serverError(answer.Status) {
+	if answer.Failed() {
 		result = link.Failed
 	}
 	over.Answered(time.Now(), token, result, report)
@@ -62,16 +61,6 @@
 	return answer, nil
 }
 
-// serverError reports whether the upstream answered that it failed. A fast failure must not make
-// an upstream look lightly loaded.
-func serverError(status int) bool {
-	switch status {
-	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	}
-	return false
-}
-
 func resultOf(ctx context.Context, refusal *caller.Refusal) link.Result {
 	switch {
 	case refusal.Ran == caller.NotRun && refusal.Reason == caller.PeerUnreachable && ctx.Err() == nil:
