Read the store for all nodes from one of them

Ruled out: an answer that came early (none came), a node cut off from the store (eight nodes had a path). The first node by name that reaches the store now reads the contracts every 700 ms and tells the others when its watch has missed a change; a node that loses the store says so, and the next one takes over. Cost: about one read a second for the whole fleet.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,6 +24,7 @@
 	Upstream string // ID of the upstream's incarnation
 	Slots    int    // requests that the upstream runs at the same time
 	Serving  bool   // the upstream takes new work
+	Follows  bool   // the node reaches the store
 }
 
 // Load is the state of the upstream beside a node at one moment.
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -179,6 +179,29 @@
 	}
 }
 
+// Notify tells the other nodes the status of this one, and with it the version of its contracts.
+func (r *Roster) Notify() { r.notify() }
+
+// OnDuty reports whether this node is the one that reads the store for all: the first by name of those that reach it
+// and answer.
+func (r *Roster) OnDuty() bool {
+	own := r.selfNode.Status()
+	if !own.Follows {
+		return false
+	}
+	first := true
+	now := time.Now()
+	r.peers.Range(func(_ string, p *Peer) bool {
+		if p.self || p.silent(now) {
+			return true
+		}
+		status := p.Status()
+		first = !(status.Follows && status.Node < own.Node)
+		return first
+	})
+	return first
+}
+
 func (r *Roster) notify() {
 	status := r.selfNode.Status()
 	for _, addr := range r.Addresses(maxNotified) {
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -20,6 +20,9 @@
 	longestStoreWait = time.Second
 	// relistEvery is how often the entries of all nodes are read, for nodes that no other has told of.
 	relistEvery = time.Minute
+	// dutyEvery is how often the node on duty reads the contracts, and dutyTimeout bounds one reading.
+	dutyEvery   = 700 * time.Millisecond
+	dutyTimeout = 600 * time.Millisecond
 	// watchGrace is the time for which a node that hears of a newer version waits for its own watch to bring it.
 	watchGrace = 150 * time.Millisecond
 	// fetchTimeout bounds the fetching of contracts from another node.
@@ -36,7 +39,7 @@
 // followStore keeps up with the contracts and with the entries of nodes until ctx ends.
 func (s *Sidecar) followStore(ctx context.Context) {
 	client := store.NewClient(s.Platform.Store, 0, 0)
-	client.LongestWait = longestStoreWait
+	client.LongestWait, client.Log, client.Reached = longestStoreWait, s.Log, s.storeReached
 	go func() {
 		_ = client.Follow(ctx, s.Platform.ContractsPrefix, s.readContracts) // returns when ctx ends
 	}()
@@ -46,6 +49,45 @@
 		_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { return s.enter(ctx, client, id) }) // as above
 	}()
 	go s.relist(ctx, client)
+	go s.readOnDuty(ctx, client)
+}
+
+// storeReached tells the other nodes whether this one reaches the store, so that one that does reads for all.
+func (s *Sidecar) storeReached(reached bool) {
+	if s.follows.Swap(reached) != reached {
+		s.roster.Changed()
+	}
+}
+
+// readOnDuty reads the contracts now and then while this node is the one that does so for all, until ctx ends. A watch
+// may miss a change without a sign of it; all other nodes learn of a newer version from datagrams.
+func (s *Sidecar) readOnDuty(ctx context.Context, client *store.Client) {
+	ticker := time.NewTicker(dutyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !s.roster.OnDuty() {
+			continue
+		}
+		before := s.contracts.Version()
+		reading, cancel := context.WithTimeout(ctx, dutyTimeout)
+		entries, err := client.List(reading, s.Platform.ContractsPrefix)
+		cancel()
+		if err != nil {
+			s.Log.Warn("contracts not read on duty", "cause", err.Error())
+			s.storeReached(false)
+			continue
+		}
+		s.readContracts(entries)
+		if s.contracts.Version() != before {
+			s.Log.Warn("the watch has missed a change", "version", s.contracts.Version(), "before", before)
+			s.roster.Notify()
+		}
+	}
 }
 
 // readContracts takes the keys that are watched for the contracts.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -74,6 +74,7 @@
 	upstream  *upstreamconn.Client
 	control   *transport.ControlClient
 	fetching  atomic.Bool
+	follows   atomic.Bool // the store is reached
 	stopping  atomic.Bool
 	requests  inflight.Counter // of callers
 
@@ -101,7 +102,7 @@
 	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), FreshFor: time.Duration(s.Settings.Routing.FreshFor),
-		ZoneCost: time.Duration(s.Settings.Routing.ZoneCost), Sender: s.socket, Self: s.gate, Log: s.Log,
+		ZoneCost: time.Duration(s.Settings.Routing.ZoneCost), Sender: s.socket, Self: self{s}, Log: s.Log,
 	})
 	s.socket.Version, s.socket.SeenVersion = s.contracts.Version, s.versionSeen
 	s.socket.Notice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
@@ -185,6 +186,19 @@
 // maxTold bounds the nodes to which a notice is sent.
 const maxTold = 256
 
+// self is the node as the others see it.
+type self struct{ *Sidecar }
+
+// Status implements peer.Self.
+func (s self) Status() peer.Status {
+	status := s.gate.Status()
+	status.Follows = s.follows.Load()
+	return status
+}
+
+// Load implements peer.Self.
+func (s self) Load(now time.Time) peer.Load { return s.gate.Load(now) }
+
 // forwarder serves requests for the node's own upstream in process and sends all others to their node.
 type forwarder struct {
 	self   uint64 // boot of this node
--- a/store/client.go
+++ b/store/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -22,6 +23,10 @@
 type Client struct {
 	// LongestWait bounds the waits of Follow between two tries. 0 stands for 8 s. It is set before use.
 	LongestWait time.Duration
+	// Log gets a line when a follower loses the store and when it is back. It is set before use; nil logs nothing.
+	Log *slog.Logger
+	// Reached is told whether a follower reaches the store, at each change. It is set before use and must not block.
+	Reached func(reached bool)
 
 	adapter Store
 	limiter *rate.Limiter
@@ -38,7 +43,7 @@
 	if burst <= 0 {
 		burst = DefaultBurst
 	}
-	return &Client{adapter: adapter, limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
+	return &Client{Log: slog.New(slog.DiscardHandler), Reached: func(bool) {}, adapter: adapter, limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
 // admit waits for the rate limit.
--- a/store/follow.go
+++ b/store/follow.go
@@ -40,6 +40,16 @@
 	update  func([]Entry)
 	held    map[string]Entry // nil before the first read
 	backoff Backoff
+	lost    bool // the last try failed, and a line said so
+}
+
+// lose notes that the store cannot be followed.
+func (f *follower) lose(cause string) {
+	if !f.lost {
+		f.client.Log.Warn("store lost", "prefix", f.prefix, "cause", cause)
+		f.client.Reached(false)
+	}
+	f.lost = true
 }
 
 // watch follows one watch until it breaks or a read shows that it has missed a change.
@@ -47,19 +57,26 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	events, err := f.client.Watch(ctx, f.prefix, 0)
-	if err != nil {
-		return
+	if err == nil {
+		_, err = f.read(ctx)
 	}
-	if _, err := f.read(ctx); err != nil {
+	if err != nil {
+		f.lose(err.Error())
 		return
 	}
 	f.backoff.Reset()
+	f.client.Reached(true)
+	if f.lost {
+		f.lost = false
+		f.client.Log.Info("store regained", "prefix", f.prefix)
+	}
 	timer := time.NewTimer(nextReread())
 	defer timer.Stop()
 	for {
 		select {
 		case event, ok := <-events:
 			if !ok {
+				f.lose("the watch broke")
 				return
 			}
 			f.apply(event)
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -76,13 +76,14 @@
 	Upstream string
 	Slots    uint32
 	Serving  bool
+	Follows  bool
 	Known    []byte // addresses of other nodes, addressSize bytes each
 }
 
 func introductionOf(version uint64, s peer.Status, known []netip.AddrPort, reply bool) introduction {
 	i := introduction{
 		Version: version, Reply: reply, Node: s.Node, Boot: s.Boot, Revision: s.Revision, Address: s.Address, Zone: s.Zone,
-		Service: s.Service, Upstream: s.Upstream, Slots: count(s.Slots), Serving: s.Serving,
+		Service: s.Service, Upstream: s.Upstream, Slots: count(s.Slots), Serving: s.Serving, Follows: s.Follows,
 	}
 	for _, addr := range known[:min(len(known), peer.MaxKnown)] {
 		if ip := addr.Addr(); ip.Is4() {
@@ -104,7 +105,7 @@
 	}
 	return peer.Status{
 		Node: i.Node, Boot: i.Boot, Revision: i.Revision, Address: i.Address, Zone: i.Zone,
-		Service: i.Service, Upstream: i.Upstream, Slots: int(min(i.Slots, maxCount)), Serving: i.Serving,
+		Service: i.Service, Upstream: i.Upstream, Slots: int(min(i.Slots, maxCount)), Serving: i.Serving, Follows: i.Follows,
 	}, nil
 }
 
