--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,7 +119,7 @@
 	req.Attempt = len(c.tried)
 	req.Placement = &caller.Placement{
 		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream,
-		Priority: c.route.Priority, Objective: c.route.Objective, Repeatable: c.route.Rule == bundle.Idempotent,
+		Priority: c.route.Priority, Objective: max(0, c.route.Objective-time.Since(c.began)), Repeatable: c.route.Rule == bundle.Idempotent,
 	}
 	sent := time.Now()
 	answer, _, err := c.Forward.Forward(ctx, &req, instance.Record{
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -117,10 +117,19 @@
 		ID:       req.ID,
 		Class:    bundle.Class{Name: req.Route, Priority: req.Placement.Priority, MaxQueue: queuePerSlot * slots},
 		Rules:    upstream.Rules{Aging: aging},
-		Deadline: req.Deadline,
+		Deadline: soonest(req.Deadline, time.Now().Add(req.Placement.Objective)),
 	}
 }
 
+// soonest returns the earlier of two times. Admission refuses what cannot be answered within its objective: a slot that
+// it waits for is worth more to a request that still can.
+func soonest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // failed takes the refusal of a request that was sent to the upstream.
 func (g *Gate) failed(req *caller.Request, err error) {
 	var refusal *caller.Refusal
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -93,7 +93,7 @@
 func (u *Upstream) limitAt(now time.Time) int {
 	limit := u.limit.value(u.announced.Slots)
 	if share := u.options.SlotShare; share > 0 {
-		limit = max(1, int(share*float64(u.announced.Slots)))
+		limit = max(1, int(math.Round(share*float64(u.announced.Slots))))
 	}
 	if u.coldSince.IsZero() || u.rules.ColdStart <= 0 {
 		return limit
