--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -9,7 +9,7 @@
 // Defaults of the optional settings.
 const (
 	defaultFreshFor  = 20 * time.Millisecond
-	defaultSlotShare = 0.8
+	defaultSlotShare = 0.75
 	defaultGrace     = 10 * time.Second
 )
 
@@ -45,7 +45,7 @@
 	Address string `toml:"address" validate:"required,hostport"`
 	// AnnounceEvery is how often it announces itself. Default 1.5s.
 	AnnounceEvery settings.Duration `toml:"announce_every" validate:"min=1000000"`
-	// SlotShare is the share of its slots that the node fills; upstreams slow down when they are nearly full. Default 0.8.
+	// SlotShare is the share of its slots that the node fills; upstreams slow down when they are nearly full. Default 0.75.
 	SlotShare float64 `toml:"slot_share" validate:"gt=0,lte=1"`
 }
 
