Refuse requests that come late in a planned stop

A request that came 4.2 s after SIGTERM was passed on and cut at the end of the grace. Ruled out: a stop that does not wait (the requests of the first three seconds were finished). From three seconds on the node now answers 503, not run.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -74,8 +74,9 @@
 	upstream  *upstreamconn.Client
 	control   *transport.ControlClient
 	fetching  atomic.Bool
-	follows   atomic.Bool // the store is reached
-	stopping  atomic.Bool
+	follows   atomic.Bool      // the store is reached
+	stopping  atomic.Bool      // out of readiness
+	closing   atomic.Bool      // new requests are refused
 	requests  inflight.Counter // of callers
 
 	callers, peers, registration, ready, metricsServer *httpserver.Server
@@ -155,9 +156,14 @@
 	s.metricsServer.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.Write(w) }))
 }
 
-// counted counts the requests of callers in flight.
-func (s *Sidecar) counted(next http.Handler) http.Handler {
+// counted counts the requests of callers in flight, and refuses those that come too late to be finished before the node
+// ends.
+func (s *Sidecar) counted(next *entryhttp.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			next.Refuse(w, caller.Refuse(caller.Draining, "accept", s.Settings.Node))
+			return
+		}
 		defer s.requests.Begin()()
 		next.ServeHTTP(w, r)
 	})
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -13,7 +13,8 @@
 	// gateNotice is the time for which a stopping node goes on taking new work for its upstream, while the others learn
 	// of the stop.
 	gateNotice = time.Second
-	// callerNotice is the time after which callers have been told by the platform to go elsewhere.
+	// callerNotice is the time after which callers have been told by the platform to go elsewhere. A request that comes
+	// later is refused, since there may be no time left to finish it.
 	callerNotice = 3 * time.Second
 	// stopMargin is the time kept back before the end of the grace.
 	stopMargin = 500 * time.Millisecond
@@ -33,6 +34,7 @@
 	wait(ctx, gateNotice)
 	s.gate.Stop()
 	wait(ctx, callerNotice-gateNotice)
+	s.closing.Store(true)
 	err := s.waitQuiet(ctx)
 	err = errors.Join(err, s.gate.InFlight().Wait(ctx))
 	for _, server := range []*httpserver.Server{s.callers, s.peers, s.registration} {
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -51,7 +51,7 @@
 	began := time.Now()
 	req, route, refusal := h.accept(w, r, began)
 	if refusal != nil {
-		h.refuse(w, refusal)
+		h.Refuse(w, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
@@ -59,7 +59,7 @@
 	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(began)
 	if err != nil {
-		h.refuse(w, asRefusal(err))
+		h.Refuse(w, asRefusal(err))
 		return
 	}
 	if _, ok := answer.Header["Content-Type"]; !ok {
@@ -182,7 +182,8 @@
 	return http.StatusBadGateway
 }
 
-func (h *Handler) refuse(w http.ResponseWriter, refusal *caller.Refusal) {
+// Refuse answers with the refusal.
+func (h *Handler) Refuse(w http.ResponseWriter, refusal *caller.Refusal) {
 	metrics.Refusal(refusal.Reason)
 	header := w.Header()
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
