--- a/peer/choose.go
+++ b/peer/choose.go
@@ -56,10 +56,9 @@
 	if len(candidates) == 0 {
 		return Chosen{}, ErrNoUpstream
 	}
-	if len(candidates) > 1 {
-		r.ask(ctx, now, candidates)
-		now = time.Now()
-	}
+	// A single candidate is asked too: it may have been started again, or have stopped to serve.
+	r.ask(ctx, now, candidates)
+	now = time.Now()
 	best := Chosen{Cost: math.MaxInt64}
 	for _, p := range candidates {
 		if got := r.judge(now, p, need); got.Status.Serving && got.Cost < best.Cost {
--- /dev/null
+++ b/peer/roster_test.go
@@ -0,0 +1,279 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/peer"
+)
+
+// node is a stand-in for another node: it answers questions with its load after its delay, unless it is gone.
+type node struct {
+	status peer.Status
+	load   peer.Load
+	delay  time.Duration
+	gone   bool
+	asked  int
+}
+
+// network carries datagrams between one roster and stand-in nodes.
+type network struct {
+	mu         sync.Mutex
+	nodes      map[netip.AddrPort]*node
+	roster     *peer.Roster
+	introduced map[netip.AddrPort]int
+}
+
+func (n *network) Ask(to netip.AddrPort, number uint32) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	other, ok := n.nodes[to]
+	if !ok || other.gone {
+		return
+	}
+	other.asked++
+	load := other.load
+	load.Boot, load.Revision, load.Serving = other.status.Boot, other.status.Revision, other.status.Serving
+	time.AfterFunc(other.delay, func() { n.roster.HeardLoad(to, number, load) })
+}
+
+func (n *network) Introduce(to netip.AddrPort, _ peer.Status, _ []netip.AddrPort, reply bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.introduced[to]++
+	other, ok := n.nodes[to]
+	if !ok || other.gone || !reply {
+		return
+	}
+	status := other.status
+	time.AfterFunc(other.delay, func() { n.roster.Heard(to, status, nil, false) })
+}
+
+// change applies a change to a node.
+func (n *network) change(i int, change func(*node)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n.nodes[address(i)])
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+// own is this node as the others see it.
+type own struct {
+	status peer.Status
+	load   peer.Load
+}
+
+func (o *own) Status() peer.Status      { return o.status }
+func (o *own) Load(time.Time) peer.Load { return o.load }
+
+// rosterOf returns a roster that has heard of the nodes. Node i is at address(i), in zone "z<i%2>".
+func rosterOf(t *testing.T, count int) (*network, *peer.Roster) {
+	t.Helper()
+	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int)}
+	for i := 1; i <= count; i++ {
+		n.nodes[address(i)] = &node{
+			status: peer.Status{
+				Node: fmt.Sprintf("n%d", i), Boot: uint64(i), Revision: 1, Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: fmt.Sprintf("z%d", i%2),
+				Service: "s", Upstream: fmt.Sprintf("u%d", i), Slots: 10, Serving: true, Follows: true,
+			},
+			load: peer.Load{Limit: 8, Pace: 100}, delay: time.Millisecond,
+		}
+	}
+	n.roster = peer.NewRoster(peer.Options{
+		Zone: "z0", Address: address(200), FreshFor: 20 * time.Millisecond, ZoneCost: time.Millisecond,
+		Sender: n, Self: &own{status: peer.Status{Node: "n5", Boot: 99, Zone: "z0", Follows: true}}, Log: slog.New(slog.DiscardHandler),
+	})
+	for i := 1; i <= count; i++ {
+		n.roster.Learn(address(i))
+	}
+	time.Sleep(10 * time.Millisecond)
+	synctest.Wait()
+	return n, n.roster
+}
+
+func choose(t *testing.T, r *peer.Roster) peer.Chosen {
+	t.Helper()
+	chosen, err := r.Choose(context.Background(), peer.Need{Service: "s", Work: 100 * time.Millisecond, Bytes: 1024})
+	assert.NilError(t, err)
+	return chosen
+}
+
+// Guards against a choice by a load that is no longer true: it changes between two requests.
+func TestChooseAsksForTheLoadOfTheMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 4)
+		for _, best := range []int{2, 4, 2, 4} {
+			for i := 1; i <= 4; i++ {
+				n.change(i, func(other *node) { other.load.Pace = 500 })
+			}
+			n.change(best, func(other *node) { other.load.Pace = 100 })
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, choose(t, r).Status.Node, fmt.Sprintf("n%d", best))
+		}
+	})
+}
+
+// Guards against questions that cost more than they tell: a load that was just heard is used by many requests.
+func TestFreshLoadIsNotAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 3)
+		for range 10 {
+			choose(t, r)
+		}
+		for i := 1; i <= 3; i++ {
+			n.change(i, func(other *node) { assert.Check(t, other.asked <= 1, "asked %d times", other.asked) })
+		}
+	})
+}
+
+// Guards against requests that all go to one upstream between two answers.
+func TestPlacedRequestsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, r := rosterOf(t, 4)
+		counts := make(map[string]int)
+		for range 24 {
+			counts[choose(t, r).Status.Node]++
+		}
+		for name, count := range counts {
+			assert.Check(t, count <= 12, "%s got %d of 24: %v", name, count, counts)
+		}
+	})
+}
+
+// Guards against requests that wait for a node that is gone, and against one that is never tried again.
+func TestSilentNodeIsLeftOutAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 2)
+		go r.Run(t.Context())
+		n.change(2, func(other *node) { other.gone = true })
+		for range 20 {
+			assert.Equal(t, choose(t, r).Status.Node, "n1")
+			time.Sleep(100 * time.Millisecond)
+		}
+		began := time.Now()
+		choose(t, r)
+		assert.Check(t, time.Since(began) <= 2*time.Millisecond, "a silent node held a request up for %v", time.Since(began))
+		n.change(2, func(other *node) { other.gone = false })
+		time.Sleep(2 * time.Second)
+		n.change(1, func(other *node) { other.load.Running = 8 })
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, choose(t, r).Status.Node, "n2")
+	})
+}
+
+// Guards against a request that waits long when no node answers in time.
+func TestChooseWaitsBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 3)
+		for i := 1; i <= 3; i++ {
+			n.change(i, func(other *node) { other.delay = time.Second })
+		}
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		choose(t, r)
+		assert.Check(t, time.Since(began) <= 30*time.Millisecond, "waited %v", time.Since(began))
+	})
+}
+
+// Guards against requests to an upstream that leaves, or to the life of a node that has ended.
+func TestStatusOfTheNodeItselfCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 2)
+		n.change(1, func(other *node) { other.status.Serving, other.status.Revision = false, 2 })
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, choose(t, r).Status.Node, "n2")
+		// An older datagram of the same life comes late.
+		r.Heard(address(1), peer.Status{Node: "n1", Boot: 1, Revision: 1, Service: "s", Upstream: "u1", Serving: true}, nil, false)
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, choose(t, r).Status.Node, "n2")
+		// The node was started again with another upstream.
+		n.change(2, func(other *node) { other.status.Boot, other.status.Upstream = 22, "u9" })
+		time.Sleep(50 * time.Millisecond)
+		_ = choose(t, r)
+		time.Sleep(50 * time.Millisecond)
+		chosen := choose(t, r)
+		assert.Equal(t, chosen.Status.Boot, uint64(22))
+		assert.Equal(t, chosen.Status.Upstream, "u9")
+	})
+}
+
+// Guards against an upstream that fails fast and looks idle, and against one that is avoided for good.
+func TestFailuresCostAndFade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 4)
+		n.change(2, func(other *node) { other.load.Running = 0 })
+		n.change(4, func(other *node) { other.load.Running = 9 })
+		for _, p := range r.Service("s") {
+			if p.Status().Node == "n2" {
+				for range 5 {
+					p.Observe(time.Now(), peer.Failed, time.Millisecond, 100*time.Millisecond)
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		assert.Assert(t, choose(t, r).Status.Node != "n2")
+		time.Sleep(20 * time.Second)
+		n.change(1, func(other *node) { other.load.Running = 9 })
+		n.change(3, func(other *node) { other.load.Running = 9 })
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, choose(t, r).Status.Node, "n2")
+	})
+}
+
+// Guards against bytes that cross zones for a gain that is not worth them.
+func TestZoneCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 2) // n1 is in another zone
+		n.change(2, func(other *node) { other.load.Running = 9 })
+		time.Sleep(50 * time.Millisecond)
+		large := peer.Need{Service: "s", Work: 100 * time.Millisecond, Bytes: 500 << 10}
+		chosen, err := r.Choose(context.Background(), large)
+		assert.NilError(t, err)
+		assert.Equal(t, chosen.Status.Node, "n2")
+		time.Sleep(50 * time.Millisecond)
+		small := peer.Need{Service: "s", Work: 100 * time.Millisecond, Bytes: 100}
+		chosen, err = r.Choose(context.Background(), small)
+		assert.NilError(t, err)
+		assert.Equal(t, chosen.Status.Node, "n1")
+	})
+}
+
+// Guards against a fleet in which no node reads the store, or all do.
+func TestDutyPassesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 4) // this node is n5
+		go r.Run(t.Context())
+		assert.Assert(t, !r.OnDuty())
+		for i := 1; i <= 3; i++ {
+			n.change(i, func(other *node) { other.gone = true })
+		}
+		n.change(4, func(other *node) { other.status.Follows, other.status.Revision = false, 2 })
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, r.OnDuty())
+		n.change(4, func(other *node) { other.status.Follows, other.status.Revision = true, 3 })
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !r.OnDuty())
+	})
+}
+
+// Guards against a service without nodes that holds requests up or panics.
+func TestNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, r := rosterOf(t, 1)
+		_, err := r.Choose(context.Background(), peer.Need{Service: "other"})
+		assert.ErrorIs(t, err, peer.ErrNoUpstream)
+		_, err = r.Choose(context.Background(), peer.Need{Service: "s", Exclude: func(*peer.Peer) bool { return true }})
+		assert.ErrorIs(t, err, peer.ErrNoUpstream)
+	})
+}
