Test which attempts a request may make

Table and random sequences of outcomes against three promises: at most one run of what may run once, not-run only when nothing ran, no more upstreams than the route allows. Found on the way: the refusal named no-upstream instead of what the nodes had said, without their time for a resend.

--- a/entry/again.go
+++ b/entry/again.go
@@ -41,6 +41,10 @@
 	}
 	metrics.Retry(refusal.Reason)
 	c.refusals = append(c.refusals, string(refusal.Reason))
+	c.refused = refusal
+	if refusal.RetryAfter > 0 && (c.pause == 0 || refusal.RetryAfter < c.pause) {
+		c.pause = refusal.RetryAfter
+	}
 	return true
 }
 
@@ -85,10 +89,12 @@
 
 // final returns the refusal of the whole request. It says not-run only when that holds for every attempt.
 func (c *call) final(refusal *caller.Refusal) *caller.Refusal {
-	if c.ran == caller.Unknown && refusal.Ran == caller.NotRun {
-		whole := *refusal
+	whole := *refusal
+	if c.ran == caller.Unknown {
 		whole.Ran = caller.Unknown
-		return &whole
 	}
-	return refusal
+	if c.pause > 0 {
+		whole.RetryAfter = c.pause
+	}
+	return &whole
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,7 +58,11 @@
 	offered  int      // upstreams to which the request was sent
 	ran      caller.Ran
 	last     peer.Chosen
-	refusals []string // reasons of the attempts that failed, for the log
+	refusals []string        // reasons of the attempts that failed, for the log
+	refused  *caller.Refusal // the last one after which another node was tried
+	// exhausted is set when no node is left to try.
+	exhausted bool
+	pause     time.Duration // shortest time after which a node said that a resend may help
 }
 
 // New returns an entry without state.
@@ -99,7 +103,7 @@
 		if refusal == nil && !c.betterElsewhere(ctx, answer) {
 			return answer, nil
 		}
-		if refusal != nil && !c.again(ctx, refusal) {
+		if refusal != nil && (c.exhausted || !c.again(ctx, refusal)) {
 			return nil, c.final(refusal)
 		}
 	}
@@ -110,6 +114,7 @@
 	work, bytes := c.usual.get()
 	chosen, err := c.Roster.Choose(ctx, peer.Need{Service: c.req.Service, Work: work, Bytes: bytes, Exclude: c.hasTried})
 	if err != nil {
+		c.exhausted = true
 		return nil, c.noUpstream(ctx)
 	}
 	c.last = chosen
@@ -160,6 +165,9 @@
 	if ctx.Err() != nil {
 		return caller.Refuse(endOf(ctx), dispatchStep, "")
 	}
+	if c.refused != nil {
+		return c.refused
+	}
 	refusal := caller.Refuse(caller.NoUpstream, dispatchStep, c.req.Service)
 	refusal.RetryAfter = pauseForUpstream
 	return refusal
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,271 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/contract"
+	"github.com/magnoliawharf/magnoliawharf/entry"
+	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/link"
+	"github.com/magnoliawharf/magnoliawharf/peer"
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
+)
+
+// fleet is a stand-in for the home nodes: outcomes says what each attempt meets, in order; the last one is repeated.
+type fleet struct {
+	mu       sync.Mutex
+	outcomes []outcome
+	sent     []string // node of each attempt
+	ran      int      // attempts that ran at an upstream
+}
+
+// outcome of one attempt.
+type outcome struct {
+	refusal *caller.Refusal
+	status  int
+	body    io.Reader
+	after   time.Duration
+	ran     bool // whether the upstream ran the request, whatever came back
+}
+
+func (f *fleet) Forward(ctx context.Context, _ *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
+	f.mu.Lock()
+	next := f.outcomes[min(len(f.sent), len(f.outcomes)-1)]
+	f.sent = append(f.sent, string(target.ID))
+	if next.ran {
+		f.ran++
+	}
+	f.mu.Unlock()
+	select {
+	case <-time.After(next.after):
+	case <-ctx.Done():
+		return nil, nil, caller.Lost(caller.Cancelled, "forward", string(target.ID), ctx.Err())
+	}
+	if next.refusal != nil {
+		return nil, nil, next.refusal
+	}
+	body := next.body
+	if body == nil {
+		body = strings.NewReader("ok")
+	}
+	return &caller.Answer{Status: next.status, Body: io.NopCloser(body), Length: -1}, nil, nil
+}
+
+type silentSender struct{}
+
+func (silentSender) Ask(netip.AddrPort, uint32)                                    {}
+func (silentSender) Introduce(netip.AddrPort, peer.Status, []netip.AddrPort, bool) {}
+
+type nobody struct{}
+
+func (nobody) Status() peer.Status      { return peer.Status{} }
+func (nobody) Load(time.Time) peer.Load { return peer.Load{} }
+
+func rosterOf(nodes int) *peer.Roster {
+	r := peer.NewRoster(peer.Options{
+		Zone: "z", Address: netip.MustParseAddrPort("10.0.0.200:7000"), Sender: silentSender{}, Self: nobody{}, Log: slog.New(slog.DiscardHandler),
+	})
+	for i := range nodes {
+		r.Heard(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), peer.Status{
+			Node: fmt.Sprintf("n%d", i), Boot: uint64(i + 1), Revision: 1, Service: "s", Upstream: fmt.Sprintf("u%d", i), Slots: 4, Serving: true,
+		}, nil, false)
+	}
+	return r
+}
+
+func newEntry(f *fleet, nodes int) *entry.Entry {
+	return entry.New(entry.Entry{
+		Service: "self", Roster: rosterOf(nodes), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 2 }), RetryRatio: 1,
+		Suspects: quarantine.NewList(nil), Log: slog.New(slog.DiscardHandler),
+	})
+}
+
+func routeOf(rule bundle.Rule, attempts int) *contract.Route {
+	return &contract.Route{Name: "r", Rule: rule, Attempts: attempts, Objective: 400 * time.Millisecond}
+}
+
+func dispatch(t context.Context, e *entry.Entry, route *contract.Route) (*caller.Answer, *caller.Refusal) {
+	ctx, cancel := context.WithTimeout(t, time.Second)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	answer, err := e.Dispatch(ctx, &caller.Request{
+		ID: "id", Service: "s", Route: "r", Body: caller.NewBody(nil, 0), Deadline: deadline, Placement: &caller.Placement{Host: "h"},
+	}, route)
+	var refusal *caller.Refusal
+	if errors.As(err, &refusal) {
+		return nil, refusal
+	}
+	return answer, nil
+}
+
+func refused(reason caller.Reason) outcome {
+	return outcome{refusal: caller.Refuse(reason, "home", "n")}
+}
+
+func lost(reason caller.Reason) outcome {
+	return outcome{refusal: caller.Lost(reason, "home", "n", nil), ran: true}
+}
+
+var good = outcome{status: 200, ran: true}
+
+// Guards against a request that is sent again although it may have run, that is given up although it has not, and
+// against a refusal that says not-run for one that may have.
+func TestAttemptsByOutcome(t *testing.T) {
+	half := func() io.Reader { return io.MultiReader(strings.NewReader("half"), brokenReader{}) }
+	tests := []struct {
+		name     string
+		rule     bundle.Rule
+		attempts int
+		outcomes []outcome
+		sent     int
+		status   int
+		reason   caller.Reason
+		ran      caller.Ran
+	}{
+		{"answered", bundle.NotIdempotent, 2, []outcome{good}, 1, 200, "", 0},
+		{"drained, then answered", bundle.NotIdempotent, 1, []outcome{refused(caller.Draining), good}, 2, 200, "", 0},
+		{"node not reached, then answered", bundle.NotIdempotent, 1, []outcome{refused(caller.PeerUnreachable), good}, 2, 200, "", 0},
+		{"full everywhere", bundle.Idempotent, 2, []outcome{refused(caller.QueueFull)}, 4, 0, caller.QueueFull, caller.NotRun},
+		{"rejected by the upstream, then answered", bundle.NotIdempotent, 2, []outcome{refused(caller.UpstreamRejected), good}, 2, 200, "", 0},
+		{"rejected by the upstream, one attempt", bundle.NotIdempotent, 1, []outcome{refused(caller.UpstreamRejected), good}, 1, 0, caller.UpstreamRejected, caller.NotRun},
+		{"lost, may run once", bundle.NotIdempotent, 2, []outcome{lost(caller.UpstreamLost), good}, 1, 0, caller.UpstreamLost, caller.Unknown},
+		{"node lost, may run once", bundle.NotIdempotent, 2, []outcome{lost(caller.PeerLost), good}, 1, 0, caller.PeerLost, caller.Unknown},
+		{"lost, may run again", bundle.Idempotent, 2, []outcome{lost(caller.UpstreamLost), good}, 2, 200, "", 0},
+		{"lost, may run again, one attempt", bundle.Idempotent, 1, []outcome{lost(caller.UpstreamLost), good}, 1, 0, caller.UpstreamLost, caller.Unknown},
+		{"lost, then refused", bundle.Idempotent, 3, []outcome{lost(caller.UpstreamLost), refused(caller.Draining)}, 4, 0, caller.Draining, caller.Unknown},
+		{"failed, may run once", bundle.NotIdempotent, 2, []outcome{{status: 500, ran: true}, good}, 1, 500, "", 0},
+		{"failed, may run again", bundle.Idempotent, 2, []outcome{{status: 500, ran: true}, good}, 2, 200, "", 0},
+		{"failed twice", bundle.Idempotent, 2, []outcome{{status: 500, ran: true}}, 2, 500, "", 0},
+		{"caller's fault", bundle.Idempotent, 2, []outcome{{status: 404, ran: true}}, 1, 404, "", 0},
+		{"broke off, may run again", bundle.Idempotent, 2, []outcome{{status: 200, body: half(), ran: true}, good}, 2, 200, "", 0},
+		{"broke off, may run once", bundle.NotIdempotent, 2, []outcome{{status: 200, body: half(), ran: true}, good}, 1, 0, caller.UpstreamLost, caller.Unknown},
+		{"too late", bundle.NotIdempotent, 2, []outcome{{status: 200, after: 2 * time.Second, ran: true}}, 1, 0, caller.DeadlinePassed, caller.Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{outcomes: test.outcomes}
+				e := newEntry(f, 5)
+				earn(t, e)
+				f.sent = nil
+				f.outcomes = test.outcomes
+				answer, refusal := dispatch(t.Context(), e, routeOf(test.rule, test.attempts))
+				assert.Equal(t, len(f.sent), test.sent, "%v", f.sent)
+				if test.reason != "" {
+					assert.Assert(t, refusal != nil)
+					assert.Equal(t, refusal.Reason, test.reason)
+					assert.Equal(t, refusal.Ran, test.ran)
+					return
+				}
+				assert.Assert(t, refusal == nil, "%v", refusal)
+				assert.Equal(t, answer.Status, test.status)
+			})
+		})
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// earn lets two requests through, so that the budget of the service has a retry.
+func earn(t *testing.T, e *entry.Entry) {
+	t.Helper()
+	f := e.Forward.(*fleet)
+	held := f.outcomes
+	f.outcomes = []outcome{good}
+	for range 2 {
+		_, refusal := dispatch(t.Context(), e, routeOf(bundle.NotIdempotent, 1))
+		assert.Assert(t, refusal == nil)
+	}
+	f.outcomes = held
+}
+
+// Guards against a refusal that hides why the nodes refused, and when a resend may help, because no other node is left.
+func TestLastRefusalStandsWhenNoNodeIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := caller.Refuse(caller.DeadlineUnmeetable, "home", "n")
+		busy.RetryAfter = 300 * time.Millisecond
+		busier := caller.Refuse(caller.QueueFull, "home", "n")
+		busier.RetryAfter = 900 * time.Millisecond
+		e := newEntry(&fleet{outcomes: []outcome{{refusal: busy}, {refusal: busier}}}, 2)
+		_, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+		assert.Equal(t, refusal.Reason, caller.QueueFull)
+		assert.Equal(t, refusal.RetryAfter, 300*time.Millisecond)
+	})
+}
+
+// Guards against retries beyond the budget when a whole service fails.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{outcomes: []outcome{lost(caller.UpstreamLost)}}
+		e := entry.New(entry.Entry{
+			Roster: rosterOf(4), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 2 }), RetryRatio: 0.1,
+			Suspects: quarantine.NewList(nil), Log: slog.New(slog.DiscardHandler),
+		})
+		const requests = 200
+		for range requests {
+			dispatch(t.Context(), e, routeOf(bundle.Idempotent, 3))
+		}
+		assert.Assert(t, len(f.sent) <= requests+requests/10+2, "%d attempts of %d requests", len(f.sent), requests)
+		assert.Assert(t, len(f.sent) > requests, "no retry at all")
+	})
+}
+
+// Guards, over arbitrary sequences of outcomes, against a request that may run once and runs twice, against a refusal
+// that says not-run for one that ran, and against more upstreams than the route allows.
+func TestPromisesOverAnyOutcomes(t *testing.T) {
+	outcomes := []outcome{
+		good, {status: 500, ran: true}, lost(caller.UpstreamLost), lost(caller.PeerLost), lost(caller.AnswerMismatch),
+		refused(caller.Draining), refused(caller.NotReady), refused(caller.QueueFull), refused(caller.DeadlineUnmeetable),
+		refused(caller.UpstreamRejected), refused(caller.UpstreamUnreachable), refused(caller.PeerUnreachable), refused(caller.StaleIncarnation),
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		drawn := rapid.SliceOfN(rapid.SampledFrom(outcomes), 1, 6).Draw(rt, "outcomes")
+		rule := rapid.SampledFrom([]bundle.Rule{bundle.Idempotent, bundle.NotIdempotent}).Draw(rt, "rule")
+		attempts := rapid.IntRange(1, 3).Draw(rt, "attempts")
+		f := &fleet{outcomes: drawn}
+		e := newEntry(f, 6)
+		_, refusal := dispatch(context.Background(), e, routeOf(rule, attempts))
+		if rule == bundle.NotIdempotent && f.ran > 1 {
+			rt.Fatalf("ran %d times", f.ran)
+		}
+		if refusal != nil && refusal.Ran == caller.NotRun && f.ran > 0 {
+			rt.Fatalf("said not-run, and ran %d times", f.ran)
+		}
+		if f.ran > attempts {
+			rt.Fatalf("ran at %d upstreams of %d allowed", f.ran, attempts)
+		}
+	})
+}
+
+// Guards against a request that crashes upstreams and is passed on all the same.
+func TestQuarantinedRequestsAreRefused(t *testing.T) {
+	f := &fleet{outcomes: []outcome{good}}
+	suspects := quarantine.NewList(nil)
+	for crash := range quarantine.Crash(quarantine.Threshold) {
+		suspects.Report(time.Now(), crash+1, []quarantine.Fingerprint{0})
+	}
+	e := entry.New(entry.Entry{
+		Roster: rosterOf(2), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 1 }), Suspects: suspects, Log: slog.New(slog.DiscardHandler),
+	})
+	_, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+	assert.Equal(t, refusal.Reason, caller.Quarantined)
+	assert.Equal(t, refusal.Ran, caller.NotRun)
+	assert.Equal(t, len(f.sent), 0)
+}
