Test the assembled node and the adapter without the bench

Fleets of nodes in one process before a store whose watches hear nothing or that is away, and the platform's published calls before a stand-in. Without the reading on duty TestContractsWithoutAWatch fails, without the refusal of late requests TestPlannedStop does.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +95,7 @@
 	}
 	s.suspects = quarantine.NewList(s)
 	s.gate = gate.New(gate.Options{
-		Node: s.Settings.Node, Boot: s.boot, Address: s.Settings.Listen.Peers, Zone: s.Settings.Zone,
+		Node: s.Settings.Node, Boot: s.boot, Address: s.peers.Addr(), Zone: s.Settings.Zone,
 		Service: s.Settings.Upstream.Service, Upstream: s.Settings.Upstream.Address, HealthPath: s.healthPath,
 		FreshFor:   time.Duration(s.Settings.Routing.FreshFor),
 		LapseAfter: lapseBeats * time.Duration(s.Settings.Upstream.AnnounceEvery),
@@ -174,6 +175,21 @@
 	return s.Settings.Retries.Allowance / 2 / float64(max(1, s.roster.Len()))
 }
 
+// CallerAddr returns the bound address of the callers' listener.
+func (s *Sidecar) CallerAddr() string { return s.callers.Addr() }
+
+// DatagramAddr returns the bound address of messages between nodes.
+func (s *Sidecar) DatagramAddr() netip.AddrPort { return s.socket.Addr() }
+
+// Meet takes the datagram address of a node that may be there, beside those that the store tells.
+func (s *Sidecar) Meet(addr netip.AddrPort) { s.roster.Learn(addr) }
+
+// ReadyAddr returns the bound address at which the platform asks whether the node is ready.
+func (s *Sidecar) ReadyAddr() string { return s.ready.Addr() }
+
+// MetricsAddr returns the bound address of the metrics.
+func (s *Sidecar) MetricsAddr() string { return s.metricsServer.Addr() }
+
 func (s *Sidecar) isReady() bool { return !s.stopping.Load() && s.contracts.Load() != nil }
 
 func (s *Sidecar) healthPath(service string) string {
--- /dev/null
+++ b/sidecar/sidecar_test.go
@@ -0,0 +1,329 @@
+package sidecar_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/contract"
+	"github.com/magnoliawharf/magnoliawharf/gate"
+	"github.com/magnoliawharf/magnoliawharf/settings"
+	"github.com/magnoliawharf/magnoliawharf/sidecar"
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/store"
+)
+
+const contractsKey = "operator/contracts"
+
+// document is the test's form of contracts.
+type document struct {
+	Version uint64
+	Service string // of every request
+}
+
+func decode(raw []byte) (*contract.Contracts, error) {
+	var d document
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return nil, err
+	}
+	return contract.New(contract.Contracts{
+		Version: d.Version, Source: raw, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
+		Routes: []contract.Route{
+			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, Objective: 8 * time.Second, Attempts: 2, Parts: []contract.Part{{Service: d.Service, Weight: 1}}},
+			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, Objective: 8 * time.Second, Attempts: 2, Parts: []contract.Part{{Service: d.Service, Weight: 1}}},
+		},
+	})
+}
+
+func publish(t *testing.T, s store.Store, d document) {
+	t.Helper()
+	raw, err := json.Marshal(d)
+	assert.NilError(t, err)
+	held, err := s.Get(t.Context(), contractsKey)
+	assert.Assert(t, err == nil || store.Is(err, store.ErrNotFound))
+	_, err = s.Swap(t.Context(), contractsKey, raw, held.Revision, 0)
+	assert.NilError(t, err)
+}
+
+// deafStore is a store whose watches hear nothing, and that can be taken away altogether.
+type deafStore struct {
+	store.Store
+	away atomic.Bool
+	deaf atomic.Bool
+}
+
+func (d *deafStore) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	if d.away.Load() {
+		return nil, store.ErrUnavailable.New("away")
+	}
+	return d.Store.List(ctx, prefix)
+}
+
+func (d *deafStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if d.away.Load() {
+		return 0, store.ErrUnavailable.New("away")
+	}
+	return d.Store.GrantLease(ctx, ttl)
+}
+
+func (d *deafStore) Watch(ctx context.Context, prefix string, after int64) (<-chan store.Event, error) {
+	if d.away.Load() {
+		return nil, store.ErrUnavailable.New("away")
+	}
+	if d.deaf.Load() {
+		return make(chan store.Event), nil
+	}
+	return d.Store.Watch(ctx, prefix, after)
+}
+
+// machine is a node with its upstream.
+type machine struct {
+	*sidecar.Sidecar
+	registrar sidecar.Registrar
+	upstream  *httptest.Server
+	log       *lockedLog
+	cancel    context.CancelFunc
+	ended     chan error
+	runs      atomic.Int64
+}
+
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedLog) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// start starts a node of the service "s" with an upstream that answers with the node's name after ?work=DURATION.
+func start(t *testing.T, name string, s store.Store) *machine {
+	t.Helper()
+	m := &machine{log: &lockedLog{}, ended: make(chan error, 1)}
+	m.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Upstream", "u-"+name)
+		w.Header().Set("X-Load", "0,0,4")
+		if r.URL.Path == "/health" {
+			return
+		}
+		m.runs.Add(1)
+		if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+			time.Sleep(work)
+		}
+		fmt.Fprintf(w, "%s for %s", name, r.Header.Get("X-Origin"))
+	}))
+	t.Cleanup(m.upstream.Close)
+	loaded := sidecar.DefaultSettings()
+	loaded.Node, loaded.Zone, loaded.Region = name, "z", "r"
+	loaded.Upstream.Service, loaded.Upstream.Address = "s", strings.TrimPrefix(m.upstream.URL, "http://")
+	any := "127.0.0.1:0"
+	loaded.Listen = sidecar.Listen{Callers: any, Peers: any, Datagrams: any, Registration: any, Ready: any, Metrics: any}
+	loaded.Runtime.Grace = settings.Duration(6 * time.Second)
+	m.Sidecar = &sidecar.Sidecar{
+		Settings: loaded, Log: slog.New(slog.NewTextHandler(m.log, nil)),
+		Platform: sidecar.Platform{
+			Store: s, ContractsKey: contractsKey, ContractsPrefix: "operator/", EntriesPrefix: "nodes/", DecodeContracts: decode,
+			Dialect: caller.Dialect{
+				RequestID: "X-Id", TimeLimit: "X-Time", Expect: "X-Expect", UpstreamID: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Origin: "X-Origin",
+				ParseLoad: func(value string) (load caller.UpstreamLoad, ok bool) {
+					_, err := fmt.Sscanf(value, "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots)
+					return load, err == nil
+				},
+			},
+			Registration: func(r sidecar.Registrar) http.Handler { m.registrar = r; return http.NotFoundHandler() },
+			Readiness: func(ready func() bool) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if !ready() {
+						w.WriteHeader(http.StatusServiceUnavailable)
+					}
+				})
+			},
+		},
+	}
+	assert.NilError(t, m.Provision())
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() { m.ended <- errors.Join(m.Run(ctx, nil, nil), m.Cleanup()) }()
+	t.Cleanup(cancel)
+	return m
+}
+
+func (m *machine) announce(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, m.registrar.Announce(time.Now(), gate.Announcement{
+		ID: "u-" + m.Settings.Node, Born: 1, Sequence: 1, Address: m.Settings.Upstream.Address, Service: "s", Slots: 4,
+	}))
+}
+
+// get sends a request to the node and returns the status and the body.
+func (m *machine) get(path string) (int, string, error) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+m.CallerAddr()+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "shop.example"
+	r.Header.Set("X-Id", fmt.Sprint(time.Now().UnixNano()))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+func eventually(t *testing.T, what string, within time.Duration, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet: %s", what)
+	}, poll.WithTimeout(within), poll.WithDelay(20*time.Millisecond))
+}
+
+func (m *machine) serves() bool {
+	status, _, err := m.get("/any/")
+	return err == nil && status == 200
+}
+
+func (m *machine) ready() bool {
+	response, err := http.Get("http://" + m.ReadyAddr())
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == 200
+}
+
+// Guards against a path that is broken from end to end: entry node, home node, upstream and back.
+func TestRequestFromEndToEnd(t *testing.T) {
+	memory := kvstore.NewMemory()
+	entry, home := start(t, "n1", memory), start(t, "n2", memory)
+	status, body, err := entry.get("/any/")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 503, "before the first contracts: %s", body)
+	assert.Assert(t, !entry.ready())
+	publish(t, memory, document{Version: 1, Service: "s"})
+	home.announce(t)
+	eventually(t, "served", 5*time.Second, entry.serves)
+	assert.Assert(t, entry.ready())
+	// The upstream beside the entry node is found by a reading; take it out, so that the other one answers.
+	entry.registrar.Leave(time.Now(), "u-n1")
+	status, body, err = entry.get("/once/a?b=c")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "n2 for s")
+	status, _, err = entry.get("/none/")
+	assert.NilError(t, err)
+	assert.Equal(t, status, 404)
+	response, err := http.Get("http://" + entry.MetricsAddr() + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), `magnoliawharf_request_seconds_count{route="once"}`))
+}
+
+// Guards against nodes that act on old contracts because their watches hear nothing and are not ended.
+func TestContractsWithoutAWatch(t *testing.T) {
+	s := &deafStore{Store: kvstore.NewMemory()}
+	s.deaf.Store(true)
+	publish(t, s, document{Version: 1, Service: "s"})
+	machines := []*machine{start(t, "n1", s), start(t, "n2", s), start(t, "n3", s)}
+	for _, m := range machines {
+		eventually(t, "version 1 at "+m.Settings.Node, 5*time.Second, func() bool { return m.log.has("version=1") })
+	}
+	time.Sleep(time.Second) // the nodes find each other
+	publish(t, s, document{Version: 2, Service: "s"})
+	for _, m := range machines {
+		eventually(t, "version 2 at "+m.Settings.Node, 2*time.Second, func() bool { return m.log.has("version=2") })
+	}
+}
+
+// Guards against a fleet that stops serving while the store is away, and against a node that was started again meanwhile
+// and finds neither contracts nor the others.
+func TestStoreAway(t *testing.T) {
+	s := &deafStore{Store: kvstore.NewMemory()}
+	publish(t, s, document{Version: 1, Service: "s"})
+	n1, n2 := start(t, "n1", s), start(t, "n2", s)
+	n1.announce(t)
+	n2.announce(t)
+	eventually(t, "served", 5*time.Second, func() bool { return n1.serves() && n2.serves() })
+	s.away.Store(true)
+	assert.Assert(t, n1.serves() && n2.serves())
+
+	late := start(t, "n3", s)
+	assert.Assert(t, !late.ready())
+	// A node that was there before is known to the others by its address, so that they keep asking it.
+	n1.Meet(late.DatagramAddr())
+	eventually(t, "ready without the store", 3*time.Second, late.ready)
+	eventually(t, "served without the store", 3*time.Second, late.serves)
+}
+
+// Guards against a planned stop that cuts requests off, that takes requests which it cannot finish, or that hides itself
+// from the platform.
+func TestPlannedStop(t *testing.T) {
+	memory := kvstore.NewMemory()
+	publish(t, memory, document{Version: 1, Service: "s"})
+	stopping, other := start(t, "n1", memory), start(t, "n2", memory)
+	stopping.announce(t)
+	other.announce(t)
+	eventually(t, "served", 5*time.Second, func() bool { return stopping.serves() && other.serves() })
+
+	type result struct {
+		status int
+		err    error
+	}
+	results := make(chan result, 2)
+	for range cap(results) {
+		go func() {
+			status, _, err := stopping.get("/once/?work=3500ms")
+			results <- result{status, err}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	stopping.cancel()
+	eventually(t, "not ready", time.Second, func() bool { return !stopping.ready() })
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, stopping.serves(), "callers that do not know of the stop yet are turned away")
+	time.Sleep(2600 * time.Millisecond)
+	status, _, err := stopping.get("/any/")
+	assert.Assert(t, err != nil || status == 503, "a request that came late in the stop was taken: status %d", status)
+	for range cap(results) {
+		got := <-results
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, 200)
+	}
+	select {
+	case err := <-stopping.ended:
+		assert.NilError(t, err)
+	case <-time.After(7 * time.Second):
+		t.Fatal("the node has not ended")
+	}
+	assert.Assert(t, other.serves())
+}
--- /dev/null
+++ b/transport/datagram/datagram_test.go
@@ -0,0 +1,136 @@
+package datagram
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/peer"
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
+)
+
+// recorder keeps what a node received.
+type recorder struct {
+	statuses chan peer.Status
+	known    chan []netip.AddrPort
+	loads    chan peer.Load
+	notices  chan quarantine.Notice
+	versions chan uint64
+	load     peer.Load
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		statuses: make(chan peer.Status, 9), known: make(chan []netip.AddrPort, 9), loads: make(chan peer.Load, 9),
+		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
+	}
+}
+
+func (r *recorder) Learn(netip.AddrPort) {}
+func (r *recorder) Heard(_ netip.AddrPort, s peer.Status, known []netip.AddrPort, _ bool) {
+	r.statuses <- s
+	r.known <- known
+}
+func (r *recorder) HeardLoad(_ netip.AddrPort, _ uint32, load peer.Load) { r.loads <- load }
+func (r *recorder) Answer(netip.AddrPort) peer.Load                      { return r.load }
+
+func start(t *testing.T, version uint64, load peer.Load) (*Socket, *recorder) {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	r := newRecorder()
+	r.load = load
+	s.Version = func() uint64 { return version }
+	s.SeenVersion = func(v uint64, _ netip.AddrPort) { r.versions <- v }
+	s.Notice = func(n quarantine.Notice) { r.notices <- n }
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(context.Background(), r) }()
+	t.Cleanup(func() {
+		assert.NilError(t, s.Close())
+		assert.NilError(t, <-ended)
+	})
+	return s, r
+}
+
+func get[T any](t *testing.T, from chan T) T {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(2 * time.Second):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+// Guards against a message that says something else when it arrives, and against versions that do not ride along.
+func TestMessagesArriveAsSent(t *testing.T) {
+	load := peer.Load{Boot: 1 << 62, Revision: 3, Serving: true, Running: 4, Waiting: 2, Limit: 9, Pace: 500}
+	a, fromB := start(t, 7, peer.Load{})
+	b, fromA := start(t, 9, load)
+	a.Ask(b.Addr(), 41)
+	assert.Equal(t, get(t, fromA.versions), uint64(7))
+	assert.Equal(t, get(t, fromB.loads), load)
+	assert.Equal(t, get(t, fromB.versions), uint64(9))
+
+	status := peer.Status{
+		Node: "n1", Boot: 5, Revision: 2, Address: "10.0.0.1:80", Zone: "z", Service: "s", Upstream: "u", Slots: 12, Serving: true, Follows: true,
+	}
+	known := []netip.AddrPort{netip.MustParseAddrPort("10.1.2.3:4567"), netip.MustParseAddrPort("10.9.8.7:65535")}
+	a.Introduce(b.Addr(), status, known, true)
+	assert.Equal(t, get(t, fromA.statuses), status)
+	assert.DeepEqual(t, get(t, fromA.known), known, cmpopts.EquateComparable(netip.AddrPort{}))
+
+	notice := quarantine.Notice{Kind: quarantine.Crashed, Fingerprints: []quarantine.Fingerprint{1, 1 << 63}, Crashes: []quarantine.Crash{77}}
+	a.Tell([]netip.AddrPort{b.Addr()}, notice)
+	assert.DeepEqual(t, get(t, fromA.notices), notice)
+}
+
+// Guards against a question and its answer that cost more than a few dozen bytes: one goes out for each candidate.
+func TestQuestionsAreShort(t *testing.T) {
+	q, err := cbor.Marshal(question{Number: 1 << 20, Version: 300})
+	assert.NilError(t, err)
+	assert.Assert(t, len(q) <= 12, "question has %d bytes", len(q))
+	l, err := cbor.Marshal(loadOf(1<<20, 300, peer.Load{Boot: 1 << 62, Revision: 12, Serving: true, Running: 9, Waiting: 3, Limit: 9, Pace: 500}))
+	assert.NilError(t, err)
+	assert.Assert(t, len(l) <= 32, "load has %d bytes", len(l))
+}
+
+// Guards against datagrams of strangers or of other versions that enter a decision or end the process.
+func FuzzReceive(f *testing.F) {
+	for kind, message := range map[byte]any{
+		kindQuestion: question{Number: 1}, kindLoad: load{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
+		kindIntroduction: introductionOf(1, peer.Status{Node: "n", Address: "10.0.0.1:80"}, nil, true),
+	} {
+		body, err := cbor.Marshal(message)
+		assert.NilError(f, err)
+		f.Add(append([]byte{kind}, body...))
+	}
+	f.Add([]byte{kindIntroduction, 0x9f})
+	f.Add([]byte{})
+	s, err := Listen("127.0.0.1:0", slog.New(slog.DiscardHandler))
+	assert.NilError(f, err)
+	f.Cleanup(func() { _ = s.Close() })
+	s.Version = func() uint64 { return 1 }
+	s.SeenVersion = func(uint64, netip.AddrPort) {}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := newRecorder()
+		s.Notice = func(n quarantine.Notice) { assert.Check(t, n.Valid()) }
+		s.receive(r, s.Addr(), raw)
+		select {
+		case status := <-r.statuses:
+			_, err := netip.ParseAddrPort(status.Address)
+			assert.Check(t, err == nil && status.Node != "" && status.Slots >= 0 && status.Slots <= maxCount)
+			assert.Check(t, len(<-r.known) <= peer.MaxKnown)
+		case load := <-r.loads:
+			assert.Check(t, load.Running >= 0 && load.Running <= maxCount && load.Pace <= maxCount)
+		default:
+		}
+	})
+}
