--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,44 +109,88 @@
 	}
 }
 
-// try sends the request to the upstream from which the answer is expected first.
+// try sends the request to the upstream from which the answer is expected first, and to a second one beside it when the
+// first is late and a second is worth its work.
 func (c *call) try(ctx context.Context) (*caller.Answer, *caller.Refusal) {
-	work, bytes := c.usual.get()
-	chosen, err := c.Roster.Choose(ctx, peer.Need{Service: c.req.Service, Work: work, Bytes: bytes, Exclude: c.hasTried})
+	chosen, err := c.choose(ctx)
 	if err != nil {
 		c.exhausted = true
 		return nil, c.noUpstream(ctx)
 	}
+	if after := c.hedgeAfter(); after > 0 {
+		return c.race(ctx, chosen, after)
+	}
+	return c.settle(c.attempt(ctx, chosen))
+}
+
+// choose picks the node for the next attempt.
+func (c *call) choose(ctx context.Context) (peer.Chosen, error) {
+	work, bytes := c.usual.get()
+	return c.Roster.Choose(ctx, peer.Need{Service: c.req.Service, Work: work, Bytes: bytes, Exclude: c.hasTried})
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	chosen  peer.Chosen
+	answer  *caller.Answer
+	refusal *caller.Refusal
+	took    time.Duration
+}
+
+// begin counts an attempt at the node.
+func (c *call) begin(chosen peer.Chosen) {
 	c.last = chosen
 	c.tried = append(c.tried, chosen.Status.Node)
 	placedTotal.Inc()
+}
+
+// attempt sends the request to the node.
+func (c *call) attempt(ctx context.Context, chosen peer.Chosen) outcome {
+	c.begin(chosen)
+	return c.send(ctx, chosen, len(c.tried))
+}
+
+// send sends the request. It changes nothing of the call, since a second attempt may run beside it.
+func (c *call) send(ctx context.Context, chosen peer.Chosen, number int) outcome {
 	req := *c.req
-	req.Attempt = len(c.tried)
+	req.Attempt = number
 	req.Placement = &caller.Placement{
-		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream,
-		Priority: c.route.Priority, Objective: max(0, c.route.Objective-time.Since(c.began)), Repeatable: c.route.Rule == bundle.Idempotent,
+		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream, Priority: c.route.Priority,
+		Objective: max(0, c.route.Objective-time.Since(c.began)), Repeatable: c.route.Rule == bundle.Idempotent,
 	}
 	sent := time.Now()
 	answer, _, err := c.Forward.Forward(ctx, &req, instance.Record{
 		ID: instance.ID(chosen.Status.Node), Incarnation: chosen.Status.Boot, PeerAddr: chosen.Status.Address,
 	})
 	if err == nil {
-		err = hold(answer, ctx)
+		err = hold(ctx, answer)
 	}
-	now := time.Now()
+	o := outcome{chosen: chosen, took: time.Since(sent)}
 	if err != nil {
-		refusal := asRefusal(ctx, err)
-		c.observe(ctx, now, refusal, now.Sub(sent), work)
-		return nil, refusal
+		o.refusal = asRefusal(ctx, err)
+		return o
 	}
-	c.offered++
-	if answer.Failed() {
-		chosen.Observe(now, peer.Failed, now.Sub(sent), work)
-		return answer, nil
+	o.answer = answer
+	return o
+}
+
+// settle takes what an attempt says of the upstream and of its route.
+func (c *call) settle(o outcome) (*caller.Answer, *caller.Refusal) {
+	work, _ := c.usual.get()
+	c.last = o.chosen
+	switch {
+	case o.refusal != nil:
+		c.observe(o, work)
+		return nil, o.refusal
+	case o.answer.Failed():
+		c.offered++
+		o.chosen.Observe(time.Now(), peer.Failed, o.took, work)
+	default:
+		c.offered++
+		o.chosen.Observe(time.Now(), peer.Served, o.took, work)
+		c.usual.add(o.took, o.answer.Length)
 	}
-	chosen.Observe(now, peer.Served, now.Sub(sent), work)
-	c.usual.add(now.Sub(sent), answer.Length)
-	return answer, nil
+	return o.answer, nil
 }
 
 func (c *call) hasTried(p *peer.Peer) bool {
@@ -174,14 +218,14 @@
 }
 
 // observe takes what a failed attempt says of the upstream.
-func (c *call) observe(ctx context.Context, now time.Time, refusal *caller.Refusal, took, usual time.Duration) {
+func (c *call) observe(o outcome, usual time.Duration) {
 	switch {
-	case refusal.Ran == caller.Unknown && refusal.Reason != caller.Cancelled:
+	case o.refusal.Ran == caller.Unknown && o.refusal.Reason != caller.Cancelled:
 		c.offered++
-		c.last.Observe(now, peer.Failed, took, usual)
-	case refusal.Reason == caller.PeerUnreachable, refusal.Reason == caller.UpstreamUnreachable:
-		c.last.Observe(now, peer.Failed, took, usual)
-	case refusal.Reason == caller.UpstreamRejected:
+		o.chosen.Observe(time.Now(), peer.Failed, o.took, usual)
+	case o.refusal.Reason == caller.PeerUnreachable, o.refusal.Reason == caller.UpstreamUnreachable:
+		o.chosen.Observe(time.Now(), peer.Failed, o.took, usual)
+	case o.refusal.Reason == caller.UpstreamRejected:
 		c.offered++
 	}
 }
--- a/entry/hold.go
+++ b/entry/hold.go
@@ -14,7 +14,7 @@
 const holdLimit = 128 << 10
 
 // hold reads the beginning of the answer's body, the whole of it when it is short. The error is a *caller.Refusal.
-func hold(answer *caller.Answer, ctx context.Context) error {
+func hold(ctx context.Context, answer *caller.Answer) error {
 	var held bytes.Buffer
 	if answer.Length > 0 {
 		held.Grow(int(min(answer.Length, holdLimit)) + bytes.MinRead)
