Hold SIGTERM and SIGHUP during a planned stop

A SIGHUP that came during the stop ended the process, since the watcher of the settings had let go of the signal; a second SIGTERM would have as well. Ruled out: the grace (the connections closed 35 to 900 ms after SIGTERM).

--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -84,6 +84,7 @@
 	if err != nil {
 		return &codedError{err, ExitSettings}
 	}
+	defer holdTerminations()()
 	debug.SetGCPercent(sidecarGCPercent)
 	debug.SetMemoryLimit(int64(sidecarMemoryShare * float64(loaded.Runtime.Memory)))
 	var level slog.Level
@@ -105,6 +106,15 @@
 	return s.Run(cmd.Context(), changesOf(cmd.Context(), file), load)
 }
 
+// holdTerminations keeps a second SIGTERM, and a SIGHUP that comes during the stop, from ending the process: a platform may
+// stop a machine for two reasons at once, and ends the process by SIGKILL when the grace is over. A second SIGINT still
+// ends it. The function returned undoes it.
+func holdTerminations() (release func()) {
+	held := make(chan os.Signal, 1)
+	signal.Notify(held, syscall.SIGTERM, syscall.SIGHUP)
+	return func() { signal.Stop(held) }
+}
+
 // changesOf tells of each SIGHUP and of each change of the settings file.
 func changesOf(ctx context.Context, file string) <-chan struct{} {
 	changed := make(chan struct{}, 1)
