Wait, and release on close, in one way each

A wait that a context can end stood in three packages of the path of a request, the body that releases a slot on close in three more; both stand once now. Unused accessors of peers are gone.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/inflight"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 )
@@ -99,7 +99,7 @@
 		r.cancels[o.number]()
 		return nil, refusal
 	}
-	answer.Body = &cancellingBody{ReadCloser: answer.Body, cancel: r.cancels[o.number]}
+	answer.Body = inflight.OnClose(answer.Body, r.cancels[o.number])
 	return answer, nil
 }
 
@@ -151,16 +151,3 @@
 	}
 	return chosen, true
 }
-
-// cancellingBody ends its attempt when it is closed.
-type cancellingBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b *cancellingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
-}
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"sync"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/inflight"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
 	"github.com/magnoliawharf/magnoliawharf/upstream"
@@ -70,7 +69,7 @@
 	}
 	g.answered(time.Now(), req.Placement.Upstream, answer)
 	answer.Upstream = g.options.Node
-	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() { release(); done() }}
+	answer.Body = inflight.OnClose(answer.Body, func() { release(); done() })
 	return answer, nil
 }
 
@@ -163,17 +162,3 @@
 	}
 	return report
 }
-
-// releasingBody gives a slot back once when the body is closed.
-type releasingBody struct {
-	io.ReadCloser
-	release func()
-	once    sync.Once
-}
-
-// Close implements io.Closer.
-func (b *releasingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(b.release)
-	return err
-}
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const dispatchStep = "dispatch"
@@ -133,7 +134,7 @@
 		retriesWithheld.Inc()
 		return false
 	}
-	return pause(ctx, caller.Jitter(decision.Delay))
+	return wait.For(ctx, caller.Jitter(decision.Delay))
 }
 
 // final returns the refusal of the whole call. It says not-run only when that holds for every
@@ -147,21 +148,6 @@
 	return refusal
 }
 
-// pause waits and reports whether the context still holds.
-func pause(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return true
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // choose picks the link for the next attempt.
 func (c *call) choose() (*link.Link, *caller.Refusal) {
 	now := time.Now()
--- a/node/home.go
+++ b/node/home.go
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	answer.Upstream = h.ID
-	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() { release(); done() }}
+	answer.Body = inflight.OnClose(answer.Body, func() { release(); done() })
 	return answer, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
 	"github.com/magnoliawharf/magnoliawharf/transport/upstreamhttp"
 	"github.com/magnoliawharf/magnoliawharf/upstream"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 // Node is one magnoliawharf process: the listeners and the objects behind them. Its life is
@@ -200,7 +201,7 @@
 	n.stopping.Store(true)
 	n.self.Stop(time.Now())
 	n.callers.Drain()
-	pause(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
+	wait.For(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
 	err := n.home.Idle(ctx)
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	n.control.stop(ctx)
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -197,18 +196,3 @@
 
 // usualPace is the pace of an upstream that is neither slowed nor sped up by its neighbours, in per cent.
 const usualPace = 100
-
-// Known returns the nodes of the service for logs, in the order of their names.
-func (r *Roster) Known(service string) []Status {
-	var known []Status
-	for _, p := range r.Service(service) {
-		known = append(known, p.Status())
-	}
-	slices.SortFunc(known, func(a, b Status) int {
-		if a.Node < b.Node {
-			return -1
-		}
-		return 1
-	})
-	return known
-}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -62,9 +62,6 @@
 	unanswered int // in a row
 }
 
-// Address returns where the peer takes datagrams.
-func (p *Peer) Address() netip.AddrPort { return p.addr }
-
 // Status returns what the peer last said of itself.
 func (p *Peer) Status() Status {
 	p.mu.Lock()
@@ -72,16 +69,6 @@
 	return p.status
 }
 
-// Load returns the last known load and its age. known is false when there is none.
-func (p *Peer) Load(now time.Time) (load Load, age time.Duration, known bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.load, now.Sub(p.loadAt), !p.loadAt.IsZero()
-}
-
-// Self reports whether the peer is this node itself.
-func (p *Peer) Self() bool { return p.self }
-
 // takeStatus replaces the status and returns the one before.
 func (p *Peer) takeStatus(now time.Time, s Status) Status {
 	p.mu.Lock()
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/shard"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -259,7 +260,7 @@
 		case <-ctx.Done():
 			return
 		case <-r.notices:
-			if pause(ctx, repeatNotice) {
+			if wait.For(ctx, repeatNotice) {
 				r.notify()
 			}
 		case <-ticker.C:
@@ -268,17 +269,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // meet introduces this node to a few others and to some of the silent ones, and forgets those that are long silent.
 func (r *Roster) meet(now time.Time) {
 	var silent []*Peer
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/transport/httpserver"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -31,9 +32,9 @@
 	s.Log.Info("node stops", "grace_ms", time.Duration(s.Settings.Runtime.Grace).Milliseconds(), "requests", s.requests.Len(), "at_upstream", s.gate.InFlight().Len())
 	s.stopping.Store(true)
 	s.callers.Drain()
-	wait(ctx, gateNotice)
+	wait.For(ctx, gateNotice)
 	s.gate.Stop()
-	wait(ctx, callerNotice-gateNotice)
+	wait.For(ctx, callerNotice-gateNotice)
 	s.closing.Store(true)
 	err := s.waitQuiet(ctx)
 	err = errors.Join(err, s.gate.InFlight().Wait(ctx))
@@ -53,22 +54,13 @@
 		if err := s.requests.Wait(ctx); err != nil {
 			return err
 		}
-		wait(ctx, quietTime)
+		wait.For(ctx, quietTime)
 		if s.requests.Len() == 0 {
 			return ctx.Err()
 		}
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Cleanup closes what Provision opened, after Run has returned.
 func (s *Sidecar) Cleanup() error {
 	var err error
