--- a/peer/roster.go
+++ b/peer/roster.go
@@ -183,24 +183,38 @@
 // Notify tells the other nodes the status of this one, and with it the version of its contracts.
 func (r *Roster) Notify() { r.notify() }
 
-// OnDuty reports whether this node is the one that reads the store for all: the first by name of those that reach it
-// and answer.
+// OnDuty reports whether this node is the one that reads the store for all: the first by name of those that reach it and
+// answer.
 func (r *Roster) OnDuty() bool {
 	own := r.selfNode.Status()
-	if !own.Follows {
-		return false
-	}
-	first := true
+	return own.Follows && r.before(own, func(Status) bool { return true }) == 0
+}
+
+// RankInZone returns the number of nodes of this one's zone that reach the store, answer, and come before it by name.
+func (r *Roster) RankInZone() int {
+	return r.before(r.selfNode.Status(), func(other Status) bool { return other.Zone == r.zone })
+}
+
+// before counts the nodes that reach the store, answer, match and come before own by name.
+func (r *Roster) before(own Status, match func(Status) bool) int {
+	count := 0
 	now := time.Now()
 	r.peers.Range(func(_ string, p *Peer) bool {
 		if p.self || p.silent(now) {
 			return true
 		}
-		status := p.Status()
-		first = !(status.Follows && status.Node < own.Node)
-		return first
+		if status := p.Status(); status.Follows && status.Node < own.Node && match(status) {
+			count++
+		}
+		return true
 	})
-	return first
+	return count
+}
+
+// InZone reports whether the node at the datagram address is known to be in this node's zone.
+func (r *Roster) InZone(addr netip.AddrPort) bool {
+	p, ok := r.peers.Get(addr.String())
+	return ok && p.Status().Zone == r.zone
 }
 
 func (r *Roster) notify() {
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -277,3 +277,21 @@
 		assert.ErrorIs(t, err, peer.ErrNoUpstream)
 	})
 }
+
+// Guards against a zone in which no node watches the contracts once the first ones are gone or cut off from the store.
+func TestRankInZonePassesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 4) // n2 and n4 are in the zone of this node, n5
+		go r.Run(t.Context())
+		assert.Equal(t, r.RankInZone(), 2)
+		n.change(2, func(other *node) { other.gone = true })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, r.RankInZone(), 1)
+		n.change(4, func(other *node) { other.status.Follows, other.status.Revision = false, 2 })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, r.RankInZone(), 0)
+		n.change(2, func(other *node) { other.gone = false })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, r.RankInZone(), 1)
+	})
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/store"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -23,8 +24,15 @@
 	// dutyEvery is how often the node on duty reads the contracts, and dutyTimeout bounds one reading.
 	dutyEvery   = 700 * time.Millisecond
 	dutyTimeout = 600 * time.Millisecond
-	// watchGrace is the time for which a node that hears of a newer version waits for its own watch to bring it.
-	watchGrace = 150 * time.Millisecond
+	// watchersPerZone is the number of nodes of a zone that watch the contracts, rankEvery how often a node looks whether it
+	// is one of them, and meetTime the time after the start in which nodes learn of each other.
+	watchersPerZone = 2
+	rankEvery       = 500 * time.Millisecond
+	meetTime        = 400 * time.Millisecond
+	// watchGrace is the time for which a node that hears of a newer version from its zone waits for its own watch to bring
+	// it, and zoneGrace that for which it waits for its zone when it hears of it from another.
+	watchGrace = 100 * time.Millisecond
+	zoneGrace  = 400 * time.Millisecond
 	// fetchTimeout bounds the fetching of contracts from another node.
 	fetchTimeout = time.Second
 	// maxDocument bounds a document of contracts, in bytes.
@@ -40,9 +48,8 @@
 func (s *Sidecar) followStore(ctx context.Context) {
 	client := store.NewClient(s.Platform.Store, 0, 0)
 	client.LongestWait, client.Log, client.Reached = longestStoreWait, s.Log, s.storeReached
-	go func() {
-		_ = client.Follow(ctx, s.Platform.ContractsPrefix, s.readContracts) // returns when ctx ends
-	}()
+	s.follows.Store(true) // until a call says otherwise
+	go s.watchContracts(ctx, client)
 	session := store.NewSession(client, entryTTL)
 	session.LongestWait = longestStoreWait
 	go func() {
@@ -52,6 +59,50 @@
 	go s.readOnDuty(ctx, client)
 }
 
+// watchContracts watches the contracts while this node is one of the first in its zone, until ctx ends. The others learn of
+// a newer version from these: a watch of each node would cost the store a call for each node and change.
+func (s *Sidecar) watchContracts(ctx context.Context, client *store.Client) {
+	if !wait.For(ctx, meetTime) {
+		return
+	}
+	for ctx.Err() == nil {
+		if s.roster.RankInZone() >= watchersPerZone {
+			if s.contracts.Load() == nil {
+				s.readOnce(ctx, client)
+			}
+			wait.For(ctx, rankEvery)
+			continue
+		}
+		watching, cancel := context.WithCancel(ctx)
+		go func() {
+			defer cancel()
+			for wait.For(watching, rankEvery) && s.roster.RankInZone() < watchersPerZone {
+			}
+		}()
+		_ = client.Follow(watching, s.Platform.ContractsPrefix, s.watched) // returns when watching ends
+		cancel()
+	}
+}
+
+// watched takes what a watch brought and tells the other nodes.
+func (s *Sidecar) watched(entries []store.Entry) {
+	before := s.contracts.Version()
+	s.readContracts(entries)
+	if s.contracts.Version() != before {
+		s.roster.Notify()
+	}
+}
+
+// readOnce reads the contracts of a node that has none yet.
+func (s *Sidecar) readOnce(ctx context.Context, client *store.Client) {
+	entries, err := client.List(ctx, s.Platform.ContractsPrefix)
+	if err != nil {
+		s.Log.Warn("contracts not read", "cause", err.Error())
+		return
+	}
+	s.readContracts(entries)
+}
+
 // storeReached tells the other nodes whether this one reaches the store, so that one that does reads for all.
 func (s *Sidecar) storeReached(reached bool) {
 	if s.follows.Swap(reached) != reached {
@@ -122,8 +173,12 @@
 	}
 	go func() {
 		defer s.fetching.Store(false)
-		if s.contracts.Load() != nil {
+		switch {
+		case s.contracts.Load() == nil:
+		case s.roster.InZone(from):
 			time.Sleep(watchGrace)
+		default:
+			time.Sleep(zoneGrace)
 		}
 		address := s.roster.ForwardAddress(from)
 		if version <= s.contracts.Version() || address == "" {
@@ -172,9 +227,11 @@
 func (s *Sidecar) enter(ctx context.Context, client *store.Client, id store.LeaseID) error {
 	key := fmt.Sprintf("%s%s-%x", s.Platform.EntriesPrefix, s.Settings.Node, s.boot)
 	if _, err := client.Swap(ctx, key, []byte(s.socket.Addr().String()), 0, id); err != nil {
+		s.storeReached(false)
 		s.Log.Warn("entry not written", "key", key, "lease", int64(id), "cause", err.Error())
 		return err
 	}
+	s.storeReached(true)
 	s.Log.Info("entry written", "key", key, "lease", int64(id))
 	return s.list(ctx, client)
 }
