Count only earlier deadlines as ahead among equal priorities

The home node grants slots among equal priorities by deadline, but reckoned the wait of a request as if all of them went first: short calls between services were refused while longer requests waited behind them. TestLaterDeadlinesDoNotCountAsAhead fails first.

--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -249,8 +249,10 @@
 			before = q.ahead(w.ticket.Deadline)
 		case q.class.Long != w.ticket.Class.Long:
 			// Long and short work wait for different slots.
-		case q.priority(now, u.rules.Aging) <= priority:
+		case q.priority(now, u.rules.Aging) < priority:
 			before = len(q.waiting)
+		case q.priority(now, u.rules.Aging) == priority:
+			before = q.ahead(w.ticket.Deadline) // among equals the earliest deadline goes first
 		}
 		work += time.Duration(before) * q.service.average()
 	}
--- a/upstream/admit_test.go
+++ b/upstream/admit_test.go
@@ -275,3 +275,30 @@
 		})
 	}
 }
+
+// Guards against short requests that are refused because of long waits of requests which come after them: among equal
+// priorities the earliest deadline goes first.
+func TestLaterDeadlinesDoNotCountAsAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		heavy := bundle.Class{Name: "heavy", MaxQueue: 20}
+		light := bundle.Class{Name: "light", MaxQueue: 20}
+		a := newAdmission(t, 2)
+		for i := range 4 { // so that the usual times of both are known
+			id := string(rune('a' + i))
+			a.arrive("heavy-"+id, heavy, time.Minute)
+			time.Sleep(400 * time.Millisecond)
+			a.release("heavy-" + id)
+			a.arrive("light-"+id, light, time.Minute)
+			time.Sleep(20 * time.Millisecond)
+			a.release("light-" + id)
+		}
+		for i := range 6 { // two run, four wait
+			a.arrive("later-"+string(rune('a'+i)), heavy, time.Minute)
+		}
+		a.arrive("first", light, 500*time.Millisecond)
+		assert.Equal(t, a.refused["first"], caller.Reason(""))
+		a.release("later-a")
+		assert.Assert(t, a.releases["first"] != nil, "granted: %v", a.order)
+		a.releaseAll()
+	})
+}
