Take bounds of retries, routing and the log level on a reload

SIGHUP and a changed file were read and logged only. Process tests now say how a process had ended before the test did, for the frozen node that was once found gone at SIGCONT.

--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -87,13 +87,13 @@
 	defer holdTerminations()()
 	debug.SetGCPercent(sidecarGCPercent)
 	debug.SetMemoryLimit(int64(sidecarMemoryShare * float64(loaded.Runtime.Memory)))
-	var level slog.Level
+	level := new(slog.LevelVar)
 	if err := level.UnmarshalText([]byte(loaded.Runtime.LogLevel)); err != nil {
 		return err
 	}
 	writer := logs.NewWriter(cmd.OutOrStdout(), logs.DefaultBuffer)
 	defer writer.Close()
-	s := &sidecar.Sidecar{Settings: loaded, Platform: platform.New(loaded.Store.Address), Log: logs.New(writer, level)}
+	s := &sidecar.Sidecar{Settings: loaded, Platform: platform.New(loaded.Store.Address), Log: logs.New(writer, level), LogLevel: level}
 	defer func() {
 		err = errors.Join(err, s.Cleanup())
 		if err != nil {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -78,11 +78,12 @@
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
+		ended := p.ended()
 		p.kill()
 		if t.Failed() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			t.Logf("log of %s:\n%s", name, p.log.String())
+			t.Logf("%s %s; its log:\n%s", name, ended, p.log.String())
 		}
 	})
 	select {
@@ -96,7 +97,17 @@
 
 func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
-	assert.NilError(t, p.cmd.Process.Signal(s))
+	assert.NilError(t, p.cmd.Process.Signal(s), "%s %s", p.name, p.ended())
+}
+
+// ended says how the process has ended, if it has.
+func (p *process) ended() string {
+	select {
+	case <-p.exited:
+		return "ended by " + p.cmd.ProcessState.String()
+	default:
+		return "runs"
+	}
 }
 
 // kill ends the process and waits for its end.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,7 +39,7 @@
 	Roster     *peer.Roster
 	Forward    Forwarder
 	Budgets    *caller.Budgets
-	RetryRatio float64 // retries that each request earns for its service
+	RetryRatio func() float64 // retries that each request earns for its service
 	Suspects   *quarantine.List
 	Log        *slog.Logger
 
@@ -77,7 +77,7 @@
 	c := &call{
 		Entry: e, req: req, route: route, began: time.Now(), usual: e.usual.of(route), budget: e.Budgets.Of(req.Service), ran: caller.NotRun,
 	}
-	c.budget.Earn(e.RetryRatio)
+	c.budget.Earn(e.RetryRatio())
 	fingerprint := quarantine.Fingerprint(req.Fingerprint)
 	decision, after := e.Suspects.Admit(time.Now(), fingerprint)
 	if decision == quarantine.Refuse {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -90,7 +90,7 @@
 
 func newEntry(f *fleet, nodes int) *entry.Entry {
 	return entry.New(entry.Entry{
-		Service: "self", Roster: rosterOf(nodes), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 2 }), RetryRatio: 1,
+		Service: "self", Roster: rosterOf(nodes), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 2 }), RetryRatio: func() float64 { return 1 },
 		Suspects: quarantine.NewList(nil), Log: slog.New(slog.DiscardHandler),
 	})
 }
@@ -215,7 +215,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{outcomes: []outcome{lost(caller.UpstreamLost)}}
 		e := entry.New(entry.Entry{
-			Roster: rosterOf(4), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 2 }), RetryRatio: 0.1,
+			Roster: rosterOf(4), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 2 }), RetryRatio: func() float64 { return 0.1 },
 			Suspects: quarantine.NewList(nil), Log: slog.New(slog.DiscardHandler),
 		})
 		const requests = 200
@@ -262,7 +262,7 @@
 		suspects.Report(time.Now(), crash+1, []quarantine.Fingerprint{0})
 	}
 	e := entry.New(entry.Entry{
-		Roster: rosterOf(2), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 1 }), Suspects: suspects, Log: slog.New(slog.DiscardHandler),
+		Roster: rosterOf(2), Forward: f, Budgets: caller.NewEmptyBudgets(func() float64 { return 1 }), RetryRatio: func() float64 { return 1 }, Suspects: suspects, Log: slog.New(slog.DiscardHandler),
 	})
 	_, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
 	assert.Equal(t, refusal.Reason, caller.Quarantined)
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -47,7 +47,7 @@
 }
 
 // New returns a logger of JSON lines to w.
-func New(w io.Writer, level slog.Level) *slog.Logger {
+func New(w io.Writer, level slog.Leveler) *slog.Logger {
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
 }
 
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -103,13 +103,13 @@
 func (r *Roster) ask(ctx context.Context, now time.Time, candidates []*Peer) {
 	g := &gathering{done: make(chan struct{})}
 	var questions []*Peer
-	wait := leastWait
+	freshFor, wait := r.routing.Load().FreshFor, leastWait
 	g.mu.Lock()
 	for _, p := range candidates {
 		if r.refreshSelf(p, now) {
 			continue
 		}
-		wanted, send, path := p.enquire(now, r.freshFor, r.numbers.Add(1), g)
+		wanted, send, path := p.enquire(now, freshFor, r.numbers.Add(1), g)
 		if !wanted {
 			continue
 		}
@@ -171,7 +171,7 @@
 	}
 	cost += p.path.Seconds()
 	if p.status.Zone != r.zone {
-		cost += r.zoneCost.Seconds() * need.Bytes / 1024
+		cost += r.routing.Load().ZoneCost.Seconds() * need.Bytes / 1024
 	}
 	got.Cost = time.Duration(cost * float64(time.Second))
 	return got
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -49,20 +49,24 @@
 
 // Options of a roster.
 type Options struct {
-	Zone     string
-	Address  netip.AddrPort // where this node takes datagrams
-	FreshFor time.Duration  // age up to which a load is used without asking again
-	ZoneCost time.Duration  // cost of moving 1 KiB between zones, as time to the answer that it may save
-	Sender   Sender
-	Self     Self
-	Log      *slog.Logger
+	Zone    string
+	Address netip.AddrPort // where this node takes datagrams
+	Routing Routing
+	Sender  Sender
+	Self    Self
+	Log     *slog.Logger
+}
+
+// Routing is how a roster chooses.
+type Routing struct {
+	FreshFor time.Duration // age up to which a load is used without asking again
+	ZoneCost time.Duration // cost of moving 1 KiB between zones, as time to the answer that it may save
 }
 
 // Roster holds the nodes that this one knows, itself included. It is safe for concurrent use.
 type Roster struct {
 	zone     string
-	freshFor time.Duration
-	zoneCost time.Duration
+	routing  atomic.Pointer[Routing]
 	sender   Sender
 	selfNode Self
 	self     *Peer
@@ -78,16 +82,20 @@
 // NewRoster returns a roster that knows only this node.
 func NewRoster(o Options) *Roster {
 	r := &Roster{
-		zone: o.Zone, freshFor: o.FreshFor, zoneCost: o.ZoneCost, sender: o.Sender, selfNode: o.Self, log: o.Log,
+		zone: o.Zone, sender: o.Sender, selfNode: o.Self, log: o.Log,
 		peers:    shard.NewString[string, *Peer](rosterShards),
 		services: shard.NewString[string, []*Peer](rosterShards),
 		notices:  make(chan struct{}, 1),
 	}
+	r.routing.Store(&o.Routing)
 	r.self = &Peer{addr: o.Address, self: true}
 	r.peers.Set(o.Address.String(), r.self)
 	return r
 }
 
+// SetRouting changes how the roster chooses from now on.
+func (r *Roster) SetRouting(routing Routing) { r.routing.Store(&routing) }
+
 // Service returns the nodes whose upstream belongs to the service. The caller must not change the list.
 func (r *Roster) Service(name string) []*Peer {
 	list, _ := r.services.Get(name)
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -91,7 +91,7 @@
 		}
 	}
 	n.roster = peer.NewRoster(peer.Options{
-		Zone: "z0", Address: address(200), FreshFor: 20 * time.Millisecond, ZoneCost: time.Millisecond,
+		Zone: "z0", Address: address(200), Routing: peer.Routing{FreshFor: 20 * time.Millisecond, ZoneCost: time.Millisecond},
 		Sender: n, Self: &own{status: peer.Status{Node: "n5", Boot: 99, Zone: "z0", Follows: true}}, Log: slog.New(slog.DiscardHandler),
 	})
 	for i := 1; i <= count; i++ {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -55,6 +55,9 @@
 	contractsPath = "/contracts"
 	// lapseBeats is the number of announcements that may fail to come before an upstream counts as gone.
 	lapseBeats = 5
+	// retryShare is the share of the operator's bounds of retries that the nodes use. Calls that a repeated run makes count
+	// as repeats too, and no node knows of them.
+	retryShare = 0.5
 	// callerShare is the share of the descriptors for connections of callers.
 	callerShare = 0.4
 )
@@ -64,6 +67,9 @@
 	Settings Settings
 	Platform Platform
 	Log      *slog.Logger
+	LogLevel *slog.LevelVar // changed by a reload; nil leaves the level of Log as it is
+
+	retries atomic.Pointer[Retries]
 
 	boot      uint64
 	contracts *contract.InForce
@@ -87,6 +93,7 @@
 func (s *Sidecar) Provision() error {
 	s.boot = rand.Uint64() >> 1 // the message codec keeps it short
 	s.contracts = contract.NewInForce()
+	s.retries.Store(&s.Settings.Retries)
 	s.remote = peerhttp.NewClient(instance.ID(s.Settings.Node), nil)
 	s.upstream = upstreamconn.NewClient(s.Platform.Dialect)
 	s.control = transport.NewControlClient()
@@ -103,8 +110,8 @@
 		Changed: func() { s.roster.Changed() }, Log: s.Log,
 	})
 	s.roster = peer.NewRoster(peer.Options{
-		Zone: s.Settings.Zone, Address: s.socket.Addr(), FreshFor: time.Duration(s.Settings.Routing.FreshFor),
-		ZoneCost: time.Duration(s.Settings.Routing.ZoneCost), Sender: s.socket, Self: self{s}, Log: s.Log,
+		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: routingOf(s.Settings),
+		Sender: s.socket, Self: self{s}, Log: s.Log,
 	})
 	s.socket.Version, s.socket.SeenVersion = s.contracts.Version, s.versionSeen
 	s.socket.Notice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
@@ -142,7 +149,7 @@
 func (s *Sidecar) handle() {
 	dispatcher := entry.New(entry.Entry{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{self: s.boot, gate: s.gate, remote: s.remote},
-		Budgets: caller.NewEmptyBudgets(s.savedRetries), RetryRatio: s.Settings.Retries.Ratio / 2, Suspects: s.suspects, Log: s.Log,
+		Budgets: caller.NewEmptyBudgets(s.savedRetries), RetryRatio: s.retryRatio, Suspects: s.suspects, Log: s.Log,
 	})
 	s.callers.Handle(s.counted(&entryhttp.Handler{
 		Contracts: s.contracts, Splits: contract.NewSplits(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
@@ -172,7 +179,14 @@
 
 // savedRetries returns how many retries a service may save at this node: its share of half of the allowance.
 func (s *Sidecar) savedRetries() float64 {
-	return s.Settings.Retries.Allowance / 2 / float64(max(1, s.roster.Len()))
+	return s.retries.Load().Allowance * retryShare / float64(max(1, s.roster.Len()))
+}
+
+// retryRatio returns the retries that a request earns for its service.
+func (s *Sidecar) retryRatio() float64 { return s.retries.Load().Ratio * retryShare }
+
+func routingOf(s Settings) peer.Routing {
+	return peer.Routing{FreshFor: time.Duration(s.Routing.FreshFor), ZoneCost: time.Duration(s.Routing.ZoneCost)}
 }
 
 // CallerAddr returns the bound address of the callers' listener.
@@ -267,13 +281,3 @@
 		}
 	}
 }
-
-// reload takes settings that changed. Addresses and names hold until the next start.
-func (s *Sidecar) reload(load func() (Settings, error)) {
-	next, err := load()
-	if err != nil {
-		s.Log.Error("settings not taken", "cause", err.Error())
-		return
-	}
-	s.Log.Info("settings read again", "changed", next != s.Settings)
-}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -91,10 +91,18 @@
 	return d.Store.Watch(ctx, prefix, after)
 }
 
+func (l *lockedLog) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
+
 // machine is a node with its upstream.
 type machine struct {
 	*sidecar.Sidecar
 	registrar sidecar.Registrar
+	reload    chan struct{}
+	load      func() (sidecar.Settings, error)
 	upstream  *httptest.Server
 	log       *lockedLog
 	cancel    context.CancelFunc
@@ -122,7 +130,8 @@
 // start starts a node of the service "s" with an upstream that answers with the node's name after ?work=DURATION.
 func start(t *testing.T, name string, s store.Store) *machine {
 	t.Helper()
-	m := &machine{log: &lockedLog{}, ended: make(chan error, 1)}
+	m := &machine{log: &lockedLog{}, ended: make(chan error, 1), reload: make(chan struct{})}
+	level := new(slog.LevelVar)
 	m.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		w.Header().Set("X-Upstream", "u-"+name)
@@ -144,7 +153,7 @@
 	loaded.Listen = sidecar.Listen{Callers: any, Peers: any, Datagrams: any, Registration: any, Ready: any, Metrics: any}
 	loaded.Runtime.Grace = settings.Duration(6 * time.Second)
 	m.Sidecar = &sidecar.Sidecar{
-		Settings: loaded, Log: slog.New(slog.NewTextHandler(m.log, nil)),
+		Settings: loaded, Log: slog.New(slog.NewTextHandler(m.log, &slog.HandlerOptions{Level: level})), LogLevel: level,
 		Platform: sidecar.Platform{
 			Store: s, ContractsKey: contractsKey, ContractsPrefix: "operator/", EntriesPrefix: "nodes/", DecodeContracts: decode,
 			Dialect: caller.Dialect{
@@ -164,10 +173,15 @@
 			},
 		},
 	}
+	m.load = func() (sidecar.Settings, error) {
+		next := loaded
+		next.Runtime.LogLevel, next.Retries.Ratio = "error", 0.05
+		return next, nil
+	}
 	assert.NilError(t, m.Provision())
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
-	go func() { m.ended <- errors.Join(m.Run(ctx, nil, nil), m.Cleanup()) }()
+	go func() { m.ended <- errors.Join(m.Run(ctx, m.reload, m.load), m.Cleanup()) }()
 	t.Cleanup(cancel)
 	return m
 }
@@ -285,6 +299,27 @@
 	eventually(t, "served without the store", 3*time.Second, late.serves)
 }
 
+// Guards against a reload that cuts requests off or changes nothing, and against one of a faulty file that ends the node.
+func TestReload(t *testing.T) {
+	memory := kvstore.NewMemory()
+	publish(t, memory, document{Version: 1, Service: "s"})
+	m := start(t, "n1", memory)
+	m.announce(t)
+	eventually(t, "served", 5*time.Second, m.serves)
+	result := make(chan int, 1)
+	go func() {
+		status, _, _ := m.get("/once/?work=500ms")
+		result <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	m.reload <- struct{}{}
+	eventually(t, "reload", time.Second, func() bool { return m.log.has("settings read again") && m.log.has("Ratio:0.05") })
+	assert.Equal(t, <-result, 200)
+	before := m.log.count("request answered")
+	assert.Assert(t, m.serves())
+	assert.Equal(t, m.log.count("request answered"), before, "the log level has not changed")
+}
+
 // Guards against a planned stop that cuts requests off, that takes requests which it cannot finish, or that hides itself
 // from the platform.
 func TestPlannedStop(t *testing.T) {
