Take no lock of a gathering under that of a peer

Found at the read-through: a request that asks held the lock of its gathering and took those of peers, an answer took them in the other order; four of them could wait for each other for good. A gathering now counts without a lock, questions go out before the own load is read, and a silent node no longer keeps the gatherings that waited for it.

--- a/peer/choose.go
+++ b/peer/choose.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -99,34 +100,29 @@
 	return from[:min(most, len(from))]
 }
 
-// ask brings the loads of the candidates up to date as far as answers come in time.
+// ask brings the loads of the candidates up to date as far as answers come in time. The own load is read while the
+// questions are on their way.
 func (r *Roster) ask(ctx context.Context, now time.Time, candidates []*Peer) {
-	g := &gathering{done: make(chan struct{})}
-	var questions []*Peer
+	g := newGathering()
 	freshFor, wait := r.routing.Load().FreshFor, leastWait
-	g.mu.Lock()
 	for _, p := range candidates {
-		if r.refreshSelf(p, now) {
+		if p.self {
 			continue
 		}
 		wanted, send, path := p.enquire(now, freshFor, r.numbers.Add(1), g)
 		if !wanted {
 			continue
 		}
-		g.left++
 		wait = max(wait, time.Duration(waitPerPath*float64(path)))
 		if send {
-			questions = append(questions, p)
+			r.sender.Ask(p.addr, p.questionNumber())
 		}
 	}
-	waiting := g.left > 0
-	g.mu.Unlock()
-	for _, p := range questions {
-		r.sender.Ask(p.addr, p.questionNumber())
-	}
-	if waiting {
-		g.wait(ctx, min(wait, mostWait), lastWait)
+	g.settle()
+	if slices.Contains(candidates, r.self) {
+		r.refreshSelf(now)
 	}
+	g.wait(ctx, min(wait, mostWait), lastWait)
 }
 
 // enquire registers the gathering when the load is older than freshFor. send is false while a question is on its way
@@ -138,7 +134,8 @@
 		return false, false, 0
 	}
 	p.expire(now)
-	p.waiting = append(p.waiting, g)
+	g.expect()
+	p.waiting = append(slices.DeleteFunc(p.waiting, func(w waiter) bool { return now.Sub(w.since) > lastWait }), waiter{g, now})
 	if p.question.open && now.Sub(p.question.sentAt) < leastWait {
 		return true, false, p.path
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -49,11 +49,17 @@
 	loadAt   time.Time // zero: no load of this boot is known
 	heardAt  time.Time
 	question question
-	waiting  []*gathering
+	waiting  []waiter
 	path     time.Duration // shortest recent round trip of a question
 	record   record
 }
 
+// waiter is a gathering that waits for the peer's answer.
+type waiter struct {
+	gathering *gathering
+	since     time.Time // after lastWait it no longer waits
+}
+
 // question is the last one sent and not answered.
 type question struct {
 	number     uint32
@@ -101,8 +107,8 @@
 	if !stale {
 		p.load, p.loadAt = load, now
 	}
-	for _, g := range p.waiting {
-		g.answered()
+	for _, w := range p.waiting {
+		w.gathering.answered()
 	}
 	p.waiting = p.waiting[:0]
 	return stale
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -232,16 +232,12 @@
 	}
 }
 
-// refreshSelf brings the load of this node itself up to date and reports whether p is this node.
-func (r *Roster) refreshSelf(p *Peer, now time.Time) bool {
-	if !p.self {
-		return false
-	}
+// refreshSelf brings the load of this node itself up to date.
+func (r *Roster) refreshSelf(now time.Time) {
 	load := r.selfNode.Load(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.load, p.loadAt, p.heardAt = load, now, now
-	return true
+	r.self.mu.Lock()
+	defer r.self.mu.Unlock()
+	r.self.load, r.self.loadAt, r.self.heardAt = load, time.Now(), now
 }
 
 func (r *Roster) introduce(p *Peer, reply bool) {
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -295,3 +295,41 @@
 		assert.Equal(t, r.RankInZone(), 1)
 	})
 }
+
+// Guards against locks taken in different orders by requests that ask and by answers that come.
+func TestManyRequestsAndAnswersAtOnce(t *testing.T) {
+	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int)}
+	r := peer.NewRoster(peer.Options{
+		Zone: "z", Address: address(200), Sender: n, Self: &own{}, Log: slog.New(slog.DiscardHandler),
+	})
+	n.roster = r
+	const nodes = 5
+	for i := 1; i <= nodes; i++ {
+		r.Heard(address(i), peer.Status{Node: fmt.Sprintf("n%d", i), Boot: 1, Revision: 1, Service: "s", Slots: 4, Serving: true}, nil, false)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	var done sync.WaitGroup
+	for i := range 8 {
+		done.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = r.Choose(ctx, peer.Need{Service: "s", Work: time.Millisecond})
+			}
+		})
+		done.Go(func() {
+			for j := 0; ctx.Err() == nil; j++ {
+				r.HeardLoad(address(1+(i+j)%nodes), 0, peer.Load{Boot: 1, Revision: 1, Serving: true, Limit: 4, Pace: 100})
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("requests and answers wait for each other")
+	}
+}
