--- a/datacentre/membership_test.go
+++ b/datacentre/membership_test.go
@@ -24,6 +24,7 @@
 
 // Guards against failures and changes that reach some members late or never.
 func TestChangesAreKnownEverywhereInTime(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		size, centres int
 		change        func(n *network, members []*member)
@@ -80,7 +81,7 @@
 
 // Guards against live members that are declared failed because of the network, and against tables
 // that differ afterwards.
-func TestFaultsOfTheNetworkDeclareNobodyFailed(t *testing.T) {
+func TestFaultsOfTheNetworkDeclareNobodyFailed(t *testing.T) { // not parallel: it reads a counter of the process
 	oneWay := func(from, to string) func(a, b *member) bool {
 		return func(a, b *member) bool { return string(a.config.Self.ID) == from && string(b.config.Self.ID) == to }
 	}
@@ -131,7 +132,7 @@
 
 // Guards against a member that was cut off or frozen and then declares the others failed, and
 // against a live member that stays declared failed.
-func TestMemberThatWasAwayComesBack(t *testing.T) {
+func TestMemberThatWasAwayComesBack(t *testing.T) { // not parallel: it reads a counter of the process
 	for name, c := range map[string]struct{ away, back func(n *network, m *member) }{
 		"cut off": {
 			func(n *network, m *member) {
@@ -165,6 +166,7 @@
 
 // Guards against two halves of a data centre that declared each other failed and never meet again.
 func TestHalvesOfADataCentreFindTogether(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(n *network) {
 		members := n.fill(12, centres(1, 1)...)
 		half := make(map[*member]bool)
@@ -186,6 +188,7 @@
 // Guards against a member that was frozen for longer than the others remember gone members, and
 // that brings such a member back to them.
 func TestLongFrozenMemberBringsNobodyBack(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(n *network) {
 		members := n.fill(5, centres(1, 1)...)
 		n.mu.Lock()
@@ -211,7 +214,7 @@
 
 // Guards against the loss of the members of a data centre that is only unreachable, against
 // members that stay for ever, and against others that declare a whole data centre failed.
-func TestUnreachableDataCentreIsKeptForAnHour(t *testing.T) {
+func TestUnreachableDataCentreIsKeptForAnHour(t *testing.T) { // not parallel: it reads a counter of the process
 	for name, c := range map[string]struct {
 		away, back func(n *network, lost []*member)
 	}{
@@ -258,6 +261,7 @@
 // Guards against members that do not find each other, with the store and without it, and against
 // effects of a store outage.
 func TestMembersJoinByContactsAndSeeds(t *testing.T) {
+	t.Parallel()
 	for name, seeds := range map[string][]string{"contacts": nil, "seeds, store down": {"dc0-node-0:7000"}} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(n *network) {
@@ -286,6 +290,7 @@
 
 // Guards against broadcasts that miss members, are handled twice, or are accepted too large.
 func TestBroadcastReachesEachMemberOnce(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{10, MaxPayload} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			inBubble(t, func(n *network) {
--- a/datacentre/start_test.go
+++ b/datacentre/start_test.go
@@ -13,6 +13,7 @@
 // several hundred writes a second. Only border nodes are contacts, so that writes grow with the data
 // centres: 300 a second for 17 are 70 for these 4.
 func TestFleetThatStartsAtOnceSparesTheStore(t *testing.T) {
+	t.Parallel()
 	const (
 		nodes     = 60 // of each of 4 data centres
 		mostWrite = 300 * 4 / 17
--- a/datacentre/stateful_test.go
+++ b/datacentre/stateful_test.go
@@ -101,6 +101,7 @@
 // Guards against any sequence of crashes, restarts, leaves, freezes, cuts and losses after which
 // the live members do not agree, or in which a record goes back or a gone incarnation serves again.
 func TestAnySequenceOfFaultsEndsInAgreement(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		// The wrapper hides the deadline of the test, which must not be read in virtual time.
 		rapid.Check(struct{ testing.TB }{t}, func(r *rapid.T) {
