--- a/peer/roster.go
+++ b/peer/roster.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -287,9 +288,10 @@
 	}
 }
 
-// meet introduces this node to a few others and to some of the silent ones, and forgets those that are long silent.
+// meet introduces this node to those of the others that it has not heard for longest and to some of the silent ones, and
+// forgets those that are long silent. Each node is met after a bounded time, which a random choice would not ensure.
 func (r *Roster) meet(now time.Time) {
-	var silent []*Peer
+	var silent, others []*Peer
 	r.peers.Range(func(key string, p *Peer) bool {
 		switch {
 		case p.self:
@@ -297,17 +299,18 @@
 			r.forget(key, p)
 		case p.silent(now) || p.Status().Boot == 0:
 			silent = append(silent, p)
+		default:
+			others = append(others, p)
 		}
 		return true
 	})
 	for _, p := range sample(silent, silentPerMeet) {
 		r.introduce(p, true)
 	}
-	for _, addr := range r.Addresses(meetCount) {
-		if p, ok := r.peers.Get(addr.String()); ok {
-			p.met(now)
-			r.introduce(p, true)
-		}
+	slices.SortFunc(others, func(a, b *Peer) int { return cmp.Compare(b.silentFor(now), a.silentFor(now)) })
+	for _, p := range others[:min(meetCount, len(others))] {
+		p.met(now)
+		r.introduce(p, true)
 	}
 }
 
