--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -130,9 +130,9 @@
 		}
 		return true
 	})
-	for _, p := range []*process{s.instances[1].upstream, s.instances[1].node} {
+	for _, p := range []*systemProcess{s.instances[1].upstream, s.instances[1].node} {
 		p.signal(t, syscall.SIGTERM)
-		assert.Equal(t, p.awaitExit(t), 0, p.name)
+		assert.Equal(t, p.awaitExit(t), 0, p.Name)
 	}
 }
 
@@ -178,7 +178,7 @@
 	s.awaitKeepers()
 	l := newLoad(t, s.instances[0], s.instances[1])
 	time.Sleep(time.Second)
-	s.instances[2].node.kill()
+	s.instances[2].node.Kill()
 	time.Sleep(8 * time.Second)
 	s.awaitOrders(s.instances[0])
 	s.restartNode(s.instances[2])
@@ -197,7 +197,7 @@
 	s := newSystem(t)
 	s.awaitOrders(s.instances[0])
 	time.Sleep(time.Second)
-	s.instances[2].node.kill()
+	s.instances[2].node.Kill()
 	time.Sleep(8 * time.Second)
 	s.awaitOrders(s.instances[0])
 	s.awaitOrders(s.instances[1])
@@ -238,9 +238,9 @@
 	s.awaitKeepers()
 	listen := strings.TrimPrefix(s.endpoint.Endpoint, "http://")
 	l := newLoad(t, s.instances[0], s.instances[1])
-	s.store.kill()
+	s.store.Kill()
 	time.Sleep(time.Second)
-	s.instances[2].node.kill()
+	s.instances[2].node.Kill()
 	time.Sleep(5 * time.Second)
 	served := 0
 	for range 20 {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -1,20 +1,19 @@
 package e2e
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/standin/process"
 )
 
 // startLimit is generous, because other tests run on the same machine.
@@ -34,98 +33,98 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	binary = filepath.Join(folder, "magnoliawharf")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/magnoliawharf").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if binary, err = process.Build("..", folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
 }
 
-// process is one process of the system under test.
-type process struct {
-	name string
-	cmd  *exec.Cmd
+// systemProcess is one process of the system under test. Its log is its standard error.
+type systemProcess struct {
+	*process.Process
+	log log
+}
+
+// log keeps what a process writes.
+type log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
 
-	mu     sync.Mutex
-	log    bytes.Buffer // standard error
-	exited chan struct{}
-	err    error // of Wait, once exited is closed
+// firstLine passes on the first line that is written to it and drops the rest. Only one goroutine writes.
+type firstLine struct {
+	line chan []byte
+	held []byte
+	done bool
 }
 
-// Write implements io.Writer for the process's standard error.
-func (p *process) Write(b []byte) (int, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.Write(b)
+// Write implements io.Writer.
+func (f *firstLine) Write(b []byte) (int, error) {
+	if f.done {
+		return len(b), nil
+	}
+	f.held = append(f.held, b...)
+	if end := bytes.IndexByte(f.held, '\n'); end >= 0 {
+		f.done = true
+		f.line <- f.held[:end+1]
+	}
+	return len(b), nil
 }
 
 // start runs the binary and decodes the first line of its standard output into into. The process is
 // killed at the end of the test, and its log is shown when the test failed.
-func start(t testing.TB, name string, into any, args ...string) *process {
+func start(t testing.TB, name string, into any, args ...string) *systemProcess {
 	t.Helper()
-	p := &process{name: name, cmd: exec.Command(binary, args...), exited: make(chan struct{})}
-	p.cmd.Stderr = p
-	stdout, err := p.cmd.StdoutPipe()
+	p := &systemProcess{}
+	first := &firstLine{line: make(chan []byte, 1)}
+	var err error
+	p.Process, err = process.Start(process.Options{Name: name, Binary: binary, Args: args, Stdout: first, Stderr: &p.log})
 	assert.NilError(t, err)
-	assert.NilError(t, p.cmd.Start())
-	first := make(chan []byte, 1)
-	go func() {
-		reader := bufio.NewReader(stdout)
-		line, _ := reader.ReadBytes('\n')
-		first <- line
-		p.err = p.cmd.Wait()
-		close(p.exited)
-	}()
 	t.Cleanup(func() {
-		ended := p.ended()
-		p.kill()
+		state := p.State()
+		p.Kill()
 		if t.Failed() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			t.Logf("%s %s; its log:\n%s", name, ended, p.log.String())
+			t.Logf("%s %s; its log:\n%s", name, state, p.log.String())
 		}
 	})
 	select {
-	case line := <-first:
+	case line := <-first.line:
 		assert.NilError(t, json.Unmarshal(line, into), "%s printed %q", name, line)
+	case <-p.Exited():
+		t.Fatalf("%s %s before it printed its addresses", name, p.State())
 	case <-time.After(startLimit):
 		t.Fatalf("%s did not start in time", name)
 	}
 	return p
 }
 
-func (p *process) signal(t testing.TB, s syscall.Signal) {
+func (p *systemProcess) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
-	assert.NilError(t, p.cmd.Process.Signal(s), "%s %s", p.name, p.ended())
-}
-
-// ended says how the process has ended, if it has.
-func (p *process) ended() string {
-	select {
-	case <-p.exited:
-		return "ended by " + p.cmd.ProcessState.String()
-	default:
-		return "runs"
-	}
-}
-
-// kill ends the process and waits for its end.
-func (p *process) kill() {
-	if err := p.cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return
-	}
-	<-p.exited
+	assert.NilError(t, p.Signal(s))
 }
 
 // awaitExit returns the exit code of a process that ends by itself.
-func (p *process) awaitExit(t testing.TB) int {
+func (p *systemProcess) awaitExit(t testing.TB) int {
 	t.Helper()
 	select {
-	case <-p.exited:
-		return p.cmd.ProcessState.ExitCode()
+	case <-p.Exited():
+		return p.ExitCode()
 	case <-time.After(startLimit):
-		t.Fatalf("%s did not end in time", p.name)
+		t.Fatalf("%s did not end in time", p.Name)
 		return -1
 	}
 }
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -29,8 +29,8 @@
 type instanceProcess struct {
 	id       string
 	settings string
-	node     *process
-	upstream *process
+	node     *systemProcess
+	upstream *systemProcess
 	addr     struct{ Callers, Peers, Local string }
 	up       struct{ Addr string }
 }
@@ -39,7 +39,7 @@
 type system struct {
 	t         testing.TB
 	folder    string
-	store     *process
+	store     *systemProcess
 	endpoint  struct{ Endpoint string }
 	instances []*instanceProcess
 }
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -55,6 +55,9 @@
 	Callers string `toml:"callers" validate:"required,hostport"`
 	// Peers takes requests that other nodes forward. Required.
 	Peers string `toml:"peers" validate:"required,hostport"`
+	// Advertised is the host:port under which other nodes reach Peers when it is not the bound address, such as behind a
+	// port mapping. Default: the bound address.
+	Advertised string `toml:"advertised" validate:"omitempty,hostport"`
 	// Datagrams takes UDP messages of other nodes. Required; an IPv4 address and port.
 	Datagrams string `toml:"datagrams" validate:"required,hostport"`
 	// Registration takes announcements of the upstream. Required.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -102,7 +103,7 @@
 	}
 	s.suspects = quarantine.NewList(s)
 	s.gate = gate.New(gate.Options{
-		Node: s.Settings.Node, Boot: s.boot, Address: s.peers.Addr(), Zone: s.Settings.Zone,
+		Node: s.Settings.Node, Boot: s.boot, Address: cmp.Or(s.Settings.Listen.Advertised, s.peers.Addr()), Zone: s.Settings.Zone,
 		Service: s.Settings.Upstream.Service, Upstream: s.Settings.Upstream.Address, HealthPath: s.healthPath,
 		FreshFor:   time.Duration(s.Settings.Routing.FreshFor),
 		LapseAfter: lapseBeats * time.Duration(s.Settings.Upstream.AnnounceEvery),
