--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -79,12 +79,13 @@
 }
 
 func runSidecar(cmd *cobra.Command, file string) (err error) {
+	// First, since a platform may send SIGHUP to a process that has just started.
+	defer holdTerminations()()
 	load := func() (sidecar.Settings, error) { return sidecar.LoadSettings(file) }
 	loaded, err := load()
 	if err != nil {
 		return &codedError{err, ExitSettings}
 	}
-	defer holdTerminations()()
 	debug.SetGCPercent(sidecarGCPercent)
 	debug.SetMemoryLimit(int64(sidecarMemoryShare * float64(loaded.Runtime.Memory)))
 	level := new(slog.LevelVar)
@@ -106,7 +107,7 @@
 	return s.Run(cmd.Context(), changesOf(cmd.Context(), file), load)
 }
 
-// holdTerminations keeps a second SIGTERM, and a SIGHUP that comes during the stop, from ending the process: a platform may
+// holdTerminations keeps a second SIGTERM, and a SIGHUP that comes during the start or the stop, from ending the process: a platform may
 // stop a machine for two reasons at once, and ends the process by SIGKILL when the grace is over. A second SIGINT still
 // ends it. The function returned undoes it.
 func holdTerminations() (release func()) {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -262,6 +262,24 @@
 	})
 }
 
+// Guards against a cold upstream that is taken for twice as slow as it says: the pace that it reports has its cold start
+// in it already.
+func TestReportedPaceCountsAsItIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &client{}
+		g := newGate(c)
+		cold := announcement("a", 10, 1)
+		cold.Cold = 3 * time.Second
+		assert.NilError(t, g.Announce(time.Now(), cold))
+		assert.Equal(t, g.Load(time.Now()).Pace, 200, "before any reading")
+		time.Sleep(50 * time.Millisecond)
+		c.set(func(c *client) {
+			c.reading = gate.Reading{Healthy: true, UpstreamID: "a", HasLoad: true, Load: caller.UpstreamLoad{Slots: 2, Pace: 210}}
+		})
+		assert.Equal(t, g.Load(time.Now()).Pace, 210)
+	})
+}
+
 // Guards against readings that cost more than they tell: many askers within the time that a load is fresh share one.
 func TestReadingsAreShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gate/load.go
+++ b/gate/load.go
@@ -15,7 +15,7 @@
 	readWait = 10 * time.Millisecond
 	// downPause is the time between two readings of an upstream that refuses connections.
 	downPause = 200 * time.Millisecond
-	// coldPace multiplies the pace of an upstream that says that it is still slow after its start.
+	// coldPace multiplies the pace of an upstream that says that it is still slow after its start and reports no pace.
 	coldPace  = 2
 	usualPace = 100
 )
@@ -39,16 +39,15 @@
 	}
 }
 
-// pace returns the pace of the upstream with what its cold start adds.
+// pace returns the pace that the upstream reports. One that reports none is taken for usual, or for slow while it is cold.
 func (g *Gate) pace(now time.Time) int {
-	pace := g.load.Pace
-	if pace <= 0 || g.loadAt.IsZero() {
-		pace = usualPace
+	switch {
+	case g.load.Pace > 0 && !g.loadAt.IsZero():
+		return g.load.Pace
+	case now.Sub(g.heardAt) < g.current.Cold:
+		return coldPace * usualPace
 	}
-	if now.Sub(g.heardAt) < g.current.Cold {
-		pace *= coldPace
-	}
-	return pace
+	return usualPace
 }
 
 // read begins a reading of the load unless the last one is fresh or one is under way. It returns a channel that is
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -21,6 +21,9 @@
 	// onceIdle is the longest idle time of a connection that takes a request which may run only once. An upstream may
 	// drop idle connections early, and a request that such a connection swallowed may have run.
 	onceIdle = 250 * time.Millisecond
+	// dropTime is the time within which a request shows that the upstream had dropped the kept connection before. One that
+	// closes later may have worked on the request.
+	dropTime = 20 * time.Millisecond
 	// maxSkipped bounds the answers of other requests that are skipped before the own one.
 	maxSkipped = 3
 	// maxSkippedBody bounds the body of a skipped answer, in bytes.
@@ -56,7 +59,7 @@
 
 // Send sends an admitted request to the upstream at addr. The error is a *caller.Refusal; it says not-run when the
 // upstream said so or no byte was sent. A request that may run again and met a connection that the upstream had dropped
-// is sent once more on a new one.
+// before is sent once more on a new one.
 func (c *Client) Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error) {
 	repeatable := req.Placement != nil && req.Placement.Repeatable
 	youngest := onceIdle
@@ -73,7 +76,7 @@
 	return answer, nil
 }
 
-// try sends the request once. again reports that a reused connection broke before any answer.
+// try sends the request once. again reports that the upstream had dropped the connection before.
 func (c *Client) try(ctx context.Context, req *caller.Request, addr string, youngest time.Duration) (answer *caller.Answer, again bool, refusal *caller.Refusal) {
 	out, refusal := upstreamhttp.NewRequest(req, "http://"+addr)
 	if refusal != nil {
@@ -88,10 +91,11 @@
 			return nil, false, c.failed(ctx, req, addr, false, err)
 		}
 	}
+	began := time.Now()
 	x := &exchange{conn: held, out: out, want: out.Header.Get(c.dialect.RequestID), dialect: &c.dialect}
 	response, err := x.run(ctx, bodyLength(req))
 	if err != nil {
-		again = held.reused && !x.heard && ctx.Err() == nil
+		again = held.reused && !x.heard && ctx.Err() == nil && time.Since(began) < dropTime
 		return nil, again, c.failed(ctx, req, addr, x.sent.Load(), err)
 	}
 	if refusal := c.rejected(response, addr); refusal != nil {
--- a/transport/upstreamconn/client_test.go
+++ b/transport/upstreamconn/client_test.go
@@ -277,6 +277,29 @@
 	}
 }
 
+// Guards against work that is done twice at one upstream without a retry being paid: an upstream that closes a kept connection
+// after it has worked on the request has not dropped the connection before.
+func TestLostAnswerOnKeptConnectionIsNotResent(t *testing.T) {
+	var arrivals atomic.Int64
+	addr, _ := upstreamOf(t, func(c *net.TCPConn, n int, r *http.Request) bool {
+		arrivals.Add(1)
+		if n == 1 {
+			time.Sleep(100 * time.Millisecond)
+			return false
+		}
+		return reply(c, r.Header.Get("X-Id"), "ok")
+	})
+	client := newClient(t)
+	_, refusal, err := send(t, client, addr, requestOf("r1", true, ""))
+	assert.NilError(t, err)
+	assert.Assert(t, refusal == nil)
+	_, refusal, _ = send(t, client, addr, requestOf("r2", true, ""))
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Reason, caller.UpstreamLost)
+	assert.Equal(t, refusal.Ran, caller.Unknown)
+	assert.Equal(t, arrivals.Load(), int64(2))
+}
+
 // Guards against an answer that is lost because the upstream gave it before it had read the body, and against later
 // requests whose bytes it would take for the rest of that body.
 func TestEarlyAnswerToLongBody(t *testing.T) {
