--- a/peer/choose.go
+++ b/peer/choose.go
@@ -23,8 +23,9 @@
 	lastWait  = 25 * time.Millisecond
 	// waitPerPath is the wait in multiples of the longest known round trip.
 	waitPerPath = 2.5
-	// unansweredCost multiplies the cost of a node that has not answered although others have.
-	unansweredCost = 4
+	// unansweredDelay is the delay to expect of a node that has not answered although others have: its machine is stalled or
+	// its link is full of answers.
+	unansweredDelay = 150 * time.Millisecond
 	// fullShare is the share of the slots above which upstreams tend to slow down, and fullCost by how much work then
 	// takes longer.
 	fullShare = 0.8
@@ -164,7 +165,7 @@
 	}
 	cost := expected(p.load, p.status.Slots, known, need.Work) * p.record.factor(now)
 	if p.question.open || p.question.unanswered > 0 {
-		cost *= unansweredCost
+		cost += unansweredDelay.Seconds()
 	}
 	cost += p.path.Seconds()
 	if p.status.Zone != r.zone {
