--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -121,6 +122,15 @@
 	return &Refusal{Reason: reason, Ran: Unknown, Step: step, Peer: peer, Cause: cause}
 }
 
+// AsRefusal returns the refusal in err. Any other error becomes one for the reason at the step, of a request that may have run.
+func AsRefusal(err error, reason Reason, step string) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return Lost(reason, step, "", err)
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	text := fmt.Sprintf("%s: %s (%s)", r.Step, r.Reason, r.Ran)
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -187,7 +188,7 @@
 		if probe.Ran != caller.NotRun.String() {
 			return fmt.Errorf("reservation while the keepers start: refused as %s, %s", probe.Refusal, probe.Ran)
 		}
-		if !pause(ctx, 200*time.Millisecond) {
+		if !wait.For(ctx, 200*time.Millisecond) {
 			return fmt.Errorf("the keepers of reservations did not start: %s", probe.Refusal)
 		}
 	}
@@ -222,7 +223,7 @@
 			return nil
 		}
 		deadly.Title = "sent again"
-		if !pause(ctx, demoCrashPause) {
+		if !wait.For(ctx, demoCrashPause) {
 			return ctx.Err()
 		}
 	}
@@ -241,7 +242,7 @@
 		err := slow.do(ctx, d.fleet.nodes[3].CallerAddr())
 		done <- result{slow, err}
 	}()
-	pause(ctx, 300*time.Millisecond)
+	wait.For(ctx, 300*time.Millisecond)
 	began, index := time.Now(), d.fleet.busiest()
 	if err := d.fleet.upstreams[index].Drain(ctx); err != nil {
 		return err
@@ -294,15 +295,3 @@
 		Store string `json:"store"`
 	}{d.fleet.store.Endpoint()})
 }
-
-// pause waits and reports whether ctx still holds.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/datacentre/border.go
+++ b/datacentre/border.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -42,11 +43,11 @@
 func (m *Membership) runBorder(ctx context.Context) {
 	for round := 0; ; round++ {
 		names := m.otherCentres()
-		wait := exchangeStep
+		next := exchangeStep
 		if len(names) > 0 {
-			wait = max(exchangeStep, exchangePeriod/time.Duration(len(names)))
+			next = max(exchangeStep, exchangePeriod/time.Duration(len(names)))
 		}
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, next) {
 			return
 		}
 		rank, border := m.home.BorderRank(m.config.Self.ID)
--- a/datacentre/compare.go
+++ b/datacentre/compare.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -102,7 +103,7 @@
 				m.centre(name).endRepair()
 			}
 		}()
-		if !sleep(ctx, settleTime) {
+		if !wait.For(ctx, settleTime) {
 			return
 		}
 		second, err := m.syncWith(ctx, addr, exchangeTimeout)
@@ -160,15 +161,3 @@
 		}
 	}
 }
-
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/store"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -43,9 +44,9 @@
 // that it does not know. A failing store has no other effect.
 func (m *Membership) runContacts(ctx context.Context) {
 	var entry contactEntry
-	wait := rand.N(firstContact)
+	next := rand.N(firstContact)
 	started, lastCheck := time.Now(), time.Time{}
-	for sleep(ctx, wait) {
+	for wait.For(ctx, next) {
 		if !entry.held && m.isAlone() {
 			m.join(ctx) // with a node that started earlier this one need not be a contact
 		}
@@ -57,14 +58,14 @@
 			m.syncUnknownContacts(ctx)
 		}
 		if err == nil {
-			wait = contactRenew - rand.N(contactRenew/10)
+			next = contactRenew - rand.N(contactRenew/10)
 			if starting {
-				wait = startRenew + rand.N(startRenew/2)
+				next = startRenew + rand.N(startRenew/2)
 			}
 			continue
 		}
 		storeFailures.Inc()
-		wait = min(wait*2, storeMaxWait)/2 + rand.N(contactRenew)
+		next = min(next*2, storeMaxWait)/2 + rand.N(contactRenew)
 	}
 	m.dropContact(&entry)
 }
--- a/datacentre/tick.go
+++ b/datacentre/tick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -40,7 +41,7 @@
 func (m *Membership) runTicks(ctx context.Context) {
 	t := &ticker{m: m, last: time.Now(), lastSettled: time.Now(), joinWait: joinFirstWait}
 	// A random start spreads the ticks of nodes that start together.
-	if !sleep(ctx, rand.N(tickTime)) {
+	if !wait.For(ctx, rand.N(tickTime)) {
 		return
 	}
 	ticks := time.NewTicker(tickTime)
@@ -146,7 +147,7 @@
 		return
 	}
 	m.outbox.sendTo(peer, []instance.Record{peer}, nil)
-	if sleep(ctx, syncTimeout) {
+	if wait.For(ctx, syncTimeout) {
 		_ = m.pull(ctx, peer.PeerAddr, m.home.Name)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -255,10 +255,7 @@
 }
 
 func asRefusal(ctx context.Context, err error) *caller.Refusal {
-	var refusal *caller.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = caller.Lost(caller.PeerLost, dispatchStep, "", err)
-	}
+	refusal := caller.AsRefusal(err, caller.PeerLost, dispatchStep)
 	if ctx.Err() != nil && (refusal.Reason == caller.Cancelled || refusal.Reason == caller.DeadlinePassed) {
 		whole := *refusal
 		whole.Reason = endOf(ctx)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -163,10 +163,7 @@
 }
 
 func asRefusal(ctx context.Context, err error) *caller.Refusal {
-	var refusal *caller.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = caller.Lost(caller.PeerLost, dispatchStep, "", err)
-	}
+	refusal := caller.AsRefusal(err, caller.PeerLost, dispatchStep)
 	if refusal.Reason == caller.Cancelled && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		late := *refusal
 		late.Reason = caller.DeadlinePassed
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 // Defaults of Options.
@@ -207,7 +209,7 @@
 	}
 	var err error
 	if server != nil {
-		pause(ctx, drainGrace)
+		wait.For(ctx, drainGrace)
 		err = server.Shutdown(ctx)
 	}
 	b.leave()
--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/magnoliawharf/magnoliawharf/transport"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 // Paths for controlling a backend that runs as its own process.
@@ -89,7 +89,7 @@
 		return
 	}
 	work, _ := time.ParseDuration(query.Get("work"))
-	if !pause(r.Context(), b.options.ServiceTime+faults.Slow+work) {
+	if !wait.For(r.Context(), b.options.ServiceTime+faults.Slow+work) {
 		return
 	}
 	read, err := io.Copy(io.Discard, r.Body)
@@ -184,15 +184,3 @@
 		panic(http.ErrAbortHandler)
 	}
 }
-
-// pause waits and reports false when the caller went away first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,7 +55,7 @@
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req)
 	if err != nil {
-		refuse(w, asRefusal(err))
+		refuse(w, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
 	}
 	w.Header().Set(transport.HeaderUpstream, answer.Upstream)
@@ -160,11 +159,3 @@
 	metrics.Refusal(refusal.Reason)
 	transport.WriteRefusal(w, refusal)
 }
-
-func asRefusal(err error) *caller.Refusal {
-	var refusal *caller.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return caller.Lost(caller.PeerLost, acceptStep, "", err)
-}
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -59,7 +59,7 @@
 	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(began)
 	if err != nil {
-		h.Refuse(w, asRefusal(err))
+		h.Refuse(w, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
 	}
 	if _, ok := answer.Header["Content-Type"]; !ok {
@@ -199,11 +199,3 @@
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, string(refusal.Reason)+": the request is "+refusal.Ran.String()+"\n")
 }
-
-func asRefusal(err error) *caller.Refusal {
-	var refusal *caller.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return caller.Lost(caller.PeerLost, acceptStep, "", err)
-}
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -61,7 +60,7 @@
 	answer, err := s.Home.Serve(ctx, req, c.incarnation)
 	if err != nil {
 		s.report(w, received)
-		transport.WriteRefusal(w, asRefusal(err))
+		transport.WriteRefusal(w, caller.AsRefusal(err, caller.UpstreamLost, receiveStep))
 		return
 	}
 	s.report(w, received)
@@ -108,11 +107,3 @@
 	report.Took = time.Since(received)
 	w.Header().Set(headerReport, encodeReport(report))
 }
-
-func asRefusal(err error) *caller.Refusal {
-	var refusal *caller.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return caller.Lost(caller.UpstreamLost, receiveStep, "", err)
-}
--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 const (
@@ -129,12 +131,7 @@
 }
 
 func dial(ctx context.Context, addr string) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			// Where the option is missing, the deadline of the request ends the wait.
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-		})
-	}}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -142,9 +139,6 @@
 	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
-const tcpUserTimeout = 0x12
-
 // answered notes until when the connection may be used again, and reports whether it may at all.
 func (c *conn) answered(now time.Time, response *http.Response) bool {
 	c.usedAt = now
