--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -68,22 +68,23 @@
 
 type silentSender struct{}
 
-func (silentSender) Ask(netip.AddrPort, uint32)                                    {}
-func (silentSender) Introduce(netip.AddrPort, peer.Status, []netip.AddrPort, bool) {}
+func (silentSender) Ask(netip.AddrPort, uint32)                  {}
+func (silentSender) Introduce(netip.AddrPort, peer.Introduction) {}
 
 type nobody struct{}
 
 func (nobody) Status() peer.Status      { return peer.Status{} }
 func (nobody) Load(time.Time) peer.Load { return peer.Load{} }
+func (nobody) Recall(peer.Former)       {}
 
 func rosterOf(nodes int) *peer.Roster {
 	r := peer.NewRoster(peer.Options{
 		Zone: "z", Address: netip.MustParseAddrPort("10.0.0.200:7000"), Sender: silentSender{}, Self: nobody{}, Log: slog.New(slog.DiscardHandler),
 	})
 	for i := range nodes {
-		r.Heard(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), peer.Status{
+		r.Heard(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), peer.Introduction{Status: peer.Status{
 			Node: fmt.Sprintf("n%d", i), Boot: uint64(i + 1), Revision: 1, Service: "s", Upstream: fmt.Sprintf("u%d", i), Slots: 4, Serving: true,
-		}, nil, false)
+		}})
 	}
 	return r
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,8 +68,9 @@
 	mu       sync.Mutex
 	current  Announcement
 	state    state
-	heardAt  time.Time        // last sign of life of the current incarnation
-	left     map[string]int64 // incarnations that have left, with their start
+	heardAt  time.Time         // last sign of life of the current incarnation
+	left     map[string]int64  // incarnations that have left, with their start
+	recalled map[string]string // services of upstreams that this node had in its last life, by ID
 	revision uint32
 	stopping bool
 	load     caller.UpstreamLoad
@@ -100,6 +101,7 @@
 		admission: upstream.NewWith(upstream.Options{TimeToLive: o.LapseAfter, SlotShare: o.SlotShare}),
 		crashes:   &quarantine.Crashes{Suspects: o.Suspects, Watch: quarantine.NewWatch(o.Suspects, life)},
 		left:      make(map[string]int64),
+		recalled:  make(map[string]string),
 	}
 }
 
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/gate"
+	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
 
@@ -232,16 +233,22 @@
 	})
 }
 
-// Guards against an upstream that is unknown for seconds after its node was started again, and against one that has left
-// and is found by a reading.
+// Guards against a node that was started again beside a running upstream and knows nothing of it until its next
+// announcement, and against one that takes the upstream for one of its settings' service: its address may have gone to
+// another service meanwhile.
 func TestUpstreamFoundByReading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &client{reading: gate.Reading{Healthy: true, UpstreamID: "a", HasLoad: true, Load: caller.UpstreamLoad{Slots: 2, Pace: 100}}}
 		g := newGate(c)
 		go g.Watch(t.Context())
+		g.Recall(peer.Former{Upstream: "b", Service: "s"})
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, !g.Status().Serving, "nobody has said which service the upstream belongs to")
+		g.Recall(peer.Former{Upstream: "a", Service: "other"})
 		time.Sleep(300 * time.Millisecond)
 		assert.Assert(t, g.Status().Serving)
 		assert.Equal(t, g.Status().Upstream, "a")
+		assert.Equal(t, g.Status().Service, "other")
 		g.Leave(time.Now(), "a")
 		time.Sleep(time.Second)
 		assert.Assert(t, !g.Status().Serving)
--- a/gate/load.go
+++ b/gate/load.go
@@ -141,9 +141,9 @@
 		notify()
 		return
 	}
-	service := g.current.Service
+	service, recalls := g.current.Service, len(g.recalled) > 0
 	g.mu.Unlock()
-	if held == unknown && addr == "" {
+	if held == unknown && addr == "" && recalls {
 		addr, service = g.options.Upstream, g.options.Service
 	}
 	path := g.options.HealthPath(service)
@@ -152,18 +152,37 @@
 	}
 	reading, err := g.readOnce(addr, path)
 	if err == nil && reading.Healthy && reading.UpstreamID != "" && reading.HasLoad {
-		g.found(time.Now(), held, addr, service, reading)
+		g.found(time.Now(), held, addr, reading)
+	}
+}
+
+// maxRecalled bounds the upstreams that other nodes recall.
+const maxRecalled = 16
+
+// Recall takes what another node knows of the upstream that this one had before it was started again. A reading names no
+// service, and the address may belong to an upstream of another one by now: without this the node waits until the upstream
+// announces itself.
+func (g *Gate) Recall(former peer.Former) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.recalled) < maxRecalled {
+		g.recalled[former.Upstream] = former.Service
 	}
 }
 
 // found takes an upstream that answered a reading although it has not announced itself to this process.
-func (g *Gate) found(now time.Time, held state, addr, service string, reading Reading) {
+func (g *Gate) found(now time.Time, held state, addr string, reading Reading) {
 	g.mu.Lock()
 	_, left := g.left[reading.UpstreamID]
 	if g.state != held || left || (g.current.ID != "" && g.current.ID != reading.UpstreamID) {
 		g.mu.Unlock()
 		return
 	}
+	service, recalled := g.recalled[reading.UpstreamID]
+	if g.current.ID == "" && !recalled {
+		g.mu.Unlock()
+		return
+	}
 	if g.current.ID == "" {
 		g.current = Announcement{ID: reading.UpstreamID, Address: addr, Service: service, Slots: max(1, reading.Load.Slots)}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -27,6 +27,21 @@
 	Follows  bool   // the node reaches the store
 }
 
+// Former is the upstream that a node had in its last life, as that life said it. A node that was started again while its
+// upstream went on knows by it which service the upstream belongs to.
+type Former struct {
+	Upstream string // ID of the upstream's incarnation, "" when nothing is known
+	Service  string
+}
+
+// Introduction is what one node tells another of itself.
+type Introduction struct {
+	Status Status
+	Known  []netip.AddrPort // some other nodes
+	Reply  bool             // the receiver is asked for its own
+	Former Former           // of the receiver
+}
+
 // Load is the state of the upstream beside a node at one moment.
 type Load struct {
 	Boot     uint64
@@ -45,6 +60,7 @@
 
 	mu       sync.Mutex
 	status   Status
+	former   Former // until it has an upstream again
 	load     Load
 	loadAt   time.Time // zero: no load of this boot is known
 	heardAt  time.Time
@@ -75,6 +91,12 @@
 	return p.status
 }
 
+func (p *Peer) formerUpstream() Former {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.former
+}
+
 // takeStatus replaces the status and returns the one before.
 func (p *Peer) takeStatus(now time.Time, s Status) Status {
 	p.mu.Lock()
@@ -89,6 +111,12 @@
 		p.loadAt = time.Time{}
 		p.record = record{}
 	}
+	switch {
+	case s.Upstream != "":
+		p.former = Former{}
+	case s.Boot != before.Boot && before.Upstream != "":
+		p.former = Former{Upstream: before.Upstream, Service: before.Service}
+	}
 	p.status = s
 	return before
 }
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -38,14 +38,16 @@
 type Sender interface {
 	// Ask asks a node for its load.
 	Ask(to netip.AddrPort, number uint32)
-	// Introduce tells a node the status of this one, and addresses of others. With reply the other node answers in kind.
-	Introduce(to netip.AddrPort, status Status, known []netip.AddrPort, reply bool)
+	// Introduce introduces this node to another.
+	Introduce(to netip.AddrPort, i Introduction)
 }
 
 // Self is this node as the others see it.
 type Self interface {
 	Status() Status
 	Load(now time.Time) Load
+	// Recall takes what another node knows of the upstream that this one had before it was started again.
+	Recall(Former)
 }
 
 // Options of a roster.
@@ -55,6 +57,9 @@
 	Routing Routing
 	Sender  Sender
 	Self    Self
+	// Reached is called, without a lock, when another node tells that it reaches the store again. It must not block; nil is
+	// not called.
+	Reached func()
 	Log     *slog.Logger
 }
 
@@ -71,6 +76,7 @@
 	sender   Sender
 	selfNode Self
 	self     *Peer
+	reached  func()
 	log      *slog.Logger
 
 	peers    *shard.Map[string, *Peer] // by datagram address
@@ -83,11 +89,14 @@
 // NewRoster returns a roster that knows only this node.
 func NewRoster(o Options) *Roster {
 	r := &Roster{
-		zone: o.Zone, sender: o.Sender, selfNode: o.Self, log: o.Log,
+		zone: o.Zone, sender: o.Sender, selfNode: o.Self, reached: o.Reached, log: o.Log,
 		peers:    shard.NewString[string, *Peer](rosterShards),
 		services: shard.NewString[string, []*Peer](rosterShards),
 		notices:  make(chan struct{}, 1),
 	}
+	if r.reached == nil {
+		r.reached = func() {}
+	}
 	r.routing.Store(&o.Routing)
 	r.self = &Peer{addr: o.Address, self: true}
 	r.peers.Set(o.Address.String(), r.self)
@@ -145,17 +154,23 @@
 }
 
 // Heard takes the introduction of another node.
-func (r *Roster) Heard(from netip.AddrPort, s Status, known []netip.AddrPort, reply bool) {
+func (r *Roster) Heard(from netip.AddrPort, i Introduction) {
 	p, added := r.peer(from)
 	if p.self {
 		return
 	}
-	before := p.takeStatus(time.Now(), s)
+	before := p.takeStatus(time.Now(), i.Status)
 	r.move(p, before, p.Status())
-	if reply || added {
+	if i.Status.Follows && !before.Follows && before.Boot == i.Status.Boot {
+		r.reached()
+	}
+	if i.Former.Upstream != "" {
+		r.selfNode.Recall(i.Former)
+	}
+	if i.Reply || added {
 		r.introduce(p, false)
 	}
-	for _, addr := range known {
+	for _, addr := range i.Known {
 		r.Learn(addr)
 	}
 }
@@ -199,12 +214,13 @@
 	return own.Follows && r.before(own, func(Status) bool { return true }) == 0
 }
 
-// RankInZone returns the number of nodes of this one's zone that reach the store, answer, and come before it by name.
+// RankInZone returns the number of nodes of this one's zone that answer and come before it: those that reach the store
+// before those that do not, and then by name. So a few nodes go on trying for all while the store is away.
 func (r *Roster) RankInZone() int {
 	return r.before(r.selfNode.Status(), func(other Status) bool { return other.Zone == r.zone })
 }
 
-// before counts the nodes that reach the store, answer, match and come before own by name.
+// before counts the nodes that answer, match and come before own.
 func (r *Roster) before(own Status, match func(Status) bool) int {
 	count := 0
 	now := time.Now()
@@ -212,7 +228,7 @@
 		if p.self || p.silent(now) {
 			return true
 		}
-		if status := p.Status(); status.Follows && status.Node < own.Node && match(status) {
+		if status := p.Status(); status.precedes(own) && match(status) {
 			count++
 		}
 		return true
@@ -220,6 +236,14 @@
 	return count
 }
 
+// precedes reports whether the node comes before the other for work that a few do for all.
+func (s Status) precedes(other Status) bool {
+	if s.Follows != other.Follows {
+		return s.Follows
+	}
+	return s.Node < other.Node
+}
+
 // InZone reports whether the node at the datagram address is known to be in this node's zone.
 func (r *Roster) InZone(addr netip.AddrPort) bool {
 	p, ok := r.peers.Get(addr.String())
@@ -229,7 +253,7 @@
 func (r *Roster) notify() {
 	status := r.selfNode.Status()
 	for _, addr := range r.Addresses(maxNotified) {
-		r.sender.Introduce(addr, status, nil, false)
+		r.sender.Introduce(addr, Introduction{Status: status})
 	}
 }
 
@@ -242,7 +266,7 @@
 }
 
 func (r *Roster) introduce(p *Peer, reply bool) {
-	r.sender.Introduce(p.addr, r.selfNode.Status(), r.Addresses(MaxKnown), reply)
+	r.sender.Introduce(p.addr, Introduction{Status: r.selfNode.Status(), Known: r.Addresses(MaxKnown), Reply: reply, Former: p.formerUpstream()})
 }
 
 // move brings the lists of services up to date after a change of status.
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -30,6 +30,7 @@
 	nodes      map[netip.AddrPort]*node
 	roster     *peer.Roster
 	introduced map[netip.AddrPort]int
+	former     map[netip.AddrPort]peer.Former // last told to each node
 }
 
 func (n *network) Ask(to netip.AddrPort, number uint32) {
@@ -45,16 +46,17 @@
 	time.AfterFunc(other.delay, func() { n.roster.HeardLoad(to, number, load) })
 }
 
-func (n *network) Introduce(to netip.AddrPort, _ peer.Status, _ []netip.AddrPort, reply bool) {
+func (n *network) Introduce(to netip.AddrPort, i peer.Introduction) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.introduced[to]++
+	n.former[to] = i.Former
 	other, ok := n.nodes[to]
-	if !ok || other.gone || !reply {
+	if !ok || other.gone || !i.Reply {
 		return
 	}
 	status := other.status
-	time.AfterFunc(other.delay, func() { n.roster.Heard(to, status, nil, false) })
+	time.AfterFunc(other.delay, func() { n.roster.Heard(to, peer.Introduction{Status: status}) })
 }
 
 // change applies a change to a node.
@@ -70,17 +72,19 @@
 
 // own is this node as the others see it.
 type own struct {
-	status peer.Status
-	load   peer.Load
+	status   peer.Status
+	load     peer.Load
+	recalled []peer.Former
 }
 
 func (o *own) Status() peer.Status      { return o.status }
 func (o *own) Load(time.Time) peer.Load { return o.load }
+func (o *own) Recall(f peer.Former)     { o.recalled = append(o.recalled, f) }
 
 // rosterOf returns a roster that has heard of the nodes. Node i is at address(i), in zone "z<i%2>".
 func rosterOf(t *testing.T, count int) (*network, *peer.Roster) {
 	t.Helper()
-	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int)}
+	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int), former: make(map[netip.AddrPort]peer.Former)}
 	for i := 1; i <= count; i++ {
 		n.nodes[address(i)] = &node{
 			status: peer.Status{
@@ -194,7 +198,7 @@
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(t, choose(t, r).Status.Node, "n2")
 		// An older datagram of the same life comes late.
-		r.Heard(address(1), peer.Status{Node: "n1", Boot: 1, Revision: 1, Service: "s", Upstream: "u1", Serving: true}, nil, false)
+		r.Heard(address(1), peer.Introduction{Status: peer.Status{Node: "n1", Boot: 1, Revision: 1, Service: "s", Upstream: "u1", Serving: true}})
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(t, choose(t, r).Status.Node, "n2")
 		// The node was started again with another upstream.
@@ -298,14 +302,14 @@
 
 // Guards against locks taken in different orders by requests that ask and by answers that come.
 func TestManyRequestsAndAnswersAtOnce(t *testing.T) {
-	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int)}
+	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int), former: make(map[netip.AddrPort]peer.Former)}
 	r := peer.NewRoster(peer.Options{
 		Zone: "z", Address: address(200), Sender: n, Self: &own{}, Log: slog.New(slog.DiscardHandler),
 	})
 	n.roster = r
 	const nodes = 5
 	for i := 1; i <= nodes; i++ {
-		r.Heard(address(i), peer.Status{Node: fmt.Sprintf("n%d", i), Boot: 1, Revision: 1, Service: "s", Slots: 4, Serving: true}, nil, false)
+		r.Heard(address(i), peer.Introduction{Status: peer.Status{Node: fmt.Sprintf("n%d", i), Boot: 1, Revision: 1, Service: "s", Slots: 4, Serving: true}})
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
@@ -333,3 +337,48 @@
 		t.Fatal("requests and answers wait for each other")
 	}
 }
+
+// Guards against a node that was started again and is not told which upstream it had, and against one that is told so for
+// ever.
+func TestRestartedNodeIsToldOfItsFormerUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 2)
+		assert.Equal(t, n.former[address(1)], peer.Former{})
+		started := peer.Status{Node: "n1", Boot: 77, Address: "10.0.0.1:80", Zone: "z1"}
+		r.Heard(address(1), peer.Introduction{Status: started, Reply: true})
+		assert.Equal(t, n.former[address(1)], peer.Former{Upstream: "u1", Service: "s"})
+		started.Revision, started.Upstream, started.Service = 1, "u9", "other"
+		r.Heard(address(1), peer.Introduction{Status: started, Reply: true})
+		assert.Equal(t, n.former[address(1)], peer.Former{})
+	})
+}
+
+// Guards against a fleet in which every node goes on trying while the store is away, and against one in which nobody hears
+// that it is back.
+func TestFewTryWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := rosterOf(t, 4) // n2 and n4 are in the zone of this node, n5
+		reached := 0
+		away := &own{status: peer.Status{Node: "n5", Boot: 99, Zone: "z0"}}
+		r := peer.NewRoster(peer.Options{
+			Zone: "z0", Address: address(200), Sender: n, Self: away, Reached: func() { reached++ }, Log: slog.New(slog.DiscardHandler),
+		})
+		hear := func(follows bool, revision uint32) {
+			for i := 1; i <= 4; i++ {
+				status := n.nodes[address(i)].status
+				status.Follows, status.Revision = follows, revision
+				r.Heard(address(i), peer.Introduction{Status: status})
+			}
+		}
+		hear(false, 2)
+		assert.Equal(t, r.RankInZone(), 2, "nobody reaches the store: the first by name try")
+		assert.Equal(t, reached, 0)
+		away.status.Node = "n1"
+		assert.Equal(t, r.RankInZone(), 0)
+		hear(true, 3)
+		assert.Equal(t, r.RankInZone(), 2, "nodes that reach the store come first")
+		assert.Equal(t, reached, 4)
+		hear(true, 4)
+		assert.Equal(t, reached, 4)
+	})
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -17,8 +17,13 @@
 const (
 	// entryTTL is the life of the entry by which other nodes find this one, after its last renewal.
 	entryTTL = 20 * time.Second
-	// longestStoreWait bounds the waits between two tries at the store, so that the node is back soon after it returns.
+	// longestStoreWait bounds the waits between two tries at the store of the nodes that watch it for their zone, so that it is
+	// found soon after it returns. The others wait up to longestQuietWait unless one of these tells them: the tries of all
+	// nodes would cost the store a call a second for each.
 	longestStoreWait = time.Second
+	longestQuietWait = 4 * time.Second
+	// readAloneEvery is how often a node without contracts that does not watch reads them itself.
+	readAloneEvery = 2 * time.Second
 	// relistEvery is how often the entries of all nodes are read, for nodes that no other has told of.
 	relistEvery = time.Minute
 	// dutyEvery is how often the node on duty reads the contracts, and dutyTimeout bounds one reading.
@@ -51,7 +56,7 @@
 	s.follows.Store(true) // until a call says otherwise
 	go s.watchContracts(ctx, client)
 	session := store.NewSession(client, entryTTL)
-	session.LongestWait = longestStoreWait
+	session.LongestWait, session.Wake, session.Reached = longestQuietWait, s.wake, s.storeReached
 	go func() {
 		_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { return s.enter(ctx, client, id) }) // as above
 	}()
@@ -65,9 +70,11 @@
 	if !wait.For(ctx, meetTime) {
 		return
 	}
+	var readAt time.Time
 	for ctx.Err() == nil {
 		if s.roster.RankInZone() >= watchersPerZone {
-			if s.contracts.Load() == nil {
+			if s.contracts.Load() == nil && time.Since(readAt) > readAloneEvery {
+				readAt = time.Now()
 				s.readOnce(ctx, client)
 			}
 			wait.For(ctx, rankEvery)
@@ -103,6 +110,17 @@
 	s.readContracts(entries)
 }
 
+// peerReached wakes the waits for the store, since another node has reached it again.
+func (s *Sidecar) peerReached() {
+	if s.follows.Load() {
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // storeReached tells the other nodes whether this one reaches the store, so that one that does reads for all.
 func (s *Sidecar) storeReached(reached bool) {
 	if s.follows.Swap(reached) != reached {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -83,6 +83,7 @@
 	control   *transport.ControlClient
 	fetching  atomic.Bool
 	follows   atomic.Bool      // the store is reached
+	wake      chan struct{}    // has an entry when another node has reached the store again
 	stopping  atomic.Bool      // out of readiness
 	closing   atomic.Bool      // new requests are refused
 	requests  inflight.Counter // of callers
@@ -93,6 +94,7 @@
 // Provision builds the node and binds its listeners. It serves nothing yet. Cleanup must follow, also after an error.
 func (s *Sidecar) Provision() error {
 	s.boot = rand.Uint64() >> 1 // the message codec keeps it short
+	s.wake = make(chan struct{}, 1)
 	s.contracts = contract.NewInForce()
 	s.retries.Store(&s.Settings.Retries)
 	s.remote = peerhttp.NewClient(instance.ID(s.Settings.Node), nil)
@@ -112,7 +114,7 @@
 	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: routingOf(s.Settings),
-		Sender: s.socket, Self: self{s}, Log: s.Log,
+		Sender: s.socket, Self: self{s}, Reached: s.peerReached, Log: s.Log,
 	})
 	s.socket.Version, s.socket.SeenVersion = s.contracts.Version, s.versionSeen
 	s.socket.Notice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
@@ -236,6 +238,9 @@
 // Load implements peer.Self.
 func (s self) Load(now time.Time) peer.Load { return s.gate.Load(now) }
 
+// Recall implements peer.Self.
+func (s self) Recall(former peer.Former) { s.gate.Recall(former) }
+
 // forwarder serves requests for the node's own upstream in process and sends all others to their node.
 type forwarder struct {
 	self   uint64 // boot of this node
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 // Limits of the waits between tries. The longest spreads the return of many processes after an
@@ -11,6 +13,8 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 8 * time.Second
+	// wakeSpread is the time over which the processes that are woken together come back.
+	wakeSpread = 300 * time.Millisecond
 )
 
 // Backoff spaces tries after failures: waits double from 50 ms to Longest and are jittered over their
@@ -19,6 +23,8 @@
 type Backoff struct {
 	// Longest bounds the waits. 0 stands for 8 s.
 	Longest time.Duration
+	// Wake cuts a wait short: somebody else has reached the store. nil never does.
+	Wake <-chan struct{}
 
 	limit time.Duration
 }
@@ -35,6 +41,9 @@
 	select {
 	case <-timer.C:
 		return nil
+	case <-b.Wake:
+		wait.For(ctx, rand.N(wakeSpread))
+		return ctx.Err()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -209,3 +209,35 @@
 		assert.Assert(t, store.Is(err, store.ErrNotFound), "keys are gone when the session ends: %v", err)
 	})
 }
+
+// Guards against many processes that all keep trying a store that is away, and against one that stays away after another has
+// reached it.
+func TestSessionTriesSeldomAndIsWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		session := store.NewSession(memory, time.Minute)
+		wake := make(chan struct{}, 1)
+		var reached []bool
+		session.LongestWait, session.Wake = 20*time.Second, wake
+		session.Reached = func(ok bool) { reached = append(reached, ok) }
+		memory.SetFaults(kvstore.Faults{Down: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			_ = session.Run(ctx, func(context.Context, store.LeaseID) error { return nil }) // the error of ctx
+		}()
+		time.Sleep(5 * time.Minute)
+		synctest.Wait()
+		tries := memory.Calls()
+		assert.Assert(t, tries.Reads+tries.Writes < 60, "%+v calls in five minutes", tries)
+		assert.Assert(t, !slices.Contains(reached, true))
+		memory.SetFaults(kvstore.Faults{})
+		wake <- struct{}{}
+		time.Sleep(400 * time.Millisecond)
+		synctest.Wait()
+		_, held := session.Lease()
+		assert.Assert(t, held)
+		assert.Assert(t, reached[len(reached)-1])
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/store/session.go
+++ b/store/session.go
@@ -23,6 +23,10 @@
 type Session struct {
 	// LongestWait bounds the waits between two tries. 0 stands for 8 s. It is set before Run.
 	LongestWait time.Duration
+	// Wake ends a wait between two tries, when another process has reached the store. It is set before Run; nil never does.
+	Wake <-chan struct{}
+	// Reached is told after each grant and renewal whether the store was reached. It is set before Run and must not block.
+	Reached func(reached bool)
 
 	store Store
 	ttl   time.Duration
@@ -49,7 +53,7 @@
 
 // NewSession returns a session without a lease.
 func NewSession(s Store, ttl time.Duration) *Session {
-	return &Session{store: s, ttl: ttl, clock: systemClock()}
+	return &Session{Reached: func(bool) {}, store: s, ttl: ttl, clock: systemClock()}
 }
 
 // Lease returns the lease while it is certain to be held. A tenth of its time to live is left out
@@ -73,7 +77,7 @@
 // writes the keys of the session under the lease; when that fails the lease is given up. A lease
 // that lapsed is replaced.
 func (s *Session) Run(ctx context.Context, granted func(ctx context.Context, id LeaseID) error) error {
-	backoff := Backoff{Longest: s.LongestWait}
+	backoff := Backoff{Longest: s.LongestWait, Wake: s.Wake}
 	for {
 		if id, err := s.grant(ctx); err == nil {
 			if err := granted(ctx, id); err == nil {
@@ -91,6 +95,7 @@
 func (s *Session) grant(ctx context.Context) (LeaseID, error) {
 	sent := s.clock()
 	id, err := s.store.GrantLease(ctx, s.ttl)
+	s.Reached(err == nil)
 	if err != nil {
 		return 0, err
 	}
@@ -100,7 +105,7 @@
 
 // renew keeps the lease until it may have lapsed or ctx ends.
 func (s *Session) renew(ctx context.Context, id LeaseID) {
-	backoff := Backoff{Longest: min(s.ttl/renewalsPerTTL, s.LongestWait)}
+	backoff := Backoff{Longest: min(s.ttl/renewalsPerTTL, s.LongestWait), Wake: s.Wake}
 	timer := time.NewTimer(s.ttl / renewalsPerTTL)
 	defer timer.Stop()
 	for {
@@ -111,6 +116,7 @@
 		}
 		sent := s.clock()
 		err := s.store.RenewLease(ctx, id)
+		s.Reached(err == nil || Is(err, ErrLeaseLapsed))
 		if err == nil {
 			s.confirm(id, sent)
 			backoff.Reset()
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -33,7 +33,7 @@
 // Receiver takes what other nodes send.
 type Receiver interface {
 	Learn(addr netip.AddrPort)
-	Heard(from netip.AddrPort, s peer.Status, known []netip.AddrPort, reply bool)
+	Heard(from netip.AddrPort, i peer.Introduction)
 	HeardLoad(from netip.AddrPort, number uint32, load peer.Load)
 	Answer(from netip.AddrPort) peer.Load
 }
@@ -149,15 +149,11 @@
 	if err := cbor.Unmarshal(body, &i); err != nil {
 		return err
 	}
-	status, err := i.status()
+	decoded, err := i.introduction()
 	if err != nil {
 		return err
 	}
-	known, err := addresses(i.Known)
-	if err != nil {
-		return err
-	}
-	to.Heard(from, status, known, i.Reply)
+	to.Heard(from, decoded)
 	s.SeenVersion(i.Version, from)
 	return nil
 }
@@ -181,8 +177,8 @@
 }
 
 // Introduce implements peer.Sender.
-func (s *Socket) Introduce(to netip.AddrPort, status peer.Status, known []netip.AddrPort, reply bool) {
-	s.send(to, kindIntroduction, introductionOf(s.Version(), status, known, reply))
+func (s *Socket) Introduce(to netip.AddrPort, i peer.Introduction) {
+	s.send(to, kindIntroduction, introductionOf(s.Version(), i))
 }
 
 // Tell sends a notice to each of the nodes.
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -17,8 +17,7 @@
 
 // recorder keeps what a node received.
 type recorder struct {
-	statuses chan peer.Status
-	known    chan []netip.AddrPort
+	heard    chan peer.Introduction
 	loads    chan peer.Load
 	notices  chan quarantine.Notice
 	versions chan uint64
@@ -27,16 +26,13 @@
 
 func newRecorder() *recorder {
 	return &recorder{
-		statuses: make(chan peer.Status, 9), known: make(chan []netip.AddrPort, 9), loads: make(chan peer.Load, 9),
+		heard: make(chan peer.Introduction, 9), loads: make(chan peer.Load, 9),
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
 	}
 }
 
-func (r *recorder) Learn(netip.AddrPort) {}
-func (r *recorder) Heard(_ netip.AddrPort, s peer.Status, known []netip.AddrPort, _ bool) {
-	r.statuses <- s
-	r.known <- known
-}
+func (r *recorder) Learn(netip.AddrPort)                                 {}
+func (r *recorder) Heard(_ netip.AddrPort, i peer.Introduction)          { r.heard <- i }
 func (r *recorder) HeardLoad(_ netip.AddrPort, _ uint32, load peer.Load) { r.loads <- load }
 func (r *recorder) Answer(netip.AddrPort) peer.Load                      { return r.load }
 
@@ -83,9 +79,9 @@
 		Node: "n1", Boot: 5, Revision: 2, Address: "10.0.0.1:80", Zone: "z", Service: "s", Upstream: "u", Slots: 12, Serving: true, Follows: true,
 	}
 	known := []netip.AddrPort{netip.MustParseAddrPort("10.1.2.3:4567"), netip.MustParseAddrPort("10.9.8.7:65535")}
-	a.Introduce(b.Addr(), status, known, true)
-	assert.Equal(t, get(t, fromA.statuses), status)
-	assert.DeepEqual(t, get(t, fromA.known), known, cmpopts.EquateComparable(netip.AddrPort{}))
+	introduction := peer.Introduction{Status: status, Known: known, Reply: true, Former: peer.Former{Upstream: "u-9", Service: "s-9"}}
+	a.Introduce(b.Addr(), introduction)
+	assert.DeepEqual(t, get(t, fromA.heard), introduction, cmpopts.EquateComparable(netip.AddrPort{}))
 
 	notice := quarantine.Notice{Kind: quarantine.Crashed, Fingerprints: []quarantine.Fingerprint{1, 1 << 63}, Crashes: []quarantine.Crash{77}}
 	a.Tell([]netip.AddrPort{b.Addr()}, notice)
@@ -106,7 +102,7 @@
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
 		kindQuestion: question{Number: 1}, kindLoad: load{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
-		kindIntroduction: introductionOf(1, peer.Status{Node: "n", Address: "10.0.0.1:80"}, nil, true),
+		kindIntroduction: introductionOf(1, peer.Introduction{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, Reply: true}),
 	} {
 		body, err := cbor.Marshal(message)
 		assert.NilError(f, err)
@@ -124,10 +120,11 @@
 		s.Notice = func(n quarantine.Notice) { assert.Check(t, n.Valid()) }
 		s.receive(r, s.Addr(), raw)
 		select {
-		case status := <-r.statuses:
+		case heard := <-r.heard:
+			status := heard.Status
 			_, err := netip.ParseAddrPort(status.Address)
 			assert.Check(t, err == nil && status.Node != "" && status.Slots >= 0 && status.Slots <= maxCount)
-			assert.Check(t, len(<-r.known) <= peer.MaxKnown)
+			assert.Check(t, len(heard.Known) <= peer.MaxKnown)
 		case load := <-r.loads:
 			assert.Check(t, load.Running >= 0 && load.Running <= maxCount && load.Pace <= maxCount)
 		default:
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -78,14 +78,19 @@
 	Serving  bool
 	Follows  bool
 	Known    []byte // addresses of other nodes, addressSize bytes each
+
+	FormerUpstream string // of the receiver
+	FormerService  string
 }
 
-func introductionOf(version uint64, s peer.Status, known []netip.AddrPort, reply bool) introduction {
+func introductionOf(version uint64, from peer.Introduction) introduction {
+	s := from.Status
 	i := introduction{
-		Version: version, Reply: reply, Node: s.Node, Boot: s.Boot, Revision: s.Revision, Address: s.Address, Zone: s.Zone,
+		FormerUpstream: from.Former.Upstream, FormerService: from.Former.Service,
+		Version: version, Reply: from.Reply, Node: s.Node, Boot: s.Boot, Revision: s.Revision, Address: s.Address, Zone: s.Zone,
 		Service: s.Service, Upstream: s.Upstream, Slots: count(s.Slots), Serving: s.Serving, Follows: s.Follows,
 	}
-	for _, addr := range known[:min(len(known), peer.MaxKnown)] {
+	for _, addr := range from.Known[:min(len(from.Known), peer.MaxKnown)] {
 		if ip := addr.Addr(); ip.Is4() {
 			four := ip.As4()
 			i.Known = binary.BigEndian.AppendUint16(append(i.Known, four[:]...), addr.Port())
@@ -94,8 +99,22 @@
 	return i
 }
 
+// introduction decodes and checks the message.
+func (i introduction) introduction() (peer.Introduction, error) {
+	status, err := i.status()
+	if err != nil {
+		return peer.Introduction{}, err
+	}
+	known, err := addresses(i.Known)
+	if err != nil {
+		return peer.Introduction{}, err
+	}
+	former := peer.Former{Upstream: i.FormerUpstream, Service: i.FormerService}
+	return peer.Introduction{Status: status, Known: known, Reply: i.Reply, Former: former}, nil
+}
+
 func (i introduction) status() (peer.Status, error) {
-	for _, text := range []string{i.Node, i.Address, i.Zone, i.Service, i.Upstream} {
+	for _, text := range []string{i.Node, i.Address, i.Zone, i.Service, i.Upstream, i.FormerUpstream, i.FormerService} {
 		if len(text) > maxText {
 			return peer.Status{}, errors.New("text is too long")
 		}
