--- /dev/null
+++ b/soak/operator_test.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/platform/standin"
+	"github.com/magnoliawharf/magnoliawharf/platform/wire"
+)
+
+const (
+	requestLimit = 1500 * time.Millisecond
+	objective    = 600 * time.Millisecond
+)
+
+// operator writes versions of the document. It is safe for concurrent use.
+type operator struct {
+	fleet *fleet
+
+	mu       sync.Mutex
+	document wire.Document
+}
+
+func newOperator(f *fleet) *operator {
+	route := func(name, kind, service string) wire.Route {
+		return wire.Route{
+			Host: host, PathPrefix: "/" + name + "/", Kind: kind, Service: service, TimeoutMs: requestLimit.Milliseconds(),
+			TargetLatencyMs: objective.Milliseconds(), Priority: 1, MaxAttempts: maxAttempts,
+		}
+	}
+	o := &operator{fleet: f, document: wire.Document{
+		Routes: map[string]wire.Route{
+			"browse":  route("browse", wire.KindIdempotent, services[0]),
+			"reserve": route("reserve", wire.KindNotIdempotent, services[1]),
+			"manual":  route("manual", wire.KindDownload, services[0]),
+			"moved":   route("moved", wire.KindIdempotent, services[0]),
+			"extra":   route("extra", wire.KindNotIdempotent, services[1]),
+		},
+		Services: make(map[string]wire.Service),
+		Limits:   wire.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+	}}
+	for _, name := range services {
+		o.document.Services[name] = wire.Service{HealthPath: standin.HealthPath, MaxConnections: 200}
+	}
+	return o
+}
+
+// publish writes the next version, with the changes to its routes.
+func (o *operator) publish(changes ...func(map[string]wire.Route)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := o.document
+	next.Version++
+	next.Routes = maps.Clone(next.Routes)
+	for _, change := range changes {
+		change(next.Routes)
+	}
+	p := published{document: next, sent: time.Now()}
+	if err := o.fleet.store.Publish(context.Background(), next); err != nil {
+		return // the store is away: nothing was written
+	}
+	p.acked = time.Now()
+	o.document = next
+	o.fleet.oracle.publishing(p)
+}
+
+// move sends the route "moved" to the other service.
+func move(routes map[string]wire.Route) {
+	r := routes["moved"]
+	if r.Service == services[0] {
+		r.Service = services[1]
+	} else {
+		r.Service = services[0]
+	}
+	routes["moved"] = r
+}
+
+// toggle adds or removes the route "extra".
+func toggle(routes map[string]wire.Route) {
+	if _, ok := routes["extra"]; ok {
+		delete(routes, "extra")
+		return
+	}
+	r := routes["reserve"]
+	r.PathPrefix = "/extra/"
+	routes["extra"] = r
+}
+
+// grow adds a route that nobody asks for.
+func grow(routes map[string]wire.Route) {
+	r := routes["browse"]
+	r.PathPrefix = fmt.Sprintf("/more-%d/", len(routes))
+	routes[r.PathPrefix] = r
+}
