--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -34,14 +32,6 @@
 	watchersPerZone = 2
 	rankEvery       = 500 * time.Millisecond
 	meetTime        = 400 * time.Millisecond
-	// watchGrace is the time for which a node that hears of a newer version from its zone waits for its own watch to bring
-	// it, and zoneGrace that for which it waits for its zone when it hears of it from another.
-	watchGrace = 100 * time.Millisecond
-	zoneGrace  = 400 * time.Millisecond
-	// fetchTimeout bounds the fetching of contracts from another node.
-	fetchTimeout = time.Second
-	// maxDocument bounds a document of contracts, in bytes.
-	maxDocument = 8 << 20
 )
 
 var (
@@ -184,62 +174,6 @@
 	}
 }
 
-// versionSeen fetches the contracts of a node that has newer ones, unless the store brings them first.
-func (s *Sidecar) versionSeen(version uint64, from netip.AddrPort) {
-	if version <= s.contracts.Version() || !s.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer s.fetching.Store(false)
-		switch {
-		case s.contracts.Load() == nil:
-		case s.roster.InZone(from):
-			time.Sleep(watchGrace)
-		default:
-			time.Sleep(zoneGrace)
-		}
-		address := s.roster.ForwardAddress(from)
-		if version <= s.contracts.Version() || address == "" {
-			return
-		}
-		document, err := s.fetch(address)
-		if err != nil {
-			s.Log.Warn("contracts not fetched", "peer", address, "version", version, "cause", err.Error())
-			return
-		}
-		s.adopt(document, address, "")
-	}()
-}
-
-func (s *Sidecar) fetch(address string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+contractsPath, nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := s.control.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
-	}
-	return io.ReadAll(io.LimitReader(response.Body, maxDocument))
-}
-
-// serveContracts gives the contracts in force to a node that lags.
-func (s *Sidecar) serveContracts(w http.ResponseWriter, _ *http.Request) {
-	current := s.contracts.Load()
-	if current == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(current.Source)
-}
-
 // enter writes the entry of this node and reads those of all others. It writes first, so that of two nodes that start
 // together at least one finds the other.
 func (s *Sidecar) enter(ctx context.Context, client *store.Client, id store.LeaseID) error {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,6 +82,7 @@
 	upstream  *upstreamconn.Client
 	control   *transport.ControlClient
 	fetching  atomic.Bool
+	packed    packedContracts
 	follows   atomic.Bool      // the store is reached
 	wake      chan struct{}    // has an entry when another node has reached the store again
 	stopping  atomic.Bool      // out of readiness
@@ -195,6 +196,9 @@
 // CallerAddr returns the bound address of the callers' listener.
 func (s *Sidecar) CallerAddr() string { return s.callers.Addr() }
 
+// PeerAddr returns the bound address of the listener for other nodes.
+func (s *Sidecar) PeerAddr() string { return s.peers.Addr() }
+
 // DatagramAddr returns the bound address of messages between nodes.
 func (s *Sidecar) DatagramAddr() netip.AddrPort { return s.socket.Addr() }
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -34,6 +34,7 @@
 type document struct {
 	Version uint64
 	Service string // of every request
+	Padding string
 }
 
 func decode(raw []byte) (*contract.Contracts, error) {
@@ -279,6 +280,25 @@
 	}
 }
 
+// Guards against a large document that fills the link of the node from which all others fetch it, and against one that
+// arrives changed.
+func TestContractsArePackedBetweenNodes(t *testing.T) {
+	s := &deafStore{Store: kvstore.NewMemory()}
+	publish(t, s, document{Version: 1, Service: "s", Padding: strings.Repeat("a route like many others ", 20_000)})
+	first := start(t, "n1", s)
+	eventually(t, "version 1", 5*time.Second, func() bool { return first.log.has("version=1") })
+	response, err := http.Get("http://" + first.PeerAddr() + "/contracts")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	packed, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, len(packed) < 20_000, "%d bytes", len(packed))
+	s.away.Store(true)
+	late := start(t, "n2", s)
+	first.Meet(late.DatagramAddr())
+	eventually(t, "version 1 from the other node", 3*time.Second, func() bool { return late.log.has("version=1") })
+}
+
 // Guards against a fleet that stops serving while the store is away, and against a node that was started again meanwhile
 // and finds neither contracts nor the others.
 func TestStoreAway(t *testing.T) {
