--- a/caller/answer.go
+++ b/caller/answer.go
@@ -1,6 +1,9 @@
 package caller
 
-import "io"
+import (
+	"io"
+	"time"
+)
 
 // Answer is the answer of an upstream on its way back to the caller. The reader of Body must close
 // it; a Read error other than io.EOF means that the answer is incomplete and must not be passed on
@@ -9,8 +12,9 @@
 	Status   int                 // HTTP status code
 	Header   map[string][]string // end-to-end header fields; canonical names
 	Body     io.ReadCloser
-	Length   int64  // bytes of Body, or -1 when unknown
-	Upstream string // ID of the instance that served the request
+	Length   int64         // bytes of Body, or -1 when unknown
+	Upstream string        // ID of the instance that served the request
+	Waited   time.Duration // for a slot of the upstream
 }
 
 // Statuses by which an upstream answers that it failed (RFC 9110, section 15.6).
--- a/caller/dialect.go
+++ b/caller/dialect.go
@@ -35,4 +35,5 @@
 	Objective time.Duration // time within which an answer has its full value, counted from the request's arrival
 
 	Repeatable bool // the request may run more than once
+	Long       bool // the answer is large: it shares the slots with shorter work
 }
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -28,6 +28,7 @@
 	Objective  time.Duration // time within which an answer has its full value
 	Priority   int           // 0 is served first
 	Attempts   int           // upstreams to which one request may be sent
+	Long       bool          // answers are large and hold a slot for as long as they are on their way
 	Parts      []Part
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,7 +156,7 @@
 	req.Attempt = number
 	req.Placement = &caller.Placement{
 		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream, Priority: c.route.Priority,
-		Objective: max(0, c.route.Objective-time.Since(c.began)), Repeatable: c.route.Rule == bundle.Idempotent,
+		Objective: max(0, c.route.Objective-time.Since(c.began)), Repeatable: c.route.Rule == bundle.Idempotent, Long: c.route.Long,
 	}
 	sent := time.Now()
 	answer, _, err := c.Forward.Forward(ctx, &req, instance.Record{
@@ -187,8 +187,9 @@
 		o.chosen.Observe(time.Now(), peer.Failed, o.took, work)
 	default:
 		c.offered++
-		o.chosen.Observe(time.Now(), peer.Served, o.took, work)
-		c.usual.add(o.took, o.answer.Length)
+		served := o.took - o.answer.Waited
+		o.chosen.Observe(time.Now(), peer.Served, served, work)
+		c.usual.add(served, o.answer.Length)
 	}
 	return o.answer, nil
 }
@@ -227,6 +228,7 @@
 		o.chosen.Observe(time.Now(), peer.Failed, o.took, usual)
 	case o.refusal.Reason == caller.UpstreamRejected:
 		c.offered++
+		o.chosen.Observe(time.Now(), peer.Failed, o.took, usual)
 	}
 }
 
@@ -234,6 +236,7 @@
 func (c *call) log(answer *caller.Answer, refusal *caller.Refusal) error {
 	attributes := []any{
 		"id", c.req.ID, "route", c.route.Name, "service", c.req.Service, "contracts", c.req.BundleVersion,
+		"priority", c.route.Priority, "objective_ms", c.route.Objective.Milliseconds(),
 		"peer", c.last.Status.Node, "upstream", c.last.Status.Upstream, "running", c.last.Load.Running, "waiting", c.last.Load.Waiting,
 		"limit", c.last.Load.Limit, "pace", c.last.Load.Pace, "load_age_ms", c.last.Age.Milliseconds(), "expected_ms", c.last.Cost.Milliseconds(),
 		"attempts", len(c.tried), "took_ms", time.Since(c.began).Milliseconds(), "left_ms", time.Until(c.req.Deadline).Milliseconds(),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -30,8 +32,9 @@
 type fleet struct {
 	mu       sync.Mutex
 	outcomes []outcome
-	sent     []string // node of each attempt
-	ran      int      // attempts that ran at an upstream
+	byNode   map[string]outcome // goes before outcomes
+	sent     []string           // node of each attempt
+	ran      int                // attempts that ran at an upstream
 }
 
 // outcome of one attempt.
@@ -40,12 +43,16 @@
 	status  int
 	body    io.Reader
 	after   time.Duration
-	ran     bool // whether the upstream ran the request, whatever came back
+	waited  time.Duration // of after, for a slot
+	ran     bool          // whether the upstream ran the request, whatever came back
 }
 
 func (f *fleet) Forward(ctx context.Context, _ *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error) {
 	f.mu.Lock()
-	next := f.outcomes[min(len(f.sent), len(f.outcomes)-1)]
+	next, ok := f.byNode[string(target.ID)]
+	if !ok {
+		next = f.outcomes[min(len(f.sent), len(f.outcomes)-1)]
+	}
 	f.sent = append(f.sent, string(target.ID))
 	if next.ran {
 		f.ran++
@@ -63,7 +70,7 @@
 	if body == nil {
 		body = strings.NewReader("ok")
 	}
-	return &caller.Answer{Status: next.status, Body: io.NopCloser(body), Length: -1}, nil, nil
+	return &caller.Answer{Status: next.status, Body: io.NopCloser(body), Length: -1, Waited: next.waited}, nil, nil
 }
 
 type silentSender struct{}
@@ -124,6 +131,45 @@
 
 var good = outcome{status: 200, ran: true}
 
+// Guards against requests that keep going to an upstream which looks idle and rejects them.
+func TestRejectingUpstreamIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{outcomes: []outcome{good}, byNode: map[string]outcome{"n0": refused(caller.UpstreamRejected)}}
+		e := newEntry(f, 2)
+		for range 40 {
+			_, _ = dispatch(t.Context(), e, routeOf(bundle.NotIdempotent, 1))
+		}
+		rejected := 0
+		for _, node := range f.sent {
+			if node == "n0" {
+				rejected++
+			}
+		}
+		assert.Assert(t, rejected <= 8, "%d of %d requests went to the upstream that rejects", rejected, len(f.sent))
+	})
+}
+
+// Guards against waits for a slot that count as work, so that a busy service looks slow in every zone.
+func TestWaitsAreNotWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{outcomes: []outcome{{status: 200, ran: true, after: 350 * time.Millisecond, waited: 300 * time.Millisecond}}}
+		e := newEntry(f, 1)
+		var log bytes.Buffer
+		e.Log = slog.New(slog.NewJSONHandler(&log, nil))
+		for range 100 {
+			log.Reset()
+			answer, refusal := dispatch(t.Context(), e, routeOf(bundle.NotIdempotent, 1))
+			assert.Assert(t, refusal == nil)
+			assert.NilError(t, answer.Body.Close())
+		}
+		var line struct {
+			Expected int `json:"expected_ms"`
+		}
+		assert.NilError(t, json.Unmarshal(log.Bytes(), &line))
+		assert.Assert(t, line.Expected < 250, "%d ms are expected, 50 of work", line.Expected)
+	})
+}
+
 // Guards against a request that is sent again although it may have run, that is given up although it has not, and
 // against a refusal that says not-run for one that may have.
 func TestAttemptsByOutcome(t *testing.T) {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -313,3 +313,32 @@
 		assert.Assert(t, !g.Status().Serving)
 	})
 }
+
+// Guards against short work that waits behind long answers.
+func TestLongAnswersLeaveSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &client{work: time.Second}
+		g := newGate(c)
+		announced := announcement("a", 10, 1)
+		announced.Slots = 4
+		assert.NilError(t, g.Announce(time.Now(), announced))
+		request := func(id, route string, long bool) {
+			answer, err := g.Serve(t.Context(), &caller.Request{
+				ID: id, Service: "s", Route: route, Body: caller.NewBody(nil, 0), Deadline: time.Now().Add(10 * time.Second),
+				Placement: &caller.Placement{Host: "h", Upstream: "a", Objective: 10 * time.Second, Long: long},
+			}, boot)
+			if assert.Check(t, err) {
+				_ = answer.Body.Close()
+			}
+		}
+		for range 6 {
+			go request("long", "download", true)
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, c.count(), 2)
+		began := time.Now()
+		request("short", "lookup", false)
+		assert.Equal(t, time.Since(began), time.Second)
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -17,6 +17,8 @@
 	serveStep = "gate"
 	// queuePerSlot is the number of requests of one priority that may wait, for each slot of the upstream.
 	queuePerSlot = 2
+	// longShare is the share of the slots that long answers may hold, so that short work finds one.
+	longShare = 0.7
 	// aging is the wait after which a request gains one step of priority.
 	aging = time.Second
 )
@@ -47,10 +49,12 @@
 	if refusal := g.check(req, boot); refusal != nil {
 		return nil, refusal
 	}
+	arrived := time.Now()
 	release, err := g.admission.Admit(ctx, g.ticket(req))
 	if err != nil {
 		return nil, err
 	}
+	waited := time.Since(arrived)
 	// The upstream may have changed while the request waited, and the caller may have gone.
 	addr, refusal := g.recheck(ctx, req, boot)
 	if refusal != nil {
@@ -68,7 +72,7 @@
 		return nil, err
 	}
 	g.answered(time.Now(), req.Placement.Upstream, answer)
-	answer.Upstream = g.options.Node
+	answer.Upstream, answer.Waited = g.options.Node, waited
 	answer.Body = inflight.OnClose(answer.Body, func() { release(); done() })
 	return answer, nil
 }
@@ -114,8 +118,8 @@
 	g.mu.Unlock()
 	return upstream.Ticket{
 		ID:       req.ID,
-		Class:    bundle.Class{Name: req.Route, Priority: req.Placement.Priority, MaxQueue: queuePerSlot * slots},
-		Rules:    upstream.Rules{Aging: aging},
+		Class:    bundle.Class{Name: req.Route, Priority: req.Placement.Priority, MaxQueue: queuePerSlot * slots, Long: req.Placement.Long},
+		Rules:    upstream.Rules{Aging: aging, LongShare: longShare},
 		Deadline: soonest(req.Deadline, time.Now().Add(req.Placement.Objective)),
 	}
 }
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -87,6 +87,9 @@
 	}
 	answer := transport.AnswerOf(response)
 	answer.Upstream = peer
+	if answer.Waited, err = decodeWaited(response.Header.Get(headerWaited)); err != nil {
+		answer.Waited = 0 // the answer counts without it
+	}
 	return answer, report, nil
 }
 
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -64,6 +64,9 @@
 		return
 	}
 	s.report(w, received)
+	if placement != nil && answer.Waited >= leastWaited {
+		w.Header().Set(headerWaited, encodeWaited(answer.Waited))
+	}
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -21,6 +21,8 @@
 	headerReport = "Magnoliawharf-Report"
 	// headerPlacement is only there when an entry node of package entry placed the request.
 	headerPlacement = "Magnoliawharf-Placement"
+	// headerWaited holds the time that a placed request waited for a slot, in microseconds. It is left out below leastWaited.
+	headerWaited = "Magnoliawharf-Waited"
 )
 
 // ForwardPrefix is the path prefix of forwarded requests on the nodes' listener.
@@ -32,6 +34,7 @@
 	maxSlots       = 1 << 16
 	maxTimeout     = 24 * time.Hour
 	hopMargin      = 2 * time.Millisecond // time kept back at each hop for the way of the answer
+	leastWaited    = time.Millisecond
 )
 
 // call is the metadata of a forwarded request. The deadline travels as time left, so that clocks
@@ -156,8 +159,19 @@
 	return report, r.err
 }
 
+func encodeWaited(waited time.Duration) string { return strconv.FormatInt(waited.Microseconds(), 10) }
+
+func decodeWaited(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	var r fieldReader
+	waited := r.microseconds(text)
+	return waited, r.err
+}
+
 // placementFields is the number of fields of a placement.
-const placementFields = 6
+const placementFields = 7
 
 // maxPriority bounds the priority of a request.
 const maxPriority = 1 << 16
@@ -170,11 +184,14 @@
 	}
 	out = strconv.AppendInt(out, int64(p.Priority), 10)
 	out = strconv.AppendInt(append(out, '&'), p.Objective.Microseconds(), 10)
-	repeatable := byte('0')
-	if p.Repeatable {
-		repeatable = '1'
+	return string(append(out, '&', flag(p.Repeatable), '&', flag(p.Long)))
+}
+
+func flag(set bool) byte {
+	if set {
+		return '1'
 	}
-	return string(append(out, '&', repeatable))
+	return '0'
 }
 
 // decodePlacement reads what encodePlacement wrote. An absent header is no placement.
@@ -190,7 +207,7 @@
 	p := &caller.Placement{
 		Host: r.text(fields[0], 1), Origin: r.text(fields[1], 0), Upstream: r.text(fields[2], 1),
 		Priority: int(r.number(fields[3], 10, maxPriority)), Objective: r.microseconds(fields[4]),
-		Repeatable: r.number(fields[5], 10, 1) == 1,
+		Repeatable: r.number(fields[5], 10, 1) == 1, Long: r.number(fields[6], 10, 1) == 1,
 	}
 	if r.err != nil {
 		return nil, fmt.Errorf("placement: %w", r.err)
--- a/transport/peerhttp/wire_test.go
+++ b/transport/peerhttp/wire_test.go
@@ -48,7 +48,7 @@
 
 // Guards against a placement that is lost between nodes, and against a malformed one that enters a decision.
 func TestPlacementMetadata(t *testing.T) {
-	placed := caller.Placement{Host: "a.example:80", Origin: "led&ger", Upstream: "i-1", Priority: 3, Objective: 400 * time.Millisecond, Repeatable: true}
+	placed := caller.Placement{Host: "a.example:80", Origin: "led&ger", Upstream: "i-1", Priority: 3, Objective: 400 * time.Millisecond, Long: true}
 	got, err := decodePlacement(encodePlacement(&placed))
 	assert.NilError(t, err)
 	assert.Equal(t, *got, placed)
