--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,8 @@
 	calmTime   = 2 * time.Second
 	// leastServed is the share of requests served in the calm time. The load is below half of the slots.
 	leastServed = 0.95
+	// runsAtOnce bounds the runs beside each other: each has six processes and eighteen callers.
+	runsAtOnce = 3
 )
 
 // route shortens the type in the tables of faults.
@@ -79,9 +81,12 @@
 	for i := range *seedCount {
 		seeds = append(seeds, from+uint64(i))
 	}
+	running := make(chan struct{}, runsAtOnce)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			runSeed(t, seed)
 		})
 	}
