--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -31,7 +31,7 @@
 	// is one of them, and meetTime the time after the start in which nodes learn of each other.
 	watchersPerZone = 2
 	rankEvery       = 500 * time.Millisecond
-	meetTime        = 400 * time.Millisecond
+	meetTime        = 100 * time.Millisecond
 )
 
 var (
