--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -89,12 +89,25 @@
 	return r
 }
 
-// send sends one request and reports what came of it.
+// send sends one request of a kind that is drawn.
 func (c *caller) send() {
 	r := c.draw()
-	// A body that cannot be had again keeps net/http from sending the request twice on its own.
 	body := bytes.Repeat([]byte{'a' + byte(c.sent%26)}, 1+c.random.IntN(2<<10))
+	c.deliver(r, body, c.random.Float64() < leaveShare)
+}
+
+// sendCrashing sends a request that crashes the back end which runs it: the same one for the same name.
+func (c *caller) sendCrashing(name string) {
+	c.deliver(&request{
+		id: fmt.Sprintf("%s-%d", name, c.index), route: "reserve", kind: wire.KindNotIdempotent, machine: c.target.index,
+		method: http.MethodPost, limit: requestLimit, uri: "/reserve/" + name + "?crash=1", crashes: name,
+	}, []byte(name), false)
+}
+
+// deliver sends a request and reports what came of it.
+func (c *caller) deliver(r *request, body []byte, leaves bool) {
 	r.bodySum = xxhash.Sum64(body)
+	// A body that cannot be had again keeps net/http from sending the request twice on its own.
 	out, err := http.NewRequest(r.method, "http://"+c.target.address(callersPort)+r.uri, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		c.fleet.t.Error(err)
@@ -105,7 +118,6 @@
 	out.Header.Set(wire.RequestIDField, r.id)
 	out.Header.Set(wire.TimeLimitField, strconv.FormatInt(r.limit.Milliseconds(), 10))
 	patience := r.limit + answerWait
-	leaves := c.random.Float64() < leaveShare
 	if leaves {
 		patience = time.Duration(c.random.Int64N(int64(mostWork)))
 	}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -119,3 +119,39 @@
 		o.breakf("CONFIG: %s got 404 though every version that may be in force has route %s", r.id, r.route)
 	}
 }
+
+// crash is the run of a request that crashes back ends.
+type crash struct {
+	at      time.Time
+	inTouch bool // the node that sent it and the one that passed it on were
+}
+
+// checkCrashes checks that a request which has crashed some back ends is kept away from the others by nodes in touch. Nodes that
+// are all killed at the same time have to learn it again.
+func (o *oracle) checkCrashes() {
+	runs := make(map[string][]crash)
+	for _, r := range o.requests {
+		for _, a := range r.arrivals {
+			if a.Ran && r.crashes != "" {
+				undisturbed := o.inTouch(r.machine, r.sent, a.At) && o.inTouch(machineOf(a.Instance), r.sent, a.At)
+				runs[r.crashes] = append(runs[r.crashes], crash{a.At, undisturbed})
+			}
+		}
+	}
+	for name, seen := range runs {
+		if len(seen) < crashesToLearn {
+			continue
+		}
+		slices.SortFunc(seen, func(a, b crash) int { return a.at.Compare(b.at) })
+		known := seen[crashesToLearn-1].at.Add(contact)
+		later := 0
+		for _, c := range seen {
+			if c.inTouch && c.at.After(known) {
+				later++
+			}
+		}
+		if later > crashesAfter {
+			o.breakf("BUDGET: %s has crashed %d back ends, %d of them %v after the third", name, len(seen), later, contact)
+		}
+	}
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -21,6 +21,12 @@
 	mostGap     = 1 * time.Second // between two of a series
 	leastFault  = 200 * time.Millisecond
 	mostFault   = 3500 * time.Millisecond
+	// A request that crashes back ends is sent crashingSends times, crashingGap apart, at any machine.
+	crashingSends = 20
+	crashingGap   = 350 * time.Millisecond
+	// crashingShare is the share of runs with such a request, and apartStream the random numbers of kinds that came later.
+	crashingShare = 0.4
+	apartStream   = 1 << 20
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.5
 )
@@ -91,6 +97,16 @@
 	}},
 }
 
+// crashing sends a request that crashes each back end which runs it, again and again and at any machine.
+var crashing = fault{"crashing request", func(f *fleet, _ *machine, _ time.Duration, draw uint64) {
+	random := rand.New(rand.NewPCG(draw, 0))
+	for range crashingSends {
+		c := newCaller(f, int(f.crashing.Add(1)), f.machines[random.IntN(machineCount)], random)
+		go c.sendCrashing(fmt.Sprintf("crash-%d", draw))
+		time.Sleep(crashingGap)
+	}
+}}
+
 // forAll runs step at some machines at the same time, at all of them for every third draw.
 func (f *fleet) forAll(draw uint64, step func(*machine)) {
 	var done sync.WaitGroup
@@ -128,8 +144,9 @@
 	return fmt.Sprintf("%v %s m%d for %v, %d times, draw %d", p.at.Round(time.Millisecond), p.fault.name, p.machine, p.lasting.Round(time.Millisecond), p.series, p.draw)
 }
 
-// plan draws the faults of a run.
-func plan(random *rand.Rand, length time.Duration) []planned {
+// plan draws the faults of a run. Kinds that came later are drawn apart, so that older seeds keep their plans.
+func plan(seed uint64, length time.Duration) []planned {
+	random := rand.New(rand.NewPCG(seed, 0))
 	var drawn []planned
 	for range int(length.Seconds() * faultsPerSecond) {
 		p := planned{
@@ -142,6 +159,11 @@
 		}
 		drawn = append(drawn, p)
 	}
+	if apart := rand.New(rand.NewPCG(seed, apartStream)); apart.Float64() < crashingShare {
+		drawn = append(drawn, planned{
+			fault: crashing, at: time.Duration(apart.Int64N(int64(length))), series: 1, draw: apart.Uint64(),
+		})
+	}
 	slices.SortFunc(drawn, func(a, b planned) int { return int(a.at - b.at) })
 	return drawn
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -34,7 +34,9 @@
 	// reuseAfter is the least time after which another service's back end may start at an address.
 	reuseAfter = 2 * time.Second
 	readyLimit = 20 * time.Second
-	host       = "shop.example"
+	// crashTime is the time from the crash of a back end by a request to its next start.
+	crashTime = time.Second
+	host      = "shop.example"
 	// retryRatio and retryAllowance are the operator's bounds of retries. A reload may lower the ratio.
 	retryRatio     = 0.2
 	retryAllowance = 60
@@ -73,6 +75,7 @@
 	server   *http.Server
 	machines []*machine
 	operator *operator
+	crashing atomic.Int64 // requests sent that crash back ends
 }
 
 // machine is one node, the back end beside it, and the proxies on their links.
@@ -269,6 +272,7 @@
 	b, err := standin.StartBackend(standin.BackendOptions{
 		ID: fmt.Sprintf("m%d-%d", m.index, m.started), Service: service, Listen: m.address(backendPort), Announced: m.address(backendProxyPort),
 		Registration: m.address(registrationPort), AnnounceEvery: announceEvery, Slots: slots, Seen: m.fleet.oracle.arrived,
+		Crashed: func() { m.crash(crashTime, service) },
 	})
 	if err != nil {
 		m.fleet.t.Errorf("back end on m%d: %v", m.index, err)
@@ -295,7 +299,7 @@
 	m.backend.Crash()
 	time.Sleep(down)
 	m.startBackend(service)
-	m.fleet.oracle.disturb(m.index, span{from, time.Now()})
+	m.fleet.oracle.fails(m.index, span{from, time.Now()})
 }
 
 // replace drains the back end, ends it, and starts another one.
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -20,6 +20,9 @@
 	leftSlack    = 500 * time.Millisecond // of the time told to a back end
 	goneTime     = 500 * time.Millisecond // after a caller has left
 	budgetWindow = 10 * time.Second       // of the retry budget
+	// A request that has crashed crashesToLearn back ends may reach crashesAfter later than contact after it.
+	crashesToLearn = 3
+	crashesAfter   = 3
 )
 
 // request is one request of a caller, as the caller saw it.
@@ -37,6 +40,7 @@
 	seal                   string
 	body                   []byte
 	err                    error
+	crashes                string // name of the request that crashes back ends, "" for all others
 	arrivals               []standin.Arrival
 }
 
@@ -227,6 +231,7 @@
 		o.checkContracts(r)
 	}
 	o.checkRetries()
+	o.checkCrashes()
 	return o.broken
 }
 
@@ -237,7 +242,7 @@
 	served := 0
 	inForce := o.versions[len(o.versions)-1].document.Routes
 	for _, r := range o.requests {
-		if _, ok := inForce[r.route]; !ok || r.sent.Before(s.from) || r.sent.After(s.to) || !r.left.IsZero() {
+		if _, ok := inForce[r.route]; !ok || r.crashes != "" || r.sent.Before(s.from) || r.sent.After(s.to) || !r.left.IsZero() {
 			continue
 		}
 		count++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,8 +95,7 @@
 func runSeed(t *testing.T, seed uint64) {
 	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
-	random := rand.New(rand.NewPCG(seed, 0))
-	drawn := plan(random, *faultTime)
+	drawn := plan(seed, *faultTime)
 
 	done := make(chan struct{})
 	defer close(done)
