--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"os"
 	"os/exec"
 	"sync"
@@ -23,21 +22,10 @@
 
 // TestMain builds the binary once for all tests.
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "magnoliawharf-e2e-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(folder)
-	if binary, err = process.Build("..", folder); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(process.Main("..", func(path string) int {
+		binary = path
+		return m.Run()
+	}))
 }
 
 // systemProcess is one process of the system under test. Its log is its standard error.
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -28,7 +28,7 @@
 	answerWait = 4 * time.Second
 )
 
-// kindOf holds the routes that callers ask for, by weight.
+// asked lists the routes that callers ask for, by weight.
 var asked = []struct {
 	route, kind string
 	weight      int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,21 +41,10 @@
 
 // TestMain builds the binary once for all runs.
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "magnoliawharf-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(folder)
-	if binary, err = process.Build("..", folder); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(process.Main("..", func(path string) int {
+		binary = path
+		return m.Run()
+	}))
 }
 
 // regressions are seeds that have failed, each with its cause.
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -21,6 +21,22 @@
 	return binary, nil
 }
 
+// Main builds the binary of the module at root, calls run with its path, and returns the exit code that a TestMain ends with.
+func Main(root string, run func(binary string) int) int {
+	folder, err := os.MkdirTemp("", "magnoliawharf-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	binary, err := Build(root, folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return run(binary)
+}
+
 // Options say how a process is started. Stdout and Stderr may be nil.
 type Options struct {
 	Name   string
