--- a/cli/sidecar_internal_test.go
+++ b/cli/sidecar_internal_test.go
@@ -3,10 +3,12 @@
 import (
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 )
 
@@ -23,3 +25,20 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against a SIGHUP that ends a process which is still reading its settings. The test process ends when the signal is not
+// held.
+func TestSignalDuringTheStartIsHeld(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "node.toml")
+	assert.NilError(t, syscall.Mkfifo(file, 0o600)) // reading it waits for a writer
+	ended := make(chan error, 1)
+	go func() { ended <- runSidecar(&cobra.Command{}, file) }()
+	writer, err := os.OpenFile(file, os.O_WRONLY, 0) // returns when the settings are being read
+	assert.NilError(t, err)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+	_, err = writer.WriteString("wrong = 1\n")
+	assert.NilError(t, err)
+	assert.NilError(t, writer.Close())
+	assert.ErrorContains(t, <-ended, "wrong")
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,8 +52,8 @@
 	seed  uint64
 	cause string
 }{
-	{101, "a SIGHUP during the start ended the process"},
-	{107, "a gate sent a request again that its upstream had worked on, and paid no retry"},
+	{101, "a SIGHUP during the start ended the process; now a test of cli guards it, since signals go to nodes that listen"},
+	{107, "a gate sent a request again that its upstream had worked on, and paid no retry; now a test of upstreamconn guards it"},
 	{205, "a node that was started again took the upstream beside it for one of its settings' service"},
 }
 
