idempotency: ask again while the settlement of an answered call may be on its way

Callers saw 409 key-in-progress for the second call with a key whose first call was answered (e2e TestEndToEnd, 3 of 63 runs beside load).

Cause: the entry node settles a key in the background, so that a resend at another node can claim it at the owner before the settlement is there. The owner cannot tell such a key from one whose call still runs.

Change: a claim that finds the key held asks again for up to 0.25 s before it is refused. A call that runs longer is refused as before, a quarter of a second later.

TestResendThatOvertakesTheSettlement fails without the change (verdict InProgress instead of Done, settlement delayed by 150 ms) and passes with it; TestResendDuringACallIsRefusedSoon bounds the wait. go test ./idempotency ./node pass.

--- a/idempotency/client.go
+++ b/idempotency/client.go
@@ -21,6 +21,8 @@
 	claimMessageTimeout = 300 * time.Millisecond
 	// claimTotalTimeout bounds the time spent on claiming one key.
 	claimTotalTimeout = 1500 * time.Millisecond
+	// settleDelay is how long the settlement of an answered call may take to reach the owner of its key.
+	settleDelay = 250 * time.Millisecond
 	// minLoadInterval is the shortest time between two reads of one service's record by an entry node.
 	minLoadInterval = 2 * time.Second
 	// minVerifyInterval is the shortest time between two rounds of queries to a group's other members.
@@ -64,15 +66,18 @@
 }
 
 // Claim asks the owner of the key for the right to run it, until ctx ends or claimTotalTimeout has
-// passed. A verdict of 0 means that none was received: the claim may have been granted and the reply
+// passed. While another attempt holds the key it asks again for settleDelay, since that attempt may have been answered and
+// its settlement may be on the way. A verdict of 0 means that none was received: the claim may have been granted and the reply
 // lost, so the caller must not run the request and should settle the attempt as not run.
 func (c *Client) Claim(ctx context.Context, service string, key Key, attempt Attempt, deadline time.Time) (Verdict, *Answer) {
 	ctx, cancel := context.WithTimeout(ctx, claimTotalTimeout)
 	defer cancel()
 	pause, replyLost := claimBackoff, false
+	settledBy := time.Now().Add(settleDelay)
 	for {
 		reply, err := c.claimOnce(ctx, service, key, attempt, deadline)
 		switch {
+		case err == nil && reply.Verdict == InProgress && time.Now().Before(settledBy):
 		case err == nil && reply.Verdict < NotOwner:
 			return reply.Verdict, reply.Answer
 		case err == nil && reply.Verdict == NotOwner && c.cacheIfNewer(service, reply.Group):
--- a/idempotency/client_test.go
+++ b/idempotency/client_test.go
@@ -18,6 +18,7 @@
 	*inProcessPeers
 	loseClaims, loseReplies int // number of the next claims that are lost before, or after they took effect
 	loseSettles             int
+	delaySettles            time.Duration // before each settlement is sent
 }
 
 var errLost = errors.New("lost")
@@ -36,6 +37,7 @@
 }
 
 func (p *lossyPeers) Settle(ctx context.Context, to Member, r SettleRequest) (SettleReply, error) {
+	time.Sleep(p.delaySettles)
 	reply, err := p.inProcessPeers.Settle(ctx, to, r)
 	if p.loseSettles > 0 {
 		p.loseSettles--
@@ -86,6 +88,43 @@
 	}
 }
 
+// Guards against a resend that is refused as in progress although its first call was answered: the settlement is sent in the
+// background and may reach the owner of the key after the claim of the resend.
+func TestResendThatOvertakesTheSettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(3)
+		defer f.stop()
+		time.Sleep(15 * time.Second)
+		slow := &lossyPeers{inProcessPeers: f.network, delaySettles: 150 * time.Millisecond}
+		first, resend := NewClient(nil, f.store, slow), NewClient(nil, f.store, f.network)
+		key, attempt, deadline := newKey(time.Now(), 1), NewAttempt(), time.Now().Add(time.Minute)
+		verdict, _ := first.Claim(context.Background(), "s", key, attempt, deadline)
+		assert.Equal(t, verdict, Granted)
+		assert.Assert(t, first.Settle("s", key, attempt, OutcomeDone, &Answer{Status: 200, Body: []byte("stored")}))
+		verdict, stored := resend.Claim(context.Background(), "s", key, NewAttempt(), deadline)
+		first.Drain(context.Background())
+		assert.Equal(t, verdict, Done)
+		assert.Equal(t, string(stored.Body), "stored")
+	})
+}
+
+// Guards against a resend that waits for the end of a long call instead of being told that the call is in progress.
+func TestResendDuringACallIsRefusedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(3)
+		defer f.stop()
+		time.Sleep(15 * time.Second)
+		client := NewClient(nil, f.store, f.network)
+		key, deadline := newKey(time.Now(), 1), time.Now().Add(time.Minute)
+		verdict, _ := client.Claim(context.Background(), "s", key, NewAttempt(), deadline)
+		assert.Equal(t, verdict, Granted)
+		started := time.Now()
+		verdict, _ = client.Claim(context.Background(), "s", key, NewAttempt(), deadline)
+		assert.Equal(t, verdict, InProgress)
+		assert.Assert(t, time.Since(started) <= 500*time.Millisecond, "%v", time.Since(started))
+	})
+}
+
 // Guards against an entry node that reads the store for each call while a service has no group, or
 // that waits beyond claimTotalTimeout or its caller.
 func TestClientWithoutGroup(t *testing.T) {
