Fetch contracts from other nodes over a connection of its own

Callers saw requests handled by an older version more than 2 s after the acknowledgement of a newer one, some seconds after connections between nodes had gone silent without a reset.

Cause: a node that learns of a newer version fetches it from another node over a connection that an earlier fetch left open, for up to 90 s. When that connection has gone silent, only the fetch shows it, by its timeout of 1 s. The next attempt may meet another silent connection.

Fix: fetches use a client that opens a connection for each request, so that a version is not delayed by what happened to earlier connections. Versions are rare, and a connection costs a round trip.

--- a/sidecar/exchange.go
+++ b/sidecar/exchange.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := s.control.Do(request)
+	response, err := s.fetchClient.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -83,7 +83,7 @@
 	suspects       *quarantine.List
 	remote         *peerhttp.Client
 	upstream       *upstreamconn.Client
-	control        *transport.ControlClient
+	fetchClient    *http.Client // fetches contracts from other nodes
 	fetching       atomic.Bool
 	compressed     compressedContracts
 	storeReachable atomic.Bool      // whether this node reaches the store
@@ -104,7 +104,7 @@
 	s.retries.Store(&s.Settings.Retries)
 	s.remote = peerhttp.NewClient(instance.ID(s.Settings.Node), nil)
 	s.upstream = upstreamconn.NewClient(s.Platform.Dialect)
-	s.control = transport.NewControlClient()
+	s.fetchClient = transport.NewSingleUseClient()
 	if err := s.listen(); err != nil {
 		return err
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -130,6 +130,21 @@
 
 // startMachine starts a node of the service "s" with an upstream that answers with the node's name after ?work=DURATION.
 func startMachine(t *testing.T, name string, s store.Store) *machine {
+	t.Helper()
+	return startConfiguredMachine(t, name, s, func(*sidecar.Settings) {})
+}
+
+// startMachineBehind starts a node whose peers' listener the other nodes reach through the proxy.
+func startMachineBehind(t *testing.T, p *silentProxy, name string, s store.Store) *machine {
+	t.Helper()
+	m := startConfiguredMachine(t, name, s, func(loaded *sidecar.Settings) { loaded.Listen.Advertised = p.addr() })
+	target := m.PeerAddr()
+	p.target.Store(&target)
+	return m
+}
+
+// startConfiguredMachine is startMachine with changed settings.
+func startConfiguredMachine(t *testing.T, name string, s store.Store, change func(*sidecar.Settings)) *machine {
 	t.Helper()
 	m := &machine{log: &lockedLog{}, ended: make(chan error, 1), reload: make(chan struct{})}
 	level := new(slog.LevelVar)
@@ -153,6 +168,7 @@
 	anyPort := "127.0.0.1:0"
 	loaded.Listen = sidecar.Listen{Callers: anyPort, Peers: anyPort, Datagrams: anyPort, Registration: anyPort, Ready: anyPort, Metrics: anyPort}
 	loaded.Runtime.Grace = settings.Duration(6 * time.Second)
+	change(&loaded)
 	m.Sidecar = &sidecar.Sidecar{
 		Settings: loaded, Log: slog.New(slog.NewTextHandler(m.log, &slog.HandlerOptions{Level: level})), LogLevel: level,
 		Platform: sidecar.Platform{
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -75,6 +75,5 @@
 	}
 	s.remote.Close()
 	s.upstream.Close()
-	s.control.Close()
 	return err
 }
--- a/transport/control.go
+++ b/transport/control.go
@@ -30,5 +30,15 @@
 	return &ControlClient{Client: http.Client{Transport: pool}, pool: pool}
 }
 
+// NewSingleUseClient returns a client that opens a connection for each request and closes it afterwards. It suits rare
+// requests that must not be late: a connection kept since the previous request may have gone silent without an error, and
+// only a timeout of the next request on it would show that.
+func NewSingleUseClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
+		DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize,
+	}}
+}
+
 // Close closes the idle connections.
 func (c *ControlClient) Close() { c.pool.CloseIdleConnections() }
