Fetch contracts from another node when a fetch receives nothing

Callers of a node may get answers by an older version for more than 2 s after the acknowledgement of a newer one, when a node that reports the newer version takes part in datagrams but does not answer over TCP.

Cause: a node fetches a version from the node whose report came first, waits a second for it, and ignores the reports of all other nodes in the meantime. The next report may come from the same node.

Fix: the nodes that report a newer version are collected. When a fetch has received nothing for 250 ms, the version is fetched from another of them as well. A slow fetch that makes progress is left alone, so that a slow link does not carry the document twice.

--- a/sidecar/fetch_test.go
+++ b/sidecar/fetch_test.go
@@ -59,3 +59,13 @@
 	}
 	publishUntilIn(t, s, version+1, m, convergence/2)
 }
+
+// Guards against a new version that is late because one of the nodes that report it doesn't answer fetches.
+func TestOneSilentNodeDoesNotDelayAVersion(t *testing.T) {
+	s := kvstore.NewMemory()
+	proxies, m := startFetchingMachine(t, s)
+	proxies[0].silenceAll()
+	for version := uint64(2); version < 10; version++ {
+		publishUntilIn(t, s, version, m, convergence/2)
+	}
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -172,7 +172,8 @@
 	if s.contracts.Adopt(decoded) {
 		adoptedTotal.Inc()
 		s.Log.Info("contracts adopted", "version", decoded.Version, "before", before, "routes", len(decoded.Routes),
-			"services", len(decoded.Services), "from", from, "revision", revision)
+			"services", len(decoded.Services), "from", from, "revision", revision,
+			"reported_ms", s.reports.age().Milliseconds())
 	}
 }
 
--- a/sidecar/proxy_test.go
+++ b/sidecar/proxy_test.go
@@ -16,8 +16,9 @@
 	listener net.Listener
 	target   atomic.Pointer[string]
 
-	mu       sync.Mutex
-	silenced chan struct{} // closed when the connections accepted so far go silent
+	mu         sync.Mutex
+	silenced   chan struct{} // closed when the connections accepted so far go silent
+	refusesNew bool          // connections accepted from now on are silent from the start
 }
 
 func newSilentProxy(t *testing.T) *silentProxy {
@@ -40,6 +41,14 @@
 	p.silenced = make(chan struct{})
 }
 
+// silenceAll makes all open connections and all later ones silent.
+func (p *silentProxy) silenceAll() {
+	p.silenceOpen()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusesNew = true
+}
+
 func (p *silentProxy) serve() {
 	for {
 		conn, err := p.listener.Accept()
@@ -47,8 +56,11 @@
 			return
 		}
 		p.mu.Lock()
-		silenced := p.silenced
+		silenced, refuse := p.silenced, p.refusesNew
 		p.mu.Unlock()
+		if refuse {
+			continue // the connection stays open without an answer
+		}
 		go p.forward(conn, silenced)
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -84,7 +84,7 @@
 	remote         *peerhttp.Client
 	upstream       *upstreamconn.Client
 	fetchClient    *http.Client // fetches contracts from other nodes
-	fetching       atomic.Bool
+	reports        versionReports
 	compressed     compressedContracts
 	storeReachable atomic.Bool      // whether this node reaches the store
 	retryStore     chan struct{}    // signals that another node reaches the store again; capacity 1
