Read the contracts from the store when no peer answers a fetch

Callers of a node may get answers by an older version for as long as no node that reports the newer one answers the node over TCP, although the node reaches the store.

Cause: a node that is not one of the watchers of its zone has no other source of contracts than its peers. It counts as in touch while it reaches the store.

Fix: the third attempt to fetch a reported version, and each third one after it, reads the store. It comes about half a second after the first, and costs the store one or two reads a second for each node whose peers are silent. The delay after a failed attempt is 200 ms, which keeps that rate when peers refuse connections.

--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -24,7 +24,10 @@
 	// fetchStallTimeout is the time without any byte after which the contracts are fetched from another node as well.
 	fetchStallTimeout = 250 * time.Millisecond
 	// fetchRetryDelay is the delay after a fetch that failed.
-	fetchRetryDelay = 50 * time.Millisecond
+	fetchRetryDelay = 200 * time.Millisecond
+	// storeAttempt makes every third attempt a read from the store: it does not depend on other nodes, but when the paths
+	// between nodes are slow, all nodes that lack a version read it.
+	storeAttempt = 3
 	// fetchTimeout bounds the attempts that one report of a newer version starts; the next report starts over.
 	fetchTimeout = 2 * time.Second
 )
@@ -34,6 +37,9 @@
 	fetchFailedTotal  = metrics.Counter(`magnoliawharf_sidecar_contracts_fetch_failures_total{reason="failed"}`)
 )
 
+// storeSource names the store as the source of contracts.
+const storeSource = "store"
+
 var errUnknownAddress = errors.New("the node has not reported its address")
 
 // versionReports holds the nodes that have reported a newer version of the contracts than the current one. It is safe for
@@ -132,27 +138,54 @@
 	return otherZoneFetchDelay
 }
 
-// fetchReported fetches the contracts until no node has reported a newer version than the current one. While no fetch
-// receives anything for fetchStallTimeout it starts another one, so that a silent node costs little of the time within which a
-// version must be in force.
+// fetchReported fetches the contracts until no node has reported a newer version than the current one. While no attempt
+// receives anything for fetchStallTimeout it starts another one, so that a silent source costs little of the time within which
+// a version must be in force.
 func (s *Sidecar) fetchReported() {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	attempts := fetchAttempts{progress: make(chan struct{}, 1), done: make(chan error)}
-	for ctx.Err() == nil {
-		node, version, ok := s.reports.choose(s.contracts.Version(), s.roster.InZone)
+	for number := 1; ctx.Err() == nil; number++ {
+		source, version, ok := s.chooseFetchSource(number)
 		if !ok {
 			return
 		}
-		address := s.roster.ForwardAddress(node)
-		go func() { attempts.finish(ctx, s.fetchFromPeer(ctx, address, version, attempts.progress)) }()
+		go func() { attempts.finish(ctx, s.fetchFrom(ctx, source, version, attempts.progress)) }()
 		if stalled := attempts.wait(ctx); stalled {
 			fetchStalledTotal.Inc()
-			s.Log.Warn("fetch of contracts stalled", "peer", address, "version", version, "in_force", s.contracts.Version())
+			s.Log.Warn("fetch of contracts stalled", "from", source, "version", version, "in_force", s.contracts.Version())
 		}
 	}
 }
 
+// chooseFetchSource returns the source of one attempt, counted from 1, and the version that it has reported. It returns false
+// when no node has reported a newer version than the current one.
+func (s *Sidecar) chooseFetchSource(attempt int) (source string, version uint64, ok bool) {
+	node, version, ok := s.reports.choose(s.contracts.Version(), s.roster.InZone)
+	if attempt%storeAttempt == 0 {
+		return storeSource, version, ok
+	}
+	return s.roster.ForwardAddress(node), version, ok
+}
+
+// fetchFrom fetches the contracts from a source that has the version, and adopts them.
+func (s *Sidecar) fetchFrom(ctx context.Context, source string, version uint64, progress chan<- struct{}) error {
+	var err error
+	if source == storeSource {
+		err = s.readContracts(ctx)
+	} else {
+		err = s.fetchFromPeer(ctx, source, progress)
+	}
+	if err == nil && s.contracts.Version() < version {
+		err = fmt.Errorf("the document does not hold version %d", version)
+	}
+	if err != nil && ctx.Err() == nil {
+		fetchFailedTotal.Inc()
+		s.Log.Warn("cannot fetch contracts", "from", source, "version", version, "cause", err.Error())
+	}
+	return err
+}
+
 // fetchAttempts tracks concurrent attempts to fetch the contracts.
 type fetchAttempts struct {
 	progress chan struct{} // an attempt has received something; capacity 1
@@ -189,39 +222,29 @@
 	}
 }
 
-// fetchFromPeer fetches the contracts from another node, which has reported the version, and adopts them.
-func (s *Sidecar) fetchFromPeer(ctx context.Context, address string, version uint64, progress chan<- struct{}) error {
-	document, err := s.fetchContracts(ctx, address, progress)
-	if err == nil {
-		s.adopt(document, address, "")
-		if s.contracts.Version() < version {
-			err = fmt.Errorf("the document does not hold version %d", version)
-		}
-	}
-	if err != nil && ctx.Err() == nil {
-		fetchFailedTotal.Inc()
-		s.Log.Warn("cannot fetch contracts from peer", "peer", address, "version", version, "cause", err.Error())
-	}
-	return err
-}
-
-func (s *Sidecar) fetchContracts(ctx context.Context, address string, progress chan<- struct{}) ([]byte, error) {
+// fetchFromPeer fetches the contracts from the node at the address and adopts them.
+func (s *Sidecar) fetchFromPeer(ctx context.Context, address string, progress chan<- struct{}) error {
 	if address == "" {
-		return nil, errUnknownAddress
+		return errUnknownAddress
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+contractsPath, nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	response, err := s.fetchClient.Do(request)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	document, err := decompress(progressReader{response.Body, progress})
+	if err != nil {
+		return err
 	}
-	return decompress(progressReader{response.Body, progress})
+	s.adopt(document, address, "")
+	return nil
 }
 
 // progressReader signals on progress, without blocking, that it has read something.
--- a/sidecar/fetch_test.go
+++ b/sidecar/fetch_test.go
@@ -69,3 +69,14 @@
 		publishUntilIn(t, s, version, m, convergence/2)
 	}
 }
+
+// Guards against a node that keeps old contracts although it reaches the store, because no node that reports the new version
+// answers its fetches.
+func TestNodeReadsTheStoreWhenNoPeerAnswers(t *testing.T) {
+	s := kvstore.NewMemory()
+	proxies, m := startFetchingMachine(t, s)
+	for _, p := range proxies {
+		p.silenceAll()
+	}
+	publishUntilIn(t, s, 2, m, convergence)
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -42,8 +42,7 @@
 
 // startStoreSync starts the goroutines that keep the contracts and the known nodes in step with the store until ctx ends.
 func (s *Sidecar) startStoreSync(ctx context.Context) {
-	client := store.NewClient(s.Platform.Store, 0, 0)
-	client.MaxRetryDelay, client.Log, client.OnReachable = maxWatchRetryDelay, s.Log, s.setStoreReachable
+	client := s.storeClient
 	s.storeReachable.Store(true) // until a call fails
 	go s.watchContracts(ctx, client)
 	session := store.NewSession(client, nodeKeyTTL)
@@ -55,6 +54,12 @@
 	go s.pollContracts(ctx, client)
 }
 
+func (s *Sidecar) newStoreClient() *store.Client {
+	client := store.NewClient(s.Platform.Store, 0, 0)
+	client.MaxRetryDelay, client.Log, client.OnReachable = maxWatchRetryDelay, s.Log, s.setStoreReachable
+	return client
+}
+
 // watchContracts watches the contracts, while this node is one of the watchers of its zone, until ctx ends. The other nodes
 // learn of a newer version from the watchers: a watch at each node would cost the store a call for each node and change.
 func (s *Sidecar) watchContracts(ctx context.Context, client *store.Client) {
@@ -66,7 +71,9 @@
 		if s.roster.RankInZone() >= watchersPerZone {
 			if s.contracts.Load() == nil && time.Since(lastRead) > initialReadInterval {
 				lastRead = time.Now()
-				s.readInitialContracts(ctx, client)
+				if err := s.readContracts(ctx); err != nil {
+					s.Log.Warn("cannot read contracts", "cause", err.Error())
+				}
 			}
 			wait.For(ctx, rankInterval)
 			continue
@@ -91,14 +98,14 @@
 	}
 }
 
-// readInitialContracts reads the contracts from the store once, for a node that has none yet.
-func (s *Sidecar) readInitialContracts(ctx context.Context, client *store.Client) {
-	entries, err := client.List(ctx, s.Platform.ContractsPrefix)
+// readContracts reads the contracts from the store once, for a node that has no other source of them.
+func (s *Sidecar) readContracts(ctx context.Context) error {
+	entries, err := s.storeClient.List(ctx, s.Platform.ContractsPrefix)
 	if err != nil {
-		s.Log.Warn("cannot read contracts", "cause", err.Error())
-		return
+		return err
 	}
 	s.applyEntries(entries)
+	return nil
 }
 
 // peerReachedStore ends the session's back-off early, because another node has reached the store again.
@@ -155,7 +162,7 @@
 func (s *Sidecar) applyEntries(entries []store.Entry) {
 	for _, e := range entries {
 		if e.Key == s.Platform.ContractsKey {
-			s.adopt(e.Value, "store", fmt.Sprint(e.Revision))
+			s.adopt(e.Value, storeSource, fmt.Sprint(e.Revision))
 		}
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -86,6 +86,7 @@
 	fetchClient    *http.Client // fetches contracts from other nodes
 	reports        versionReports
 	compressed     compressedContracts
+	storeClient    *store.Client
 	storeReachable atomic.Bool      // whether this node reaches the store
 	retryStore     chan struct{}    // signals that another node reaches the store again; capacity 1
 	stopping       atomic.Bool      // the readiness probe fails
@@ -104,6 +105,7 @@
 	s.retries.Store(&s.Settings.Retries)
 	s.remote = peerhttp.NewClient(instance.ID(s.Settings.Node), nil)
 	s.upstream = upstreamconn.NewClient(s.Platform.Dialect)
+	s.storeClient = s.newStoreClient()
 	s.fetchClient = transport.NewSingleUseClient()
 	if err := s.listen(); err != nil {
 		return err
