sockopt: make one dialer for kept connections, used for the store and the upstream

Callers saw requests wait for their deadline on connections that no longer carried packets. Only connections to the store had keepalive probes that find this within seconds; connections to the upstream beside the node had a bound on unacknowledged data alone, and Go's default probes of 15 s.

sockopt.Dialer sets both, so that the settings stand in one place. sockopt.SetUserTimeout changes the bound of an open connection, which a long body needs: the kernel counts a full receive window as unacknowledged although the peer answers its probes (seen on loopback with a peer that does not read).

TestDialedConnectionIsProbed reads the options back from the dialled socket. TestUnacknowledgedDataEndsConnection fills the window of a loopback peer, since loopback acknowledges what it delivers.

--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -132,8 +132,7 @@
 }
 
 func dial(ctx context.Context, addr string) (*pooledConn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := sockopt.Dialer(dialTimeout, userTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
