transport: find connections to other nodes that no longer carry packets

Cause: connections between nodes were pooled for up to 90 s with Go's default keepalive of 15 s and no bound on unacknowledged data. A request on a silent one waited for its deadline (in the logs: step forward, 'context deadline exceeded'), and the next one was sent on the next silent connection of the pool.

Now keepalive probes close idle ones within 2 to 3 s, a request that stays unacknowledged for 500 ms ends its connection, and the idle connections are closed once one has timed out, since what silenced one may have silenced others. A request that failed so is taken as sent: an idempotent one is retried within the budget, others end 502. The bound is not set for bodies over 32 KiB, whose acknowledgement a peer delays by reading them slowly, and it is removed once the request has been acknowledged, since it also bounds keepalive probes: a single lost probe would end a request that waits for its answer.

Tests, failing before: TestUnresponsivePeerFailsRequestBeforeDeadline and TestTimedOutConnectionClosesIdleOnes (both waited for the deadline of the request), TestSlowReaderOfLongBodyIsNotCutOff (failed with the bound set for every body). The probes of idle connections can't be tested on loopback, which acknowledges them; sockopt tests the options.

--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 // PoolOptions configures a connection pool.
 type PoolOptions struct {
 	DialTimeout     time.Duration
+	UserTimeout     time.Duration // for which a request may stay unacknowledged before its connection is closed
 	IdleTimeout     time.Duration
 	IdlePerHost     int // maximum number of idle connections to one address
 	HeaderBytes     int // maximum size of a response header, in bytes
@@ -25,18 +25,22 @@
 
 // Client sends requests over pooled HTTP/1.1 connections. It tracks whether a failed request may have
 // reached the server.
-type Client struct{ transport *http.Transport }
+type Client struct {
+	transport   *http.Transport
+	userTimeout time.Duration
+}
 
 // NewClient returns a client with its own connection pool.
 func NewClient(p PoolOptions) *Client {
-	dialer := &net.Dialer{Timeout: p.DialTimeout}
-	return &Client{transport: &http.Transport{
+	dialer := sockopt.Dialer(p.DialTimeout, p.UserTimeout)
+	client := &Client{userTimeout: p.UserTimeout}
+	client.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &trackedConn{Conn: conn, onTimeout: client.connTimedOut}, nil
 		},
 		MaxIdleConnsPerHost:    p.IdlePerHost,
 		IdleConnTimeout:        p.IdleTimeout,
@@ -44,7 +48,15 @@
 		WriteBufferSize:        p.WriteBufferSize,
 		ReadBufferSize:         p.ReadBufferSize,
 		DisableCompression:     true,
-	}}
+	}
+	return client
+}
+
+// connTimedOut is called when the kernel has closed a connection whose peer acknowledged no packets. What silenced it may
+// have silenced others, so the idle connections to all peers are closed before a request is sent on one of them.
+func (o *Client) connTimedOut() {
+	ConnsTimedOut.Inc()
+	o.transport.CloseIdleConnections()
 }
 
 // Close closes the idle connections.
@@ -53,9 +65,12 @@
 // RoundTrip sends the request. After an error, sent reports whether any byte of the request was
 // handed to a connection; when none was, the request certainly did not run.
 func (o *Client) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
-	tracker := &writeTracker{}
+	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
 	tracker.trace.GotConn = tracker.gotConn
 	response, err = o.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
+	if tracker.acknowledged != nil {
+		tracker.acknowledged.Stop()
+	}
 	if err != nil {
 		return nil, tracker.sent(), err
 	}
@@ -67,62 +82,32 @@
 // after sent is called.
 type writeTracker struct {
 	trace        httptrace.ClientTrace
-	conn         *countingConn // connection that the request got last
+	userTimeout  time.Duration // for the connection while it carries the request
+	acknowledged *time.Timer   // fires when the request has been acknowledged; nil before it has a connection
+	conn         *trackedConn  // connection that the request got last
 	writesBefore uint64        // writes on conn before the request got it
 	wrote        bool          // an earlier connection was written to, or the writes on this one are not counted
 }
 
 func (w *writeTracker) gotConn(info httptrace.GotConnInfo) {
 	w.wrote = w.sent()
-	w.conn, _ = info.Conn.(*countingConn)
+	if w.acknowledged != nil {
+		w.acknowledged.Stop()
+	}
+	w.conn, _ = info.Conn.(*trackedConn)
 	if w.conn == nil {
 		w.wrote = true
 		return
 	}
 	w.writesBefore = w.conn.writes.Load()
+	conn, request := w.conn, w.conn.begin(w.userTimeout)
+	w.acknowledged = time.AfterFunc(w.userTimeout+acknowledgementSlack, func() { conn.awaitAnswer(request) })
 }
 
 func (w *writeTracker) sent() bool {
 	return w.wrote || (w.conn != nil && w.conn.writes.Load() != w.writesBefore)
 }
 
-// countingConn counts the calls of Write, including those that fail. A connection carries one request at a
-// time.
-type countingConn struct {
-	net.Conn
-	writes atomic.Uint64
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(p)
-}
-
-// ReadFrom implements io.ReaderFrom, which net/http uses for bodies. Without it net/http would allocate a
-// buffer for each body.
-func (c *countingConn) ReadFrom(src io.Reader) (int64, error) {
-	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
-	defer copyBuffers.Put(buffer)
-	var total int64
-	for {
-		n, err := src.Read(buffer[:])
-		if n > 0 {
-			written, writeErr := c.Write(buffer[:n])
-			total += int64(written)
-			if writeErr != nil {
-				return total, writeErr
-			}
-		}
-		if err == io.EOF {
-			return total, nil
-		}
-		if err != nil {
-			return total, err
-		}
-	}
-}
-
 // Failure describes a request that got no response.
 type Failure struct {
 	Step        string        // step at which the request failed, for the refusal
--- /dev/null
+++ b/transport/outbound_test.go
@@ -0,0 +1,118 @@
+package transport_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/transport"
+)
+
+const testUserTimeout = 300 * time.Millisecond
+
+func newClient(t *testing.T) *transport.Client {
+	t.Helper()
+	client := transport.NewClient(transport.PoolOptions{
+		DialTimeout: time.Second, UserTimeout: testUserTimeout, IdleTimeout: time.Minute, IdlePerHost: 4, HeaderBytes: 4 << 10,
+	})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// listenWithSmallWindow returns a loopback listener whose connections take about 2 KiB before they are read. Loopback
+// acknowledges all that fits the receive window.
+func listenWithSmallWindow(t *testing.T) net.Listener {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			assert.Check(t, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1))
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// sendToSilentPeer sends a short request to a peer that accepts the connection and never reads.
+func sendToSilentPeer(t *testing.T, client *transport.Client) (sent bool, err error) {
+	t.Helper()
+	addr := listenWithSmallWindow(t).Addr().String()
+	request, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", bytes.NewReader(make([]byte, 30<<10)))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, sent, err = client.RoundTrip(ctx, request)
+	return sent, err
+}
+
+// Guards against a request that waits for its deadline on a connection that carries no more packets, instead of failing
+// while there is time for a retry, and against taking it as not sent.
+func TestUnresponsivePeerFailsRequestBeforeDeadline(t *testing.T) {
+	start := time.Now()
+	sent, err := sendToSilentPeer(t, newClient(t))
+	assert.Assert(t, err != nil && !errors.Is(err, context.DeadlineExceeded), "%v after %v", err, time.Since(start))
+	assert.Assert(t, sent)
+}
+
+// Guards against sending one request after another on idle connections that fell silent together with the one that has
+// timed out.
+func TestTimedOutConnectionClosesIdleOnes(t *testing.T) {
+	closed := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			close(closed)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := newClient(t)
+	request, err := http.NewRequest(http.MethodGet, server.URL, http.NoBody)
+	assert.NilError(t, err)
+	response, _, err := client.RoundTrip(context.Background(), request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+
+	_, err = sendToSilentPeer(t, client)
+	assert.Assert(t, err != nil)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the idle connection is still open")
+	}
+}
+
+// Guards against an upload that is cut off while its receiver pauses: a full receive window stays unacknowledged like a
+// silent connection, also when a request with a short body has used the connection before.
+func TestSlowReaderOfLongBodyIsNotCutOff(t *testing.T) {
+	const length = 1 << 20
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			time.Sleep(3 * testUserTimeout)
+		}
+		n, err := io.Copy(io.Discard, r.Body)
+		assert.Check(t, err)
+		assert.Check(t, n == r.ContentLength)
+	}))
+	server.Listener = listenWithSmallWindow(t)
+	server.Start()
+	defer server.Close()
+	client := newClient(t)
+	for _, body := range [][]byte{nil, make([]byte, length)} {
+		request, err := http.NewRequest(http.MethodPost, server.URL, bytes.NewReader(body))
+		assert.NilError(t, err)
+		response, _, err := client.RoundTrip(context.Background(), request)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+	}
+}
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -16,9 +16,10 @@
 
 const (
 	forwardStep    = "forward"
-	dialTimeout    = time.Second      // to connect to a node
-	idleTimeout    = 90 * time.Second // after which an idle connection is closed
-	maxIdlePerPeer = 64               // idle connections kept to one node
+	dialTimeout    = time.Second            // to connect to a node
+	userTimeout    = 500 * time.Millisecond // for which sent data may stay unacknowledged
+	idleTimeout    = 90 * time.Second       // after which an idle connection is closed
+	maxIdlePerPeer = 64                     // idle connections kept to one node
 	// maxResponseHeader is the largest response header, in bytes. It leaves room for the fields that the node beside the
 	// upstream adds.
 	maxResponseHeader = 68 << 10
@@ -37,7 +38,8 @@
 // NewClient returns a client for the node self with its own connection pool. versionSeen may be nil.
 func NewClient(self instance.ID, versionSeen VersionObserver) *Client {
 	return &Client{self: self, versionSeen: versionSeen, outbound: transport.NewClient(transport.PoolOptions{
-		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerHost: maxIdlePerPeer, HeaderBytes: maxResponseHeader,
+		DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: idleTimeout, IdlePerHost: maxIdlePerPeer,
+		HeaderBytes: maxResponseHeader,
 	})}
 }
 
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -16,6 +16,7 @@
 const (
 	sendStep           = "send to upstream"
 	dialTimeout        = time.Second
+	userTimeout        = 1500 * time.Millisecond // for which sent data may stay unacknowledged
 	idleTimeout        = 30 * time.Second
 	maxIdlePerUpstream = 220
 	maxResponseHeader  = 64 << 10 // bytes
@@ -31,7 +32,8 @@
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
 	return &Client{outbound: transport.NewClient(transport.PoolOptions{
-		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerHost: maxIdlePerUpstream, HeaderBytes: maxResponseHeader,
+		DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: idleTimeout, IdlePerHost: maxIdlePerUpstream,
+		HeaderBytes: maxResponseHeader,
 	})}
 }
 
