Probe the connections of control messages and of the v3 store

What callers would see, on deployments that use these paths: claims of keys, probes and bundles that wait for their timeout on a connection kept for up to 90 s that has fallen silent; and a watch of the store that misses changes for up to 30 s, until the next full read.

Cause: the same as for requests and contracts between nodes: a kept connection has only the probes that net/http asks for by default, which find a silent one after 150 s.

Change: both dial with sockopt.Dialer, whose probes close a silent connection within 3 s.

Silence itself cannot be played on loopback. The messages of membership in package peerrpc keep the default: each node holds up to 16 such connections and has 6 KB/s for control, of which probes every second would take 1.7 KB/s (worked out, not run).

--- a/store/kvhttp/client.go
+++ b/store/kvhttp/client.go
@@ -15,6 +15,7 @@
 	"github.com/dghubble/sling"
 	"github.com/joomcode/errorx"
 
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 	"github.com/magnoliawharf/magnoliawharf/store"
 	"github.com/magnoliawharf/magnoliawharf/store/kvhttp/wire"
 )
@@ -25,6 +26,9 @@
 	DefaultTimeout = 3 * time.Second
 	// maxResponseBytes bounds one response; a list of 2,000 parts of up to 64 KiB in base64 stays below it.
 	maxResponseBytes = 192 << 20
+	dialTimeout      = 3 * time.Second
+	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
+	userTimeout = 2 * time.Second
 	// maxConnections bounds the connections of one process to the store.
 	maxConnections = 8
 )
@@ -45,6 +49,7 @@
 		timeout = DefaultTimeout
 	}
 	transport := &http.Transport{
+		DialContext:         sockopt.Dialer(dialTimeout, userTimeout).DialContext,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     90 * time.Second,
--- a/store/kvhttp/client_test.go
+++ b/store/kvhttp/client_test.go
@@ -1,6 +1,7 @@
 package kvhttp_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -9,10 +10,20 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/store"
 	"github.com/magnoliawharf/magnoliawharf/store/kvhttp"
 )
 
+// Guards against a watch that misses changes for half a minute, since its connection has fallen silent.
+func TestStoreConnectionsAreProbed(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	client := kvhttp.NewClient(server.URL, 0)
+	t.Cleanup(client.Close)
+	sockets.AssertProbed(t, func(ctx context.Context) { _, _ = client.Get(ctx, "/k") })
+}
+
 // Guards against a misinterpreted response of the gateway, above all a write that may have taken effect and
 // is reported as one that has not.
 func TestGatewayResponses(t *testing.T) {
--- a/transport/control.go
+++ b/transport/control.go
@@ -1,13 +1,15 @@
 package transport
 
 import (
-	"net"
 	"net/http"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 const (
 	controlDialTimeout = time.Second
+	controlUserTimeout = 2 * time.Second // for which sent data may stay unacknowledged
 	controlIdleTimeout = 90 * time.Second
 	controlIdlePerPeer = 4
 	controlBufferSize  = 4 << 10 // in bytes; control messages are short
@@ -23,7 +25,7 @@
 // NewControlClient returns a client with its own connection pool.
 func NewControlClient() *ControlClient {
 	pool := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
+		DialContext:         sockopt.Dialer(controlDialTimeout, controlUserTimeout).DialContext,
 		MaxIdleConnsPerHost: controlIdlePerPeer, IdleConnTimeout: controlIdleTimeout,
 		ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize, DisableCompression: true,
 	}
@@ -35,7 +37,7 @@
 // only a timeout of the next request on it would show that.
 func NewSingleUseClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
+		DialContext:       sockopt.Dialer(controlDialTimeout, controlUserTimeout).DialContext,
 		DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize,
 	}}
 }
