Poll the contracts on while no node reaches the store

A version written just after the store was silent for some seconds may be in force more than 3 s after the store's return, when the watches deliver nothing either.

Cause: a poll that fails marks the store unreachable at its node, only nodes that reach the store poll, and a good poll does not undo the mark. Only the next renewal of the lease does, up to 6.7 s later. Once a poll has failed at each node, no node reads the contracts any more.

Fix: a node that has lost the store polls on while it is one of the first two of its zone, as it does with its watch, and a good poll marks the store reachable. The store gets at most three more calls a second from each zone while it is unreachable there.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -25,7 +25,7 @@
 	initialReadInterval = 2 * time.Second
 	// relistInterval is how often the keys of all nodes are listed, to find nodes that no other node has passed on.
 	relistInterval = time.Minute
-	// pollInterval is how often the node that polls for all others reads the contracts; pollTimeout bounds one read.
+	// pollInterval is how often a node that polls reads the contracts; pollTimeout bounds one read.
 	pollInterval = 700 * time.Millisecond
 	pollTimeout  = 600 * time.Millisecond
 	// watchersPerZone is the number of nodes in each zone that watch the contracts, and rankInterval how often a node checks
@@ -127,8 +127,14 @@
 	}
 }
 
-// pollContracts reads the contracts every pollInterval, while this node is the one that does so for all, until ctx ends. A
-// watch can miss a change without an error. All other nodes learn of a newer version from datagrams.
+// mustPoll reports whether this node polls the contracts: it does so for all nodes, or it has lost the store and is one of
+// those in its zone that find out when the store is back.
+func (s *Sidecar) mustPoll() bool {
+	return s.roster.IsStoreReader() || (!s.storeReachable.Load() && s.roster.RankInZone() < watchersPerZone)
+}
+
+// pollContracts reads the contracts every pollInterval, while mustPoll holds, until ctx ends. A watch can miss a change
+// without an error. All other nodes learn of a newer version from datagrams.
 func (s *Sidecar) pollContracts(ctx context.Context, client *store.Client) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -138,7 +144,7 @@
 			return
 		case <-ticker.C:
 		}
-		if !s.roster.IsStoreReader() {
+		if !s.mustPoll() {
 			continue
 		}
 		before := s.contracts.Version()
@@ -150,6 +156,7 @@
 			s.setStoreReachable(false)
 			continue
 		}
+		s.setStoreReachable(true)
 		s.applyEntries(entries)
 		if s.contracts.Version() != before {
 			s.Log.Warn("watch missed a change of the contracts", "version", s.contracts.Version(), "before", before)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -26,6 +26,7 @@
 	"github.com/magnoliawharf/magnoliawharf/sidecar"
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 	"github.com/magnoliawharf/magnoliawharf/store"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const contractsKey = "operator/contracts"
@@ -61,30 +62,46 @@
 	assert.NilError(t, err)
 }
 
-// faultyStore is a store whose calls can be made to fail and whose watches can be made silent.
+// faultyStore is a store whose calls can be made to fail, at once or by a timeout, and whose watches can be made silent.
 type faultyStore struct {
 	store.Store
 	unavailable   atomic.Bool
+	silent        atomic.Bool
 	silentWatches atomic.Bool
 }
 
-func (f *faultyStore) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+// silentCallTimeout is the time after which a call to a silent store fails.
+const silentCallTimeout = 1500 * time.Millisecond
+
+// fault returns the error of a call while the store is unavailable or silent.
+func (f *faultyStore) fault(ctx context.Context) error {
 	if f.unavailable.Load() {
-		return nil, store.ErrUnavailable.New("injected outage")
+		return store.ErrUnavailable.New("injected outage")
+	}
+	if f.silent.Load() {
+		wait.For(ctx, silentCallTimeout)
+		return store.ErrUnavailable.New("injected timeout")
+	}
+	return nil
+}
+
+func (f *faultyStore) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	if err := f.fault(ctx); err != nil {
+		return nil, err
 	}
 	return f.Store.List(ctx, prefix)
 }
 
 func (f *faultyStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	if f.unavailable.Load() {
-		return 0, store.ErrUnavailable.New("injected outage")
+	if err := f.fault(ctx); err != nil {
+		return 0, err
 	}
 	return f.Store.GrantLease(ctx, ttl)
 }
 
 func (f *faultyStore) Watch(ctx context.Context, prefix string, after int64) (<-chan store.Event, error) {
-	if f.unavailable.Load() {
-		return nil, store.ErrUnavailable.New("injected outage")
+	if err := f.fault(ctx); err != nil {
+		return nil, err
 	}
 	if f.silentWatches.Load() {
 		return make(chan store.Event), nil
