sidecar: answer the requests that outlast the grace period of a stop

Cause: stop waits for the requests in flight until 500 ms before the end of the grace period and then closes all connections. A request with a time limit of 15 s that waits on a silent connection, or at a slow upstream, is still in flight then.

Now the node cancels the requests of callers at that time, with the reason draining, and waits up to 300 ms until their answers are written: 503 when no attempt was sent, else 502. Requests of other nodes are left as they are: their entry node takes the closed connection as a request that may have run, and retries an idempotent one within its budget.

TestStopAnswersRequestsThatOutlastTheGracePeriod failed before: the connection closed without an answer (the client sent the request again and found the listener closed).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -274,9 +274,14 @@
 	return refusal
 }
 
-// contextReason returns the reason for which the context of a request has ended.
+// contextReason returns the reason for which the context of a request has ended: that of the refusal with which this node
+// cancelled it, else the deadline or the caller.
 func contextReason(ctx context.Context) caller.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	var refusal *caller.Refusal
+	switch {
+	case errors.As(context.Cause(ctx), &refusal):
+		return refusal.Reason
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return caller.DeadlinePassed
 	}
 	return caller.Cancelled
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -382,3 +382,31 @@
 	}
 	assert.Assert(t, other.serves())
 }
+
+// Guards against a caller's connection that a stopping node closes without an answer, because the request outlasts the
+// grace period.
+func TestStopAnswersRequestsThatOutlastTheGracePeriod(t *testing.T) {
+	memory := kvstore.NewMemory()
+	publish(t, memory, document{Version: 1, Service: "s"})
+	m := startMachine(t, "n1", memory)
+	m.announce(t)
+	eventually(t, "served", 5*time.Second, m.serves)
+	m.Settings.Runtime.Grace = settings.Duration(4 * time.Second)
+	type result struct {
+		status int
+		body   string
+		err    error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		status, body, err := m.get("/once/?work=5s")
+		answered <- result{status, body, err}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	m.cancel()
+	assert.ErrorContains(t, <-m.ended, "still in flight")
+	got := <-answered
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.body, "draining: the request is unknown\n")
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/transport/httpserver"
 	"github.com/magnoliawharf/magnoliawharf/wait"
 )
@@ -17,8 +18,11 @@
 	// callerDrainDelay is the time by which the platform has redirected callers to other nodes. A later request is refused,
 	// because too little time may be left to finish it.
 	callerDrainDelay = 3 * time.Second
-	// shutdownMargin is the part of the grace period reserved for exiting before SIGKILL.
+	// shutdownMargin is the part of the grace period reserved for answering the requests that are still in flight and for
+	// exiting before SIGKILL.
 	shutdownMargin = 500 * time.Millisecond
+	// finalAnswerTimeout is the part of shutdownMargin in which these answers are written.
+	finalAnswerTimeout = 300 * time.Millisecond
 	// idlePeriod is the delay after which a stopping node that has no request of a caller in flight checks this once more.
 	// The listeners are closed only after that.
 	idlePeriod = 200 * time.Millisecond
@@ -39,6 +43,11 @@
 	s.rejecting.Store(true)
 	err := s.waitIdle(ctx)
 	err = errors.Join(err, s.proxy.InFlight().Wait(ctx))
+	if err != nil {
+		s.refuseRemaining()
+		ctx, cancel = context.WithTimeout(context.Background(), finalAnswerTimeout)
+		defer cancel()
+	}
 	for _, server := range []*httpserver.Server{s.callers, s.peers, s.registration} {
 		err = errors.Join(err, server.Shutdown(ctx))
 	}
@@ -49,6 +58,14 @@
 	return nil
 }
 
+// refuseRemaining cancels the requests of callers that are still in flight, so that they are answered: a connection that
+// closes without an answer doesn't tell the caller whether its request was read. Other
+// nodes take a closed connection as a request that may have run.
+func (s *Sidecar) refuseRemaining() {
+	s.Log.Warn("requests outlast the grace period", "requests", s.requests.Len(), "at_upstream", s.proxy.InFlight().Len())
+	s.callers.CancelRequests(caller.Refuse(caller.Draining, "stop", s.Settings.Node))
+}
+
 // waitIdle returns when no request of a caller is in flight, and none is idlePeriod later, or with the error of ctx.
 func (s *Sidecar) waitIdle(ctx context.Context) error {
 	for {
--- a/transport/httpserver/server.go
+++ b/transport/httpserver/server.go
@@ -42,6 +42,8 @@
 	listener net.Listener
 	server   *http.Server
 	handler  *drainHandler
+
+	cancelRequests context.CancelCauseFunc
 }
 
 // Listen binds the address. No connection is accepted before Serve, and Handle is called before Serve.
@@ -57,8 +59,10 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	handler := &drainHandler{}
+	requests, cancelRequests := context.WithCancelCause(context.Background())
 	server := &http.Server{
-		Handler: handler, Protocols: protocols,
+		BaseContext: func(net.Listener) context.Context { return requests },
+		Handler:     handler, Protocols: protocols,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: o.MaxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(o.Log.With("listener", o.Name).Handler(), slog.LevelDebug),
@@ -66,7 +70,7 @@
 	if o.ControlTimeouts {
 		server.ReadTimeout, server.WriteTimeout = controlTimeout, controlTimeout
 	}
-	return &Server{name: o.Name, listener: listener, handler: handler, server: server}, nil
+	return &Server{name: o.Name, listener: listener, handler: handler, server: server, cancelRequests: cancelRequests}, nil
 }
 
 // Handle sets the handler of all requests.
@@ -89,12 +93,17 @@
 // Drain asks HTTP/1 clients to close their connections after the next answer. The server continues to serve.
 func (s *Server) Drain() { s.handler.draining.Store(true) }
 
+// CancelRequests ends the contexts of the requests in flight, and of later ones, with the cause. Their handlers can still
+// write an answer.
+func (s *Server) CancelRequests(cause error) { s.cancelRequests(cause) }
+
 // Shutdown closes the listener and waits for requests in flight until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
 	err := s.server.Close()
+	s.cancelRequests(nil)
 	// The HTTP server closes the listener only if Serve has been called.
 	_ = s.listener.Close()
 	return err
