Report the era of the store, and let the stand-ins restore an older copy

The platform's store may come back from a copy some seconds old. Each of its answers then carries a higher Store-Era. Nothing read that header, and neither stand-in could play such a return, so no test covered it.

store.Store has a method Era, which says without a call what the answers so far have shown. Adapters report each answer to an EraTracker; platform/ only translates the header, also of responses 429 and 503. The v3 gateway reports no era. The first era that a process sees is no change, and a lower one belongs to a delayed answer.

A sidecar logs each change with the old and the new era, and counts it in magnoliawharf_sidecar_store_eras_total.

kvstore.Memory gets Copy and Restore: revisions and lease IDs are given out again, later writes and leases are gone, no history is left, and a watch from a revision that the store does not have ends.

New tests: TestEraTracker, TestRestoreDiscardsWhatIsNewer, TestStoreEra, TestReturnOfTheStoreIsLogged. Nothing acts on the era yet.

--- a/node/failover_store.go
+++ b/node/failover_store.go
@@ -11,6 +11,8 @@
 // failoverStore is a store with several endpoints, of which one is in use. A call that certainly had no
 // effect because its endpoint is unavailable is repeated at the next endpoint, at most once at each.
 type failoverStore struct {
+	store.NoEra
+
 	endpoints []store.Store
 	current   atomic.Uint32 // index of the endpoint in use, modulo their number
 }
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -45,6 +45,7 @@
 	client := store.NewClient(s.Platform.Store, 0, 0)
 	client.MaxRetryDelay, client.Log, client.OnReachable = maxWatchRetryDelay, s.Log, s.setStoreReachable
 	s.storeReachable.Store(true) // until a call fails
+	go s.reportEras(ctx, client)
 	go s.watchContracts(ctx, client)
 	session := store.NewSession(client, nodeKeyTTL)
 	session.MaxRetryDelay, session.Wake, session.OnReachable = maxSessionRetryDelay, s.retryStore, s.setStoreReachable
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -382,3 +382,16 @@
 	}
 	assert.Assert(t, other.serves())
 }
+
+// Guards against a return of the store to an older copy that the operator cannot see in the log of a node.
+func TestReturnOfTheStoreIsLogged(t *testing.T) {
+	memory := kvstore.NewMemory()
+	publish(t, memory, document{Version: 1, Service: "s"})
+	m := startMachine(t, "n1", memory)
+	eventually(t, "version 1", 5*time.Second, func() bool { return m.log.contains("version=1") })
+	memory.Restore(memory.Copy())
+	eventually(t, "the era in the log", 2*time.Second, func() bool {
+		return m.log.contains("store returned from an older copy") && m.log.contains("era=2 before=1 in_force=1")
+	})
+	assert.Equal(t, m.log.count("store returned from an older copy"), 1)
+}
--- a/standin/kvstore/faults.go
+++ b/standin/kvstore/faults.go
@@ -113,5 +113,6 @@
 	if faults.Down {
 		return store.ErrUnavailable.New("store is down")
 	}
+	m.Observe(m.CurrentEra())
 	return nil
 }
--- a/standin/kvstore/memory.go
+++ b/standin/kvstore/memory.go
@@ -14,6 +14,8 @@
 
 // Memory is an in-memory store.Store. It is safe for concurrent use.
 type Memory struct {
+	store.EraTracker // the era that the answers so far have shown
+
 	mu          sync.Mutex
 	entries     map[string]storedEntry
 	leases      map[store.LeaseID]lease
@@ -22,6 +24,7 @@
 	compacted   int64         // revision of the newest change that is no longer in history
 	revision    int64
 	lastLeaseID store.LeaseID
+	era         store.Era
 	faults      Faults
 	calls       Calls
 	rate        rateMeter
@@ -40,12 +43,16 @@
 
 var _ store.Store = (*Memory)(nil)
 
+// firstEra is the era of a store that has never come back from a copy.
+const firstEra = 1
+
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
 	return &Memory{
 		entries:  make(map[string]storedEntry),
 		leases:   make(map[store.LeaseID]lease),
 		watchers: make(map[*watcher]struct{}),
+		era:      firstEra,
 	}
 }
 
--- a/standin/kvstore/watch.go
+++ b/standin/kvstore/watch.go
@@ -41,9 +41,10 @@
 	return w.events, nil
 }
 
-// replay delivers the changes after the revision, or closes the watch when some of them are no longer in the history.
+// replay delivers the changes after the revision, or closes the watch when some of them are no longer in the history or the
+// store does not have the revision.
 func (m *Memory) replay(w *watcher, after int64) {
-	if after < m.compacted {
+	if after < m.compacted || after > m.revision {
 		m.closeWatch(w)
 		return
 	}
@@ -83,6 +84,7 @@
 		return
 	}
 	for _, event := range w.pending {
+		m.Observe(m.era)
 		select {
 		case w.events <- event:
 		default:
--- a/store/client.go
+++ b/store/client.go
@@ -169,6 +169,9 @@
 	return c.adapter.RevokeLease(ctx, id)
 }
 
+// Era implements Store.
+func (c *Client) Era() EraStatus { return c.adapter.Era() }
+
 // Watch implements Store. It does not reconnect when the watch breaks; Follow does.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64) (<-chan Event, error) {
 	if err := c.waitRateLimit(ctx, "watch "+prefix); err != nil {
--- a/store/kvhttp/client.go
+++ b/store/kvhttp/client.go
@@ -31,6 +31,8 @@
 
 // Client is a store.Store over HTTP. It is safe for concurrent use.
 type Client struct {
+	store.NoEra
+
 	base     *sling.Sling
 	endpoint string
 	http     *http.Client
--- a/store/store.go
+++ b/store/store.go
@@ -14,7 +14,7 @@
 type LeaseID int64
 
 // Entry is a key with its value. Revision is the revision of the store at the last write of the key; it
-// increases with every write to the store.
+// increases with every write to the store within one era.
 type Entry struct {
 	Key      string
 	Value    []byte
@@ -54,6 +54,8 @@
 	// ends or the watch breaks, which includes a store that no longer has the changes after the
 	// revision; the receiver then lists the keys again and starts a new watch.
 	Watch(ctx context.Context, prefix string, after int64) (<-chan Event, error)
+	// Era returns the era of the store as its answers have shown it so far, without a call.
+	Era() EraStatus
 }
 
 var namespace = errorx.NewNamespace("store")
