Follow keys afresh when the store returns from an older copy

What callers would see: requests are routed by contracts that the operator has replaced and the store has confirmed, for up to 30 s.

Cause: the follower drops an event whose revision is not above the known one of its key. After a return revisions are given out again, so that a new change looks older than what the store has lost. Lost keys also stay, since nothing reports them as deleted. Only the next full read, after 27 to 30 s, ends this.

The follower takes the era before its first call and starts over as soon as any answer of the process shows a later one. Two calls for each start, at most four for a return whose watch also breaks; the back-off spreads them.

Runs: go test -race -count=20 ./store passes.

--- a/store/follow.go
+++ b/store/follow.go
@@ -20,8 +20,8 @@
 
 // Follow tracks the keys that begin with prefix until ctx ends. It calls update with all entries, ordered
 // by key, after the first read and after each change. It starts the watch before it reads, so that no change
-// between the two is missed, reads all keys again periodically in case the watch skipped one, and after a failure starts
-// over with jittered backoff. While the store is unreachable update is not called, and the last entries stay valid.
+// between the two is missed, reads all keys again periodically in case the watch skipped one, and after a failure or in a
+// new era of the store starts over with jittered backoff. While the store is unreachable update is not called, and the last entries stay valid.
 func (c *Client) Follow(ctx context.Context, prefix string, update func([]Entry)) error {
 	f := follower{client: c, prefix: prefix, update: update, backoff: Backoff{MaxDelay: c.MaxRetryDelay}}
 	for ctx.Err() == nil {
@@ -52,10 +52,12 @@
 	f.unreachable = true
 }
 
-// watch applies the events of one watch until it breaks or a full read shows that it has missed a change.
+// watch applies the events of one watch until it breaks, a full read shows that it has missed a change, or the era of the
+// store has changed, since revisions of different eras cannot be compared.
 func (f *follower) watch(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	era := f.client.Era() // before the first call, so that no change during the calls is missed
 	events, err := f.client.Watch(ctx, f.prefix, 0)
 	if err == nil {
 		_, err = f.read(ctx)
@@ -80,6 +82,8 @@
 				return
 			}
 			f.apply(event)
+		case <-era.Changed:
+			return
 		case <-timer.C:
 			if changed, err := f.read(ctx); err != nil || changed {
 				return
