End a watch of the platform's store when the era changes

Cause: the watch went on from the revision of its last poll. When the store had come back from an older copy and had passed that revision again by the next poll, which takes one write, the poll was accepted and the changes in between were skipped. Only a store still behind the revision answered 410.

--- a/store/store.go
+++ b/store/store.go
@@ -52,7 +52,7 @@
 	// Watch delivers the changes after the given revision of keys that begin with prefix; 0 means
 	// changes from now on. The watch is established when Watch returns. The channel is closed when ctx
 	// ends or the watch breaks, which includes a store that no longer has the changes after the
-	// revision; the receiver then lists the keys again and starts a new watch.
+	// revision or whose era has changed; the receiver then lists the keys again and starts a new watch.
 	Watch(ctx context.Context, prefix string, after int64) (<-chan Event, error)
 	// Era returns the era of the store as its answers have shown it so far, without a call.
 	Era() EraStatus
