Obtain a new lease and write the node's key again in a new era of the store

What callers would see: 503 from a node that starts after a return of the store and finds no other node there, for up to 6.7 s; and a lease of another process that a node renews and, when it stops, revokes.

Cause: a session learns that its lease is gone only by its next renewal, every 6.7 s. A lease that the older copy has, granted before the copy and without the key written after it, is renewed for ever, and the key never comes back. A lease ID that is given out again is renewed as one's own.

Evidence: TestSessionStartsOverInANewEra failed before in three of four cases ("/own" not found 1 s after an answer had shown the era), and with only the revocation left in, "the lease of another process was revoked". TestLeaseIsNotHeldInANewEra and TestNodeKeyIsWrittenAgain (2 s) failed too.

A session takes the era before it obtains a lease. When any answer shows a later one, it no longer counts the lease as held, waits for a random delay, obtains a new lease and writes its keys, without revoking the old lease. The delay of a node grows with the number of nodes, so that all together make 400 writes a second. store.Put writes a key with one writer whatever its revision, since the copy may have the key under the old lease.

--- a/sidecar/era.go
+++ b/sidecar/era.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
+// eraDelayPerNode spreads the registrations of all nodes in a new era of the store, of two writes each: 3,200 nodes make 400
+// writes a second.
+const eraDelayPerNode = 5 * time.Millisecond
+
 var storeErasTotal = metrics.Counter("magnoliawharf_sidecar_store_eras_total")
 
 // reportEras counts and logs each change of the store's era until ctx ends.
@@ -22,3 +28,8 @@
 		s.Log.Warn("store returned from an older copy", "era", int64(status.Current), "before", int64(status.Previous), "in_force", s.contracts.Version())
 	}
 }
+
+// eraDelay returns a random delay before this node registers again in a new era of the store.
+func (s *Sidecar) eraDelay() time.Duration {
+	return rand.N(time.Duration(max(1, s.roster.Len())) * eraDelayPerNode)
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -49,6 +49,7 @@
 	go s.watchContracts(ctx, client)
 	session := store.NewSession(client, nodeKeyTTL)
 	session.MaxRetryDelay, session.Wake, session.OnReachable = maxSessionRetryDelay, s.retryStore, s.setStoreReachable
+	session.EraDelay = s.eraDelay
 	go func() {
 		_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { return s.registerNode(ctx, client, id) }) // returns when ctx ends
 	}()
@@ -181,7 +182,7 @@
 // start at the same time at least one finds the other.
 func (s *Sidecar) registerNode(ctx context.Context, client *store.Client, id store.LeaseID) error {
 	key := fmt.Sprintf("%s%s-%x", s.Platform.NodesPrefix, s.Settings.Node, s.boot)
-	if _, err := client.Swap(ctx, key, []byte(s.socket.Addr().String()), 0, id); err != nil {
+	if err := store.Put(ctx, client, key, []byte(s.socket.Addr().String()), id); err != nil {
 		s.setStoreReachable(false)
 		s.Log.Warn("cannot register node in store", "key", key, "lease", int64(id), "cause", err.Error())
 		return err
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -395,3 +395,27 @@
 	})
 	assert.Equal(t, m.log.count("store returned from an older copy"), 1)
 }
+
+// Guards against nodes that others cannot find, because the store has returned from an older copy without their keys or with
+// keys whose lease ends.
+func TestNodeKeyIsWrittenAgain(t *testing.T) {
+	for name, written := range map[string]bool{"key lost": false, "key kept": true} {
+		t.Run(name, func(t *testing.T) {
+			memory := kvstore.NewMemory()
+			publish(t, memory, document{Version: 1, Service: "s"})
+			older := memory.Copy()
+			m := startMachine(t, "n1", memory)
+			eventually(t, "registration", 5*time.Second, func() bool { return m.log.contains("node registered in store") })
+			if written {
+				older = memory.Copy()
+			}
+			memory.Restore(older)
+			eventually(t, "second registration", 2*time.Second, func() bool { return m.log.count("node registered in store") == 2 })
+			keys, err := memory.List(t.Context(), "nodes/")
+			assert.NilError(t, err)
+			assert.Equal(t, len(keys), 1)
+			assert.Equal(t, string(keys[0].Value), m.DatagramAddr().String())
+			assert.Assert(t, !m.log.contains("cannot register node"))
+		})
+	}
+}
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -25,6 +25,8 @@
 	MaxDelay time.Duration
 	// Wake ends a delay early, because another process has reached the store. It may be nil.
 	Wake <-chan struct{}
+	// Changed ends a delay early, because the era of the store has changed, so that an answer has come. It may be nil.
+	Changed <-chan struct{}
 
 	limit time.Duration
 }
@@ -42,11 +44,12 @@
 	case <-timer.C:
 		return nil
 	case <-b.Wake:
-		wait.For(ctx, rand.N(wakeJitter))
-		return ctx.Err()
+	case <-b.Changed:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	wait.For(ctx, rand.N(wakeJitter))
+	return ctx.Err()
 }
 
 // Reset sets the delay back to the minimum after a success.
--- a/store/client.go
+++ b/store/client.go
@@ -114,6 +114,20 @@
 	return c.adapter.Swap(ctx, key, value, revision, lease)
 }
 
+// Put writes a key that no other process writes, whatever its revision.
+func Put(ctx context.Context, s Store, key string, value []byte, lease LeaseID) error {
+	_, err := s.Swap(ctx, key, value, 0, lease)
+	if !Is(err, ErrConflict) {
+		return err
+	}
+	current, err := s.Get(ctx, key)
+	if err != nil && !Is(err, ErrNotFound) {
+		return err
+	}
+	_, err = s.Swap(ctx, key, value, current.Revision, lease)
+	return err
+}
+
 // Delete implements Store. It determines the outcome of an uncertain delete by reading the key: the delete
 // has succeeded when the key does not exist or has been written again.
 func (c *Client) Delete(ctx context.Context, key string, revision int64) error {
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -1,11 +1,13 @@
 package store_test
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
@@ -91,3 +93,101 @@
 	assert.NilError(t, err)
 	return revision
 }
+
+// Guards against a session whose keys stay away after the store has returned from an older copy: its lease is gone, or lives
+// on without the keys, or its ID has been given to another process, whose lease it then renews and at last revokes.
+func TestSessionStartsOverInANewEra(t *testing.T) {
+	cases := []struct {
+		name  string
+		taken string // the last step that the copy holds: none, granted or written
+		rival bool   // another process obtains a lease first after the return
+	}{
+		{"lease lost", "none", false},
+		{"lease ID given to another process", "none", true},
+		{"lease kept without its key", "granted", false},
+		{"lease and key kept", "written", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const ttl = 9 * time.Second
+				memory := kvstore.NewMemory()
+				client := store.NewClient(memory, 0, 0)
+				copies := map[string]kvstore.Copy{"none": memory.Copy()}
+				session := store.NewSession(client, ttl)
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { // the error of ctx
+						if _, ok := copies["granted"]; !ok {
+							copies["granted"] = memory.Copy()
+						}
+						return store.Put(ctx, client, "/own", []byte("me"), id)
+					})
+				}()
+				time.Sleep(time.Second)
+				synctest.Wait()
+				copies["written"] = memory.Copy()
+
+				memory.Restore(copies[c.taken])
+				if c.rival {
+					id, err := memory.GrantLease(ctx, time.Hour)
+					assert.NilError(t, err)
+					_, err = memory.Swap(ctx, "/rival", []byte("rival"), 0, id)
+					assert.NilError(t, err)
+				}
+				_, _ = memory.Get(ctx, "/any") // an answer to another call shows the era
+				time.Sleep(reactionTime)
+				synctest.Wait()
+				calls := memory.Calls()
+				assert.Assert(t, calls.Writes <= 10, "%+v", calls)
+				assertHeld := func() {
+					t.Helper()
+					entry, err := memory.Get(ctx, "/own")
+					assert.NilError(t, err)
+					assert.Equal(t, string(entry.Value), "me")
+					_, held := session.Lease()
+					assert.Assert(t, held)
+				}
+				assertHeld()
+				time.Sleep(3 * ttl)
+				assertHeld()
+				cancel()
+				synctest.Wait()
+				_, err := memory.Get(t.Context(), "/own")
+				assertErrorType(t, err, store.ErrNotFound)
+				if c.rival {
+					_, err = memory.Get(t.Context(), "/rival")
+					assert.NilError(t, err, "the lease of another process was revoked")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a session that acts under a lease of an earlier era while it waits to obtain a new one.
+func TestLeaseIsNotHeldInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		session := store.NewSession(store.NewClient(memory, 0, 0), time.Minute)
+		go func() { // the error of ctx
+			_ = session.Run(t.Context(), func(context.Context, store.LeaseID) error { return nil })
+		}()
+		synctest.Wait()
+		first, held := session.Lease()
+		assert.Assert(t, held)
+		memory.Restore(memory.Copy())
+		_, _ = memory.Get(t.Context(), "/any")
+		synctest.Wait()
+		_, held = session.Lease()
+		assert.Assert(t, !held)
+		time.Sleep(reactionTime)
+		second, held := session.Lease()
+		assert.Assert(t, held)
+		assert.Assert(t, second != first)
+	})
+}
+
+func assertErrorType(t *testing.T, err error, kind *errorx.Type) {
+	t.Helper()
+	assert.Assert(t, store.Is(err, kind), "got %v, want %s", err, kind)
+}
--- a/store/session.go
+++ b/store/session.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -28,6 +31,9 @@
 	// OnReachable is called after each grant and renewal with whether the store was reached. It is set before Run and must
 	// not block.
 	OnReachable func(reached bool)
+	// EraDelay returns the delay after which the session starts over in a new era, so that the processes that hold sessions do
+	// not all write to the store at once. The default is up to 300 ms. It is set before Run.
+	EraDelay func() time.Duration
 
 	store Store
 	ttl   time.Duration
@@ -54,7 +60,10 @@
 
 // NewSession returns a session that holds no lease until Run obtains one.
 func NewSession(s Store, ttl time.Duration) *Session {
-	return &Session{OnReachable: func(bool) {}, store: s, ttl: ttl, clock: systemClock()}
+	return &Session{
+		OnReachable: func(bool) {}, EraDelay: func() time.Duration { return rand.N(wakeJitter) },
+		store: s, ttl: ttl, clock: systemClock(),
+	}
 }
 
 // Lease returns the lease while it is certain to be held. The last tenth of its time to live is a margin for
@@ -76,16 +85,19 @@
 
 // Run holds a lease until ctx ends and then revokes it. After each grant it calls onGrant, which
 // writes the keys of the session under the lease; when onGrant fails the lease is revoked. A lease
-// that lapsed is replaced by a new one.
+// that lapsed is replaced by a new one, and so is each lease when the era of the store changes: the store may no longer have
+// it or its keys, and may have given its ID to another process.
 func (s *Session) Run(ctx context.Context, onGrant func(ctx context.Context, id LeaseID) error) error {
 	backoff := Backoff{MaxDelay: s.MaxRetryDelay, Wake: s.Wake}
 	for {
+		era := s.store.Era() // before the first call, so that no change during the calls is missed
+		backoff.Changed = era.Changed
 		if id, err := s.grant(ctx); err == nil {
 			if err := onGrant(ctx, id); err == nil {
 				backoff.Reset()
-				s.renew(ctx, id)
+				s.renew(ctx, id, era)
 			}
-			s.releaseLease(ctx, id)
+			s.releaseLease(ctx, id, era)
 		}
 		if err := backoff.Wait(ctx); err != nil {
 			return err
@@ -104,17 +116,23 @@
 	return id, nil
 }
 
-// renew renews the lease until it may have lapsed or ctx ends.
-func (s *Session) renew(ctx context.Context, id LeaseID) {
-	backoff := Backoff{MaxDelay: min(s.ttl/renewalsPerTTL, s.MaxRetryDelay), Wake: s.Wake}
+// renew renews the lease until it may have lapsed, era has ended or ctx ends.
+func (s *Session) renew(ctx context.Context, id LeaseID, era EraStatus) {
+	backoff := Backoff{MaxDelay: min(s.ttl/renewalsPerTTL, s.MaxRetryDelay), Wake: s.Wake, Changed: era.Changed}
 	timer := time.NewTimer(s.ttl / renewalsPerTTL)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-era.Changed:
 		case <-timer.C:
 		}
+		if era.Ended() {
+			s.setLease(0, clockReading{})
+			wait.For(ctx, s.EraDelay())
+			return
+		}
 		sentAt := s.clock()
 		err := s.store.RenewLease(ctx, id)
 		s.OnReachable(err == nil || Is(err, ErrLeaseLapsed))
@@ -136,9 +154,13 @@
 	}
 }
 
-// releaseLease clears the lease and revokes it, so that the keys written under it are removed at once.
-func (s *Session) releaseLease(ctx context.Context, id LeaseID) {
+// releaseLease clears the lease and revokes it, so that the keys written under it are removed at once. It does not revoke a
+// lease of an earlier era.
+func (s *Session) releaseLease(ctx context.Context, id LeaseID, era EraStatus) {
 	s.setLease(0, clockReading{})
+	if era.Ended() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
 	defer cancel()
 	_ = s.store.RevokeLease(ctx, id) // it lapses by itself when the store cannot be reached
