Leave a write uncertain when the era of the store changes before it is confirmed

What callers of the store would see: a lost update, or a key that is still there after a confirmed delete.

Cause: Client.Swap and Client.Delete settle an uncertain write by comparing the revision of the key with the one that they expected. After a return to an older copy a rival's write may have that revision, and the repeated swap or delete then replaces it; or the key is back at a lower revision, which counts as deleted.

Evidence: all three cases of TestUncertainWritesOfAnEarlierEra failed before (no error where ErrUncertain was due).

Both now return ErrUncertain, without a further write, when an answer has shown a later era. A change between that answer and the repeated write remains possible; the service offers no condition on the era.

--- a/store/client.go
+++ b/store/client.go
@@ -74,9 +74,10 @@
 
 // Swap implements Store. It determines the outcome of an uncertain swap by reading the key: when the key
 // holds value at a revision other than the expected one, the swap has succeeded, so concurrent writers must
-// write different values. It returns ErrUncertain when the key was overwritten in the meantime or the
-// store does not recover in time.
+// write different values. It returns ErrUncertain when the key was overwritten in the meantime, the era of the
+// store has changed, or the store does not recover in time.
 func (c *Client) Swap(ctx context.Context, key string, value []byte, revision int64, lease LeaseID) (int64, error) {
+	era := c.Era()
 	written, err := c.swapOnce(ctx, key, value, revision, lease)
 	if !Is(err, ErrUncertain) {
 		return written, err
@@ -87,6 +88,9 @@
 			return 0, err
 		}
 		current, readErr := c.Get(ctx, key)
+		if era.Ended() {
+			return 0, ErrUncertain.Wrap(err, "the era of the store changed before the write of %s was confirmed", key)
+		}
 		if readErr != nil && !Is(readErr, ErrNotFound) {
 			continue
 		}
@@ -129,8 +133,10 @@
 }
 
 // Delete implements Store. It determines the outcome of an uncertain delete by reading the key: the delete
-// has succeeded when the key does not exist or has been written again.
+// has succeeded when the key does not exist or has been written again. It returns ErrUncertain when the era of the store
+// has changed or the store does not recover in time.
 func (c *Client) Delete(ctx context.Context, key string, revision int64) error {
+	era := c.Era()
 	err := c.deleteOnce(ctx, key, revision)
 	if !Is(err, ErrUncertain) {
 		return err
@@ -142,6 +148,8 @@
 		}
 		current, readErr := c.Get(ctx, key)
 		switch {
+		case era.Ended():
+			return ErrUncertain.Wrap(err, "the era of the store changed before the delete of %s was confirmed", key)
 		case readErr != nil && !Is(readErr, ErrNotFound):
 		case current.Revision != revision:
 			return nil
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -187,6 +187,55 @@
 	})
 }
 
+// Guards against an uncertain write that is repeated over the write of another process, or reported as done, by comparing
+// revisions of different eras.
+func TestUncertainWritesOfAnEarlierEra(t *testing.T) {
+	const resolveTime = 2 * time.Minute
+	cases := []struct {
+		name  string
+		write func(ctx context.Context, client *store.Client, revision int64) error
+		rival bool // another process has written the key at the revision that was given out again
+		want  string
+	}{
+		{"swap over the write of another process", func(ctx context.Context, client *store.Client, revision int64) error {
+			_, err := client.Swap(ctx, "/k", []byte("mine"), revision, 0)
+			return err
+		}, true, "rival"},
+		{"delete whose key is back", func(ctx context.Context, client *store.Client, revision int64) error {
+			return client.Delete(ctx, "/k", revision)
+		}, false, "first"},
+		{"delete over the write of another process", func(ctx context.Context, client *store.Client, revision int64) error {
+			return client.Delete(ctx, "/k", revision)
+		}, true, "rival"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := kvstore.NewMemory()
+				client := store.NewClient(memory, 0, 0)
+				put(t, memory, "/k", "first")
+				older := memory.Copy()
+				revision := overwrite(t, memory, "/k", "second")
+				memory.SetFaults(kvstore.Faults{DropResponses: true})
+				time.AfterFunc(10*time.Millisecond, func() {
+					memory.SetFaults(kvstore.Faults{})
+					memory.Restore(older)
+					if entry, err := memory.Get(t.Context(), "/k"); err == nil && c.rival {
+						_, _ = memory.Swap(t.Context(), "/k", []byte("rival"), entry.Revision, 0) // checked below
+					}
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), resolveTime)
+				defer cancel()
+				assertErrorType(t, c.write(ctx, client, revision), store.ErrUncertain)
+				current, err := memory.Get(t.Context(), "/k")
+				assert.NilError(t, err)
+				assert.Equal(t, string(current.Value), c.want)
+				assert.Equal(t, current.Revision == revision, c.rival)
+			})
+		})
+	}
+}
+
 func assertErrorType(t *testing.T, err error, kind *errorx.Type) {
 	t.Helper()
 	assert.Assert(t, store.Is(err, kind), "got %v, want %s", err, kind)
