Write the contact of a border node again in a new era of the store

What operators would see: border nodes of separate groups that don't find each other for as long as a process runs, and another process that loses its keys when a border node stops.

Cause: as with sessions, the contact's lease was taken to be its own for ever. When an older copy has led the store to give out its ID again, the border node renews, and at last revokes, the lease of another process, and never writes its contact again.

The fault is of the same class as that of sessions; the v3 gateway, which these nodes use today, reports no era, so the change has an effect only with a service that does.

A contact keeps the era in which its lease was obtained; when it has ended, it is written again under a new lease, and the old one is not revoked.

--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -40,6 +40,7 @@
 type contactEntry struct {
 	lease store.LeaseID
 	held  bool
+	era   store.EraStatus // in which the lease was obtained
 }
 
 // runContacts maintains the node's contact in the store while it is a border node, and compares tables
@@ -85,7 +86,7 @@
 	defer cancel()
 	if entry.held {
 		err := m.config.Store.RenewLease(ctx, entry.lease)
-		if !errorx.IsOfType(err, store.ErrLeaseLapsed) {
+		if !entry.era.Ended() && !errorx.IsOfType(err, store.ErrLeaseLapsed) {
 			return err
 		}
 		entry.held = false
@@ -94,7 +95,7 @@
 }
 
 func (m *Membership) createContact(ctx context.Context, entry *contactEntry) error {
-	self := m.config.Self
+	self, era := m.config.Self, m.config.Store.Era()
 	lease, err := m.config.Store.GrantLease(ctx, contactTTL)
 	if err != nil {
 		return err
@@ -104,17 +105,20 @@
 	if err := store.Put(ctx, m.config.Store, key, []byte(self.PeerAddr), lease); err != nil {
 		return err // the unused lease lapses
 	}
-	entry.lease, entry.held = lease, true
+	entry.lease, entry.held, entry.era = lease, true, era
 	return nil
 }
 
 // removeContact removes the contact by revoking its lease. When the store does not answer, the lease
-// lapses.
+// lapses. A lease of an earlier era is left alone, since its ID may belong to another process.
 func (m *Membership) removeContact(entry *contactEntry) {
 	if !entry.held {
 		return
 	}
 	entry.held = false
+	if entry.era.Ended() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	if err := m.config.Store.RevokeLease(ctx, entry.lease); err != nil {
--- /dev/null
+++ b/datacentre/contacts_test.go
@@ -0,0 +1,42 @@
+package datacentre
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+)
+
+// Guards against a border node that renews and at last revokes the lease of another process, because the store has returned
+// from an older copy and has given out the ID of its lease again.
+func TestContactIsWrittenAgainInANewEra(t *testing.T) {
+	t.Parallel()
+	runInVirtualTime(t, func(n *network) {
+		ctx, kv := context.Background(), kvstore.NewMemory()
+		n.store = kv
+		older := kv.Copy()
+		m := n.start(record("dc-1", "r", 0), nil)
+		time.Sleep(time.Minute)
+		contacts, err := kv.List(ctx, contactPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(contacts), 1)
+
+		kv.Restore(older)
+		rival, err := kv.GrantLease(ctx, time.Hour)
+		assert.NilError(t, err)
+		assert.Equal(t, rival, contacts[0].Lease)
+		_, err = kv.Swap(ctx, "rival", nil, 0, rival)
+		assert.NilError(t, err)
+		time.Sleep(contactRenewInterval)
+		contacts, err = kv.List(ctx, contactPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(contacts), 1)
+		m.stop()
+		<-m.done
+		_, err = kv.Get(ctx, "rival")
+		assert.NilError(t, err, "the lease of another process was revoked")
+	})
+}
