Test contracts in force after a return of the store from an older copy

The test guards against nodes that go back to older contracts or miss the next change when their revisions are given out again.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -422,3 +422,24 @@
 		})
 	}
 }
+
+// Guards against nodes that go back to older contracts, or miss the next change, when the store returns from an older copy
+// and gives out their revisions again.
+func TestContractsAfterAReturnOfTheStore(t *testing.T) {
+	memory := kvstore.NewMemory()
+	publish(t, memory, document{Version: 1, Service: "s"})
+	older := memory.Copy()
+	machines := []*machine{startMachine(t, "n1", memory), startMachine(t, "n2", memory), startMachine(t, "n3", memory)}
+	publish(t, memory, document{Version: 2, Service: "s"})
+	for _, m := range machines {
+		eventually(t, "version 2 at "+m.Settings.Node, 5*time.Second, func() bool { return m.log.contains("version=2") })
+	}
+	memory.Restore(older)
+	machines = append(machines, startMachine(t, "n4", memory))
+	publish(t, memory, document{Version: 3, Service: "s"})
+	for _, m := range machines {
+		eventually(t, "version 3 at "+m.Settings.Node, 2*time.Second, func() bool { return m.log.contains("version=3") })
+		assert.Assert(t, !m.log.contains("before=3"), "contracts were replaced by older ones")
+		assert.Assert(t, !m.log.contains("watch missed a change"), "%s", m.Settings.Node)
+	}
+}
