--- a/standin/kvstore/memory.go
+++ b/standin/kvstore/memory.go
@@ -14,25 +14,22 @@
 
 // Memory is an in-memory store.Store. It is safe for concurrent use.
 type Memory struct {
+	store.EraTracker // the era that the answers so far have shown
+
 	mu          sync.Mutex
-	entries     map[string]storedEntry
+	entries     map[string]store.Entry
 	leases      map[store.LeaseID]lease
 	watchers    map[*watcher]struct{}
 	history     []store.Event // the most recent changes, for watches that begin at a past revision
 	compacted   int64         // revision of the newest change that is no longer in history
 	revision    int64
 	lastLeaseID store.LeaseID
+	era         store.Era
 	faults      Faults
 	calls       Calls
 	rate        rateMeter
 }
 
-// storedEntry is an entry and the lease that it is attached to, 0 for none.
-type storedEntry struct {
-	entry store.Entry
-	lease store.LeaseID
-}
-
 type lease struct {
 	ttl     time.Duration
 	expires time.Time
@@ -40,12 +37,16 @@
 
 var _ store.Store = (*Memory)(nil)
 
+// firstEra is the era of a store that has never come back from a copy.
+const firstEra = 1
+
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
 	return &Memory{
-		entries:  make(map[string]storedEntry),
+		entries:  make(map[string]store.Entry),
 		leases:   make(map[store.LeaseID]lease),
 		watchers: make(map[*watcher]struct{}),
+		era:      firstEra,
 	}
 }
 
@@ -61,7 +62,7 @@
 	if !ok {
 		return store.Entry{}, store.ErrNotFound.New("get %s", key)
 	}
-	return current.entry, nil
+	return current, nil
 }
 
 // List implements store.Store.
@@ -75,7 +76,7 @@
 	var found []store.Entry
 	for key, current := range m.entries {
 		if strings.HasPrefix(key, prefix) {
-			found = append(found, current.entry)
+			found = append(found, current)
 		}
 	}
 	slices.SortFunc(found, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
@@ -93,15 +94,15 @@
 	if m.faults.DropRequests {
 		return 0, store.ErrUncertain.New("swap %s: request lost", key)
 	}
-	if m.entries[key].entry.Revision != revision {
+	if m.entries[key].Revision != revision {
 		return 0, store.ErrConflict.New("swap %s at revision %d", key, revision)
 	}
 	if _, ok := m.leases[id]; id != 0 && !ok {
 		return 0, store.ErrLeaseLapsed.New("swap %s under lease %d", key, id)
 	}
 	m.revision++
-	entry := store.Entry{Key: key, Value: slices.Clone(value), Revision: m.revision}
-	m.entries[key] = storedEntry{entry: entry, lease: id}
+	entry := store.Entry{Key: key, Value: slices.Clone(value), Revision: m.revision, Lease: id}
+	m.entries[key] = entry
 	m.publish(store.Event{Entry: entry})
 	if m.faults.DropResponses {
 		return 0, store.ErrUncertain.New("swap %s: answer lost", key)
@@ -124,7 +125,7 @@
 	if !ok {
 		return store.ErrConflict.New("delete %s, which does not exist", key)
 	}
-	if current.entry.Revision != revision {
+	if current.Revision != revision {
 		return store.ErrConflict.New("delete %s at revision %d", key, revision)
 	}
 	m.deleteKey(key)
@@ -202,7 +203,7 @@
 func (m *Memory) endLease(id store.LeaseID) {
 	delete(m.leases, id)
 	for key, current := range m.entries {
-		if current.lease == id {
+		if current.Lease == id {
 			m.deleteKey(key)
 		}
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -74,9 +74,10 @@
 
 // Swap implements Store. It determines the outcome of an uncertain swap by reading the key: when the key
 // holds value at a revision other than the expected one, the swap has succeeded, so concurrent writers must
-// write different values. It returns ErrUncertain when the key was overwritten in the meantime or the
-// store does not recover in time.
+// write different values. It returns ErrUncertain when the key was overwritten in the meantime, the era of the
+// store has changed, or the store does not recover in time.
 func (c *Client) Swap(ctx context.Context, key string, value []byte, revision int64, lease LeaseID) (int64, error) {
+	era := c.Era()
 	written, err := c.swapOnce(ctx, key, value, revision, lease)
 	if !Is(err, ErrUncertain) {
 		return written, err
@@ -87,6 +88,9 @@
 			return 0, err
 		}
 		current, readErr := c.Get(ctx, key)
+		if era.Ended() {
+			return 0, ErrUncertain.Wrap(err, "the era of the store changed before the write of %s was confirmed", key)
+		}
 		if readErr != nil && !Is(readErr, ErrNotFound) {
 			continue
 		}
@@ -114,9 +118,31 @@
 	return c.adapter.Swap(ctx, key, value, revision, lease)
 }
 
+// Put writes a key that no other process writes, whatever its revision.
+func Put(ctx context.Context, s Store, key string, value []byte, lease LeaseID) error {
+	_, err := s.Swap(ctx, key, value, 0, lease)
+	if !Is(err, ErrConflict) {
+		return err
+	}
+	current, err := s.Get(ctx, key)
+	if err != nil && !Is(err, ErrNotFound) {
+		return err
+	}
+	_, err = s.Swap(ctx, key, value, current.Revision, lease)
+	return err
+}
+
+// IsKept reports whether the store has the key with the value under the lease.
+func IsKept(ctx context.Context, s Store, key string, value []byte, lease LeaseID) bool {
+	current, err := s.Get(ctx, key)
+	return err == nil && current.Lease == lease && bytes.Equal(current.Value, value)
+}
+
 // Delete implements Store. It determines the outcome of an uncertain delete by reading the key: the delete
-// has succeeded when the key does not exist or has been written again.
+// has succeeded when the key does not exist or has been written again. It returns ErrUncertain when the era of the store
+// has changed or the store does not recover in time.
 func (c *Client) Delete(ctx context.Context, key string, revision int64) error {
+	era := c.Era()
 	err := c.deleteOnce(ctx, key, revision)
 	if !Is(err, ErrUncertain) {
 		return err
@@ -128,6 +154,8 @@
 		}
 		current, readErr := c.Get(ctx, key)
 		switch {
+		case era.Ended():
+			return ErrUncertain.Wrap(err, "the era of the store changed before the delete of %s was confirmed", key)
 		case readErr != nil && !Is(readErr, ErrNotFound):
 		case current.Revision != revision:
 			return nil
@@ -169,6 +197,9 @@
 	return c.adapter.RevokeLease(ctx, id)
 }
 
+// Era implements Store.
+func (c *Client) Era() EraStatus { return c.adapter.Era() }
+
 // Watch implements Store. It does not reconnect when the watch breaks; Follow does.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64) (<-chan Event, error) {
 	if err := c.waitRateLimit(ctx, "watch "+prefix); err != nil {
--- a/store/store.go
+++ b/store/store.go
@@ -14,11 +14,12 @@
 type LeaseID int64
 
 // Entry is a key with its value. Revision is the revision of the store at the last write of the key; it
-// increases with every write to the store.
+// increases with every write to the store within one era. Lease is the lease under which the key was last written.
 type Entry struct {
 	Key      string
 	Value    []byte
 	Revision int64
+	Lease    LeaseID
 }
 
 // Event is a change of a key: the entry that was written, or the key that was deleted.
@@ -52,8 +53,10 @@
 	// Watch delivers the changes after the given revision of keys that begin with prefix; 0 means
 	// changes from now on. The watch is established when Watch returns. The channel is closed when ctx
 	// ends or the watch breaks, which includes a store that no longer has the changes after the
-	// revision; the receiver then lists the keys again and starts a new watch.
+	// revision or whose era has changed; the receiver then lists the keys again and starts a new watch.
 	Watch(ctx context.Context, prefix string, after int64) (<-chan Event, error)
+	// Era returns the era of the store as its answers have shown it so far, without a call.
+	Era() EraStatus
 }
 
 var namespace = errorx.NewNamespace("store")
