upstreamconn: bound the head of an answer

What callers would see: an upstream that sends a head without end keeps a request until its deadline, while the memory of the node beside it grows by what the connection brings. Several such requests at once exceed the few hundred megabytes of a node, which then ends and takes the requests of its machine with it.

Cause: http.ReadResponse reads the status line and the fields without a limit. net/http's own client puts a limit below it; the connections of this package did not.

Interim heads without end were bounded before, by the count of skipped answers.

Why the fix works: the reader below http.ReadResponse fails after 64 KiB, the limit of the other client of upstreams. The request ends at once as lost and unknown, since the upstream may have run it, and the connection is closed.

The new counter magnoliawharf_upstream_faults_total tells by reason what an upstream sent in place of an answer.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,11 +35,6 @@
 	defaultRetryAfter = 50 * time.Millisecond
 )
 
-var (
-	errNoMatchingAnswer = errors.New("the upstream sent only answers to other requests")
-	errProtocolSwitched = errors.New("the upstream switched protocols without an Upgrade request")
-)
-
 // Client sends requests to the upstream beside a node. It is safe for concurrent use.
 type Client struct {
 	dialect caller.Dialect
--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -34,7 +34,8 @@
 type pooledConn struct {
 	net.Conn
 	reader        *bufio.Reader
-	reused        bool // an earlier request has used the connection
+	head          *headLimiter // between the connection and the reader
+	reused        bool         // an earlier request has used the connection
 	lastUsed      time.Time
 	reusableUntil time.Time // from then on the upstream may close the connection
 }
@@ -137,7 +138,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	head := &headLimiter{conn: raw}
+	return &pooledConn{Conn: raw, reader: bufio.NewReader(head), head: head}, nil
 }
 
 // updateExpiry records, after a complete answer, until when the connection may be reused, and reports whether it may be
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -38,6 +38,7 @@
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	response, err := x.roundTrip(length)
 	if err != nil {
+		countFault(err)
 		x.abort()
 		return nil, err
 	}
@@ -71,16 +72,12 @@
 // readAnswer reads answers until it finds the answer to the request.
 func (x *exchange) readAnswer() (*http.Response, error) {
 	for range maxSkippedAnswers + 1 {
-		if _, err := x.conn.reader.Peek(1); err != nil {
-			return nil, err
-		}
-		x.received = true
-		response, err := http.ReadResponse(x.conn.reader, x.request)
+		response, err := x.readHead()
 		switch {
 		case err != nil:
 			return nil, err
 		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errProtocolSwitched
+			return nil, protocolSwitched
 		case response.StatusCode < http.StatusOK:
 			continue
 		case x.matches(response):
@@ -90,7 +87,22 @@
 			return nil, err
 		}
 	}
-	return nil, errNoMatchingAnswer
+	return nil, noMatchingAnswer
+}
+
+// readHead reads the head of the next answer.
+func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.head.expectHead()
+	defer x.conn.head.endHead()
+	if _, err := x.conn.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	x.received = true
+	response, err := http.ReadResponse(x.conn.reader, x.request)
+	if err != nil {
+		return nil, headError(err)
+	}
+	return response, nil
 }
 
 // matches reports whether the answer belongs to the request. An answer without a request ID is accepted only when it
--- /dev/null
+++ b/transport/upstreamconn/fault.go
@@ -0,0 +1,61 @@
+package upstreamconn
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/magnoliawharf/magnoliawharf/metrics"
+)
+
+// fault is the error of an exchange in which the upstream sent bytes that are not the answer to the request. Its value is
+// a label of the counter.
+type fault string
+
+const (
+	headTooLong      fault = "head-too-long"
+	malformed        fault = "malformed"
+	protocolSwitched fault = "protocol-switched"
+	noMatchingAnswer fault = "no-matching-answer"
+)
+
+var faultTexts = map[fault]string{
+	headTooLong:      fmt.Sprintf("the head of the answer is longer than %d bytes", maxAnswerHead),
+	malformed:        "the upstream sent bytes that are no HTTP answer",
+	protocolSwitched: "the upstream switched protocols without an Upgrade request",
+	noMatchingAnswer: "the upstream sent only answers to other requests",
+}
+
+func init() {
+	for f := range faultTexts {
+		f.counter() // exports it with 0 before the first fault
+	}
+}
+
+// Error implements error.
+func (f fault) Error() string { return faultTexts[f] }
+
+func (f fault) counter() *vm.Counter {
+	return metrics.Counter(fmt.Sprintf(`magnoliawharf_upstream_faults_total{reason=%q}`, string(f)))
+}
+
+// countFault counts the fault that the error of an exchange names, if it names one.
+func countFault(err error) {
+	var f fault
+	if errors.As(err, &f) {
+		f.counter().Inc()
+	}
+}
+
+// headError returns the error of a head that cannot be read: malformed, unless the connection ended or names its own cause.
+func headError(err error) error {
+	var f fault
+	var network net.Error
+	if errors.As(err, &f) || errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", malformed, err)
+}
