upstreamconn: don't read the rest of a skipped body as the next answer

The body has to bear what looks like an answer with the request's ID at the point where skipping stopped.

Cause: the body of an answer to another request was read up to 4 MiB, and the next answer was read from there, whether the body had ended or not.

Evidence: TestLongSkippedBodyIsNoAnswer on the code before: `refusal is nil: answered "forged"`.

Why the fix works: a skipped body that is longer than the limit ends the exchange as lost and unknown, and closes the connection. It is counted as skipped-body-too-long.

TestEndlessBodiesDoNotLookComplete passes before and after: bodies without a length, chunks, chunk sizes, chunk extensions and trailers without end give an error and never look complete. net/http bounds all but the first two; those are passed on as they come, and the connection is closed at the deadline.

After: go test -race ./transport/upstreamconn ./docs passes.

--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -83,13 +83,22 @@
 		case x.matches(response):
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody)); err != nil {
+		if err := skipBody(response); err != nil {
 			return nil, err
 		}
 	}
 	return nil, noMatchingAnswer
 }
 
+// skipBody reads the body of an answer to another request to its end, where the next answer begins.
+func skipBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody+1))
+	if err == nil && n > maxSkippedBody {
+		return skippedBodyTooLong
+	}
+	return err
+}
+
 // readHead reads the head of the next answer.
 func (x *exchange) readHead() (*http.Response, error) {
 	x.conn.head.expectHead()
--- a/transport/upstreamconn/fault.go
+++ b/transport/upstreamconn/fault.go
@@ -16,17 +16,19 @@
 type fault string
 
 const (
-	headTooLong      fault = "head-too-long"
-	malformed        fault = "malformed"
-	protocolSwitched fault = "protocol-switched"
-	noMatchingAnswer fault = "no-matching-answer"
+	headTooLong        fault = "head-too-long"
+	malformed          fault = "malformed"
+	protocolSwitched   fault = "protocol-switched"
+	noMatchingAnswer   fault = "no-matching-answer"
+	skippedBodyTooLong fault = "skipped-body-too-long"
 )
 
 var faultTexts = map[fault]string{
-	headTooLong:      fmt.Sprintf("the head of the answer is longer than %d bytes", maxAnswerHead),
-	malformed:        "the upstream sent bytes that are no HTTP answer",
-	protocolSwitched: "the upstream switched protocols without an Upgrade request",
-	noMatchingAnswer: "the upstream sent only answers to other requests",
+	headTooLong:        fmt.Sprintf("the head of the answer is longer than %d bytes", maxAnswerHead),
+	malformed:          "the upstream sent bytes that are no HTTP answer",
+	protocolSwitched:   "the upstream switched protocols without an Upgrade request",
+	noMatchingAnswer:   "the upstream sent only answers to other requests",
+	skippedBodyTooLong: fmt.Sprintf("the body of an answer to another request is longer than %d bytes", maxSkippedBody),
 }
 
 func init() {
--- a/transport/upstreamconn/fault_test.go
+++ b/transport/upstreamconn/fault_test.go
@@ -91,3 +91,64 @@
 		assert.Equal(t, body, "ok")
 	}
 }
+
+// Guards against an answer that is made up from the body of another answer: the rest of a skipped body that is too long
+// must not be read as the next answer.
+func TestLongSkippedBodyIsNoAnswer(t *testing.T) {
+	const skippedBody = 4 << 20 // read of a skipped answer
+	forged := "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 6\r\n\r\nforged"
+	addr, _ := startUpstream(t, func(c *net.TCPConn, _ int, r *http.Request) bool {
+		body := strings.Repeat("x", skippedBody) + forged
+		return reply(c, "r0", body)
+	})
+	body, refusal, _ := send(t, newClient(t), addr, requestOf("r1", false, "x"))
+	assert.Assert(t, refusal != nil, "answered %q", body)
+	assert.Equal(t, refusal.Reason, caller.UpstreamLost)
+	assert.Equal(t, refusal.Ran, caller.Unknown)
+}
+
+// Guards against an answer whose framing does not end: it must not look complete, and must not be held in memory.
+func TestEndlessBodiesDoNotLookComplete(t *testing.T) {
+	const limit = 500 * time.Millisecond // time limit of the request
+	const chunked = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, endless := range map[string]struct {
+		beginning, unit string
+		bounded         bool // ends without the whole answer having been read
+	}{
+		"without a length":      {beginning: "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n", unit: "x"},
+		"chunks":                {beginning: chunked, unit: "4\r\nbody\r\n"},
+		"chunk size":            {beginning: chunked, unit: "0", bounded: true},
+		"chunk extension":       {beginning: chunked + "4;x=", unit: "x", bounded: true},
+		"extensions of chunks":  {beginning: chunked, unit: "1;x=" + strings.Repeat("x", 900) + "\r\nb\r\n", bounded: true},
+		"trailer field":         {beginning: chunked + "0\r\nX-T: ", unit: "x", bounded: true},
+		"trailer fields":        {beginning: chunked + "0\r\n", unit: "X-T: x\r\n", bounded: true},
+		"other request's body":  {beginning: "HTTP/1.1 200 OK\r\nX-Id: r0\r\n\r\n", unit: "x", bounded: true},
+		"other request's chunk": {beginning: strings.Replace(chunked, "r1", "r0", 1), unit: "4\r\nbody\r\n", bounded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, written := startEndless(t, endless.beginning, endless.unit)
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			began := time.Now()
+			answer, err := newClient(t).Send(ctx, requestOf("r1", false, "x"), addr)
+			if err == nil {
+				slow := &slowReader{answer.Body}
+				_, err = io.Copy(io.Discard, slow)
+				assert.NilError(t, answer.Body.Close())
+			}
+			assert.Assert(t, err != nil, "the answer looks complete")
+			assert.Check(t, time.Since(began) < promptly, "the end took %v", time.Since(began))
+			if endless.bounded {
+				assert.Check(t, written.Load() < maxReadBytes, "%d bytes were read", written.Load())
+			}
+		})
+	}
+}
+
+// slowReader reads slowly enough that an endless answer of the stand-in outlasts the time limit.
+type slowReader struct{ io.Reader }
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return r.Reader.Read(p)
+}
