upstreamconn: read at most 64 KiB of a health report's body

What callers would see: requests that are slow at a node whose upstream sends health reports without end. A check repeats after 20 ms while requests are placed, and each read 4 MiB: at a node with a fifth of a core there is little left for requests.

Cause: the limit was that of the bodies of skipped answers, which may be large answers to requests.

Why the fix works: the report is in the head; the body is read only so that the connection can be reused. Beyond 64 KiB the connection is closed and the report is still used.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -28,6 +28,9 @@
 	maxSkippedAnswers = 3
 	// maxSkippedBody is the largest body of a skipped answer that is read, in bytes.
 	maxSkippedBody = 4 << 20
+	// maxHealthBody is the largest body of a health report that is read, in bytes, to reuse the connection. The report itself
+	// is in the head.
+	maxHealthBody = 64 << 10
 	// maxBodyWrittenFirst is the largest body that is written before the answer is read, in bytes. A longer body is
 	// written concurrently, since an upstream may answer before it has read the whole body.
 	maxBodyWrittenFirst = 2 << 10
@@ -176,7 +179,7 @@
 	}
 	body := &answerBody{exchange: x, response: response, returnConn: func() { c.pool.put(addr, conn) }}
 	defer body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBody)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxHealthBody)); err != nil {
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
 	reading := inbound.HealthReport{Healthy: response.StatusCode == http.StatusOK, UpstreamID: response.Header.Get(c.dialect.UpstreamID)}
--- a/transport/upstreamconn/fault_test.go
+++ b/transport/upstreamconn/fault_test.go
@@ -152,3 +152,33 @@
 	time.Sleep(time.Millisecond)
 	return r.Reader.Read(p)
 }
+
+// Guards against health checks that read megabytes: they repeat many times a second, and the report is in the head.
+func TestEndlessHealthReportIsNotRead(t *testing.T) {
+	const maxWritten = 1 << 20 // in bytes, with what the kernel buffers
+	for name, beginning := range map[string]string{
+		"without a length": "HTTP/1.1 200 OK\r\nX-Upstream: u-1\r\nX-Load: 3,1,8\r\n\r\n",
+		"with a length":    "HTTP/1.1 200 OK\r\nX-Upstream: u-1\r\nX-Load: 3,1,8\r\nContent-Length: 99999999\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := new(atomic.Int64)
+			done := make(chan struct{})
+			addr, _ := startUpstream(t, func(c *net.TCPConn, _ int, _ *http.Request) bool {
+				defer close(done)
+				_ = c.SetWriteBuffer(64 << 10)
+				_, err := io.WriteString(c, beginning)
+				for block := strings.Repeat("x", 4<<10); err == nil && written.Load() < endlessBytes; {
+					var n int
+					n, err = io.WriteString(c, block)
+					written.Add(int64(n))
+				}
+				return false
+			})
+			reading, err := newClient(t).CheckHealth(context.Background(), addr, "/health")
+			assert.NilError(t, err)
+			assert.Assert(t, reading.Healthy && reading.HasLoad)
+			<-done
+			assert.Check(t, written.Load() < maxWritten, "%d bytes were written", written.Load())
+		})
+	}
+}
