transport: bound the header of responses to control messages

What callers would see: nothing at once. A node that reads the contracts of a peer reads a header of up to 10 MB, at four connections a peer; spread over many short fields it takes several times that in memory.

Cause: the client left the limit at the default of net/http.

Why the fix works: the client refuses a header of more than 64 KiB, as the clients of requests do.

After: go test -race ./transport ./transport/peerrpc passes.

--- a/transport/control.go
+++ b/transport/control.go
@@ -11,6 +11,8 @@
 	controlIdleTimeout = 90 * time.Second
 	controlIdlePerPeer = 4
 	controlBufferSize  = 4 << 10 // in bytes; control messages are short
+	// controlHeaderBytes is the largest header of a response, in bytes. The default of net/http is 10 MB.
+	controlHeaderBytes = 64 << 10
 )
 
 // ControlClient is the HTTP client for control messages between nodes. Its connections are separate from
@@ -26,6 +28,7 @@
 		DialContext:         (&net.Dialer{Timeout: controlDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: controlIdlePerPeer, IdleConnTimeout: controlIdleTimeout,
 		ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize, DisableCompression: true,
+		MaxResponseHeaderBytes: controlHeaderBytes,
 	}
 	return &ControlClient{Client: http.Client{Transport: pool}, pool: pool}
 }
