upstreamconn: don't count interim answers as skipped ones

What callers would see: a request that ends lost and unknown (502) though its upstream answers it, when the upstream sends four or more interim answers (1xx) first, as for the progress of long work.

Cause: interim answers used up the number of answers to other requests that are skipped.

Evidence: TestInterimAnswersAreNotCountedAsSkipped on the code before: `upstream-lost (unknown): the upstream sent only answers to other requests`.

After: go test -race ./transport/upstreamconn passes.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -23,8 +23,7 @@
 	// staleConnWindow is the time after the start of a request within which a failure on a reused connection means that
 	// the upstream had closed the connection before. An upstream that closes it later may have worked on the request.
 	staleConnWindow = 20 * time.Millisecond
-	// maxSkippedAnswers limits the answers to other requests, interim responses (1xx) included, that are skipped before
-	// the answer to this request.
+	// maxSkippedAnswers limits the answers to other requests that are skipped before the answer to this request.
 	maxSkippedAnswers = 3
 	// maxSkippedBody is the largest body of a skipped answer that is read, in bytes.
 	maxSkippedBody = 4 << 20
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -76,10 +76,6 @@
 		switch {
 		case err != nil:
 			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, protocolSwitched
-		case response.StatusCode < http.StatusOK:
-			continue
 		case x.matches(response):
 			return response, nil
 		}
@@ -99,19 +95,25 @@
 	return err
 }
 
-// readHead reads the head of the next answer.
+// readHead reads the head of the next final answer. The limit of a head covers the interim answers (1xx) before it.
 func (x *exchange) readHead() (*http.Response, error) {
 	x.conn.head.expectHead()
 	defer x.conn.head.endHead()
-	if _, err := x.conn.reader.Peek(1); err != nil {
-		return nil, err
-	}
-	x.received = true
-	response, err := http.ReadResponse(x.conn.reader, x.request)
-	if err != nil {
-		return nil, headError(err)
+	for {
+		if _, err := x.conn.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		x.received = true
+		response, err := http.ReadResponse(x.conn.reader, x.request)
+		switch {
+		case err != nil:
+			return nil, headError(err)
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, protocolSwitched
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		}
 	}
-	return response, nil
 }
 
 // matches reports whether the answer belongs to the request. An answer without a request ID is accepted only when it
--- a/transport/upstreamconn/fault_test.go
+++ b/transport/upstreamconn/fault_test.go
@@ -182,3 +182,19 @@
 		})
 	}
 }
+
+// Guards against interim answers that use up the number of skipped answers.
+func TestInterimAnswersAreNotCountedAsSkipped(t *testing.T) {
+	addr, _ := startUpstream(t, func(c *net.TCPConn, _ int, _ *http.Request) bool {
+		return writeInterim(c, 20) && reply(c, "r1", "ok")
+	})
+	body, refusal, err := send(t, newClient(t), addr, requestOf("r1", false, ""))
+	assert.NilError(t, err)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	assert.Equal(t, body, "ok")
+}
+
+func writeInterim(c net.Conn, count int) bool {
+	_, err := io.WriteString(c, strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", count))
+	return err == nil
+}
--- a/transport/upstreamconn/head.go
+++ b/transport/upstreamconn/head.go
@@ -5,7 +5,7 @@
 	"net"
 )
 
-// maxAnswerHead is the largest head of an answer, in bytes.
+// maxAnswerHead is the largest head of an answer, in bytes, with the interim answers (1xx) before it.
 const maxAnswerHead = 64 << 10
 
 // headLimiter reads from a connection and limits the bytes that are read for the head of an answer, which net/http reads
