upstreamconn: don't take a refusal without an ID on a kept connection as proof

What callers would see: "not run, try again" (503) for a request that the upstream runs, or has run (REFUSED), and a request that may run once at a second upstream (TWICE). A stray 421 also took the upstream out of service until the next health check.

Cause: an answer without a request ID that states not-run was taken as the answer to the request in flight, also on a connection that had carried other exchanges. There it may be an earlier refusal written once more. Refused requests close their connection, but refused health checks keep it, and checks and requests share connections.

Evidence: on the code before, with the refusal together with the true answer or 20 ms ahead of it:

TestStrayRefusalOnKeptConnection 16 of 16 cases, such as 503 one by one repeatable=false: upstream-rejected (not-run): status 503 421 one by one repeatable=false: stale-incarnation (not-run): the address belongs to "u-2" TestUnprovenRefusalIsUnknown "kept connection", "kept connection, 421", "behind another's answer": not-run != unknown TestRefusedHealthCheckIsNoRefusalOfARequest upstream-rejected (not-run): status 503

TestStrayRefusalBeforeTheRequest passes before and after: what arrives before the request is sent closes the connection. So does the case of a copy that bears the earlier request's ID: it was skipped before.

Why the fix works: only a new connection, on which nothing but this request was sent and nothing else was answered, proves that such a refusal belongs to the request. On any other one it is skipped and the node reads on for the answer until the deadline, for idempotent requests too: the answer comes when the refusal was a stray one, and a second attempt would be a second run. Without one the outcome is unknown. A refusal that bears the request's ID counts as before, at once.

What it costs: a true refusal without an ID on a kept connection is no longer believed.

A new counter, magnoliawharf_upstream_answers_skipped_total, tells by reason which answers were skipped.

After: go test -race ./transport/upstreamconn ./docs ./inbound passes.

--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -20,6 +20,7 @@
 
 	sent         atomic.Bool // at least one byte of the request was handed to the connection
 	received     bool        // at least one byte was received
+	skipped      bool        // an answer that may belong to another request was skipped
 	writeDone    chan error  // gets the result of a concurrent write and is closed; nil when the request is written first
 	fullyWritten bool        // the request was written completely
 	stopWatch    func() bool // stops closing the connection at the end of the context; false when that has closed it
@@ -73,12 +74,15 @@
 func (x *exchange) readAnswer() (*http.Response, error) {
 	for range maxSkippedAnswers + 1 {
 		response, err := x.readHead()
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case x.matches(response):
+		}
+		reason, skip := x.skipReason(response)
+		if !skip {
 			return response, nil
 		}
+		reason.counter().Inc()
+		x.skipped = true
 		if err := skipBody(response); err != nil {
 			return nil, err
 		}
@@ -116,15 +120,27 @@
 	}
 }
 
-// matches reports whether the answer belongs to the request. An answer without a request ID is accepted only when it
-// states that the request was not run, since upstreams may reject a request before they have read its ID.
-func (x *exchange) matches(response *http.Response) bool {
-	got := response.Header.Get(x.dialect.RequestID)
-	if got == x.wantID {
-		return true
+// skipReason reports whether the answer is skipped because it may belong to another request. A refusal without a request
+// ID is accepted only as the first answer on a new connection, since an upstream may reject a request before it has read
+// its ID. On any other connection it may be an earlier refusal that the upstream wrote once more, or that of a health
+// check, while the request runs.
+func (x *exchange) skipReason(response *http.Response) (reason skipReason, skip bool) {
+	switch got := response.Header.Get(x.dialect.RequestID); {
+	case got == x.wantID:
+		return "", false
+	case got != "":
+		return otherRequestID, true
+	case !x.statesNotRun(response):
+		return noRequestID, true
+	case x.conn.reused || x.skipped:
+		return unprovenRefusal, true
 	}
-	rejected := response.Header.Get(x.dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-	return got == "" && rejected
+	return "", false
+}
+
+// statesNotRun reports whether the answer states that its request was not run.
+func (x *exchange) statesNotRun(response *http.Response) bool {
+	return response.Header.Get(x.dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
 }
 
 // abort ends the exchange and closes the connection.
--- a/transport/upstreamconn/fault.go
+++ b/transport/upstreamconn/fault.go
@@ -31,10 +31,27 @@
 	skippedBodyTooLong: fmt.Sprintf("the body of an answer to another request is longer than %d bytes", maxSkippedBody),
 }
 
+// skipReason is the reason to skip an answer. Its value is a label of the counter.
+type skipReason string
+
+const (
+	otherRequestID  skipReason = "other-request-id"
+	noRequestID     skipReason = "no-request-id"
+	unprovenRefusal skipReason = "unproven-refusal"
+)
+
+// init exports the counters with 0 before their first increment.
 func init() {
 	for f := range faultTexts {
-		f.counter() // exports it with 0 before the first fault
+		f.counter()
 	}
+	for _, reason := range []skipReason{otherRequestID, noRequestID, unprovenRefusal} {
+		reason.counter()
+	}
+}
+
+func (r skipReason) counter() *vm.Counter {
+	return metrics.Counter(fmt.Sprintf(`magnoliawharf_upstream_answers_skipped_total{reason=%q}`, string(r)))
 }
 
 // Error implements error.
