upstreamconn: send a request without an ID on a connection of its own

Cause: answers are matched by ID; for a request without one, any answer without one matched, also on a kept connection.

Evidence: TestRequestWithoutIDGetsItsOwnConnection on the code before: `1 (int64) != 2 (int64)` connections over a request with an ID and one without.

Why the fix works: on a new connection the first final answer can only belong to the one request on it. Requests without an ID are rare: the users' platform has none. Health checks still share connections: an answer to an earlier check says at worst what the same process reported a little earlier.

After: go test -race ./transport/upstreamconn passes.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -20,6 +20,8 @@
 	// maxIdleNonRepeatable is the longest idle time after which a connection is reused for a request that must not run
 	// twice. An upstream may close idle connections early, and a request that is lost on such a connection may have run.
 	maxIdleNonRepeatable = 250 * time.Millisecond
+	// neverReuse is the idle time of a request that is sent on a new connection.
+	neverReuse time.Duration = -1
 	// staleConnWindow is the time after the start of a request within which a failure on a reused connection means that
 	// the upstream had closed the connection before. An upstream that closes it later may have worked on the request.
 	staleConnWindow = 20 * time.Millisecond
@@ -82,15 +84,16 @@
 		return nil, false, refusal
 	}
 	c.setSystemFields(outgoing, req)
-	conn := c.pool.get(addr, time.Now(), maxIdleTime)
-	if conn == nil {
-		var err error
-		if conn, err = dial(ctx, addr); err != nil {
-			return nil, false, c.refusalOf(ctx, req, addr, false, err)
-		}
+	wantID := outgoing.Header.Get(c.dialect.RequestID)
+	if wantID == "" {
+		maxIdleTime = neverReuse // without an ID a late answer to an earlier request cannot be told apart
+	}
+	conn, err := c.connect(ctx, addr, maxIdleTime)
+	if err != nil {
+		return nil, false, c.refusalOf(ctx, req, addr, false, err)
 	}
 	start := time.Now()
-	x := &exchange{conn: conn, request: outgoing, wantID: outgoing.Header.Get(c.dialect.RequestID), dialect: &c.dialect}
+	x := &exchange{conn: conn, request: outgoing, wantID: wantID, dialect: &c.dialect}
 	response, err := x.run(ctx, bodyLength(req))
 	if err != nil {
 		stale = conn.reused && !x.received && ctx.Err() == nil && time.Since(start) < staleConnWindow
@@ -105,6 +108,16 @@
 	return answer, false, nil
 }
 
+// connect returns an idle connection that was last used within maxIdleTime, or a new one.
+func (c *Client) connect(ctx context.Context, addr string, maxIdleTime time.Duration) (*pooledConn, error) {
+	if maxIdleTime > neverReuse {
+		if conn := c.pool.get(addr, time.Now(), maxIdleTime); conn != nil {
+			return conn, nil
+		}
+	}
+	return dial(ctx, addr)
+}
+
 // bodyLength returns the length of the request's body in bytes, and a value above maxBodyWrittenFirst when it is unknown.
 func bodyLength(req *caller.Request) int64 {
 	if length := req.Body.Length(); length >= 0 {
@@ -165,11 +178,9 @@
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
 	outgoing.Header.Set("User-Agent", "")
-	conn := c.pool.get(addr, time.Now(), defaultIdleTimeout)
-	if conn == nil {
-		if conn, err = dial(ctx, addr); err != nil {
-			return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
-		}
+	conn, err := c.connect(ctx, addr, defaultIdleTimeout)
+	if err != nil {
+		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
 	x := &exchange{conn: conn, request: outgoing, dialect: &c.dialect}
 	response, err := x.run(ctx, 0)
--- a/transport/upstreamconn/stray_test.go
+++ b/transport/upstreamconn/stray_test.go
@@ -148,3 +148,24 @@
 	assert.Equal(t, body, "ran")
 	assert.Equal(t, accepted.Load(), int64(2))
 }
+
+// Guards against a late answer that is taken for the answer to a request without an ID, which no ID tells apart.
+func TestRequestWithoutIDGetsItsOwnConnection(t *testing.T) {
+	addr, accepted := startUpstream(t, func(c *net.TCPConn, n int, _ *http.Request) bool {
+		if n == 0 {
+			return writeAll(c, 0, answerText("r0", "ok"))
+		}
+		return writeAll(c, 0, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	client := newClient(t)
+	_, refusal, err := send(t, client, addr, requestOf("r0", true, ""))
+	assert.NilError(t, err)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	anonymous := requestOf("", true, "")
+	delete(anonymous.Header, "X-Id")
+	body, refusal, err := send(t, client, addr, anonymous)
+	assert.NilError(t, err)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, accepted.Load(), int64(2))
+}
