platform, inbound: reject reports with a number out of range

What callers would see: requests that reach an upstream after its node has acknowledged that it leaves (DRAIN). One report by another writer, with the upstream's ID and address and a `sequence` close to 64 bits or a `born` in the far future, makes every later report of the upstream itself look outdated: they are acknowledged and ignored, also the one that says that it leaves.

Cause: only `born` had an upper bound, of 2^53 ms, 285,000 years ahead.

The upstream is on the same machine, so that their clocks agree but for a step.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -21,13 +21,18 @@
 	ColdStartRemaining time.Duration // remaining time for which the upstream is slow after its start
 }
 
-// maxSlots is the largest number of slots that an announcement may give.
-const maxSlots = 1 << 16
+const (
+	// maxSlots is the largest number of slots that an announcement may give.
+	maxSlots = 1 << 16
+	// maxClockLead is how far the upstream's clock may be ahead of this node's. An incarnation that claims a later start
+	// would make all true announcements look outdated.
+	maxClockLead = 24 * time.Hour
+)
 
 // ErrInvalidAnnouncement is the error of an invalid announcement, or of one for another address than the upstream's.
 var ErrInvalidAnnouncement = errors.New("announcement is invalid")
 
-func (a *Announcement) validate() error {
+func (a *Announcement) validate(now time.Time) error {
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return fmt.Errorf("%w: address %q: %w", ErrInvalidAnnouncement, a.Address, err)
 	}
@@ -38,6 +43,8 @@
 		return fmt.Errorf("%w: service is missing", ErrInvalidAnnouncement)
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return fmt.Errorf("%w: slots %d not in the range 1 to %d", ErrInvalidAnnouncement, a.Slots, maxSlots)
+	case a.Born > now.Add(maxClockLead).UnixMilli():
+		return fmt.Errorf("%w: start %d ms lies in the future", ErrInvalidAnnouncement, a.Born)
 	}
 	return nil
 }
@@ -45,7 +52,7 @@
 // Announce applies an announcement of the upstream. The error wraps ErrInvalidAnnouncement. An outdated announcement is
 // ignored without an error.
 func (p *Proxy) Announce(now time.Time, a Announcement) error {
-	if err := a.validate(); err != nil {
+	if err := a.validate(now); err != nil {
 		return err
 	}
 	if p.options.Upstream != "" && a.Address != p.options.Upstream {
