inbound: publish a changed service or address of an incarnation

What callers would see: requests that are refused, or that find no upstream, until the upstream ends. When a report of another writer comes first, with the ID of the upstream and another service, the upstream's own reports corrected the service at its node, but the other nodes were not told: they went on to place requests of the wrong service there, and none of its own.

Cause: a later report of the same incarnation counted as a change only when the state or the slots differed.

Evidence: TestChangedServiceIsPublished on the code before: `p.Status().Revision is <= revision`, `changes.Load() is <= before`.

Why the fix works: a changed service or address is a change of the status, with a new revision and a broadcast.

TestStartInTheFutureIsInvalid covers the bound on the start of an incarnation where it is checked.

After: go test -race ./inbound passes.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -108,7 +108,7 @@
 		p.loadCheckedAt = time.Time{}
 		p.options.Client.KeepOnly(a.Address)
 	}
-	if !replaced && next == p.state && a.Slots == previous.Slots {
+	if !replaced && next == p.state && a.Slots == previous.Slots && a.Service == previous.Service && a.Address == previous.Address {
 		p.renewAnnouncement(now)
 		return nil
 	}
--- /dev/null
+++ b/inbound/odd_announcement_test.go
@@ -0,0 +1,51 @@
+package inbound_test
+
+import (
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/inbound"
+	"github.com/magnoliawharf/magnoliawharf/quarantine"
+)
+
+// newProxyWithServices returns a proxy of a node whose contracts name only the service "s" and "other", and a counter of the
+// changes of its status.
+func newProxyWithServices() (*inbound.Proxy, *atomic.Int64) {
+	changes := new(atomic.Int64)
+	return inbound.New(inbound.Options{
+		Node: "n1", Boot: boot, Address: "10.0.0.1:81", Zone: "z", Service: "s", Upstream: addr,
+		HealthPath: func(service string) string { return map[string]string{"s": "/health", "other": "/health"}[service] },
+		FreshFor:   20 * time.Millisecond, LivenessTimeout: 7 * time.Second, SlotShare: 1, Client: &fakeClient{},
+		Suspects: quarantine.NewList(nil), OnStatusChange: func() { changes.Add(1) }, Log: slog.New(slog.DiscardHandler),
+	}), changes
+}
+
+// Guards against a changed service that the other nodes do not learn of, when an announcement of another writer came first.
+func TestChangedServiceIsPublished(t *testing.T) {
+	p, changes := newProxyWithServices()
+	now := time.UnixMilli(15)
+	odd := announcement("a", 10, 1)
+	odd.Service = "bogus"
+	assert.NilError(t, p.Announce(now, odd))
+	revision, before := p.Status().Revision, changes.Load()
+	assert.NilError(t, p.Announce(now, announcement("a", 10, 2)))
+	assert.Equal(t, p.Status().Service, "s")
+	assert.Check(t, p.Status().Revision > revision)
+	assert.Check(t, changes.Load() > before)
+}
+
+// Guards against an odd announcement that keeps its place: one with a start in the far future makes all true ones look
+// outdated.
+func TestStartInTheFutureIsInvalid(t *testing.T) {
+	p, _ := newProxyWithServices()
+	now := time.UnixMilli(15)
+	err := p.Announce(now, announcement("a", now.Add(25*time.Hour).UnixMilli(), 1))
+	assert.Assert(t, errors.Is(err, inbound.ErrInvalidAnnouncement), "%v", err)
+	assert.NilError(t, p.Announce(now, announcement("a", now.Add(time.Hour).UnixMilli(), 1)))
+	assert.Assert(t, p.Status().Serving)
+}
