inbound: ignore a report that moves an incarnation to an unnamed service

What callers would see: refused requests of a service whose upstream runs, for up to a report interval. A report of another writer, with the ID of the upstream and a service that the contracts do not name, took the upstream's own service from it.

Cause: the later report of an incarnation replaced the earlier one whatever service it named.

Evidence: TestUnknownServiceDoesNotReplaceTheUpstreams on the code before: `bogus (p.Status().Service string) != s (string)`.

Why the fix works: an incarnation does not change its service. A first report is still accepted, since contracts may name a service later.

After: go test -race ./inbound ./sidecar passes.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -86,10 +86,15 @@
 		return "a later announcement is known"
 	case a.ID != p.current.ID && alive && a.Born < p.current.Born:
 		return "a later incarnation serves at this address"
+	case a.ID == p.current.ID && a.Born == p.current.Born && p.namedService(p.current.Service) && !p.namedService(a.Service):
+		return "the contracts do not name its service, but that of its earlier announcement"
 	}
 	return ""
 }
 
+// namedService reports whether the contracts name the service.
+func (p *Proxy) namedService(name string) bool { return p.options.HealthPath(name) != "" }
+
 // apply makes the announcement the current one. It is called with the lock held; the caller must call notify, unless it
 // is nil, after releasing the lock.
 func (p *Proxy) apply(now time.Time, a Announcement) (notify func()) {
--- a/inbound/odd_announcement_test.go
+++ b/inbound/odd_announcement_test.go
@@ -25,6 +25,24 @@
 	}), changes
 }
 
+// Guards against an announcement of another writer, with the ID of the upstream and a service that the contracts do not
+// name, that takes the requests of its own service from the upstream.
+func TestUnknownServiceDoesNotReplaceTheUpstreams(t *testing.T) {
+	p, _ := newProxyWithServices()
+	now := time.UnixMilli(15)
+	assert.NilError(t, p.Announce(now, announcement("a", 10, 1)))
+	odd := announcement("a", 10, 2)
+	odd.Service = "bogus"
+	err := p.Announce(now, odd)
+	assert.Assert(t, err == nil || errors.Is(err, inbound.ErrInvalidAnnouncement))
+	assert.Equal(t, p.Status().Service, "s")
+	assert.NilError(t, p.Announce(now, announcement("a", 10, 2)))
+	leaving := announcement("a", 10, 3)
+	leaving.Draining = true
+	assert.NilError(t, p.Announce(now, leaving))
+	assert.Assert(t, !p.Status().Serving)
+}
+
 // Guards against a changed service that the other nodes do not learn of, when an announcement of another writer came first.
 func TestChangedServiceIsPublished(t *testing.T) {
 	p, changes := newProxyWithServices()
