peer: ignore addresses at which no node can be

What callers would see: little. An entry of another writer among the node keys, or an address in a message, such as port 0, 0.0.0.0, a multicast or an IPv6 address, became a node of the roster. Nodes sent messages there every half second, to all machines of a multicast group among others, and each such entry reduced every node's share of the retry allowance.

Cause: whatever parses as an address was added.

Evidence: TestOddAddressesAreNotAdded on the code before: `11 (int) != 1 (int)` nodes known.

Why the fix works: the roster takes only addresses of its own family, with a port and of one machine. An IPv4 address in the IPv6 form is the same node.

After: go test -race ./peer passes.

--- a/peer/roster.go
+++ b/peer/roster.go
@@ -145,8 +145,23 @@
 	return p, added
 }
 
+// reachable reports whether a node can be at the address. An entry of the store or a message may hold any other.
+func (r *Roster) reachable(addr netip.AddrPort) bool {
+	ip := addr.Addr()
+	sameFamily := ip.Is4() == r.selfPeer.addr.Addr().Is4()
+	return addr.Port() != 0 && sameFamily && !ip.IsUnspecified() && !ip.IsMulticast() && ip != limitedBroadcast
+}
+
+// limitedBroadcast is the IPv4 address of all machines of a link.
+var limitedBroadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // AddNode adds the address of a possible node and, when it is new, sends this node's status there.
 func (r *Roster) AddNode(addr netip.AddrPort) {
+	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+	if !r.reachable(addr) {
+		r.log.Debug("address of a node ignored", "address", addr.String())
+		return
+	}
 	if p, added := r.getOrAdd(addr); added && !p.isSelf {
 		r.sendStatus(p, true)
 	}
