peer: ignore this node's own status from another address

What callers would see: an upstream that gets twice its share of the requests of its own node, and none from it once the false node stops answering.

Cause: the roster tells nodes apart by address. An entry that names the node's own socket by another address, such as the loopback one, led its status messages back to it, and it took itself for another node with the same upstream.

Evidence: TestOwnStatusFromAnotherAddressIsIgnored on the code before: `2 (int) != 1 (int)` nodes of the service.

Why the fix works: a status with this node's name and boot is its own.

After: go test -race ./peer passes.

--- a/peer/odd_address_test.go
+++ b/peer/odd_address_test.go
@@ -62,3 +62,12 @@
 	r.AddNode(netip.MustParseAddrPort("[::ffff:10.0.0.1]:7000"))
 	assert.Equal(t, r.Len(), 2, "the same address in another form is another node")
 }
+
+// Guards against a node that takes itself for another one, which it then prefers twice as often, when an entry names its
+// own socket by another address.
+func TestOwnStatusFromAnotherAddressIsIgnored(t *testing.T) {
+	_, r := newRecorded()
+	r.UpdateOwnStatus()
+	r.HandleStatus(netip.MustParseAddrPort("127.0.0.1:7000"), peer.StatusMessage{Status: ownStatus})
+	assert.Equal(t, len(r.Service("s")), 1)
+}
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -169,6 +169,9 @@
 
 // HandleStatus handles a status message from another node.
 func (r *Roster) HandleStatus(from netip.AddrPort, i StatusMessage) {
+	if own := r.selfNode.Status(); i.Status.Node == own.Node && i.Status.Boot == own.Boot {
+		return // a message of this node that came back by another of its addresses
+	}
 	p, added := r.getOrAdd(from)
 	if p.isSelf {
 		return
