peer: pass on only addresses of nodes that were heard

What callers would see: little at first. An address at which no node answers, from an entry that has been removed long since, stayed in the rosters of all nodes: each forgot it after ten minutes without a message, and learned it anew from another. Such addresses add up, get messages for ever, and reduce every node's share of the retry allowance.

Cause: status messages carried random addresses of the roster; an address from which nothing was ever heard never counts as unresponsive.

Evidence: TestUnheardAddressesAreNotPassedOn on the code before: `passedOn[silent] is true`.

Why the fix works: only addresses of nodes that have sent a status are passed on. A node without contact to the store is still found: it sends its own status, and nodes that had heard it keep sending to it.

After: go test -race ./peer ./sidecar ./transport/datagram passes.

--- a/peer/odd_address_test.go
+++ b/peer/odd_address_test.go
@@ -1,10 +1,12 @@
 package peer_test
 
 import (
+	"context"
 	"log/slog"
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -71,3 +73,34 @@
 	r.HandleStatus(netip.MustParseAddrPort("127.0.0.1:7000"), peer.StatusMessage{Status: ownStatus})
 	assert.Equal(t, len(r.Service("s")), 1)
 }
+
+// Guards against an address that no node answers at, which nodes pass on to each other for ever.
+func TestUnheardAddressesAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, r := newRecorded()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		silent := address(9)
+		r.AddNode(silent)
+		for range 10 {
+			r.HandleStatus(address(1), peer.StatusMessage{Status: peer.Status{Node: "n1", Boot: 1, Address: "10.0.0.1:80"}, ReplyRequested: true})
+			r.HandleStatus(address(2), peer.StatusMessage{Status: peer.Status{Node: "n2", Boot: 2, Address: "10.0.0.2:80"}, ReplyRequested: true})
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		sent.mu.Lock()
+		defer sent.mu.Unlock()
+		passedOn := make(map[netip.AddrPort]bool)
+		for _, to := range []netip.AddrPort{address(1), address(2)} {
+			for _, i := range sent.statuses[to] {
+				for _, addr := range i.Addresses {
+					passedOn[addr] = true
+				}
+			}
+		}
+		assert.Check(t, !passedOn[silent])
+		assert.Check(t, passedOn[address(1)] && passedOn[address(2)], "%v", passedOn)
+		assert.Check(t, len(sent.statuses[silent]) > 1, "the silent address is no longer tried")
+	})
+}
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -116,10 +116,21 @@
 
 // Addresses returns the datagram addresses of up to limit random nodes, without this one and unresponsive ones.
 func (r *Roster) Addresses(limit int) []netip.AddrPort {
+	return r.sampleAddresses(limit, func(*Peer) bool { return true })
+}
+
+// heardAddresses returns addresses to pass on to other nodes: those of nodes that have sent a status. Nodes would pass on
+// any other address to each other for ever, each time as a new one.
+func (r *Roster) heardAddresses() []netip.AddrPort {
+	return r.sampleAddresses(MaxAddresses, func(p *Peer) bool { return p.Status().Boot != 0 })
+}
+
+// sampleAddresses returns the addresses of up to limit random responsive nodes that match, without this one.
+func (r *Roster) sampleAddresses(limit int, match func(*Peer) bool) []netip.AddrPort {
 	var all []netip.AddrPort
 	now := time.Now()
 	r.peers.Range(func(_ string, p *Peer) bool {
-		if !p.isSelf && !p.unresponsive(now) {
+		if !p.isSelf && !p.unresponsive(now) && match(p) {
 			all = append(all, p.addr)
 		}
 		return true
@@ -283,7 +294,7 @@
 }
 
 func (r *Roster) sendStatus(p *Peer, reply bool) {
-	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.Addresses(MaxAddresses), ReplyRequested: reply, Previous: p.previousUpstream()})
+	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.heardAddresses(), ReplyRequested: reply, Previous: p.previousUpstream()})
 }
 
 // updateServices moves the peer between the lists of services after a change of its status, and logs the change.
