platform, contract: reject contracts with a number out of range

Deep nesting (1,000,000 levels), numbers over 64 bits, wrong types and trailing bytes were rejected before, and end no process.

Contracts in force stay.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -76,14 +76,17 @@
 	return &c, nil
 }
 
+// maxWeight bounds the weight of a part, so that no sum of weights overflows.
+const maxWeight = 1 << 30
+
 func validateRoute(r *Route, services map[string]Service) error {
 	total := 0
 	for _, part := range r.Split {
 		if _, ok := services[part.Service]; !ok {
 			return fmt.Errorf("service %q is not defined", part.Service)
 		}
-		if part.Weight < 0 {
-			return fmt.Errorf("weight %d of service %q is negative", part.Weight, part.Service)
+		if part.Weight < 0 || part.Weight > maxWeight {
+			return fmt.Errorf("weight %d of service %q not in the range 0 to %d", part.Weight, part.Service, maxWeight)
 		}
 		total += part.Weight
 	}
