sidecar: log and count node entries that are no address

What callers would see: nothing. An entry of another writer among the node keys was skipped without a trace.

Evidence: TestOddNodeEntriesAreIgnored on the code before: the log does not name the key. The rest of the test passes before and after: with 30 odd entries before and after their keys (bytes, 100 KB of brackets, ports 0, 99999 and 1e999, unspecified, multicast and IPv6 addresses) two nodes find each other, serve, and do not end.

TestOddContractEntriesKeepThoseInForce passes before and after too: six odd documents, a megabyte of brackets among them, are rejected one by one, the contracts in force stay, and the next version is adopted.

After: go test -race ./sidecar ./docs passes.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -38,6 +38,8 @@
 var (
 	adoptedTotal = metrics.Counter("magnoliawharf_sidecar_contracts_adopted_total")
 	refusedTotal = metrics.Counter("magnoliawharf_sidecar_contracts_refused_total")
+
+	ignoredNodesTotal = metrics.Counter("magnoliawharf_sidecar_node_entries_ignored_total")
 )
 
 // startStoreSync starts the goroutines that keep the contracts and the known nodes in step with the store until ctx ends.
@@ -198,9 +200,13 @@
 		return err
 	}
 	for _, e := range entries {
-		if addr, err := netip.ParseAddrPort(string(e.Value)); err == nil {
-			s.roster.AddNode(addr)
+		addr, err := netip.ParseAddrPort(string(e.Value))
+		if err != nil {
+			ignoredNodesTotal.Inc()
+			s.Log.Warn("node entry ignored: the value is no address", "key", e.Key, "bytes", len(e.Value), "revision", e.Revision)
+			continue
 		}
+		s.roster.AddNode(addr)
 	}
 	s.Log.Info("nodes listed from store", "count", len(entries))
 	return nil
