upstreamhttp: reject a validity that overflows

What callers would see: an upstream whose announcement is acknowledged and that gets no requests, or an announcement that is valid for another time than it says.

Cause: ttl_ms was checked after a multiplication that overflows; a large value became a negative or short validity.

Evidence: TestAnnouncementsAreChecked on the code before: "overflowing" and "overflowing, 2": 204 != 400. "over 64 bits", "endless life" and "nested" were rejected before.

Why the fix works: the value is compared in milliseconds, before it is converted.

After: go test -race ./transport/upstreamhttp passes.

--- a/transport/upstreamhttp/announce.go
+++ b/transport/upstreamhttp/announce.go
@@ -96,7 +96,6 @@
 
 func (a Announcement) validate() (upstream.Announcement, error) {
 	state, known := announcedStates[a.State]
-	ttl := time.Duration(a.TTLMilliseconds) * time.Millisecond
 	switch {
 	case !servicePattern.MatchString(a.Service):
 		return upstream.Announcement{}, fmt.Errorf("announcement: service %q is not a name of 1 to 64 letters, digits, '.', '_' or '-' that begins with a letter or digit", a.Service)
@@ -106,7 +105,7 @@
 		return upstream.Announcement{}, fmt.Errorf("announcement: state %q is not one of ready, cold, draining", a.State)
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return upstream.Announcement{}, fmt.Errorf("announcement: slots %d is not in the range from 1 to %d", a.Slots, maxSlots)
-	case a.TTLMilliseconds < 1 || ttl > upstream.MaxTimeToLive:
+	case a.TTLMilliseconds < 1 || int64(a.TTLMilliseconds) > upstream.MaxTimeToLive.Milliseconds():
 		return upstream.Announcement{}, fmt.Errorf("announcement: ttl_ms %d is not in the range from 1 to %d", a.TTLMilliseconds, upstream.MaxTimeToLive.Milliseconds())
 	case len(a.Process) > maxProcessLength:
 		return upstream.Announcement{}, fmt.Errorf("announcement: process is longer than %d bytes", maxProcessLength)
@@ -114,7 +113,8 @@
 		return upstream.Announcement{}, fmt.Errorf("announcement: load %d is not in the range from 0 to %d", *a.Load, maxSlots)
 	}
 	return upstream.Announcement{
-		Service: a.Service, Addr: a.Address, State: state, Slots: a.Slots, TimeToLive: ttl, Process: a.Process,
+		Service: a.Service, Addr: a.Address, State: state, Slots: a.Slots,
+		TimeToLive: time.Duration(a.TTLMilliseconds) * time.Millisecond, Process: a.Process,
 	}, nil
 }
 
