upstreamconn: test a late health report in place of an answer

TestLateHealthReportIsNoAnswer: a health check that takes an earlier refusal for its report counts as a failed check, which takes no upstream out of service. Its own report, late, is skipped where the answer to the next request is due.

go test -race ./transport/upstreamconn passes.

--- a/transport/upstreamconn/stray_test.go
+++ b/transport/upstreamconn/stray_test.go
@@ -169,3 +169,28 @@
 	assert.Equal(t, body, "ok")
 	assert.Equal(t, accepted.Load(), int64(2))
 }
+
+// Guards against a health report that reaches a request: when a health check takes an earlier refusal for its report, its own
+// report comes where the answer to the next request is due.
+func TestLateHealthReportIsNoAnswer(t *testing.T) {
+	healthy := "HTTP/1.1 200 OK\r\nX-Upstream: u-1\r\nX-Load: 3,1,8\r\nContent-Length: 0\r\n\r\n"
+	for name, late := range map[string]string{"healthy": healthy, "refused": refusalText(503)} {
+		t.Run(name, func(t *testing.T) {
+			addr, accepted := startUpstream(t, func(c *net.TCPConn, _ int, r *http.Request) bool {
+				if r.URL.Path == "/health" {
+					return writeAll(c, 0, refusalText(503))
+				}
+				return writeAll(c, 0, late+answerText("r1", "ran"))
+			})
+			client := newClient(t)
+			reading, err := client.CheckHealth(context.Background(), addr, "/health")
+			assert.NilError(t, err)
+			assert.Assert(t, !reading.Healthy && !reading.HasLoad)
+			body, refusal, err := send(t, client, addr, requestOf("r1", false, ""))
+			assert.NilError(t, err)
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			assert.Equal(t, body, "ran")
+			assert.Equal(t, accepted.Load(), int64(1))
+		})
+	}
+}
