--- a/transport/upstreamconn/fault_test.go
+++ b/transport/upstreamconn/fault_test.go
@@ -53,6 +53,8 @@
 // and against such a request that is reported as not run.
 func TestEndlessHeadsAreBounded(t *testing.T) {
 	for name, endless := range map[string]struct{ beginning, unit string }{
+		"no HTTP":       {"", "\x00\xff"},
+		"lines":         {"", "x\r\n"},
 		"status line":   {"HTTP/1.1 200 ", "x"},
 		"field":         {"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Long: ", "x"},
 		"folded field":  {"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Long: x\r\n", " x\r\n"},
