store/kvhttp: bound the messages of a watch

What callers would see: nothing at once; the memory of a node grows by what the gateway of the store sends as one message of a watch.

Cause: the decoder keeps a message until its end, and a watch has no limit in bytes or time.

--- a/store/kvhttp/client_test.go
+++ b/store/kvhttp/client_test.go
@@ -4,7 +4,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
@@ -71,3 +74,31 @@
 		assert.Equal(t, peer, server.URL)
 	}
 }
+
+// Guards against a node whose memory is taken up by a message of a watch that does not end.
+func TestEndlessWatchMessagesAreBounded(t *testing.T) {
+	const (
+		endless = 128 << 20 // bytes that the gateway sends
+		maxRead = 64 << 20  // in bytes, with what the kernel buffers
+	)
+	block := strings.Repeat("x", 32<<10)
+	for name, begin := range map[string]string{"first message": `{"result":{"x":"`, "later message": `{"result":{"created":true}}` + "\n" + `{"result":{"x":"`} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, err := io.WriteString(w, begin)
+				for err == nil && written.Load() < endless {
+					_, err = io.WriteString(w, block)
+					written.Add(int64(len(block)))
+				}
+			}))
+			defer server.Close()
+			events, err := kvhttp.NewClient(server.URL, 20*time.Second).Watch(t.Context(), "/k", 0)
+			if err == nil {
+				for range events {
+				}
+			}
+			assert.Check(t, written.Load() < maxRead, "%d bytes were written", written.Load())
+		})
+	}
+}
--- a/store/kvhttp/keys.go
+++ b/store/kvhttp/keys.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -127,7 +126,7 @@
 		cancel()
 		return nil, err
 	}
-	stream := json.NewDecoder(response.Body)
+	stream := newMessageDecoder(response.Body)
 	var first wire.WatchResponse
 	err = stream.Decode(&first)
 	if err == nil && !first.Result.Created {
@@ -152,7 +151,7 @@
 }
 
 // forwardEvents sends the changes in stream to events until the stream or ctx ends.
-func forwardEvents(ctx context.Context, stream *json.Decoder, events chan<- store.Event) {
+func forwardEvents(ctx context.Context, stream *messageDecoder, events chan<- store.Event) {
 	for {
 		var message wire.WatchResponse
 		if err := stream.Decode(&message); err != nil || message.Error != nil || message.Result.Canceled {
