inbound: reject announcements whose ID or service is too long for other nodes

What callers would see: requests that no longer reach an upstream that runs. A report with an ID or a service of more than 128 bytes, by another writer, replaced what the upstream said of itself, and the other nodes dropped every status of this node.

Cause: status messages bear texts of up to 128 bytes; the node accepted any length.

Evidence: on the code before, TestOddReportsAreRejected "long service": status 200, Serving is true; TestReportsWithLongIDsAreRejected: 200 != 400.

Why the fix works: an announcement with a longer ID or service is invalid.

After: go test -race ./platform ./inbound passes.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -24,6 +24,8 @@
 const (
 	// maxSlots is the largest number of slots that an announcement may give.
 	maxSlots = 1 << 16
+	// maxNameLength is the largest length, in bytes, of an ID or a service. Longer ones do not fit into a status message.
+	maxNameLength = 128
 	// maxClockLead is how far the upstream's clock may be ahead of this node's. An incarnation that claims a later start
 	// would make all true announcements look outdated.
 	maxClockLead = 24 * time.Hour
@@ -41,6 +43,8 @@
 		return fmt.Errorf("%w: ID is missing", ErrInvalidAnnouncement)
 	case a.Service == "":
 		return fmt.Errorf("%w: service is missing", ErrInvalidAnnouncement)
+	case len(a.ID) > maxNameLength || len(a.Service) > maxNameLength:
+		return fmt.Errorf("%w: ID or service is longer than %d bytes", ErrInvalidAnnouncement, maxNameLength)
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return fmt.Errorf("%w: slots %d not in the range 1 to %d", ErrInvalidAnnouncement, a.Slots, maxSlots)
 	case a.Born > now.Add(maxClockLead).UnixMilli():
