--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
 
@@ -26,11 +27,15 @@
 	maxSlots = 1 << 16
 	// maxNameLength is the largest length, in bytes, of an ID or a service. Longer ones do not fit into a status message.
 	maxNameLength = 128
+	// maxLoggedCause is the part of the cause of a rejected announcement that is logged, in bytes.
+	maxLoggedCause = 256
 	// maxClockLead is how far the upstream's clock may be ahead of this node's. An incarnation that claims a later start
 	// would make all true announcements look outdated.
 	maxClockLead = 24 * time.Hour
 )
 
+var invalidTotal = metrics.Counter("magnoliawharf_inbound_announcements_invalid_total")
+
 // ErrInvalidAnnouncement is the error of an invalid announcement, or of one for another address than the upstream's.
 var ErrInvalidAnnouncement = errors.New("announcement is invalid")
 
@@ -77,6 +82,14 @@
 	return nil
 }
 
+// RecordInvalid logs and counts an announcement that was rejected. The ID and the cause may quote any bytes of another
+// process, so only their beginning is logged.
+func (p *Proxy) RecordInvalid(id string, cause error) {
+	invalidTotal.Inc()
+	text := cause.Error()
+	p.options.Log.Warn("announcement rejected", "upstream", id[:min(len(id), maxNameLength)], "cause", text[:min(len(text), maxLoggedCause)])
+}
+
 // ignoreCause returns the reason to ignore the announcement, "" when it is current.
 func (p *Proxy) ignoreCause(now time.Time, a Announcement) string {
 	born, departed := p.departed[a.ID]
--- a/inbound/odd_announcement_test.go
+++ b/inbound/odd_announcement_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,3 +68,15 @@
 	assert.NilError(t, p.Announce(now, announcement("a", now.Add(time.Hour).UnixMilli(), 1)))
 	assert.Assert(t, p.Status().Serving)
 }
+
+// Guards against rejected announcements that leave no trace, and against log lines as long as another process likes.
+func TestRejectedAnnouncementsAreLogged(t *testing.T) {
+	var log strings.Builder
+	p := inbound.New(inbound.Options{
+		Node: "n1", HealthPath: func(string) string { return "" }, Suspects: quarantine.NewList(nil), OnStatusChange: func() {},
+		Log: slog.New(slog.NewTextHandler(&log, nil)),
+	})
+	p.RecordInvalid(strings.Repeat("i", 10_000), errors.New("address "+strings.Repeat("x", 60_000)))
+	assert.Assert(t, strings.Contains(log.String(), "announcement rejected") && strings.Contains(log.String(), "address xxx"), log.String())
+	assert.Assert(t, len(log.String()) < 1000, "%d bytes", len(log.String()))
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,6 +50,8 @@
 type Registrar interface {
 	Announce(now time.Time, a inbound.Announcement) error
 	Deregister(now time.Time, id string)
+	// RecordInvalid records that an announcement was rejected.
+	RecordInvalid(id string, cause error)
 }
 
 const (
