--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
 
@@ -21,13 +22,24 @@
 	ColdStartRemaining time.Duration // remaining time for which the upstream is slow after its start
 }
 
-// maxSlots is the largest number of slots that an announcement may give.
-const maxSlots = 1 << 16
+const (
+	// maxSlots is the largest number of slots that an announcement may give.
+	maxSlots = 1 << 16
+	// maxNameLength is the largest length, in bytes, of an ID or a service. Longer ones do not fit into a status message.
+	maxNameLength = 128
+	// maxLoggedCause is the part of the cause of a rejected announcement that is logged, in bytes.
+	maxLoggedCause = 256
+	// maxClockLead is how far the upstream's clock may be ahead of this node's. An incarnation that claims a later start
+	// would make all true announcements look outdated.
+	maxClockLead = 24 * time.Hour
+)
+
+var invalidTotal = metrics.Counter("magnoliawharf_inbound_announcements_invalid_total")
 
 // ErrInvalidAnnouncement is the error of an invalid announcement, or of one for another address than the upstream's.
 var ErrInvalidAnnouncement = errors.New("announcement is invalid")
 
-func (a *Announcement) validate() error {
+func (a *Announcement) validate(now time.Time) error {
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return fmt.Errorf("%w: address %q: %w", ErrInvalidAnnouncement, a.Address, err)
 	}
@@ -36,8 +48,12 @@
 		return fmt.Errorf("%w: ID is missing", ErrInvalidAnnouncement)
 	case a.Service == "":
 		return fmt.Errorf("%w: service is missing", ErrInvalidAnnouncement)
+	case len(a.ID) > maxNameLength || len(a.Service) > maxNameLength:
+		return fmt.Errorf("%w: ID or service is longer than %d bytes", ErrInvalidAnnouncement, maxNameLength)
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return fmt.Errorf("%w: slots %d not in the range 1 to %d", ErrInvalidAnnouncement, a.Slots, maxSlots)
+	case a.Born > now.Add(maxClockLead).UnixMilli():
+		return fmt.Errorf("%w: start %d ms lies in the future", ErrInvalidAnnouncement, a.Born)
 	}
 	return nil
 }
@@ -45,7 +61,7 @@
 // Announce applies an announcement of the upstream. The error wraps ErrInvalidAnnouncement. An outdated announcement is
 // ignored without an error.
 func (p *Proxy) Announce(now time.Time, a Announcement) error {
-	if err := a.validate(); err != nil {
+	if err := a.validate(now); err != nil {
 		return err
 	}
 	if p.options.Upstream != "" && a.Address != p.options.Upstream {
@@ -66,6 +82,14 @@
 	return nil
 }
 
+// RecordInvalid logs and counts an announcement that was rejected. The ID and the cause may quote any bytes of another
+// process, so only their beginning is logged.
+func (p *Proxy) RecordInvalid(id string, cause error) {
+	invalidTotal.Inc()
+	text := cause.Error()
+	p.options.Log.Warn("announcement rejected", "upstream", id[:min(len(id), maxNameLength)], "cause", text[:min(len(text), maxLoggedCause)])
+}
+
 // ignoreCause returns the reason to ignore the announcement, "" when it is current.
 func (p *Proxy) ignoreCause(now time.Time, a Announcement) string {
 	born, departed := p.departed[a.ID]
@@ -79,10 +103,15 @@
 		return "a later announcement is known"
 	case a.ID != p.current.ID && alive && a.Born < p.current.Born:
 		return "a later incarnation serves at this address"
+	case a.ID == p.current.ID && a.Born == p.current.Born && p.namedService(p.current.Service) && !p.namedService(a.Service):
+		return "the contracts do not name its service, but that of its earlier announcement"
 	}
 	return ""
 }
 
+// namedService reports whether the contracts name the service.
+func (p *Proxy) namedService(name string) bool { return p.options.HealthPath(name) != "" }
+
 // apply makes the announcement the current one. It is called with the lock held; the caller must call notify, unless it
 // is nil, after releasing the lock.
 func (p *Proxy) apply(now time.Time, a Announcement) (notify func()) {
@@ -101,7 +130,7 @@
 		p.loadCheckedAt = time.Time{}
 		p.options.Client.KeepOnly(a.Address)
 	}
-	if !replaced && next == p.state && a.Slots == previous.Slots {
+	if !replaced && next == p.state && a.Slots == previous.Slots && a.Service == previous.Service && a.Address == previous.Address {
 		p.renewAnnouncement(now)
 		return nil
 	}
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -116,10 +116,21 @@
 
 // Addresses returns the datagram addresses of up to limit random nodes, without this one and unresponsive ones.
 func (r *Roster) Addresses(limit int) []netip.AddrPort {
+	return r.sampleAddresses(limit, func(*Peer) bool { return true })
+}
+
+// heardAddresses returns addresses to pass on to other nodes: those of nodes that have sent a status. Nodes would pass on
+// any other address to each other for ever, each time as a new one.
+func (r *Roster) heardAddresses() []netip.AddrPort {
+	return r.sampleAddresses(MaxAddresses, func(p *Peer) bool { return p.Status().Boot != 0 })
+}
+
+// sampleAddresses returns the addresses of up to limit random responsive nodes that match, without this one.
+func (r *Roster) sampleAddresses(limit int, match func(*Peer) bool) []netip.AddrPort {
 	var all []netip.AddrPort
 	now := time.Now()
 	r.peers.Range(func(_ string, p *Peer) bool {
-		if !p.isSelf && !p.unresponsive(now) {
+		if !p.isSelf && !p.unresponsive(now) && match(p) {
 			all = append(all, p.addr)
 		}
 		return true
@@ -145,8 +156,23 @@
 	return p, added
 }
 
+// reachable reports whether a node can be at the address. An entry of the store or a message may hold any other.
+func (r *Roster) reachable(addr netip.AddrPort) bool {
+	ip := addr.Addr()
+	sameFamily := ip.Is4() == r.selfPeer.addr.Addr().Is4()
+	return addr.Port() != 0 && sameFamily && !ip.IsUnspecified() && !ip.IsMulticast() && ip != limitedBroadcast
+}
+
+// limitedBroadcast is the IPv4 address of all machines of a link.
+var limitedBroadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // AddNode adds the address of a possible node and, when it is new, sends this node's status there.
 func (r *Roster) AddNode(addr netip.AddrPort) {
+	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+	if !r.reachable(addr) {
+		r.log.Debug("address of a node ignored", "address", addr.String())
+		return
+	}
 	if p, added := r.getOrAdd(addr); added && !p.isSelf {
 		r.sendStatus(p, true)
 	}
@@ -154,6 +180,9 @@
 
 // HandleStatus handles a status message from another node.
 func (r *Roster) HandleStatus(from netip.AddrPort, i StatusMessage) {
+	if own := r.selfNode.Status(); i.Status.Node == own.Node && i.Status.Boot == own.Boot {
+		return // a message of this node that came back by another of its addresses
+	}
 	p, added := r.getOrAdd(from)
 	if p.isSelf {
 		return
@@ -265,7 +294,7 @@
 }
 
 func (r *Roster) sendStatus(p *Peer, reply bool) {
-	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.Addresses(MaxAddresses), ReplyRequested: reply, Previous: p.previousUpstream()})
+	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.heardAddresses(), ReplyRequested: reply, Previous: p.previousUpstream()})
 }
 
 // updateServices moves the peer between the lists of services after a change of its status, and logs the change.
--- a/transport/control.go
+++ b/transport/control.go
@@ -13,6 +13,8 @@
 	controlIdleTimeout = 90 * time.Second
 	controlIdlePerPeer = 4
 	controlBufferSize  = 4 << 10 // in bytes; control messages are short
+	// controlHeaderBytes is the largest header of a response, in bytes. The default of net/http is 10 MB.
+	controlHeaderBytes = 64 << 10
 )
 
 // ControlClient is the HTTP client for control messages between nodes. Its connections are separate from
@@ -24,11 +26,8 @@
 
 // NewControlClient returns a client with its own connection pool.
 func NewControlClient() *ControlClient {
-	pool := &http.Transport{
-		DialContext:         sockopt.Dialer(controlDialTimeout, controlUserTimeout).DialContext,
-		MaxIdleConnsPerHost: controlIdlePerPeer, IdleConnTimeout: controlIdleTimeout,
-		ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize, DisableCompression: true,
-	}
+	pool := newControlTransport()
+	pool.MaxIdleConnsPerHost, pool.IdleConnTimeout = controlIdlePerPeer, controlIdleTimeout
 	return &ControlClient{Client: http.Client{Transport: pool}, pool: pool}
 }
 
@@ -36,10 +35,17 @@
 // requests that must not be late: a connection kept since the previous request may have gone silent without an error, and
 // only a timeout of the next request on it would show that.
 func NewSingleUseClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:       sockopt.Dialer(controlDialTimeout, controlUserTimeout).DialContext,
-		DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize,
-	}}
+	transport := newControlTransport()
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport}
+}
+
+func newControlTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:    sockopt.Dialer(controlDialTimeout, controlUserTimeout).DialContext,
+		ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize, DisableCompression: true,
+		MaxResponseHeaderBytes: controlHeaderBytes,
+	}
 }
 
 // Close closes the idle connections.
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -20,6 +20,7 @@
 
 	sent         atomic.Bool // at least one byte of the request was handed to the connection
 	received     bool        // at least one byte was received
+	skipped      bool        // an answer that may belong to another request was skipped
 	writeDone    chan error  // gets the result of a concurrent write and is closed; nil when the request is written first
 	fullyWritten bool        // the request was written completely
 	stopWatch    func() bool // stops closing the connection at the end of the context; false when that has closed it
@@ -38,6 +39,7 @@
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	response, err := x.roundTrip(length)
 	if err != nil {
+		countFault(err)
 		x.abort()
 		return nil, err
 	}
@@ -71,6 +73,37 @@
 // readAnswer reads answers until it finds the answer to the request.
 func (x *exchange) readAnswer() (*http.Response, error) {
 	for range maxSkippedAnswers + 1 {
+		response, err := x.readHead()
+		if err != nil {
+			return nil, err
+		}
+		reason, skip := x.skipReason(response)
+		if !skip {
+			return response, nil
+		}
+		reason.counter().Inc()
+		x.skipped = true
+		if err := skipBody(response); err != nil {
+			return nil, err
+		}
+	}
+	return nil, noMatchingAnswer
+}
+
+// skipBody reads the body of an answer to another request to its end, where the next answer begins.
+func skipBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody+1))
+	if err == nil && n > maxSkippedBody {
+		return skippedBodyTooLong
+	}
+	return err
+}
+
+// readHead reads the head of the next final answer. The limit of a head covers the interim answers (1xx) before it.
+func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.head.expectHead()
+	defer x.conn.head.endHead()
+	for {
 		if _, err := x.conn.reader.Peek(1); err != nil {
 			return nil, err
 		}
@@ -78,30 +111,36 @@
 		response, err := http.ReadResponse(x.conn.reader, x.request)
 		switch {
 		case err != nil:
-			return nil, err
+			return nil, headError(err)
 		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errProtocolSwitched
-		case response.StatusCode < http.StatusOK:
-			continue
-		case x.matches(response):
+			return nil, protocolSwitched
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody)); err != nil {
-			return nil, err
-		}
 	}
-	return nil, errNoMatchingAnswer
 }
 
-// matches reports whether the answer belongs to the request. An answer without a request ID is accepted only when it
-// states that the request was not run, since upstreams may reject a request before they have read its ID.
-func (x *exchange) matches(response *http.Response) bool {
-	got := response.Header.Get(x.dialect.RequestID)
-	if got == x.wantID {
-		return true
+// skipReason reports whether the answer is skipped because it may belong to another request. A refusal without a request
+// ID is accepted only as the first answer on a new connection, since an upstream may reject a request before it has read
+// its ID. On any other connection it may be an earlier refusal that the upstream wrote once more, or that of a health
+// check, while the request runs.
+func (x *exchange) skipReason(response *http.Response) (reason skipReason, skip bool) {
+	switch got := response.Header.Get(x.dialect.RequestID); {
+	case got == x.wantID:
+		return "", false
+	case got != "":
+		return otherRequestID, true
+	case !x.statesNotRun(response):
+		return noRequestID, true
+	case x.conn.reused || x.skipped:
+		return unprovenRefusal, true
 	}
-	rejected := response.Header.Get(x.dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-	return got == "" && rejected
+	return "", false
+}
+
+// statesNotRun reports whether the answer states that its request was not run.
+func (x *exchange) statesNotRun(response *http.Response) bool {
+	return response.Header.Get(x.dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
 }
 
 // abort ends the exchange and closes the connection.
