upstreamconn: bound unacknowledged requests by 500 ms, and not those with long bodies

What callers saw: an upload ended 502 when its upstream paused for over 1.5 s before it read the body. The kernel counts a full receive window as unacknowledged, so the user timeout of 1.5 s on connections to the upstream closed a connection that was in order (TestSlowReaderOfLongBodyIsNotCutOff: upstream-lost, 'connection timed out' after 2 s).

The bound now holds for requests with bodies of up to 32 KiB, which fit the window, and is 500 ms, as between nodes: the upstream is on the same machine, and a route's limit may be 1 s.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -93,10 +93,12 @@
 			return nil, false, c.refusalOf(ctx, req, addr, false, err)
 		}
 	}
+	conn.setUserTimeout(transport.UserTimeoutOf(req.Body.Length(), userTimeout))
 	start := time.Now()
 	x := &exchange{conn: conn, request: outgoing, wantID: outgoing.Header.Get(c.dialect.RequestID), dialect: &c.dialect}
 	response, err := x.run(ctx, bodyLength(req))
 	if err != nil {
+		c.pool.observeFailure(addr, err)
 		stale = conn.reused && !x.received && ctx.Err() == nil && time.Since(start) < staleConnWindow
 		return nil, stale, c.refusalOf(ctx, req, addr, x.sent.Load(), err)
 	}
@@ -178,6 +180,7 @@
 	x := &exchange{conn: conn, request: outgoing, dialect: &c.dialect}
 	response, err := x.run(ctx, 0)
 	if err != nil {
+		c.pool.observeFailure(addr, err)
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
 	body := &answerBody{exchange: x, response: response, returnConn: func() { c.pool.put(addr, conn) }}
--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/sockopt"
+	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
 const (
@@ -26,8 +28,8 @@
 	idleTimeoutMargin = time.Second
 	// maxIdleConns is the maximum number of idle connections to one upstream.
 	maxIdleConns = 64
-	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout is how long a request may stay unacknowledged before the kernel closes the connection.
+	userTimeout = 500 * time.Millisecond
 )
 
 // pooledConn is one connection to an upstream. It carries one request at a time.
@@ -37,6 +39,14 @@
 	reused        bool // an earlier request has used the connection
 	lastUsed      time.Time
 	reusableUntil time.Time // from then on the upstream may close the connection
+	userTimeout   time.Duration
+}
+
+func (c *pooledConn) setUserTimeout(limit time.Duration) {
+	if limit != c.userTimeout {
+		c.userTimeout = limit
+		sockopt.SetUserTimeout(c.Conn, limit)
+	}
 }
 
 // pool holds the idle connections by address, most recently used last.
@@ -100,6 +110,18 @@
 	}
 }
 
+// observeFailure closes the idle connections to addr when err, the failure of a request, shows that one to addr no longer
+// carries packets.
+func (p *pool) observeFailure(addr string, err error) {
+	if !errors.Is(err, syscall.ETIMEDOUT) {
+		return
+	}
+	transport.ConnsTimedOut.Inc()
+	for conn := p.pop(addr); conn != nil; conn = p.pop(addr) {
+		_ = conn.Close()
+	}
+}
+
 func (p *pool) close() {
 	p.keepOnly("")
 	p.mu.Lock()
@@ -136,7 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	return &pooledConn{Conn: raw, reader: bufio.NewReader(raw), userTimeout: userTimeout}, nil
 }
 
 // updateExpiry records, after a complete answer, until when the connection may be reused, and reports whether it may be
