Renew a session's lease when another process has reached the store

What operators would see: nodes that lost the store and report it as lost for up to 6.7 s after others have reached it again; and, after a return from an older copy, keys of such nodes that stay away as long.

Cause: Wake ended only the delay between two failed attempts. A node whose watch had lost the store between two renewals, and that then left the watch to other nodes of its zone, heard from them that the store was back and made no call until its next renewal.

Evidence: TestSessionRenewsWhenWoken failed before (no renewal 400 ms after the signal).

Only nodes that take the store for lost are woken, so the cost is one renewal for each.

--- a/store/client_test.go
+++ b/store/client_test.go
@@ -241,3 +241,27 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a process that believes for several seconds that it does not reach the store, and does not notice its return
+// from an older copy, because its lease is not due for renewal when another process has reached the store.
+func TestSessionRenewsWhenWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		session := store.NewSession(store.NewClient(memory, 0, 0), time.Minute)
+		wake, reached := make(chan struct{}, 1), 0
+		session.Wake = wake
+		session.OnReachable = func(ok bool) { reached++ }
+		go func() { // the error of ctx
+			_ = session.Run(t.Context(), func(context.Context, store.LeaseID) error { return nil })
+		}()
+		synctest.Wait()
+		assert.Equal(t, reached, 1)
+		wake <- struct{}{}
+		time.Sleep(400 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, reached, 2)
+		time.Sleep(19 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, reached, 2)
+	})
+}
--- a/store/session.go
+++ b/store/session.go
@@ -25,8 +25,8 @@
 type Session struct {
 	// MaxRetryDelay is the maximum delay between two attempts. 0 means 8 s. It is set before Run.
 	MaxRetryDelay time.Duration
-	// Wake ends the delay between two attempts early, because another process has reached the store. It is set before
-	// Run and may be nil.
+	// Wake ends the delay before the next attempt or renewal early, because another process has reached the store. It is set
+	// before Run and may be nil.
 	Wake <-chan struct{}
 	// OnReachable is called after each grant and renewal with whether the store was reached. It is set before Run and must
 	// not block.
@@ -131,6 +131,8 @@
 		case <-ctx.Done():
 			return era
 		case <-era.Changed:
+		case <-s.Wake:
+			wait.For(ctx, rand.N(wakeJitter))
 		case <-timer.C:
 		}
 		if era.Ended() {
