transport: remove the user timeout while an answer is read too

What callers could see: an answer of a distant node that pauses for over a second, in its body, ends early when one keepalive probe or its acknowledgement is lost; and each idle connection that loses one probe closes all idle ones to all nodes (connTimedOut).

Cause: the timer that removes the user timeout of a request was stopped when the head of the answer had come. With a user timeout the kernel closes a connection at the first unacknowledged probe (tcp_keepalive_timer compares the idle time with it and ignores the number of probes), so the 500 ms of the request stayed for the body and for the idle time after it.

The lost probe itself was not played: loopback loses none.

The timer now goes on after the head. A later request on the connection makes it void, by its number.

--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -68,13 +68,11 @@
 	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
 	tracker.trace.GotConn = tracker.gotConn
 	response, err = o.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
-	if tracker.acknowledged != nil {
-		tracker.acknowledged.Stop()
-	}
 	if err != nil {
+		tracker.stopTimer()
 		return nil, tracker.sent(), err
 	}
-	return response, true, nil
+	return response, true, nil // the timer goes on: the body of the response may pause as well
 }
 
 // writeTracker records whether one request was written to any of the connections that it used.
@@ -91,9 +89,7 @@
 
 func (w *writeTracker) gotConn(info httptrace.GotConnInfo) {
 	w.wrote = w.sent()
-	if w.acknowledged != nil {
-		w.acknowledged.Stop()
-	}
+	w.stopTimer()
 	w.conn, _ = info.Conn.(*trackedConn)
 	if w.conn == nil {
 		w.wrote = true
@@ -104,6 +100,12 @@
 	w.acknowledged = time.AfterFunc(w.userTimeout+acknowledgementSlack, func() { conn.awaitAnswer(request) })
 }
 
+func (w *writeTracker) stopTimer() {
+	if w.acknowledged != nil {
+		w.acknowledged.Stop()
+	}
+}
+
 func (w *writeTracker) sent() bool {
 	return w.wrote || (w.conn != nil && w.conn.writes.Load() != w.writesBefore)
 }
--- a/transport/trackedconn.go
+++ b/transport/trackedconn.go
@@ -56,7 +56,7 @@
 }
 
 // awaitAnswer removes the user timeout once the request has been acknowledged. It also bounds the time for which keepalive
-// probes may stay unacknowledged: while the answer is awaited, a single lost probe would close the connection.
+// probes may stay unacknowledged: while the answer is awaited or read, a single lost probe would close the connection.
 func (c *trackedConn) awaitAnswer(request uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
