store: keep a lease that the store has in a new era when its first renewal fails

What operators could see: when the store has returned from an older copy that holds a node's lease and key, and rejects or loses the first renewal, the node revokes the lease, which removes its key, and writes it again: two writes and a revocation for each such node, at a store that is just back, and a key that is missing meanwhile.

Cause: the check in a new era clears the lease until it has been renewed, and a failed renewal of a lease that is not held ended the session's lease.

Evidence: TestLeaseKeptInANewEraOutlastsAFailedRenewal failed before (lease 2 in place of 1).

The renewal is now tried again until the time to live has passed since the check began.

--- a/store/era_test.go
+++ b/store/era_test.go
@@ -250,3 +250,29 @@
 	t.Helper()
 	assert.Assert(t, store.Is(err, kind), "got %v, want %s", err, kind)
 }
+
+// Guards against a session that revokes a lease which the store still has in a new era, and with it the keys, because its
+// first renewal there failed: a store that has just returned is slow or rejects calls.
+func TestLeaseKeptInANewEraOutlastsAFailedRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		session := store.NewSession(store.NewClient(memory, 0, 0), 9*time.Second)
+		session.KeysKept = func(context.Context, store.LeaseID) bool {
+			memory.SetFaults(kvstore.Faults{Down: true})
+			time.AfterFunc(100*time.Millisecond, func() { memory.SetFaults(kvstore.Faults{}) })
+			return true
+		}
+		go func() { // the error of ctx
+			_ = session.Run(t.Context(), func(context.Context, store.LeaseID) error { return nil })
+		}()
+		synctest.Wait()
+		first, held := session.Lease()
+		assert.Assert(t, held)
+		memory.Restore(memory.Copy())
+		_, _ = memory.Get(t.Context(), "/any") // an answer to another call shows the era
+		time.Sleep(5 * reactionTime)
+		after, held := session.Lease()
+		assert.Assert(t, held)
+		assert.Equal(t, after, first)
+	})
+}
--- a/store/session.go
+++ b/store/session.go
@@ -126,6 +126,7 @@
 	backoff := Backoff{MaxDelay: min(s.ttl/renewalsPerTTL, s.MaxRetryDelay), Wake: s.Wake, Changed: era.Changed}
 	timer := time.NewTimer(s.ttl / renewalsPerTTL)
 	defer timer.Stop()
+	var keptAt time.Time // when a check in a new era began that found the lease, zero once the lease has been renewed since
 	for {
 		select {
 		case <-ctx.Done():
@@ -136,20 +137,22 @@
 		case <-timer.C:
 		}
 		if era.Ended() {
-			next, kept := s.recheck(ctx, id)
+			next, checkedAt, kept := s.recheck(ctx, id)
 			if !kept {
 				return era
 			}
-			era, backoff.Changed = next, next.Changed
+			era, keptAt, backoff.Changed = next, checkedAt, next.Changed
 		}
 		sentAt := s.clock()
 		err := s.store.RenewLease(ctx, id)
 		s.OnReachable(err == nil || Is(err, ErrLeaseLapsed))
 		if err == nil {
 			s.setLease(id, sentAt)
+			keptAt = time.Time{}
 			backoff.Reset()
 		}
-		if _, held := s.Lease(); !held || Is(err, ErrLeaseLapsed) {
+		_, held := s.Lease()
+		if lapsed := !held && time.Since(keptAt) >= s.ttl; lapsed || Is(err, ErrLeaseLapsed) {
 			return era
 		}
 		if err != nil && backoff.Wait(ctx) != nil {
@@ -163,15 +166,15 @@
 	}
 }
 
-// recheck reports whether the store still has the lease in the present era, and returns that era. The lease does not count as
-// held until it has been renewed.
-func (s *Session) recheck(ctx context.Context, id LeaseID) (era EraStatus, kept bool) {
+// recheck reports whether the store still has the lease in the present era, and returns that era and the start of the check.
+// The lease does not count as held until it has been renewed.
+func (s *Session) recheck(ctx context.Context, id LeaseID) (era EraStatus, checkedAt time.Time, kept bool) {
 	s.setLease(0, clockReading{})
 	if !wait.For(ctx, s.EraDelay()) {
-		return EraStatus{}, false
+		return EraStatus{}, time.Time{}, false
 	}
-	era = s.store.Era() // before the call, so that no change during it is missed
-	return era, s.KeysKept(ctx, id)
+	era, checkedAt = s.store.Era(), time.Now() // before the call, so that no change during it is missed
+	return era, checkedAt, s.KeysKept(ctx, id)
 }
 
 // releaseLease clears the lease and revokes it, so that the keys written under it are removed at once. It does not revoke a
