inbound: ignore a report with an unnamed service under another ID or as a later start

What callers could see: requests to a service refused for as long as its upstream runs, and an upstream that gets requests after its leaving was acknowledged (DRAIN). A report of another writer with a service that the contracts do not name, under another ID or with a later 'born', replaced the upstream. Its ID then counted as departed, or all its reports as those of an earlier incarnation, also the one that it leaves.

Cause: ignores such a report only under the ID and 'born' of the upstream.

Evidence: both cases of TestUnknownServiceDoesNotReplaceTheIncarnation failed before: 'bogus (p.Status().Service) != s'.

A report with an unnamed service is now ignored while the contracts name that of the current announcement. An upstream whose service the contracts name later is accepted with its next report after that.

Runs: go test -race ./inbound passes.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -103,8 +103,8 @@
 		return "a later announcement is known"
 	case a.ID != p.current.ID && alive && a.Born < p.current.Born:
 		return "a later incarnation serves at this address"
-	case a.ID == p.current.ID && a.Born == p.current.Born && p.namedService(p.current.Service) && !p.namedService(a.Service):
-		return "the contracts do not name its service, but that of its earlier announcement"
+	case p.namedService(p.current.Service) && !p.namedService(a.Service):
+		return "the contracts do not name its service, but that of the current announcement"
 	}
 	return ""
 }
--- a/inbound/odd_announcement_test.go
+++ b/inbound/odd_announcement_test.go
@@ -80,3 +80,26 @@
 	assert.Assert(t, strings.Contains(log.String(), "announcement rejected") && strings.Contains(log.String(), "address xxx"), log.String())
 	assert.Assert(t, len(log.String()) < 1000, "%d bytes", len(log.String()))
 }
+
+// Guards against an announcement of another writer, with a service that the contracts do not name, that takes the place of
+// the upstream under another ID or as a later incarnation: the true announcements, also that it leaves, then look outdated.
+func TestUnknownServiceDoesNotReplaceTheIncarnation(t *testing.T) {
+	for name, odd := range map[string]inbound.Announcement{
+		"another ID":          announcement("x", 11, 1),
+		"a later incarnation": announcement("a", 11, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newProxyWithServices()
+			now := time.UnixMilli(15)
+			assert.NilError(t, p.Announce(now, announcement("a", 10, 1)))
+			odd.Service = "bogus"
+			assert.NilError(t, p.Announce(now, odd))
+			assert.Equal(t, p.Status().Service, "s")
+			assert.Equal(t, p.Status().Upstream, "a")
+			leaving := announcement("a", 10, 2)
+			leaving.Draining = true
+			assert.NilError(t, p.Announce(now, leaving))
+			assert.Assert(t, !p.Status().Serving)
+		})
+	}
+}
