transport: let TestTimedOutConnectionClosesIdleOnes fail without the code that it guards

The test passed with CloseIdleConnections removed from connTimedOut (go test ./transport -run TimedOutConn, ok in 0.6 s): it closed the answer of the first request before its end, so that net/http closed that connection and none was idle.

The answer is now read to its end, and the test fails when the connection was not kept.

--- a/transport/outbound_test.go
+++ b/transport/outbound_test.go
@@ -81,7 +81,14 @@
 	assert.NilError(t, err)
 	response, _, err := client.RoundTrip(context.Background(), request)
 	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body) // else the connection is not kept
+	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
+	select {
+	case <-closed:
+		t.Fatal("the connection was not kept")
+	case <-time.After(100 * time.Millisecond):
+	}
 
 	_, err = sendToSilentPeer(t, client)
 	assert.Assert(t, err != nil)
