--- a/sidecar/fetch_test.go
+++ b/sidecar/fetch_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
@@ -42,7 +44,8 @@
 func fetchedFrom(m *machine, p *silentProxy) bool { return m.log.contains("from=" + p.addr()) }
 
 // Guards against a new version that is late because it is fetched over kept connections that have gone silent. The fetch is
-// one of several steps, so it may take half of the time at most.
+// one of several steps, so it may take half of the time at most. The read from the store after two stalled fetches must not
+// hide that they used a kept connection.
 func TestSilentConnectionsDoNotDelayAVersion(t *testing.T) {
 	s := kvstore.NewMemory()
 	proxies, m := startFetchingMachine(t, s)
@@ -57,7 +60,9 @@
 	for _, p := range proxies {
 		p.silenceOpen()
 	}
+	accepted := proxies[0].accepted.Load() + proxies[1].accepted.Load()
 	publishUntilIn(t, s, version+1, m, convergence/2)
+	assert.Assert(t, proxies[0].accepted.Load()+proxies[1].accepted.Load() > accepted, "no new connection was opened")
 }
 
 // Guards against a new version that is late because one of the nodes that report it doesn't answer fetches.
--- a/sidecar/proxy_test.go
+++ b/sidecar/proxy_test.go
@@ -15,6 +15,7 @@
 type silentProxy struct {
 	listener net.Listener
 	target   atomic.Pointer[string]
+	accepted atomic.Int64 // connections accepted so far
 
 	mu         sync.Mutex
 	silenced   chan struct{} // closed when the connections accepted so far go silent
@@ -55,6 +56,7 @@
 		if err != nil {
 			return
 		}
+		p.accepted.Add(1)
 		p.mu.Lock()
 		silenced, refuse := p.silenced, p.refusesNew
 		p.mu.Unlock()
