peerrpc: probe the connections of membership messages

What operators could see: a node that runs is taken for gone, or learns of changes late, for as long as membership messages to it meet a kept connection that has fallen silent: each message waits for its timeout, and a new connection is only made after that.

The messenger keeps two connections to a peer for 90 s and dialed them with the default keepalive (15 s, 9 probes) and without a bound on unacknowledged data.

Evidence: TestMembershipConnectionsAreProbed failed before ('a silent connection is closed after 150 s').

Cost: a probe a second on each idle connection.

Runs: go test -race ./transport/peerrpc passes.

--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -14,10 +14,12 @@
 	"github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1/magnoliawharfv1connect"
 	"github.com/magnoliawharf/magnoliawharf/datacentre"
 	"github.com/magnoliawharf/magnoliawharf/shard"
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 const (
 	memberDialTimeout = time.Second
+	memberUserTimeout = 2 * time.Second // for which sent data may stay unacknowledged
 	// memberIdleTimeout exceeds the 16 s in which a node with 9 fingers syncs with each of them, so that connections
 	// stay open between syncs. It is below the idle timeout of the servers, so that the client closes first.
 	memberIdleTimeout         = 90 * time.Second
@@ -37,11 +39,11 @@
 
 var _ datacentre.Messenger = (*MembershipMessenger)(nil)
 
-// NewMembershipMessenger returns a messenger with its own pool of persistent connections. A nil dial stands for a
-// net.Dialer.
+// NewMembershipMessenger returns a messenger with its own pool of persistent connections. A nil dial stands for that of a
+// sockopt.Dialer.
 func NewMembershipMessenger(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *MembershipMessenger {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: memberDialTimeout}).DialContext
+		dial = sockopt.Dialer(memberDialTimeout, memberUserTimeout).DialContext
 	}
 	return &MembershipMessenger{
 		transport: &http.Transport{
--- /dev/null
+++ b/transport/peerrpc/membership_client_test.go
@@ -0,0 +1,25 @@
+package peerrpc_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/magnoliawharf/magnoliawharf/datacentre"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
+	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
+)
+
+// Guards against membership messages that wait for their timeout on a kept connection that has fallen silent, so that a node
+// that runs is taken for gone.
+func TestMembershipConnectionsAreProbed(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	messenger := peerrpc.NewMembershipMessenger(nil)
+	t.Cleanup(messenger.Close)
+	sockets.AssertProbed(t, func(ctx context.Context) {
+		_, _ = messenger.Ping(ctx, strings.TrimPrefix(server.URL, "http://"), datacentre.PingRequest{}) // not found
+	})
+}
