store/kvhttp, peerrpc: bound the header of responses

What operators could see: the memory of a node grows by up to 10 MB for each response whose header another process fills.

Evidence: ./store/kvhttp TestResponseHeaderIsBounded and ./transport/peerrpc TestMembershipResponseHeaderIsBounded send a header of 1 MiB, which was accepted before.

--- a/store/kvhttp/client.go
+++ b/store/kvhttp/client.go
@@ -26,7 +26,9 @@
 	DefaultTimeout = 3 * time.Second
 	// maxResponseBytes bounds one response; a list of 2,000 parts of up to 64 KiB in base64 stays below it.
 	maxResponseBytes = 192 << 20
-	dialTimeout      = 3 * time.Second
+	// maxResponseHeader bounds the header of one response, in bytes. The default of net/http is 10 MB.
+	maxResponseHeader = 64 << 10
+	dialTimeout       = 3 * time.Second
 	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
 	userTimeout = 2 * time.Second
 	// maxConnections bounds the connections of one process to the store.
@@ -55,6 +57,8 @@
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     90 * time.Second,
+
+		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 	return &Client{base: sling.New().Base(base), endpoint: base, http: &http.Client{Transport: transport}, timeout: timeout}
 }
--- a/store/kvhttp/client_test.go
+++ b/store/kvhttp/client_test.go
@@ -113,3 +113,15 @@
 		})
 	}
 }
+
+// Guards against a node whose memory is taken up by the header of a response that another process sends.
+func TestResponseHeaderIsBounded(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
+	}))
+	t.Cleanup(server.Close)
+	client := kvhttp.NewClient(server.URL, 0)
+	t.Cleanup(client.Close)
+	_, err := client.Get(t.Context(), "/k")
+	assert.ErrorContains(t, err, "exceeded")
+}
--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -26,7 +26,9 @@
 	memberMaxIdleConnsPerPeer = 2
 	// memberMaxMessageBytes limits one message. The largest carry 64 broadcasts of 16 KiB or 8,192 records.
 	memberMaxMessageBytes = 2 << 20
-	memberClientShards    = 16
+	// memberMaxHeaderBytes is the largest header of a response. The default of net/http is 10 MB.
+	memberMaxHeaderBytes = 64 << 10
+	memberClientShards   = 16
 	// memberMaxClients limits the clients cached by address. Beyond it the cache is cleared.
 	memberMaxClients = 1024
 )
@@ -48,7 +50,7 @@
 	return &MembershipMessenger{
 		transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: memberMaxIdleConnsPerPeer, IdleConnTimeout: memberIdleTimeout,
-			DisableCompression: true,
+			DisableCompression: true, MaxResponseHeaderBytes: memberMaxHeaderBytes,
 			// A message with one record of 128 bytes takes about 500 bytes, so small buffers suffice. They keep 16
 			// connections under 100 KB.
 			ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
--- a/transport/peerrpc/membership_client_test.go
+++ b/transport/peerrpc/membership_client_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/magnoliawharf/magnoliawharf/datacentre"
 	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport/peerrpc"
@@ -23,3 +25,15 @@
 		_, _ = messenger.Ping(ctx, strings.TrimPrefix(server.URL, "http://"), datacentre.PingRequest{}) // not found
 	})
 }
+
+// Guards against a node whose memory is taken up by the header of a response that another process sends.
+func TestMembershipResponseHeaderIsBounded(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
+	}))
+	t.Cleanup(server.Close)
+	messenger := peerrpc.NewMembershipMessenger(nil)
+	t.Cleanup(messenger.Close)
+	_, err := messenger.Ping(t.Context(), strings.TrimPrefix(server.URL, "http://"), datacentre.PingRequest{})
+	assert.ErrorContains(t, err, "exceeded")
+}
