store: ask again whether a lease was kept when the store does not answer the check

What operators could see: when a store that has returned from an older copy does not answer a node's check of its key (503, 429, no answer), the node obtains a new lease and writes its key again, although the store has both: a grant, a write that conflicts, a read and a write for each node, at a store that is just back.

Cause: IsKept took a failed read for a lost key.

Evidence: TestLeaseKeptInANewEraOutlastsAFailedCheck failed before (lease 2 in place of 1).

The check is repeated, at most 2 s apart, until the store answers or the process stops. A lease that has lapsed meanwhile shows by its key, which is gone then.

--- a/store/client.go
+++ b/store/client.go
@@ -16,6 +16,8 @@
 	DefaultBurst = 20
 	// maxResolveAttempts bounds the read and retry rounds that determine the outcome of one uncertain write.
 	maxResolveAttempts = 6
+	// keptRetryDelay is the maximum delay between two reads that check a key in a new era.
+	keptRetryDelay = 2 * time.Second
 )
 
 // Client adds a rate limit per process to an adapter and determines the outcome of uncertain writes. It
@@ -132,10 +134,19 @@
 	return err
 }
 
-// IsKept reports whether the store has the key with the value under the lease.
+// IsKept reports whether the store has the key with the value under the lease. It asks again until the store answers or ctx
+// ends.
 func IsKept(ctx context.Context, s Store, key string, value []byte, lease LeaseID) bool {
-	current, err := s.Get(ctx, key)
-	return err == nil && current.Lease == lease && bytes.Equal(current.Value, value)
+	backoff := Backoff{MaxDelay: keptRetryDelay}
+	for {
+		current, err := s.Get(ctx, key)
+		switch {
+		case err == nil:
+			return current.Lease == lease && bytes.Equal(current.Value, value)
+		case Is(err, ErrNotFound) || backoff.Wait(ctx) != nil:
+			return false
+		}
+	}
 }
 
 // Delete implements Store. It determines the outcome of an uncertain delete by reading the key: the delete
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -276,3 +276,38 @@
 		assert.Equal(t, after, first)
 	})
 }
+
+// Guards against a session that gives up a lease which the store still has in a new era, and writes its key again, because the
+// store did not answer the check at once.
+func TestLeaseKeptInANewEraOutlastsAFailedCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ttl = 9 * time.Second
+		memory := kvstore.NewMemory()
+		client := store.NewClient(memory, 0, 0)
+		session := store.NewSession(client, ttl)
+		session.EraDelay = func() time.Duration {
+			memory.SetFaults(kvstore.Faults{Down: true})
+			time.AfterFunc(500*time.Millisecond, func() { memory.SetFaults(kvstore.Faults{}) })
+			return time.Millisecond
+		}
+		session.KeysKept = func(ctx context.Context, id store.LeaseID) bool {
+			return store.IsKept(ctx, client, "/own", []byte("me"), id)
+		}
+		go func() { // the error of ctx
+			_ = session.Run(t.Context(), func(ctx context.Context, id store.LeaseID) error {
+				return store.Put(ctx, client, "/own", []byte("me"), id)
+			})
+		}()
+		synctest.Wait()
+		first, held := session.Lease()
+		assert.Assert(t, held)
+		memory.Restore(memory.Copy())
+		writes := memory.Calls().Writes
+		_, _ = memory.Get(t.Context(), "/any") // an answer to another call shows the era
+		time.Sleep(ttl / 2)
+		after, held := session.Lease()
+		assert.Assert(t, held)
+		assert.Equal(t, after, first)
+		assert.Equal(t, memory.Calls().Writes-writes, 1+1, "the renewal after the check and that of a third of the time to live")
+	})
+}
