sidecar: bound the log lines for ignored node entries of a list

What operators could see: a log flooded by another writer: each node logs each entry of the node prefix whose value is no address, in each list, so once a minute and at each registration.

Cause: logs one line an entry.

Evidence: TestManyOddNodeEntriesLeaveFewLines with 1,000 such entries: 1,000 lines after one list before.

At most 20 lines a list are logged now; the line of the list has the number of all ignored entries, and the counter counts each.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -33,6 +33,8 @@
 	watchersPerZone = 2
 	rankInterval    = 500 * time.Millisecond
 	discoveryDelay  = 100 * time.Millisecond
+	// maxIgnoredLogged is the maximum number of log lines for the ignored entries of one list.
+	maxIgnoredLogged = 20
 )
 
 var (
@@ -222,16 +224,20 @@
 		s.Log.Warn("cannot list nodes in store", "cause", err.Error())
 		return err
 	}
+	ignored := 0
 	for _, e := range entries {
 		addr, err := netip.ParseAddrPort(string(e.Value))
 		if err != nil {
 			ignoredNodesTotal.Inc()
+			if ignored++; ignored > maxIgnoredLogged {
+				continue
+			}
 			s.Log.Warn("node entry ignored: the value is no address", "key", e.Key, "bytes", len(e.Value), "revision", e.Revision)
 			continue
 		}
 		s.roster.AddNode(addr)
 	}
-	s.Log.Info("nodes listed from store", "count", len(entries))
+	s.Log.Info("nodes listed from store", "count", len(entries), "ignored", ignored)
 	return nil
 }
 
--- a/sidecar/odd_entries_test.go
+++ b/sidecar/odd_entries_test.go
@@ -61,3 +61,19 @@
 	eventually(t, "version 2", 5*time.Second, func() bool { return m.log.contains("version=2") })
 	assert.Check(t, m.serves())
 }
+
+// Guards against a log that another writer floods with entries that are no address: each node lists all of them every minute.
+func TestManyOddNodeEntriesLeaveFewLines(t *testing.T) {
+	const odd, maxLinesPerList = 1000, 20
+	memory := kvstore.NewMemory()
+	for i := range odd {
+		_, err := memory.Swap(t.Context(), fmt.Sprintf("nodes/odd-%d", i), []byte("not an address"), 0, 0)
+		assert.NilError(t, err)
+	}
+	m := startMachine(t, "n1", memory)
+	eventually(t, "list", 5*time.Second, func() bool { return m.log.contains("nodes listed from store") })
+	lists := m.log.count("nodes listed from store")
+	lines := m.log.count("node entry ignored")
+	assert.Assert(t, 0 < lines && lines <= (lists+1)*maxLinesPerList, "%d lines after %d lists", lines, lists)
+	assert.Assert(t, m.log.contains(fmt.Sprintf("ignored=%d", odd)))
+}
