--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -14,17 +14,21 @@
 	"github.com/magnoliawharf/magnoliawharf/api/magnoliawharf/v1/magnoliawharfv1connect"
 	"github.com/magnoliawharf/magnoliawharf/datacentre"
 	"github.com/magnoliawharf/magnoliawharf/shard"
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 const (
 	memberDialTimeout = time.Second
+	memberUserTimeout = 2 * time.Second // for which sent data may stay unacknowledged
 	// memberIdleTimeout exceeds the 16 s in which a node with 9 fingers syncs with each of them, so that connections
 	// stay open between syncs. It is below the idle timeout of the servers, so that the client closes first.
 	memberIdleTimeout         = 90 * time.Second
 	memberMaxIdleConnsPerPeer = 2
 	// memberMaxMessageBytes limits one message. The largest carry 64 broadcasts of 16 KiB or 8,192 records.
 	memberMaxMessageBytes = 2 << 20
-	memberClientShards    = 16
+	// memberMaxHeaderBytes is the largest header of a response. The default of net/http is 10 MB.
+	memberMaxHeaderBytes = 64 << 10
+	memberClientShards   = 16
 	// memberMaxClients limits the clients cached by address. Beyond it the cache is cleared.
 	memberMaxClients = 1024
 )
@@ -37,16 +41,16 @@
 
 var _ datacentre.Messenger = (*MembershipMessenger)(nil)
 
-// NewMembershipMessenger returns a messenger with its own pool of persistent connections. A nil dial stands for a
-// net.Dialer.
+// NewMembershipMessenger returns a messenger with its own pool of persistent connections. A nil dial stands for that of a
+// sockopt.Dialer.
 func NewMembershipMessenger(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *MembershipMessenger {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: memberDialTimeout}).DialContext
+		dial = sockopt.Dialer(memberDialTimeout, memberUserTimeout).DialContext
 	}
 	return &MembershipMessenger{
 		transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: memberMaxIdleConnsPerPeer, IdleConnTimeout: memberIdleTimeout,
-			DisableCompression: true,
+			DisableCompression: true, MaxResponseHeaderBytes: memberMaxHeaderBytes,
 			// A message with one record of 128 bytes takes about 500 bytes, so small buffers suffice. They keep 16
 			// connections under 100 KB.
 			ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
