Read the store at nodes that hear from no watcher of their zone

Callers of a few nodes in a large deployment got answers by an older version up to 4 s after the acknowledgement of a newer one, while these nodes were cut off from the others but not from the store.

Cause: a node that is cut off watches or polls the store only once it has found all nodes but one that precede it in its zone unresponsive. Without requests to them, gossip finds two nodes about every second, in all zones together. The time grows with the size of the deployment.

Fix: a node that is not among the first two of its zone, which watch the store, checks every 200 ms when it heard from either, queries one of them after 300 ms, and polls the store itself after a second of silence. The time no longer depends on the number of nodes. A watcher gets a few queries a second from each node of its zone at most, and fewer when requests already bring its messages.

--- a/peer/choose.go
+++ b/peer/choose.go
@@ -144,11 +144,16 @@
 	if p.query.open && now.Sub(p.query.sentAt) < minAnswerWait {
 		return true, false, p.rtt
 	}
+	p.openQuery(now, sequence)
+	return true, true, p.rtt
+}
+
+// openQuery records a query that is about to be sent. One that is still open counts as unanswered. The caller holds the lock.
+func (p *Peer) openQuery(now time.Time, sequence uint32) {
 	if p.query.open {
 		p.query.unanswered++
 	}
 	p.query = loadQuery{sequence: sequence, sentAt: now, open: true, unanswered: p.query.unanswered}
-	return true, true, p.rtt
 }
 
 func (p *Peer) querySequence() uint32 {
--- /dev/null
+++ b/peer/contact.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxSilence is the time without a message from the first nodes of the zone after which one of them is queried.
+const maxSilence = 300 * time.Millisecond
+
+// CheckFirstInZone reports whether this node is one of the first count responsive nodes of its zone, in the order of
+// RankInZone, and if not, the time since one of these was heard from. After maxSilence it queries one of them at random, so that
+// a node which calls it several times a second notices soon that it is cut off from them, however large the zone is.
+func (r *Roster) CheckFirstInZone(count int) (silence time.Duration, isFirst bool) {
+	first := r.firstInZone(count)
+	if len(first) < count || slices.Contains(first, r.selfPeer) {
+		return 0, true
+	}
+	now := time.Now()
+	silence = first[0].sinceHeard(now)
+	for _, p := range first[1:] {
+		silence = min(silence, p.sinceHeard(now))
+	}
+	if silence > maxSilence {
+		r.query(now, first[rand.N(len(first))])
+	}
+	return silence, false
+}
+
+// firstInZone returns up to count responsive nodes of the zone, this one included, in the order of RankInZone.
+func (r *Roster) firstInZone(count int) []*Peer {
+	type ranked struct {
+		peer   *Peer
+		status Status
+	}
+	now := time.Now()
+	zone := []ranked{{r.selfPeer, r.selfNode.Status()}}
+	r.peers.Range(func(_ string, p *Peer) bool {
+		if !p.isSelf && !p.unresponsive(now) {
+			if status := p.Status(); status.Zone == r.zone && status.Boot != 0 {
+				zone = append(zone, ranked{p, status})
+			}
+		}
+		return true
+	})
+	slices.SortFunc(zone, func(a, b ranked) int {
+		switch {
+		case a.status.precedes(b.status):
+			return -1
+		case b.status.precedes(a.status):
+			return 1
+		}
+		return strings.Compare(a.peer.addr.String(), b.peer.addr.String())
+	})
+	first := make([]*Peer, 0, count)
+	for _, node := range zone[:min(count, len(zone))] {
+		first = append(first, node.peer)
+	}
+	return first
+}
+
+// query sends a load query to the peer that no request waits for.
+func (r *Roster) query(now time.Time, p *Peer) {
+	sequence := r.lastSequence.Add(1)
+	p.mu.Lock()
+	p.expireQuery(now)
+	p.openQuery(now, sequence)
+	p.mu.Unlock()
+	r.sender.QueryLoad(p.addr, sequence)
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -26,8 +26,12 @@
 	// relistInterval is how often the keys of all nodes are listed, to find nodes that no other node has passed on.
 	relistInterval = time.Minute
 	// pollInterval is how often a node that polls reads the contracts; pollTimeout bounds one read.
-	pollInterval = 700 * time.Millisecond
-	pollTimeout  = 600 * time.Millisecond
+	// pollCheckInterval is how often a node checks whether it must poll.
+	pollInterval      = 700 * time.Millisecond
+	pollCheckInterval = 200 * time.Millisecond
+	pollTimeout       = 600 * time.Millisecond
+	// maxWatcherSilence is the time without a message from the watchers of its zone after which a node polls for itself.
+	maxWatcherSilence = time.Second
 	// watchersPerZone is the number of nodes in each zone that watch the contracts, and rankInterval how often a node checks
 	// whether it is one of them. discoveryDelay is the time after the start in which nodes discover each other.
 	watchersPerZone = 2
@@ -127,44 +131,47 @@
 	}
 }
 
-// mustPoll reports whether this node polls the contracts: it does so for all nodes, or it has lost the store and is one of
-// those in its zone that find out when the store is back.
+// mustPoll reports whether this node polls the contracts: it does so for all nodes, it hears from no watcher of its zone, or it
+// is a watcher that has lost the store and finds out when it is back.
 func (s *Sidecar) mustPoll() bool {
-	return s.roster.IsStoreReader() || (!s.storeReachable.Load() && s.roster.RankInZone() < watchersPerZone)
+	silence, watcher := s.roster.CheckFirstInZone(watchersPerZone)
+	if !watcher {
+		return silence > maxWatcherSilence
+	}
+	return !s.storeReachable.Load() || s.roster.IsStoreReader()
 }
 
 // pollContracts reads the contracts every pollInterval, while mustPoll holds, until ctx ends. A watch can miss a change
-// without an error. All other nodes learn of a newer version from datagrams.
+// without an error, and a node can be cut off from all other nodes. Else nodes learn of a newer version from datagrams.
 func (s *Sidecar) pollContracts(ctx context.Context, client *store.Client) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if !s.mustPoll() {
-			continue
-		}
-		before := s.contracts.Version()
-		reading, cancel := context.WithTimeout(ctx, pollTimeout)
-		entries, err := client.List(reading, s.Platform.ContractsPrefix)
-		cancel()
-		if err != nil {
-			s.Log.Warn("cannot poll contracts", "cause", err.Error())
-			s.setStoreReachable(false)
-			continue
-		}
-		s.setStoreReachable(true)
-		s.applyEntries(entries)
-		if s.contracts.Version() != before {
-			s.Log.Warn("watch missed a change of the contracts", "version", s.contracts.Version(), "before", before)
-			s.roster.BroadcastStatus()
+	var lastPoll time.Time
+	for wait.For(ctx, pollCheckInterval) {
+		if s.mustPoll() && time.Since(lastPoll) >= pollInterval {
+			lastPoll = time.Now()
+			s.pollOnce(ctx, client)
 		}
 	}
 }
 
+// pollOnce reads the contracts from the store and notifies the other nodes of a new version.
+func (s *Sidecar) pollOnce(ctx context.Context, client *store.Client) {
+	before := s.contracts.Version()
+	reading, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	entries, err := client.List(reading, s.Platform.ContractsPrefix)
+	if err != nil {
+		s.Log.Warn("cannot poll contracts", "cause", err.Error())
+		s.setStoreReachable(false)
+		return
+	}
+	s.setStoreReachable(true)
+	s.applyEntries(entries)
+	if s.contracts.Version() != before {
+		s.Log.Warn("poll found a change of the contracts", "version", s.contracts.Version(), "before", before)
+		s.roster.BroadcastStatus()
+	}
+}
+
 // applyEntries adopts the contracts among the entries of the watched prefix.
 func (s *Sidecar) applyEntries(entries []store.Entry) {
 	for _, e := range entries {
