sidecar: don't fetch a version that an unknown sender reports

What operators could see: reads of the store and log lines that grow with the number of nodes. One sender of datagrams that is no node and claims a version that no document holds makes each node that it reaches read the store and log a failed fetch.

A version is fetched only when its sender has sent a status. A node sends one with each new version, and it is read before the version in it.

--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -116,9 +116,10 @@
 }
 
 // handlePeerVersion fetches the contracts from a node that has a newer version, unless the store or a node of its own zone
-// delivers them first. A node without contracts fetches at once.
+// delivers them first. A node without contracts fetches at once. A sender that has not reported its address is ignored: it may
+// be no node.
 func (s *Sidecar) handlePeerVersion(version uint64, from netip.AddrPort) {
-	if version > s.contracts.Version() && s.reports.add(version, from) {
+	if version > s.contracts.Version() && s.roster.ForwardAddress(from) != "" && s.reports.add(version, from) {
 		go func() {
 			defer s.reports.end()
 			time.Sleep(s.fetchDelay(from))
--- a/sidecar/fetch_test.go
+++ b/sidecar/fetch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 	"github.com/magnoliawharf/magnoliawharf/store"
+	"github.com/magnoliawharf/magnoliawharf/transport/datagram"
 )
 
 // convergence is the time after its acknowledgement within which a version must be in force everywhere.
@@ -85,3 +87,21 @@
 	}
 	publishUntilIn(t, s, 2, m, convergence)
 }
+
+// Guards against a sender that is no node and whose messages claim a version that no document holds: each node that it reaches
+// would read the store and log a failed fetch several times a second.
+func TestVersionOfAnUnknownSenderIsNotFetched(t *testing.T) {
+	s := kvstore.NewMemory()
+	publish(t, s, document{Version: 1, Service: "s"})
+	m := startMachine(t, "n1", s)
+	eventually(t, "version 1", 5*time.Second, func() bool { return m.log.contains(versionText(1)) })
+	stranger, err := datagram.Listen("127.0.0.1:0", slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = stranger.Close() })
+	stranger.Version = func() uint64 { return 1 << 40 }
+	for range 15 {
+		stranger.QueryLoad(m.DatagramAddr(), 1)
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Equal(t, m.log.count("cannot fetch contracts"), 0)
+}
