Let connections outlast a single lost keepalive probe

What operators could see: watches of the store, control messages and membership messages whose connection breaks on a link that loses packets, when one probe or its acknowledgement is lost.

Cause: with a user timeout the kernel closes a connection at the first probe that finds it unacknowledged for that long. 2 s are over when the second probe is due, so that two probes had no more effect than one. The connections to the platform's store had this before; the others since they are probed.

Change: 2.5 s, which leaves the second probe its time and closes a silent connection within 3 s.

TestStoreConnectionsAreProbed and TestControlConnectionsAreProbed fail with 2 s ('a single lost probe closes a connection, user timeout 2000 ms') and pass with 2.5 s. The lost probe itself was not played: loopback loses none.

--- a/standin/sockets/sockets.go
+++ b/standin/sockets/sockets.go
@@ -6,12 +6,16 @@
 	"net/http/httptrace"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+// tcpUserTimeout is TCP_USER_TIMEOUT on Linux, which package syscall does not define.
+const tcpUserTimeout = 0x12
+
 // AssertProbed checks that the kernel probes the connection on which do sends a request with the context, and closes it within
-// seconds when the peer acknowledges nothing. Loopback acknowledges all packets, so that a silent connection cannot be simulated.
+// seconds when the peer acknowledges nothing, but not when a single probe is lost. Loopback acknowledges all packets, so that a silent connection cannot be simulated.
 func AssertProbed(t *testing.T, do func(ctx context.Context)) {
 	t.Helper()
 	probed := false
@@ -25,6 +29,10 @@
 			assert.Check(t, err)
 			count, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
 			assert.Check(t, err)
+			userTimeout, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+			assert.Check(t, err)
+			lastProbe := time.Duration(idle+(count-1)*interval) * time.Second
+			assert.Check(t, time.Duration(userTimeout)*time.Millisecond > lastProbe, "a single lost probe closes a connection, user timeout %d ms", userTimeout)
 			silent := idle + count*interval
 			assert.Check(t, silent <= maxSilentSeconds, "a silent connection is closed after %d s", silent)
 			probed = true
--- a/store/kvhttp/client.go
+++ b/store/kvhttp/client.go
@@ -29,8 +29,9 @@
 	// maxResponseHeader bounds the header of one response, in bytes. The default of net/http is 10 MB.
 	maxResponseHeader = 64 << 10
 	dialTimeout       = 3 * time.Second
-	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
-	userTimeout = 2 * time.Second
+	// userTimeout is how long sent data may stay unacknowledged before the kernel closes the connection. It is longer than the time
+	// until the second keepalive probe, so that one lost probe does not close the connection.
+	userTimeout = 2500 * time.Millisecond
 	// maxConnections bounds the connections of one process to the store.
 	maxConnections = 8
 )
--- a/transport/control.go
+++ b/transport/control.go
@@ -9,7 +9,7 @@
 
 const (
 	controlDialTimeout = time.Second
-	controlUserTimeout = 2 * time.Second // for which sent data may stay unacknowledged
+	controlUserTimeout = 2500 * time.Millisecond // for which sent data, or two keepalive probes, may stay unacknowledged
 	controlIdleTimeout = 90 * time.Second
 	controlIdlePerPeer = 4
 	controlBufferSize  = 4 << 10 // in bytes; control messages are short
--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -19,7 +19,7 @@
 
 const (
 	memberDialTimeout = time.Second
-	memberUserTimeout = 2 * time.Second // for which sent data may stay unacknowledged
+	memberUserTimeout = 2500 * time.Millisecond // for which sent data, or two keepalive probes, may stay unacknowledged
 	// memberIdleTimeout exceeds the 16 s in which a node with 9 fingers syncs with each of them, so that connections
 	// stay open between syncs. It is below the idle timeout of the servers, so that the client closes first.
 	memberIdleTimeout         = 90 * time.Second
