--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -59,8 +59,8 @@
 }
 
 // refuseRemaining cancels the requests of callers that are still in flight, so that they are answered: a connection that
-// closes without an answer doesn't tell the caller whether its request was read. Other
-// nodes take a closed connection as a request that may have run.
+// closes without an answer doesn't tell the caller whether its request was read. Other nodes take a closed connection as a
+// request that may have run.
 func (s *Sidecar) refuseRemaining() {
 	s.Log.Warn("requests outlast the grace period", "requests", s.requests.Len(), "at_upstream", s.proxy.InFlight().Len())
 	s.callers.CancelRequests(caller.Refuse(caller.Draining, "stop", s.Settings.Node))
--- a/store/follow.go
+++ b/store/follow.go
@@ -21,7 +21,8 @@
 // Follow tracks the keys that begin with prefix until ctx ends. It calls update with all entries, ordered
 // by key, after the first read and after each change. It starts the watch before it reads, so that no change
 // between the two is missed, reads all keys again periodically in case the watch skipped one, and after a failure or in a
-// new era of the store starts over with jittered backoff. While the store is unreachable update is not called, and the last entries stay valid.
+// new era of the store starts over with jittered backoff. While the store is unreachable update is not called, and the
+// last entries stay valid.
 func (c *Client) Follow(ctx context.Context, prefix string, update func([]Entry)) error {
 	f := follower{client: c, prefix: prefix, update: update, backoff: Backoff{MaxDelay: c.MaxRetryDelay}}
 	for ctx.Err() == nil {
