sidecar: poll the contracts first after a whole interval

What operators could see: each node that starts, and does not know others yet, polls the store 200 ms after its start, beside its watch, which has just read the contracts; and a log line that a poll found a change when no watch had missed one.

Cause: the time of the last poll was zero at the start, since polls are checked every 200 ms.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -151,7 +151,7 @@
 // pollContracts reads the contracts every pollInterval, while mustPoll holds, until ctx ends. A watch can miss a change
 // without an error, and a node can be cut off from all other nodes. Else nodes learn of a newer version from datagrams.
 func (s *Sidecar) pollContracts(ctx context.Context, client *store.Client) {
-	var lastPoll time.Time
+	lastPoll := time.Now() // at the start, a watch reads the contracts
 	for wait.For(ctx, pollCheckInterval) {
 		if s.mustPoll() && time.Since(lastPoll) >= pollInterval {
 			lastPoll = time.Now()
