e2e: reserve the ports of nodes and stores that restart

Cause: the test let the kernel choose the ports and used them again for the second start. While the node was down its port was free, and the kernel may give a free port of that range to any outgoing connection on the machine. The store of TestStoreAndNodeLost is started again in the same way.

Change: ports are reserved by a bound socket that never listens. Listeners that set SO_REUSEADDR, as all of package net do, share the port with it, and the kernel gives it to no other socket. Nodes get their addresses in their settings from the first start on.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -182,7 +182,7 @@
 	s.instances[2].node.Kill()
 	time.Sleep(8 * time.Second)
 	s.awaitOrders(s.instances[0])
-	s.restartNode(s.instances[2])
+	s.runNode(s.instances[2], "n3 again")
 	for _, in := range s.instances {
 		s.awaitMembers(in, 3)
 	}
@@ -236,7 +236,6 @@
 func TestStoreAndNodeLost(t *testing.T) {
 	s := newSystem(t)
 	s.awaitKeepers()
-	listen := strings.TrimPrefix(s.endpoint.Endpoint, "http://")
 	l := newLoad(t, s.instances[0], s.instances[1])
 	s.store.Kill()
 	time.Sleep(time.Second)
@@ -251,8 +250,7 @@
 	assert.Assert(t, served > 0, "no order was served while the store was unavailable")
 	l.stopAndWait()
 	l.check(s)
-	// The stand-in keeps its data in memory, so the store restarts empty. The current version must stay.
-	s.startStore(listen)
+	s.startStore() // empty: the current version must stay
 	r := call(s.instances[1], http.MethodGet, "/catalogue/tools", "")
 	assert.Equal(t, r.status, http.StatusOK, r)
 	assert.Equal(t, r.version, "1", fmt.Sprint(r))
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/idempotency"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/store/kvhttp"
 )
 
@@ -31,16 +31,26 @@
 	settings     string
 	node         *systemProcess
 	upstream     *systemProcess
-	addr         struct{ Callers, Peers, Local string }
+	addr         nodeAddr
 	upstreamAddr struct{ Addr string }
 }
 
+// nodeAddr holds the addresses at which a node listens.
+type nodeAddr struct{ Callers, Peers, Local string }
+
+// reserveNodeAddr returns addresses that stay free for the node while it is down.
+func reserveNodeAddr(t testing.TB) nodeAddr {
+	t.Helper()
+	return nodeAddr{Callers: sockets.ReservePort(t), Peers: sockets.ReservePort(t), Local: sockets.ReservePort(t)}
+}
+
 // system is a store and instances.
 type system struct {
 	t         testing.TB
 	folder    string
 	store     *systemProcess
 	endpoint  struct{ Endpoint string }
+	storeAddr string
 	instances []*instanceProcess
 }
 
@@ -62,8 +72,8 @@
 // newEmptySystem returns a system with a store and a signer's key.
 func newEmptySystem(t testing.TB) *system {
 	t.Helper()
-	s := &system{t: t, folder: t.TempDir()}
-	s.startStore("127.0.0.1:0")
+	s := &system{t: t, folder: t.TempDir(), storeAddr: sockets.ReservePort(t)}
+	s.startStore()
 	run(t, "bundle", "keygen", s.path("signer"))
 	return s
 }
@@ -84,15 +94,16 @@
 
 func (s *system) path(name string) string { return filepath.Join(s.folder, name) }
 
-func (s *system) startStore(listen string) {
+// startStore starts the store, also again after it was killed. It keeps its data in memory, so that it starts empty.
+func (s *system) startStore() {
 	s.t.Helper()
-	s.store = start(s.t, "store", &s.endpoint, "dev", "store", "--listen", listen, "--output", "json")
+	s.store = start(s.t, "store", &s.endpoint, "dev", "store", "--listen", s.storeAddr, "--output", "json")
 }
 
 // startNode starts a node and adds it to the instances. It starts no upstream.
 func (s *system) startNode(id, dataCentre string) *instanceProcess {
 	s.t.Helper()
-	in := &instanceProcess{id: id, settings: s.path(id + ".toml")}
+	in := &instanceProcess{id: id, settings: s.path(id + ".toml"), addr: reserveNodeAddr(s.t)}
 	seeds := ""
 	if len(s.instances) > 0 {
 		seeds = fmt.Sprintf("%q", s.instances[0].addr.Peers)
@@ -103,28 +114,24 @@
 seeds = [%s]
 trusted_keys = ["signer.pub"]
 [listen]
-callers = "127.0.0.1:0"
-peers = "127.0.0.1:0"
-local = "127.0.0.1:0"
+callers = %q
+peers = %q
+local = %q
 [store]
 endpoints = [%q]
-`, id, dataCentre, seeds, s.endpoint.Endpoint)
+`, id, dataCentre, seeds, in.addr.Callers, in.addr.Peers, in.addr.Local, s.endpoint.Endpoint)
 	assert.NilError(s.t, os.WriteFile(in.settings, []byte(text), 0o600))
-	in.node = start(s.t, id, &in.addr, "node", "run", "--settings", in.settings, "--output", "json")
+	s.runNode(in, id)
 	s.instances = append(s.instances, in)
 	return in
 }
 
-// restartNode starts the node again on its previous addresses.
-func (s *system) restartNode(in *instanceProcess) {
+// runNode starts the process of the node, also again after it has exited, and checks that it listens at its addresses.
+func (s *system) runNode(in *instanceProcess, name string) {
 	s.t.Helper()
-	text, err := os.ReadFile(in.settings)
-	assert.NilError(s.t, err)
-	for key, addr := range map[string]string{"callers": in.addr.Callers, "peers": in.addr.Peers, "local": in.addr.Local} {
-		text = bytes.Replace(text, []byte(key+` = "127.0.0.1:0"`), []byte(key+` = "`+addr+`"`), 1)
-	}
-	assert.NilError(s.t, os.WriteFile(in.settings, text, 0o600))
-	in.node = start(s.t, in.id+" again", &in.addr, "node", "run", "--settings", in.settings, "--output", "json")
+	var printed nodeAddr
+	in.node = start(s.t, name, &printed, "node", "run", "--settings", in.settings, "--output", "json")
+	assert.Equal(s.t, printed, in.addr)
 }
 
 // startUpstream starts the upstream beside the node.
