--- /dev/null
+++ b/datacentre/peerqueue.go
@@ -0,0 +1,84 @@
+package datacentre
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/magnoliawharf/magnoliawharf/instance"
+)
+
+// peerQueue holds the updates that wait for one peer.
+type peerQueue struct {
+	mu         sync.Mutex
+	peer       instance.Record
+	draining   bool
+	records    map[instance.ID]instance.Record
+	broadcasts []Broadcast
+}
+
+// add queues updates and reports whether the caller must start draining the queue.
+func (q *peerQueue) add(peer instance.Record, records []instance.Record, broadcasts []Broadcast) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.peer = peer
+	for _, r := range records {
+		q.records[r.ID] = r
+	}
+	q.appendBroadcasts(broadcasts)
+	start := !q.draining
+	q.draining = true
+	return start
+}
+
+func (q *peerQueue) appendBroadcasts(broadcasts []Broadcast) {
+	q.broadcasts = append(q.broadcasts, broadcasts...)
+	if excess := len(q.broadcasts) - maxBroadcasts; excess > 0 {
+		broadcastsDropped.Add(excess)
+		q.broadcasts = slices.Delete(q.broadcasts, 0, excess)
+	}
+}
+
+func (q *peerQueue) dequeue() (instance.Record, []instance.Record, []Broadcast, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.records) == 0 && len(q.broadcasts) == 0 {
+		q.draining = false
+		return instance.Record{}, nil, nil, false
+	}
+	records := slices.Collect(maps.Values(q.records))
+	records = records[:min(len(records), maxPushRecords)]
+	for _, r := range records {
+		delete(q.records, r.ID)
+	}
+	broadcasts := q.broadcasts
+	q.broadcasts = nil
+	return q.peer, records, broadcasts, true
+}
+
+// requeue returns updates that were not delivered, unless a newer record is queued.
+func (q *peerQueue) requeue(records []instance.Record, broadcasts []Broadcast) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range records {
+		if held, ok := q.records[r.ID]; !ok || r.Newer(held) {
+			q.records[r.ID] = r
+		}
+	}
+	newer := q.broadcasts
+	q.broadcasts = slices.Clone(broadcasts)
+	q.appendBroadcasts(newer)
+}
+
+func (q *peerQueue) clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	clear(q.records)
+	q.broadcasts, q.draining = nil, false
+}
+
+func (q *peerQueue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.draining
+}
