--- a/datacentre/outbox.go
+++ b/datacentre/outbox.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/shard"
+	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
 const (
@@ -88,6 +89,11 @@
 	o.mu.Unlock()
 
 	o.m.checkBorderRole() // the updates may have made this node a border node
+	for _, u := range records {
+		if u.record.State.Gone() {
+			o.redirect(u.record)
+		}
+	}
 	self := o.m.config.Self
 	own, relayed := o.splitBroadcasts(broadcasts)
 	if len(own) > 0 {
@@ -168,7 +174,7 @@
 	}
 }
 
-// drain pushes the queued updates until the queue is empty or the peer does not answer.
+// drain pushes the queued updates until the queue is empty or the peer has not answered pushAttempts times.
 func (o *outbox) drain(ctx context.Context, q *peerQueue) {
 	failures := 0
 	for {
@@ -176,15 +182,36 @@
 		if !ok {
 			return
 		}
+		start := time.Now()
 		if err := o.m.pushUpdates(ctx, peer, records, broadcasts); err == nil {
+			q.confirm()
 			failures = 0
 			continue
 		}
-		if failures++; failures >= pushAttempts || !o.m.isLive(peer) {
+		failures++
+		q.requeue()
+		if !o.m.isLive(peer) {
+			o.redirect(peer)
+		}
+		// A refused connection fails at once. The wait leaves time to detect the failure of the peer.
+		if failures >= pushAttempts || !wait.For(ctx, pushTimeout-time.Since(start)) {
 			q.clear()
 			return
 		}
-		q.requeue(records, broadcasts)
+	}
+}
+
+// redirect passes the updates that a member has not acknowledged to the member that takes its place. Without it
+// a member is missed when all members that pass updates on to it fail together.
+func (o *outbox) redirect(gone instance.Record) {
+	q, ok := o.queues.Get(gone.ID)
+	if !ok {
+		return
+	}
+	records, broadcasts := q.takeUnacknowledged()
+	records = slices.DeleteFunc(records, func(r instance.Record) bool { return r.ID == gone.ID })
+	if replacement, ok := o.m.replacement(gone.ID); ok {
+		o.sendTo(replacement, records, broadcasts)
 	}
 }
 
@@ -198,87 +225,31 @@
 	})
 }
 
-// peerQueue holds the updates that wait for one peer.
-type peerQueue struct {
-	mu         sync.Mutex
-	peer       instance.Record
-	draining   bool
-	records    map[instance.ID]instance.Record
-	broadcasts []Broadcast
-}
-
-// add queues updates and reports whether the caller must start draining the queue.
-func (q *peerQueue) add(peer instance.Record, records []instance.Record, broadcasts []Broadcast) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.peer = peer
-	for _, r := range records {
-		q.records[r.ID] = r
-	}
-	q.appendBroadcasts(broadcasts)
-	start := !q.draining
-	q.draining = true
-	return start
-}
-
-func (q *peerQueue) appendBroadcasts(broadcasts []Broadcast) {
-	q.broadcasts = append(q.broadcasts, broadcasts...)
-	if excess := len(q.broadcasts) - maxBroadcasts; excess > 0 {
-		broadcastsDropped.Add(excess)
-		q.broadcasts = slices.Delete(q.broadcasts, 0, excess)
-	}
-}
-
-func (q *peerQueue) dequeue() (instance.Record, []instance.Record, []Broadcast, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.records) == 0 && len(q.broadcasts) == 0 {
-		q.draining = false
-		return instance.Record{}, nil, nil, false
-	}
-	records := slices.Collect(maps.Values(q.records))
-	records = records[:min(len(records), maxPushRecords)]
-	for _, r := range records {
-		delete(q.records, r.ID)
-	}
-	broadcasts := q.broadcasts
-	q.broadcasts = nil
-	return q.peer, records, broadcasts, true
-}
-
-// requeue returns updates that were not delivered, unless a newer record is queued.
-func (q *peerQueue) requeue(records []instance.Record, broadcasts []Broadcast) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, r := range records {
-		if held, ok := q.records[r.ID]; !ok || r.Newer(held) {
-			q.records[r.ID] = r
-		}
-	}
-	newer := q.broadcasts
-	q.broadcasts = slices.Clone(broadcasts)
-	q.appendBroadcasts(newer)
-}
-
-func (q *peerQueue) clear() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	clear(q.records)
-	q.broadcasts, q.draining = nil, false
-}
-
-func (q *peerQueue) idle() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return !q.draining
-}
-
 // isLive reports whether the peer is, as far as this node knows, neither gone nor restarted.
 func (m *Membership) isLive(peer instance.Record) bool {
 	held, ok := m.fleet.Get(peer.ID)
 	return ok && !held.State.Gone() && held.Incarnation == peer.Incarnation
 }
 
+// replacement returns the member that receives updates in place of a gone one: its later incarnation, its
+// successor on the ring, or a border node of its data centre when that is another one.
+func (m *Membership) replacement(gone instance.ID) (instance.Record, bool) {
+	held, found := m.fleet.Get(gone)
+	switch {
+	case !found:
+		return instance.Record{}, false
+	case !held.State.Gone():
+		return held, true
+	case held.DataCentre != m.local.Name:
+		return m.borderTarget(held.DataCentre)
+	}
+	successors := m.local.Successors(gone, 1)
+	if len(successors) == 0 || successors[0].ID == m.config.Self.ID {
+		return instance.Record{}, false
+	}
+	return successors[0], true
+}
+
 // pushUpdates pushes records and broadcasts. Large broadcasts are offered, and sent when requested.
 func (m *Membership) pushUpdates(ctx context.Context, peer instance.Record, records []instance.Record, broadcasts []Broadcast) error {
 	request := PushRequest{Sender: m.sender(), Records: records}
