soak: pin the faults that the regression seeds draw

Cause: a seed draws its faults by index from the table, so a change of the table or of the draws changes silently what the regression seeds run. Change: each regression seed holds the checksum of its schedule, and TestRegressionSchedules compares it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/platform/wire"
@@ -20,10 +21,11 @@
 	firstSeed = flag.Uint64("soak.from", 0, "first seed to run in addition to the regression seeds; 0 picks one at random")
 	seedCount = flag.Int("soak.seeds", 0, "number of seeds to run in addition to the regression seeds")
 	keepLogs  = flag.Bool("soak.keep", false, "keep the logs of runs that passed")
-	faultTime = flag.Duration("soak.time", 8*time.Second, "period in which faults begin")
+	faultTime = flag.Duration("soak.time", defaultFaultTime, "period in which faults begin")
 )
 
 const (
+	defaultFaultTime = 8 * time.Second
 	// recoveryTime is the time that the system has to recover after the last fault. The served share is measured over the
 	// observationTime that follows.
 	recoveryTime    = 4 * time.Second
@@ -47,14 +49,24 @@
 	}))
 }
 
-// regressions are seeds that found a fault, each with its cause.
+// regressions are seeds that found a fault, each with the checksum of its schedule and its cause.
 var regressions = []struct {
-	seed  uint64
-	cause string
+	seed     uint64
+	schedule uint64
+	cause    string
 }{
-	{101, "a SIGHUP during the start terminated the process; since signals now go only to nodes that listen, a test of cli guards it"},
-	{107, "an inbound proxy resent a request that its upstream had begun to process, outside of the retry budget; a test of upstreamconn guards it"},
-	{205, "a restarted node assumed that the upstream beside it belonged to the service of its settings"},
+	{101, 0xfd6768f1784899ba, "a SIGHUP during the start terminated the process; since signals now go only to nodes that listen, a test of cli guards it"},
+	{107, 0xa39cfd85eedd433e, "an inbound proxy resent a request that its upstream had begun to process, outside of the retry budget; a test of upstreamconn guards it"},
+	{205, 0x407a74a1ea2cb8c9, "a restarted node assumed that the upstream beside it belonged to the service of its settings"},
+}
+
+// Guards against a change of the faults that alters what a regression seed draws, so that the seed no longer runs the
+// case that it stands for.
+func TestRegressionSchedules(t *testing.T) {
+	for _, r := range regressions {
+		schedule := describe(drawFaults(r.seed, defaultFaultTime))
+		assert.Equal(t, xxhash.Sum64String(schedule), r.schedule, "faults of seed %d:\n%s", r.seed, schedule)
+	}
 }
 
 // Guards against guarantees that hold under each single fault and are violated under a combination of faults.
