soak: return the store from an older copy

Change: in half of the runs the store is away for a moment and returns from a copy taken before; its connections close, or open watches outlast the return. The operator writes its last version again, at times followed at once by a change; other changes wait until it is written. The fault is drawn from a random stream of its own, one that draws none for the regression seeds, so their schedules stay as they were (TestRegressionSchedules).

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -28,6 +28,10 @@
 	// crashingRequestStream.
 	crashingRequestShare  = 0.4
 	crashingRequestStream = 1 << 20
+	// storeRestoredShare is the share of runs in which the store returns from an older copy. It is drawn from its own random
+	// stream, storeRestoredStream, which draws none for the regression seeds.
+	storeRestoredShare  = 0.5
+	storeRestoredStream = 1 << 24
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.5
 )
@@ -111,6 +115,11 @@
 	}
 }}
 
+// storeRestored is a return of the store from an older copy, which is taken when the fault begins.
+var storeRestored = fault{"store restored", func(f *fleet, _ *machine, _ time.Duration, draw uint64) {
+	f.restoreStore(drawRestoredStore(draw))
+}}
+
 // forSomeMachines runs step concurrently for a subset of the machines, for all of them on every third draw.
 func (f *fleet) forSomeMachines(draw uint64, step func(*machine)) {
 	var steps sync.WaitGroup
@@ -145,11 +154,14 @@
 }
 
 func (p plannedFault) String() string {
+	if p.fault.name == storeRestored.name {
+		return fmt.Sprintf("%v %s, %d times, %v", p.at.Round(time.Millisecond), p.fault.name, p.series, drawRestoredStore(p.draw))
+	}
 	return fmt.Sprintf("%v %s m%d for %v, %d times, draw %d", p.at.Round(time.Millisecond), p.fault.name, p.machine, p.lasting.Round(time.Millisecond), p.series, p.draw)
 }
 
-// drawFaults returns the faults of a run in order of time. The crashing request is drawn from a separate random stream, so
-// that the other faults of a seed do not depend on it.
+// drawFaults returns the faults of a run in order of time. The crashing request and the return of the store are drawn from
+// separate random streams, so that the other faults of a seed do not depend on them.
 func drawFaults(seed uint64, length time.Duration) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var schedule []plannedFault
@@ -169,6 +181,16 @@
 			fault: crashingRequest, at: time.Duration(separate.Int64N(int64(length))), series: 1, draw: separate.Uint64(),
 		})
 	}
+	if separate := rand.New(rand.NewPCG(seed, storeRestoredStream)); separate.Float64() < storeRestoredShare {
+		p := plannedFault{
+			fault: storeRestored, at: time.Duration(separate.Int64N(int64(length))), series: 1, gap: time.Duration(separate.Int64N(int64(maxGap))),
+			draw: separate.Uint64(),
+		}
+		if separate.Float64() < seriesShare {
+			p.series++
+		}
+		schedule = append(schedule, p)
+	}
 	slices.SortFunc(schedule, func(a, b plannedFault) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -72,7 +72,7 @@
 	folder   string
 	oracle   *oracle
 	store    *standin.Store
-	server   *http.Server
+	server   *storeServer
 	machines []*machine
 	operator *operator
 	crashing atomic.Int64 // number of crashing requests sent
@@ -100,14 +100,13 @@
 	f := &fleet{t: t, folder: folder, oracle: o, store: standin.NewStore()}
 	network := uint32(os.Getpid())<<3 + networks.Add(1)
 	prefix := fmt.Sprintf("127.%d.%d.", 16+network>>8%200, network%256)
-	listener, err := net.Listen("tcp", prefix+"1:8309")
+	var err error
+	f.server, err = startStoreServer(f.store, prefix+"1:8309")
 	assert.NilError(t, err)
-	f.server = &http.Server{Handler: f.store}
-	go func() { _ = f.server.Serve(listener) }() // returns ErrServerClosed
 	f.operator = newOperator(f)
 	f.operator.publish()
 	for i := range machineCount {
-		f.machines = append(f.machines, f.newMachine(i, prefix+strconv.Itoa(10+i), listener.Addr().String()))
+		f.machines = append(f.machines, f.newMachine(i, prefix+strconv.Itoa(10+i), f.server.address))
 	}
 	for _, m := range f.machines {
 		m.startNode()
@@ -389,5 +388,5 @@
 		}
 		_ = m.log.Close()
 	}
-	_ = f.server.Close()
+	f.server.close()
 }
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -14,6 +14,8 @@
 const (
 	requestLimit = 1500 * time.Millisecond
 	objective    = 600 * time.Millisecond
+	// rewritePause is the time between two attempts to write the last version again.
+	rewritePause = 50 * time.Millisecond
 )
 
 // operator publishes versions of the platform's document. It is safe for concurrent use.
@@ -58,13 +60,32 @@
 	for _, change := range changes {
 		change(next.Routes)
 	}
+	_ = o.write(next) // on an error nothing was written
+}
+
+// write writes the document and records its version. The caller holds the lock.
+func (o *operator) write(next wire.Document) error {
 	p := publishedVersion{document: next, sent: time.Now()}
 	if err := o.fleet.store.Publish(context.Background(), next); err != nil {
-		return // the store is unavailable: nothing was written
+		return err
 	}
 	p.acked = time.Now()
 	o.document = next
 	o.fleet.oracle.recordVersion(p)
+	return nil
+}
+
+// rewriteAfter writes the last version again after a return of the store from an older copy. Other versions wait
+// meanwhile: the copy would lack them after they were acknowledged.
+func (o *operator) rewriteAfter(restore func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	from := time.Now()
+	restore()
+	for o.write(o.document) != nil {
+		time.Sleep(rewritePause)
+	}
+	o.fleet.oracle.recordStoreDisturbance(span{from, time.Now()})
 }
 
 // moveRoute switches the route "moved" to the other service.
