soak: check that no node returns to an older version of the contracts

Cause: the oracle checked requests against the versions in force only while the store and the machine were undisturbed, so an older version that came back with a return of the store was accepted for 3 s. Change: for each process of a node, what back ends and callers saw gives the oldest version that it must have applied; a later request that only an older one allows is a violation, also during disturbances. The tolerance is the platform's, 250 ms, and eight times that on a disturbed machine. Measured: TestRollbackIsReported fails without the call of the check (0 violations, want 1) and passes with it.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -175,6 +175,7 @@
 
 // startNode starts the node's process, waits until it listens and reports an unexpected exit.
 func (m *machine) startNode() {
+	m.fleet.oracle.recordStart(m.index, time.Now())
 	p, err := process.Start(process.Options{
 		Name: fmt.Sprintf("m%d", m.index), Binary: binary, Args: []string{"sidecar", "run", "--settings", m.path("toml")}, Stdout: m.log, Stderr: m.log,
 	})
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -68,6 +68,7 @@
 	disturbed   map[int][]span       // by machine, without planned stops
 	stops       map[int][]span       // planned stops, by machine
 	failing     map[int][]span       // by machine, while its back end aborted responses or crashed
+	starts      map[int][]time.Time  // of the nodes' processes, by machine
 	store       []span               // while the store was disturbed
 	violations  []string             // messages of violated guarantees
 }
@@ -75,6 +76,7 @@
 func newOracle(service func(int) string, stall *stallDetector) *oracle {
 	return &oracle{
 		service: service, stall: stall, requests: make(map[string]*request), withdrawals: make(map[string]time.Time), disturbed: make(map[int][]span), stops: make(map[int][]span), failing: make(map[int][]span),
+		starts: make(map[int][]time.Time),
 	}
 }
 
@@ -232,6 +234,7 @@
 		o.checkRequest(r)
 		o.checkContracts(r)
 	}
+	o.checkRollbacks()
 	o.checkRetries()
 	o.checkCrashes()
 	return o.violations
