soak: widen bounds only by the stall within their interval

Cause: the detector added the whole length of each stall that overlaps an interval, also the part before or after it, so that a bound was wider than the time for which the test did not run within it. Change: only the part within the interval counts. The bounds become stricter.

--- a/soak/stall_test.go
+++ b/soak/stall_test.go
@@ -37,15 +37,27 @@
 	}
 }
 
-// within returns the total length of the stalls that overlap the interval.
+// within returns for how much of the interval this process was not scheduled.
 func (m *stallDetector) within(from, to time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var sum time.Duration
 	for _, s := range m.stalls {
-		if s.from.Before(to) && s.to.After(from) {
-			sum += s.to.Sub(s.from)
-		}
+		sum += max(0, earlier(s.to, to).Sub(later(s.from, from)))
 	}
 	return sum
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
