soak: keep the wait for the oracle's lock out of the times of a request

Cause: a caller took the time of sending before it waited for the oracle's lock, and that of the end after it. Whoever holds the lock when the machine takes its thread away delays all callers and back ends, which the stall detector doesn't see; the wait counted as delay of the node (BUDGET, CONFIG) and moved the time at which a caller gave up (GONE was checked less strictly). Change: the time of sending is taken with the lock held, the time limit starts after it, and the time of the end is taken before the lock.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -123,14 +123,14 @@
 	if abandons {
 		timeout = time.Duration(c.random.Int64N(int64(maxWork)))
 	}
+	c.fleet.oracle.recordSent(r)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	r.sent = time.Now()
-	c.fleet.oracle.recordSent(r)
 	status, seal, answer, err := c.exchange(out.WithContext(ctx))
-	c.fleet.oracle.recordEnd(r, func() {
-		if abandons && ctx.Err() != nil {
-			r.abandoned = time.Now()
+	ended, abandoned := time.Now(), abandons && ctx.Err() != nil
+	c.fleet.oracle.recordEnd(r, ended, func() {
+		if abandoned {
+			r.abandoned = ended
 			return
 		}
 		r.err = err
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -91,19 +91,20 @@
 	o.violationf(format, args...)
 }
 
-// recordSent records a request before it is sent.
+// recordSent records a request right before it is sent.
 func (o *oracle) recordSent(r *request) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	r.sent = time.Now() // with the lock held, so that the wait for it does not count
 	o.requests[r.id] = r
 }
 
 // recordEnd applies the outcome of a request and checks its response.
-func (o *oracle) recordEnd(r *request, apply func()) {
+func (o *oracle) recordEnd(r *request, ended time.Time, apply func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	apply()
-	r.ended = time.Now()
+	r.ended = ended
 	o.checkAnswer(r)
 }
 
