soak: widen the limit of a planned stop by the stalls during it

Cause: stopNode added up the stalls when it began to wait, so the limit was never widened and a stall of the test counted as a node that outlasts its grace period (LOST). Change: awaitWithin adds the stalls up again when the limit is reached.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -223,14 +223,12 @@
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		m.fleet.t.Error(err)
 	}
-	select {
-	case <-p.Exited():
-		if p.ExitCode() != 0 {
-			m.fleet.oracle.report("LOST: node m%d after SIGTERM: %s", m.index, p.State())
-		}
-	case <-time.After(grace + m.fleet.oracle.stall.within(from, time.Now())):
+	switch exited := m.fleet.oracle.stall.awaitWithin(p.Exited(), grace); {
+	case !exited:
 		m.fleet.oracle.report("LOST: node m%d is still running at the end of its grace period", m.index)
 		p.Kill()
+	case p.ExitCode() != 0:
+		m.fleet.oracle.report("LOST: node m%d after SIGTERM: %s", m.index, p.State())
 	}
 	m.startNode()
 	end(time.Now())
--- a/soak/stall_test.go
+++ b/soak/stall_test.go
@@ -103,6 +103,23 @@
 	return sum
 }
 
+// awaitWithin waits until the channel is closed. It returns false when the limit, widened by the stalls meanwhile, ends
+// first.
+func (m *stallDetector) awaitWithin(closed <-chan struct{}, limit time.Duration) bool {
+	from := time.Now()
+	for {
+		left := time.Until(from.Add(limit + m.within(from, time.Now())))
+		select {
+		case <-closed:
+			return true
+		case <-time.After(left):
+			if m.within(from, time.Now())+limit <= time.Since(from) {
+				return false
+			}
+		}
+	}
+}
+
 // overlap returns the length of the part of the span that is in the interval.
 func (s span) overlap(from, to time.Time) time.Duration {
 	return max(0, earlier(s.to, to).Sub(later(s.from, from)))
--- /dev/null
+++ b/soak/stop_test.go
@@ -0,0 +1,35 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a limit of a planned stop that is not widened by the stalls during the stop, as it was when the stalls
+// were added up at its beginning.
+func TestLimitOfStopIsWidenedByStalls(t *testing.T) {
+	const (
+		limit = 500 * time.Millisecond
+		stop  = time.Second
+	)
+	for _, c := range []struct {
+		name  string
+		stall time.Duration
+		ended bool
+	}{{"stalled", time.Second, true}, {"not stalled", 0, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			stall := &stallDetector{}
+			exited := make(chan struct{})
+			time.AfterFunc(stop, func() { close(exited) })
+			from := time.Now()
+			time.AfterFunc(limit/2, func() {
+				stall.mu.Lock()
+				defer stall.mu.Unlock()
+				stall.stalls = []span{{from, from.Add(c.stall)}}
+			})
+			assert.Equal(t, stall.awaitWithin(exited, limit), c.ended)
+		})
+	}
+}
