soak: list the waits of threads for a processor in a failed run

Change: the waits of the threads of the test and of the nodes are read from the kernel every 100 ms; a failed run lists the longest ones and the stalls, and violations of bounds in time say when the request was sent. No bound changes.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -54,7 +54,7 @@
 	stall := o.stall.within(r.sent, r.ended)
 	isStable := o.stable(r.machine, r.sent, r.ended)
 	if isStable && r.abandoned.IsZero() && r.ended.Sub(r.sent) > r.limit+responseSlack+stall {
-		o.violationf("CONFIG: %s ended after %v, its time limit was %v", r.id, r.ended.Sub(r.sent), r.limit)
+		o.violationf("CONFIG: %s ended after %v, its time limit was %v; sent %s", r.id, r.ended.Sub(r.sent), r.limit, clock(r.sent))
 	}
 	for _, a := range r.arrivals {
 		o.checkArrival(r, a, isStable)
@@ -81,16 +81,21 @@
 func (o *oracle) checkArrival(r *request, a standin.ReceivedRequest, isStable bool) {
 	stall := o.stall.within(r.sent, a.At)
 	if over := a.TimeLeft - (r.limit - a.At.Sub(r.sent)); isStable && over > timeLeftSlack+stall && o.stable(machineOf(a.Instance), r.sent, a.At) {
-		o.violationf("BUDGET: %s was forwarded with a time limit %v above the time left", r.id, over)
+		o.violationf("BUDGET: %s was forwarded to %s with a time limit %v above the time left; sent %s, arrived %s",
+			r.id, a.Instance, over, clock(r.sent), clock(a.At))
 	}
 	if acked, ok := o.withdrawals[a.Instance]; ok && a.Ran && a.At.After(acked.Add(drainTime+stall)) && o.stable(machineOf(a.Instance), acked, a.At) {
 		o.violationf("DRAIN: %s arrived at %s %v after the back end's withdrawal was acknowledged", r.id, a.Instance, a.At.Sub(acked))
 	}
 	if !r.abandoned.IsZero() && a.At.After(r.abandoned.Add(abandonTime+stall)) && isStable && o.stable(machineOf(a.Instance), r.sent, a.At) {
-		o.violationf("GONE: %s arrived at %s %v after the caller gave up", r.id, a.Instance, a.At.Sub(r.abandoned))
+		o.violationf("GONE: %s arrived at %s %v after the caller gave up; sent %s, arrived %s",
+			r.id, a.Instance, a.At.Sub(r.abandoned), clock(r.sent), clock(a.At))
 	}
 }
 
+// clock returns the time of day, as the logs of the nodes have it.
+func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
 // checkContracts checks the request against all versions that may have been current while it ran.
 func (o *oracle) checkContracts(r *request) {
 	oldest := 0
--- /dev/null
+++ b/soak/scheduling_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	waitSampleInterval = 100 * time.Millisecond
+	// maxListedWaits is the number of waits that a failed run lists.
+	maxListedWaits = 15
+)
+
+// threadWait is one period in which a thread was ready to run and the machine did not run it.
+type threadWait struct {
+	process string
+	thread  string // its folder in /proc
+	span
+}
+
+func (w threadWait) String() string {
+	return fmt.Sprintf("%s %s waited %v until %s", w.process, w.thread, w.to.Sub(w.from).Round(time.Millisecond), clock(w.to))
+}
+
+// schedStat is the content of a thread's schedstat file.
+type schedStat struct {
+	waited time.Duration // total time of waits for a processor
+	slices int64         // how often it began to run
+}
+
+// threadWaits records the waits of the threads of some processes. They tell a node that the machine did not run from one
+// that held a request up, and widen no bound. It is safe for concurrent use.
+type threadWaits struct {
+	mu    sync.Mutex
+	last  map[string]schedStat // by folder of the thread
+	waits []threadWait
+}
+
+// sample reads the statistics of all threads of a process. A process that has ended has none.
+func (w *threadWaits) sample(process string, id int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", id)) // the pattern is valid
+	for _, thread := range threads {
+		text, err := os.ReadFile(filepath.Join(thread, "schedstat"))
+		if err != nil {
+			continue // the thread has ended
+		}
+		var ran int64
+		var now schedStat
+		if _, err := fmt.Sscan(string(text), &ran, &now.waited, &now.slices); err != nil {
+			continue
+		}
+		if before, ok := w.last[thread]; ok {
+			w.compare(threadWait{process: process, thread: thread}, before, now)
+		}
+		w.last[thread] = now
+	}
+}
+
+// compare records a wait if the thread waited longer than minStall each time since the sample before.
+func (w *threadWaits) compare(t threadWait, before, now schedStat) {
+	waited := now.waited - before.waited
+	if times := now.slices - before.slices; times == 0 || waited < time.Duration(times)*minStall {
+		return
+	}
+	t.to = time.Now()
+	t.from = t.to.Add(-waited)
+	w.waits = append(w.waits, t)
+}
+
+// longest lists the longest waits, one per line.
+func (w *threadWaits) longest() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slices.SortFunc(w.waits, func(a, b threadWait) int { return cmp.Compare(b.to.Sub(b.from), a.to.Sub(a.from)) })
+	var lines strings.Builder
+	for _, wait := range w.waits[:min(maxListedWaits, len(w.waits))] {
+		fmt.Fprintln(&lines, wait)
+	}
+	return lines.String()
+}
+
+// recordWaits samples the test's process and the nodes until the end of the test.
+func (f *fleet) recordWaits() *threadWaits {
+	w := &threadWaits{last: make(map[string]schedStat)}
+	done := make(chan struct{})
+	f.t.Cleanup(func() { close(done) })
+	go func() {
+		ticker := time.NewTicker(waitSampleInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			w.sample("test", os.Getpid())
+			for _, m := range f.machines {
+				w.sample(fmt.Sprintf("m%d", m.index), m.proc.Load().ID())
+			}
+		}
+	}()
+	return w
+}
+
+// Guards against a run whose delays cannot be told from those of the machine, since no long wait is recorded, and against
+// many short waits that look like a long one.
+func TestLongWaitOfThreadIsRecorded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		now      schedStat
+		recorded int
+	}{
+		{"one long wait", schedStat{waited: 900 * time.Millisecond, slices: 12}, 1},
+		{"many short waits", schedStat{waited: 900 * time.Millisecond, slices: 200}, 0},
+		{"did not run", schedStat{waited: 100 * time.Millisecond, slices: 10}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := &threadWaits{}
+			w.compare(threadWait{}, schedStat{waited: 100 * time.Millisecond, slices: 10}, c.now)
+			assert.Equal(t, len(w.waits), c.recorded)
+		})
+	}
+}
--- a/soak/stall_test.go
+++ b/soak/stall_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,6 +72,17 @@
 	}
 }
 
+// String lists the stalls by their end and length.
+func (m *stallDetector) String() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []string
+	for _, s := range m.stalls {
+		list = append(list, fmt.Sprintf("%s %v", clock(s.to), s.to.Sub(s.from).Round(time.Millisecond)))
+	}
+	return strings.Join(list, ", ")
+}
+
 func (m *stallDetector) recordPoll(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
