--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -72,7 +72,7 @@
 	folder   string
 	oracle   *oracle
 	store    *standin.Store
-	server   *http.Server
+	server   *storeServer
 	machines []*machine
 	operator *operator
 	crashing atomic.Int64 // number of crashing requests sent
@@ -100,14 +100,13 @@
 	f := &fleet{t: t, folder: folder, oracle: o, store: standin.NewStore()}
 	network := uint32(os.Getpid())<<3 + networks.Add(1)
 	prefix := fmt.Sprintf("127.%d.%d.", 16+network>>8%200, network%256)
-	listener, err := net.Listen("tcp", prefix+"1:8309")
+	var err error
+	f.server, err = startStoreServer(f.store, prefix+"1:8309")
 	assert.NilError(t, err)
-	f.server = &http.Server{Handler: f.store}
-	go func() { _ = f.server.Serve(listener) }() // returns ErrServerClosed
 	f.operator = newOperator(f)
 	f.operator.publish()
 	for i := range machineCount {
-		f.machines = append(f.machines, f.newMachine(i, prefix+strconv.Itoa(10+i), listener.Addr().String()))
+		f.machines = append(f.machines, f.newMachine(i, prefix+strconv.Itoa(10+i), f.server.address))
 	}
 	for _, m := range f.machines {
 		m.startNode()
@@ -176,6 +175,7 @@
 
 // startNode starts the node's process, waits until it listens and reports an unexpected exit.
 func (m *machine) startNode() {
+	m.fleet.oracle.recordStart(m.index, time.Now())
 	p, err := process.Start(process.Options{
 		Name: fmt.Sprintf("m%d", m.index), Binary: binary, Args: []string{"sidecar", "run", "--settings", m.path("toml")}, Stdout: m.log, Stderr: m.log,
 	})
@@ -223,14 +223,12 @@
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		m.fleet.t.Error(err)
 	}
-	select {
-	case <-p.Exited():
-		if p.ExitCode() != 0 {
-			m.fleet.oracle.report("LOST: node m%d after SIGTERM: %s", m.index, p.State())
-		}
-	case <-time.After(grace + m.fleet.oracle.stall.within(from, time.Now())):
+	switch exited := m.fleet.oracle.stall.awaitWithin(p.Exited(), grace); {
+	case !exited:
 		m.fleet.oracle.report("LOST: node m%d is still running at the end of its grace period", m.index)
 		p.Kill()
+	case p.ExitCode() != 0:
+		m.fleet.oracle.report("LOST: node m%d after SIGTERM: %s", m.index, p.State())
 	}
 	m.startNode()
 	end(time.Now())
@@ -389,5 +387,5 @@
 		}
 		_ = m.log.Close()
 	}
-	_ = f.server.Close()
+	f.server.close()
 }
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -68,6 +68,7 @@
 	disturbed   map[int][]span       // by machine, without planned stops
 	stops       map[int][]span       // planned stops, by machine
 	failing     map[int][]span       // by machine, while its back end aborted responses or crashed
+	starts      map[int][]time.Time  // of the nodes' processes, by machine
 	store       []span               // while the store was disturbed
 	violations  []string             // messages of violated guarantees
 }
@@ -75,6 +76,7 @@
 func newOracle(service func(int) string, stall *stallDetector) *oracle {
 	return &oracle{
 		service: service, stall: stall, requests: make(map[string]*request), withdrawals: make(map[string]time.Time), disturbed: make(map[int][]span), stops: make(map[int][]span), failing: make(map[int][]span),
+		starts: make(map[int][]time.Time),
 	}
 }
 
@@ -89,19 +91,20 @@
 	o.violationf(format, args...)
 }
 
-// recordSent records a request before it is sent.
+// recordSent records a request right before it is sent.
 func (o *oracle) recordSent(r *request) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	r.sent = time.Now() // with the lock held, so that the wait for it does not count
 	o.requests[r.id] = r
 }
 
 // recordEnd applies the outcome of a request and checks its response.
-func (o *oracle) recordEnd(r *request, apply func()) {
+func (o *oracle) recordEnd(r *request, ended time.Time, apply func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	apply()
-	r.ended = time.Now()
+	r.ended = ended
 	o.checkAnswer(r)
 }
 
@@ -232,6 +235,7 @@
 		o.checkRequest(r)
 		o.checkContracts(r)
 	}
+	o.checkRollbacks()
 	o.checkRetries()
 	o.checkCrashes()
 	return o.violations
