Report the era of the store between nodes

Cause: a node learns of a new era from answers to its own calls only. Between renewals most nodes make none, by design: a watch at each node would cost too much. Nodes that knew of the return did not pass it on.

The report is a datagram of its own kind. A field in the status would make nodes of earlier versions drop whole statuses, since the decoder rejects an array with another number of elements; a test holds the number of fields. An unknown kind they drop and count.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -53,6 +53,7 @@
 	client := s.storeClient
 	s.storeReachable.Store(true) // until a call fails
 	go s.reportEras(ctx, client)
+	go s.checkReportedEras(ctx, client)
 	go s.watchContracts(ctx, client)
 	session := store.NewSession(client, nodeKeyTTL)
 	session.MaxRetryDelay, session.Wake, session.OnReachable = maxSessionRetryDelay, s.retryStore, s.setStoreReachable
--- a/sidecar/isolation_test.go
+++ b/sidecar/isolation_test.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/store"
 	"github.com/magnoliawharf/magnoliawharf/transport/datagram"
 )
 
@@ -29,6 +30,7 @@
 	socket.Version = func() uint64 { return version }
 	socket.OnVersion = func(uint64, netip.AddrPort) {}
 	socket.OnNotice = func(quarantine.Notice) {}
+	socket.OnStoreEra = func(store.Era, netip.AddrPort) {}
 	p := &fakePeer{socket: socket, status: peer.Status{Node: name, Boot: 1, Revision: 1, Address: "127.0.0.1:1", Zone: "z", StoreReachable: true}}
 	go func() { _ = socket.Serve(t.Context(), p) }() // returns when the socket is closed
 	t.Cleanup(func() { _ = socket.Close() })
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -89,8 +89,10 @@
 	reports        versionReports
 	compressed     compressedContracts
 	storeClient    *store.Client
-	storeReachable atomic.Bool      // whether this node reaches the store
-	retryStore     chan struct{}    // signals that another node reaches the store again; capacity 1
+	storeReachable atomic.Bool   // whether this node reaches the store
+	retryStore     chan struct{} // signals that another node reaches the store again; capacity 1
+	eraReports     *eraReports
+	eraSchedule    eraSchedule
 	stopping       atomic.Bool      // the readiness probe fails
 	rejecting      atomic.Bool      // new requests are refused
 	requests       inflight.Counter // requests of callers
@@ -103,6 +105,7 @@
 func (s *Sidecar) Provision() error {
 	s.boot = rand.Uint64() >> 1 // 63 bits, for a short encoding in messages
 	s.retryStore = make(chan struct{}, 1)
+	s.eraReports = newEraReports()
 	s.contracts = contract.NewCurrent()
 	s.retries.Store(&s.Settings.Retries)
 	s.remote = peerhttp.NewClient(instance.ID(s.Settings.Node), nil)
@@ -127,6 +130,7 @@
 	})
 	s.socket.Version, s.socket.OnVersion = s.contracts.Version, s.handlePeerVersion
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
+	s.socket.OnStoreEra = s.handlePeerEra
 	s.setHandlers()
 	return nil
 }
--- a/standin/kvstore/contract_test.go
+++ b/standin/kvstore/contract_test.go
@@ -21,12 +21,16 @@
 	memory *kvstore.Memory
 }
 
-// forEachStore runs the test against Memory and against the HTTP adapter with the stand-in server.
+// forEachStore runs the test against Memory, against the view of one process and against the HTTP adapter with the stand-in server.
 func forEachStore(t *testing.T, test func(t *testing.T, s storeUnderTest)) {
 	t.Run("memory", func(t *testing.T) {
 		memory := kvstore.NewMemory()
 		test(t, storeUnderTest{memory, memory})
 	})
+	t.Run("process", func(t *testing.T) {
+		memory := kvstore.NewMemory()
+		test(t, storeUnderTest{memory.NewProcess(), memory})
+	})
 	t.Run("http", func(t *testing.T) {
 		memory := kvstore.NewMemory()
 		server := httptest.NewServer(kvstore.NewServer(memory))
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,6 +1,6 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, and notices of requests that crash upstreams. A message is one byte for its kind,
-// followed by a CBOR array.
+// replies, the status of nodes, the era of the store, and notices of requests that crash upstreams. A message is one byte
+// for its kind, followed by a CBOR array.
 package datagram
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 const (
@@ -48,12 +49,14 @@
 	log         *slog.Logger
 	answerSlots chan struct{}
 
-	// Version returns the version of the current contracts, sent with each message except notices.
+	// Version returns the version of the current contracts, sent with each load query, load reply and status.
 	Version func() uint64
 	// OnVersion is called with the version of the current contracts of another node. It must not block.
 	OnVersion func(version uint64, from netip.AddrPort)
 	// OnNotice is called with each valid notice of another node. It must not block.
 	OnNotice func(n quarantine.Notice)
+	// OnStoreEra is called with the era of the store that another node reports, above 0. It must not block.
+	OnStoreEra func(era store.Era, from netip.AddrPort)
 }
 
 // Listen binds the address. The function fields of the Socket are set before Serve and before the first message is sent.
@@ -110,6 +113,8 @@
 		err = s.handleStatus(receiver, from, body)
 	case kindNotice:
 		err = s.handleNotice(body)
+	case kindStoreEra:
+		err = s.handleStoreEra(from, body)
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -175,6 +180,18 @@
 	return nil
 }
 
+func (s *Socket) handleStoreEra(from netip.AddrPort, body []byte) error {
+	var m storeEra
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return err
+	}
+	if m.Era <= 0 {
+		return errors.New("era is not above 0")
+	}
+	s.OnStoreEra(store.Era(m.Era), from)
+	return nil
+}
+
 // QueryLoad implements peer.Sender.
 func (s *Socket) QueryLoad(to netip.AddrPort, number uint32) {
 	s.send(to, kindLoadQuery, loadQuery{Number: number, ContractVersion: s.Version()})
@@ -192,6 +209,13 @@
 	}
 }
 
+// SendStoreEra sends the era of the store to each of the addresses.
+func (s *Socket) SendStoreEra(to []netip.AddrPort, era store.Era) {
+	for _, addr := range to {
+		s.send(addr, kindStoreEra, storeEra{Era: int64(era)})
+	}
+}
+
 // send sends a message. Any datagram may be lost, so a failure is logged and not returned.
 func (s *Socket) send(to netip.AddrPort, kind byte, message any) {
 	body, err := cbor.Marshal(message)
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 // recorder is a Receiver that records the messages that a node received.
@@ -21,6 +23,7 @@
 	loads    chan peer.Load
 	notices  chan quarantine.Notice
 	versions chan uint64
+	eras     chan store.Era
 	load     peer.Load
 }
 
@@ -28,6 +31,7 @@
 	return &recorder{
 		heard: make(chan peer.StatusMessage, 9), loads: make(chan peer.Load, 9),
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
+		eras: make(chan store.Era, 9),
 	}
 }
 
@@ -45,6 +49,7 @@
 	s.Version = func() uint64 { return version }
 	s.OnVersion = func(v uint64, _ netip.AddrPort) { r.versions <- v }
 	s.OnNotice = func(n quarantine.Notice) { r.notices <- n }
+	s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { r.eras <- era }
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(context.Background(), r) }()
 	t.Cleanup(func() {
@@ -86,6 +91,9 @@
 	notice := quarantine.Notice{Kind: quarantine.Crashed, Fingerprints: []quarantine.Fingerprint{1, 1 << 63}, Crashes: []quarantine.Crash{77}}
 	a.SendNotice([]netip.AddrPort{b.Addr()}, notice)
 	assert.DeepEqual(t, awaitValue(t, fromA.notices), notice)
+
+	a.SendStoreEra([]netip.AddrPort{b.Addr()}, 1<<62)
+	assert.Equal(t, awaitValue(t, fromA.eras), store.Era(1<<62))
 }
 
 // Guards against load queries and replies of more than a few dozen bytes: one query is sent to each candidate node.
@@ -98,11 +106,30 @@
 	assert.Assert(t, len(l) <= 32, "reply has %d bytes", len(l))
 }
 
+// Guards against reports of the store's era of more than a few bytes, since each node sends one to many others at the same
+// time, and against ones that a node of an earlier version accepts as another message.
+func TestStoreEraIsASmallMessageOfItsOwnKind(t *testing.T) {
+	raw, err := cbor.Marshal(storeEra{Era: 300})
+	assert.NilError(t, err)
+	assert.Assert(t, len(raw) <= 4, "report has %d bytes", len(raw))
+	assert.Assert(t, !slices.Contains([]byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice}, kindStoreEra))
+}
+
+// Guards against a status that nodes of an earlier version drop, because it has another number of fields than theirs.
+func TestStatusHasTheFieldsOfEarlierVersions(t *testing.T) {
+	const fields = 15
+	raw, err := cbor.Marshal(newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}}))
+	assert.NilError(t, err)
+	var decoded []any
+	assert.NilError(t, cbor.Unmarshal(raw, &decoded))
+	assert.Equal(t, len(decoded), fields)
+}
+
 // Guards against datagrams from unknown senders or other versions that are accepted with invalid values or crash the
 // process.
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
-		kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
+		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
 		kindStatus: newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
 		body, err := cbor.Marshal(message)
@@ -119,6 +146,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		r := newRecorder()
 		s.OnNotice = func(n quarantine.Notice) { assert.Check(t, n.Valid()) }
+		s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { assert.Check(t, era > 0) }
 		s.receive(r, s.Addr(), raw)
 		select {
 		case heard := <-r.heard:
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -17,6 +17,7 @@
 	kindLoadReply byte = 'l'
 	kindStatus    byte = 'i'
 	kindNotice    byte = 'n'
+	kindStoreEra  byte = 'e'
 )
 
 const (
@@ -142,6 +143,13 @@
 	return list, nil
 }
 
+// storeEra is the era of the store that the sender has seen. It is a message of its own: nodes of earlier versions drop a
+// kind that they do not know, but would drop a whole status with one more field.
+type storeEra struct {
+	_   struct{} `cbor:",toarray"`
+	Era int64
+}
+
 // maxNoticeFingerprints is the largest number of fingerprints in one notice, so that the notice fits into a datagram.
 const maxNoticeFingerprints = 100
 
