store: send no call that names a revision or a lease of an earlier era

A process that read a revision and wrote after the store had returned from an older copy could overwrite the change of another process, to which the store had given the same revision, although the process knew of the return. A renewal or revocation could reach the lease of another process in the same way.

Cause: only uncertain writes compared the eras. A certain one was sent with any revision, also after the wait for the rate limit, in which the return may become known. A session compared the eras before its renewal, not after that wait.

Change: store.Within(s, era) is a view of a store for calls that name a revision or a lease of the era. After the end of the era they fail with ErrEraEnded and are not sent; a write confirmed after its end is uncertain, since its condition may have compared revisions of two eras. Client binds its conditional calls to the era in which they begin and checks it after the wait for the rate limit; Session binds its renewals and its revocation to the era of its lease. A method of Store that takes the era was ruled out: it would change each adapter and each test for a check that is the same for all.

Tests that failed first, all cases: ./store TestCallThatWaitedThroughAReturnIsNotSent (the calls were sent), TestWriteWhoseAnswerShowsALaterEraIsUncertain (counted as done). New with the API: TestCallsOfAnEarlierEraAreNotSent, TestCallsWithinAnUnknownEra. go test -race -count=5 ./store passes.

--- a/store/client.go
+++ b/store/client.go
@@ -77,11 +77,12 @@
 // Swap implements Store. It determines the outcome of an uncertain swap by reading the key: when the key
 // holds value at a revision other than the expected one, the swap has succeeded, so concurrent writers must
 // write different values. It returns ErrUncertain when the key was overwritten in the meantime, the era of the
-// store has changed, or the store does not recover in time.
+// store has changed, or the store does not recover in time, and ErrEraEnded when the era changed before the call was sent.
 func (c *Client) Swap(ctx context.Context, key string, value []byte, revision int64, lease LeaseID) (int64, error) {
 	era := c.Era()
-	written, err := c.swapOnce(ctx, key, value, revision, lease)
-	if !Is(err, ErrUncertain) {
+	bound := c.within(era)
+	written, err := bound.swapOnce(ctx, key, value, revision, lease)
+	if !Is(err, ErrUncertain) || era.Ended() {
 		return written, err
 	}
 	var backoff Backoff
@@ -99,7 +100,7 @@
 		if current.Revision == revision {
 			// The write has not taken effect, but may still do so. Repeating the same swap is safe,
 			// because at most one of the two can find the expected revision.
-			written, retryErr := c.swapOnce(ctx, key, value, revision, lease)
+			written, retryErr := bound.swapOnce(ctx, key, value, revision, lease)
 			if retryErr == nil || Is(retryErr, ErrLeaseLapsed) {
 				return written, retryErr
 			}
@@ -151,11 +152,12 @@
 
 // Delete implements Store. It determines the outcome of an uncertain delete by reading the key: the delete
 // has succeeded when the key does not exist or has been written again. It returns ErrUncertain when the era of the store
-// has changed or the store does not recover in time.
+// has changed or the store does not recover in time, and ErrEraEnded when the era changed before the call was sent.
 func (c *Client) Delete(ctx context.Context, key string, revision int64) error {
 	era := c.Era()
-	err := c.deleteOnce(ctx, key, revision)
-	if !Is(err, ErrUncertain) {
+	bound := c.within(era)
+	err := bound.deleteOnce(ctx, key, revision)
+	if !Is(err, ErrUncertain) || era.Ended() {
 		return err
 	}
 	var backoff Backoff
@@ -170,7 +172,7 @@
 		case readErr != nil && !Is(readErr, ErrNotFound):
 		case current.Revision != revision:
 			return nil
-		case c.deleteOnce(ctx, key, revision) == nil:
+		case bound.deleteOnce(ctx, key, revision) == nil:
 			return nil
 		}
 	}
@@ -192,20 +194,22 @@
 	return c.adapter.GrantLease(ctx, ttl)
 }
 
-// RenewLease implements Store.
+// RenewLease implements Store. It returns ErrEraEnded when the era changed before the call was sent.
 func (c *Client) RenewLease(ctx context.Context, id LeaseID) error {
+	bound := c.within(c.Era())
 	if err := c.waitRateLimit(ctx, "renew lease"); err != nil {
 		return err
 	}
-	return c.adapter.RenewLease(ctx, id)
+	return bound.adapter.RenewLease(ctx, id)
 }
 
-// RevokeLease implements Store.
+// RevokeLease implements Store. It returns ErrEraEnded when the era changed before the call was sent.
 func (c *Client) RevokeLease(ctx context.Context, id LeaseID) error {
+	bound := c.within(c.Era())
 	if err := c.waitRateLimit(ctx, "revoke lease"); err != nil {
 		return err
 	}
-	return c.adapter.RevokeLease(ctx, id)
+	return bound.adapter.RevokeLease(ctx, id)
 }
 
 // Era implements Store.
--- a/store/session.go
+++ b/store/session.go
@@ -144,8 +144,8 @@
 			era, keptAt, backoff.Changed = next, checkedAt, next.Changed
 		}
 		sentAt := s.clock()
-		err := s.store.RenewLease(ctx, id)
-		s.OnReachable(err == nil || Is(err, ErrLeaseLapsed))
+		err := Within(s.store, era).RenewLease(ctx, id)
+		s.OnReachable(err == nil || Is(err, ErrLeaseLapsed) || Is(err, ErrEraEnded))
 		if err == nil {
 			s.setLease(id, sentAt)
 			keptAt = time.Time{}
@@ -181,12 +181,9 @@
 // lease of an earlier era.
 func (s *Session) releaseLease(ctx context.Context, id LeaseID, era EraStatus) {
 	s.setLease(0, clockReading{})
-	if era.Ended() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
 	defer cancel()
-	_ = s.store.RevokeLease(ctx, id) // it lapses by itself when the store cannot be reached
+	_ = Within(s.store, era).RevokeLease(ctx, id) // it lapses by itself when the store cannot be reached
 }
 
 // setLease records the lease and when its last confirmed grant or renewal was sent, from which its time to live is counted.
--- a/store/store.go
+++ b/store/store.go
@@ -74,6 +74,8 @@
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
 	// ErrLeaseLapsed says that the lease no longer exists.
 	ErrLeaseLapsed = namespace.NewType("lease_lapsed")
+	// ErrEraEnded says that the revision or the lease of a call is of an earlier era of the store. The call was not sent.
+	ErrEraEnded = namespace.NewType("era_ended")
 )
 
 // Properties of the errors of adapters.
