datacentre: do not renew the lease of a contact in a later era

What callers saw: nothing; services with eras are not used by border nodes yet.

Cause: a border node renewed the lease of its contact before it compared the eras, although it knew that the store had returned from an older copy. The store may have given the ID to another process, whose lease was then prolonged once.

Change: the renewal and the revocation are bound to the era of the lease by store.Within, so that neither is sent.

Test that failed first: ./datacentre TestContactLeaseOfAnEarlierEraIsNotRenewed (the key of the other process outlived its lease).

--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -85,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if entry.held {
-		err := m.config.Store.RenewLease(ctx, entry.lease)
+		err := store.Within(m.config.Store, entry.era).RenewLease(ctx, entry.lease)
 		if !entry.era.Ended() && !errorx.IsOfType(err, store.ErrLeaseLapsed) {
 			return err
 		}
@@ -116,12 +116,9 @@
 		return
 	}
 	entry.held = false
-	if entry.era.Ended() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := m.config.Store.RevokeLease(ctx, entry.lease); err != nil {
+	if err := store.Within(m.config.Store, entry.era).RevokeLease(ctx, entry.lease); err != nil && !store.Is(err, store.ErrEraEnded) {
 		storeFailures.Inc()
 	}
 }
--- a/datacentre/contacts_test.go
+++ b/datacentre/contacts_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 // Guards against a border node that renews and at last revokes the lease of another process, because the store has returned
@@ -40,3 +41,32 @@
 		assert.NilError(t, err, "the lease of another process was revoked")
 	})
 }
+
+// Guards against a border node that renews the lease of another process, although it knows that the store has returned from an
+// older copy and has given out the ID of its lease again.
+func TestContactLeaseOfAnEarlierEraIsNotRenewed(t *testing.T) {
+	t.Parallel()
+	runInVirtualTime(t, func(n *network) {
+		const rivalTTL = 15 * time.Second
+		ctx, kv := context.Background(), kvstore.NewMemory()
+		n.store = kv
+		older := kv.Copy()
+		m := n.start(record("dc-1", "r", 0), nil)
+		time.Sleep(time.Minute)
+		contacts, err := kv.List(ctx, contactPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(contacts), 1)
+
+		kv.Restore(older)
+		rival, err := kv.GrantLease(ctx, rivalTTL) // the answer shows the era
+		assert.NilError(t, err)
+		assert.Equal(t, rival, contacts[0].Lease)
+		_, err = kv.Swap(ctx, "rival", nil, 0, rival)
+		assert.NilError(t, err)
+		time.Sleep(rivalTTL + time.Second)
+		_, err = kv.Get(ctx, "rival")
+		assert.Assert(t, store.Is(err, store.ErrNotFound), "the lease of another process was renewed: %v", err)
+		m.stop()
+		<-m.done
+	})
+}
