datacentre: write the contact of a border node soon after a return of the store

What callers saw: nothing; services with eras are not used by border nodes yet.

Cause: a border node looked at the era only when its contact was due for renewal, up to 10 s after it knew that the store had returned from an older copy. Until then its contact could be missing.

Test that failed first: ./datacentre TestContactIsBackSoonInANewEra (no contact after 2 s).

--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -30,6 +30,8 @@
 	startupRenewInterval = 2 * time.Second
 	firstCheckJitter     = 3 * time.Second
 	storeTimeout         = 2 * time.Second
+	// contactEraJitter spreads the calls with which the border nodes write their contacts in a new era of the store.
+	contactEraJitter = time.Second
 	// maxStoreBackoff bounds the jittered delay after failures, so that the border nodes do not all call a
 	// recovered store at once.
 	maxStoreBackoff = 40 * time.Second
@@ -43,13 +45,31 @@
 	era   store.EraStatus // in which the lease was obtained
 }
 
+// wait waits for d, or until the era of the contact ends and up to contactEraJitter longer. It reports false when ctx was done
+// first.
+func (e *contactEntry) wait(ctx context.Context, d time.Duration) bool {
+	if !e.held {
+		return wait.For(ctx, d)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-e.era.Changed:
+		return wait.For(ctx, rand.N(contactEraJitter))
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // runContacts maintains the node's contact in the store while it is a border node, and compares tables
 // with contacts that it does not know. A failing store has no other effect.
 func (m *Membership) runContacts(ctx context.Context) {
 	var entry contactEntry
 	next := rand.N(firstCheckJitter)
 	started, lastCheck := time.Now(), time.Time{}
-	for wait.For(ctx, next) {
+	for entry.wait(ctx, next) {
 		if !entry.held && m.isAlone() {
 			m.join(ctx) // after joining an earlier node this one may not need a contact
 		}
--- a/datacentre/contacts_test.go
+++ b/datacentre/contacts_test.go
@@ -70,3 +70,25 @@
 		<-m.done
 	})
 }
+
+// Guards against a border node whose contact stays away until its next renewal, although the node knows that the store has
+// returned from an older copy without it.
+func TestContactIsBackSoonInANewEra(t *testing.T) {
+	t.Parallel()
+	runInVirtualTime(t, func(n *network) {
+		ctx, kv := context.Background(), kvstore.NewMemory()
+		n.store = kv
+		older := kv.Copy()
+		m := n.start(record("dc-1", "r", 0), nil)
+		time.Sleep(time.Minute)
+		kv.Restore(older)
+		_, err := kv.Get(ctx, "any") // the answer shows the era
+		assert.Assert(t, store.Is(err, store.ErrNotFound))
+		time.Sleep(2 * time.Second)
+		contacts, err := kv.List(ctx, contactPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(contacts), 1)
+		m.stop()
+		<-m.done
+	})
+}
