bundle: end a rollout when the store returns from an older copy

What callers saw: nothing; services with eras are not used for bundles yet.

Cause: a rollout writes the manifest and the parts and then the head, whose swap compares its revision only. When the store returned from an older copy in between, the manifest was lost, the swap succeeded, and the head named a manifest that nobody could read.

Change: a rollout is bound to the era in which it begins by store.Within. After its end no further write is sent, and RollOut returns ErrEraEnded; it may be repeated. When only the answer to the swap of the head shows the return, it returns ErrUncertain and does not read the head to report success, since what the head names may be lost.

Test that failed first: ./bundle TestRollOutEndsWithTheEra (the rollout reported success and the manifest was missing).

--- a/bundle/publisher.go
+++ b/bundle/publisher.go
@@ -21,8 +21,11 @@
 // compare-and-swap. When two operators publish the same version concurrently, one succeeds and the other gets
 // ErrVersionTaken with the version of the head. RollOut may be repeated after a crash or an uncertain outcome: it succeeds
 // without writing when the head already has the version and root. cleanupErr is a failure to remove old versions, which
-// does not affect the rollout.
+// does not affect the rollout. When the store returns from an older copy meanwhile, what was written may be lost: the error is then
+// store.ErrEraEnded, or store.ErrUncertain when the head may refer to it.
 func (p *Publisher) RollOut(ctx context.Context, approved *Prepared) (published *Release, cleanupErr, err error) {
+	era := p.Store.Era()
+	p = &Publisher{Store: store.Within(p.Store, era), TrustedKeys: p.TrustedKeys}
 	reader := StoreReader{p.Store}
 	head, revision, err := reader.Head(ctx)
 	if err != nil && !Is(err, ErrNoRelease) {
@@ -46,6 +49,9 @@
 		return nil, nil, err
 	}
 	if err := p.swapHead(ctx, release, revision); err != nil {
+		if era.Ended() {
+			return nil, nil, err
+		}
 		return p.resolveSwapError(ctx, approved, err)
 	}
 	if release.Version%cleanupIntervalVersions == 0 {
--- a/bundle/publisher_test.go
+++ b/bundle/publisher_test.go
@@ -154,3 +154,41 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(parts), bundle.RetainedVersions+2)
 }
+
+// restoringStore lets the store return from an older copy right after the next write.
+type restoringStore struct {
+	*kvstore.Memory
+	older *kvstore.Copy // nil once the store has returned
+}
+
+func (s *restoringStore) Swap(ctx context.Context, key string, value []byte, revision int64, lease store.LeaseID) (int64, error) {
+	written, err := s.Memory.Swap(ctx, key, value, revision, lease)
+	if s.older != nil {
+		s.Restore(*s.older)
+		s.older = nil
+	}
+	return written, err
+}
+
+// Guards against a head that refers to a manifest or a part which the store has lost, because it has returned from an older
+// copy during the rollout.
+func TestRollOutEndsWithTheEra(t *testing.T) {
+	memory, key := kvstore.NewMemory(), newKey(t)
+	_, _, err := newPublisher(memory).RollOut(t.Context(), approve(t, services(t, 3, 0), 1, key))
+	assert.NilError(t, err)
+	older := memory.Copy()
+	second := approve(t, services(t, 3, 1), 2, key)
+	publisher := &bundle.Publisher{Store: store.NewClient(&restoringStore{memory, &older}, 1000, 1000)}
+	_, _, err = publisher.RollOut(t.Context(), second)
+	assert.Assert(t, store.Is(err, store.ErrEraEnded), "got %v", err)
+	reader := bundle.StoreReader{Store: memory}
+	head, _, err := reader.Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, head.Version, uint64(1))
+
+	head, _, err = publisher.RollOut(t.Context(), second)
+	assert.NilError(t, err)
+	assert.Equal(t, head.Version, uint64(2))
+	_, err = reader.Manifest(t.Context(), head)
+	assert.NilError(t, err)
+}
