idempotency: do not write a keeper group's record with a revision of an earlier era

What callers saw: nothing; services with eras are not used for keeper groups yet.

Cause: the state machines keep the revision that a read of the record returned and write with it later, up to minutes after. A store that has returned from an older copy in between may have given out that revision again, so that the write replaces the record of another node. The wait before a marked group is replaced also took the same revision for the same mark.

Change: the revision travels with the era in which it holds, from the read to the swap, which is bound to it by store.Within; a swap that is not sent counts as not done, and the record is read again. A mark is observed anew in a later era.

Tests that failed first: ./idempotency TestRecordOfAnEarlierEraIsNotWritten (swapped), TestMarkOfALaterEraIsObservedAnew.

--- a/idempotency/change.go
+++ b/idempotency/change.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 const (
@@ -35,7 +37,8 @@
 type epochChange struct {
 	stage           stage
 	revision        int64
-	sealingSince    time.Duration // monotonic time of the first seal
+	era             store.EraStatus // in which the revision holds
+	sealingSince    time.Duration   // monotonic time of the first seal
 	nextSealRequest time.Duration
 	swapAt          time.Duration // earliest monotonic time of the swap, never without a sealed majority
 	seals           map[Identity]sealedMember
@@ -199,7 +202,7 @@
 	if c == nil || c.stage != reading {
 		return nil
 	}
-	c.stage, c.revision, c.nextSealRequest = sealing, in.Revision, now.Mono
+	c.stage, c.revision, c.era, c.nextSealRequest = sealing, in.Revision, in.Era, now.Mono
 	if c.sealingSince == 0 {
 		c.sealingSince = now.Mono
 	}
@@ -267,7 +270,7 @@
 	if now.Mono >= c.swapAt {
 		c.stage = swapping
 		next := g.record.next(g.nextMembers(now), g.ceilings(), g.config.StoreOutage)
-		return []Output{SwapRecord{Record: next, Revision: c.revision}}
+		return []Output{SwapRecord{Record: next, Revision: c.revision, Era: c.era}}
 	}
 	if now.Mono < c.nextSealRequest {
 		return nil
--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -256,7 +256,7 @@
 	if in.Record.Mark == nil {
 		g.confirm(in.Started)
 	} else if _, ok := g.member(); ok && g.majorityResponsive(now) {
-		out = append(out, SwapRecord{Record: g.record.withMark(nil), Revision: in.Revision})
+		out = append(out, SwapRecord{Record: g.record.withMark(nil), Revision: in.Revision, Era: in.Era})
 	}
 	return append(out, g.resumeChange(now, in)...)
 }
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -249,26 +249,26 @@
 }
 
 func (k *Keeper) readRecord(service string) RecordRead {
-	started := k.clock.Now()
+	started, era := k.clock.Now(), k.store.Era()
 	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
 	defer cancel()
 	entry, err := k.store.Get(ctx, StoreKey(service))
 	if errorx.IsOfType(err, store.ErrNotFound) {
-		return RecordRead{Started: started}
+		return RecordRead{Started: started, Era: era}
 	}
 	if err != nil {
 		return RecordRead{Started: started, Failed: true}
 	}
 	record, err := DecodeRecord(entry.Value)
-	return RecordRead{Started: started, Record: record, Revision: entry.Revision, Failed: err != nil}
+	return RecordRead{Started: started, Record: record, Revision: entry.Revision, Era: era, Failed: err != nil}
 }
 
 func (k *Keeper) swapRecord(service string, out SwapRecord) SwapDone {
 	started := k.clock.Now()
 	ctx, cancel := context.WithTimeout(k.ctx, storeTimeout)
 	defer cancel()
-	revision, err := k.store.Swap(ctx, StoreKey(service), out.Record.Encode(), out.Revision, 0)
-	return SwapDone{Started: started, Record: out.Record, Revision: revision, Swapped: err == nil}
+	revision, err := store.Within(k.store, out.Era).Swap(ctx, StoreKey(service), out.Record.Encode(), out.Revision, 0)
+	return SwapDone{Started: started, Record: out.Record, Revision: revision, Era: out.Era, Swapped: err == nil}
 }
 
 func (k *Keeper) sendHandOver(out HandOver) {
--- a/idempotency/keeper_test.go
+++ b/idempotency/keeper_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 // inProcessPeers delivers messages to keepers in the same process after a delay.
@@ -232,3 +233,56 @@
 	verdict, _ = f.claim(entry, fresh)
 	assert.Equal(t, verdict, Closed)
 }
+
+// Guards against a record that overwrites that of another node, because it is written with a revision that was read before the
+// store returned from an older copy and gave out that revision again.
+func TestRecordOfAnEarlierEraIsNotWritten(t *testing.T) {
+	memory := kvstore.NewMemory()
+	k := NewKeeper(Identity{ID: "n0", Incarnation: 1}, store.NewClient(memory, 0, 0), nil)
+	older := memory.Copy()
+	write := func(record *Record) int64 {
+		revision, err := memory.Swap(t.Context(), StoreKey("s"), record.Encode(), 0, 0)
+		assert.NilError(t, err)
+		return revision
+	}
+	own, rival := &Record{Epoch: 1, Outage: 1000, Nonce: "own"}, &Record{Epoch: 1, Outage: 1000, Nonce: "rival"}
+	write(own)
+	read := k.readRecord("s")
+	assert.Assert(t, !read.Failed)
+	memory.Restore(older)
+	assert.Equal(t, write(rival), read.Revision) // the answer shows the era
+	assert.Assert(t, !k.swapRecord("s", SwapRecord{Record: own, Revision: read.Revision, Era: read.Era}).Swapped)
+	current, err := memory.Get(t.Context(), StoreKey("s"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, current.Value, rival.Encode())
+
+	read = k.readRecord("s")
+	assert.Assert(t, k.swapRecord("s", SwapRecord{Record: own, Revision: read.Revision, Era: read.Era}).Swapped)
+}
+
+// Guards against a group that is replaced before the mark of its replacement has stood long enough, because the mark of a later
+// era of the store has the revision of an earlier one.
+func TestMarkOfALaterEraIsObservedAnew(t *testing.T) {
+	self, lost := Identity{ID: "n9", Incarnation: 1}, Identity{ID: "n0", Incarnation: 1}
+	marked := func(nonce string) *Record {
+		return &Record{Epoch: 1, Members: []Member{{Identity: lost, Addr: "n0"}}, Mark: &ReplacementMark{By: lost, Nonce: nonce}}
+	}
+	const revision, waitTime = 5, time.Hour
+	for name, returned := range map[string]bool{"same era": false, "later era": true} {
+		t.Run(name, func(t *testing.T) {
+			now, clock := time.Now(), NewClock().Now()
+			o := NewNonMember(clock, self, "s", DefaultConfig(), 0)
+			o.Handle(clock, PeersChanged{Peers: []Peer{{Identity: self, Addr: "n9", Region: "r", Serves: true}}})
+			var tracker store.EraTracker
+			tracker.Observe(1)
+			o.Handle(clock, RecordRead{Record: marked("first"), Revision: revision, Era: tracker.Era()})
+			if returned {
+				tracker.Observe(2)
+			}
+			later := Instant{Mono: clock.Mono + waitTime, Wall: now.Add(waitTime)}
+			out := o.Handle(later, RecordRead{Record: marked("second"), Revision: revision, Era: tracker.Era()})
+			replaces := slices.ContainsFunc(out, func(out Output) bool { _, ok := out.(SwapRecord); return ok }) || o.joinAskedAt != 0
+			assert.Equal(t, replaces, !returned)
+		})
+	}
+}
--- a/idempotency/message.go
+++ b/idempotency/message.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 // ClaimRequest asks the owner of a key for the right to run it.
@@ -116,6 +118,7 @@
 	Started  Instant // before the read was sent
 	Record   *Record
 	Revision int64
+	Era      store.EraStatus // in which the revision holds
 	Failed   bool
 }
 
@@ -124,7 +127,8 @@
 	Started  Instant
 	Record   *Record
 	Revision int64
-	Swapped  bool // false: conflict, failure or uncertain, to be resolved by reading the record again
+	Era      store.EraStatus // in which the revision holds
+	Swapped  bool            // false: conflict, failure or uncertain, to be resolved by reading the record again
 }
 
 // GrantAnswered carries the answer to a SendGrantRequest.
@@ -173,6 +177,7 @@
 type SwapRecord struct {
 	Record   *Record
 	Revision int64
+	Era      store.EraStatus // in which the revision holds
 }
 
 // SendGrantRequest sends a GrantRequest.
--- a/idempotency/nonmember.go
+++ b/idempotency/nonmember.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
 const (
@@ -33,7 +35,8 @@
 	peers          []Peer
 	record         *Record
 	revision       int64
-	read           bool // the record has been read at least once
+	era            store.EraStatus // in which the revision holds
+	read           bool            // the record has been read at least once
 	reading        bool
 	writeUncertain bool // a write of this node may have taken effect although its reply was lost
 	stopping       bool
@@ -168,7 +171,10 @@
 	if in.Record != nil && o.record != nil && in.Record.Epoch < o.record.Epoch {
 		return nil
 	}
-	o.read, o.record, o.revision, o.writeUncertain = true, in.Record, in.Revision, false
+	if o.era.Ended() {
+		o.observedMark = 0 // a revision of the earlier era does not identify the mark
+	}
+	o.read, o.record, o.revision, o.era, o.writeUncertain = true, in.Record, in.Revision, in.Era, false
 	ownRank := o.candidateRank()
 	switch {
 	case ownRank < 0:
@@ -230,7 +236,7 @@
 		record = o.record.next(members, ceilings, o.config.StoreOutage)
 	}
 	record.Region = self.Region
-	return []Output{SwapRecord{Record: record, Revision: o.revision}}
+	return []Output{SwapRecord{Record: record, Revision: o.revision, Era: o.era}}
 }
 
 // markOrReplace marks an orphaned group, or replaces it when a mark has stood long enough, whoever
@@ -242,7 +248,7 @@
 	case o.record.Mark == nil:
 		o.observedMark = 0
 		marked := o.record.withMark(&ReplacementMark{By: o.self, Nonce: uuid.NewString()})
-		return []Output{SwapRecord{Record: marked, Revision: o.revision}}
+		return []Output{SwapRecord{Record: marked, Revision: o.revision, Era: o.era}}
 	case o.observedMark != o.revision:
 		o.observedMark, o.waitingSince = o.revision, now.Mono
 		return nil
@@ -267,7 +273,7 @@
 		return nil
 	}
 	changed := o.record == nil || in.Record.Epoch > o.record.Epoch
-	o.record, o.revision = in.Record, in.Revision
+	o.record, o.revision, o.era = in.Record, in.Revision, in.Era
 	if !changed {
 		o.observedMark, o.waitingSince = in.Revision, now.Mono
 		return nil
