--- a/bundle/publisher_test.go
+++ b/bundle/publisher_test.go
@@ -155,17 +155,17 @@
 	assert.Equal(t, len(parts), bundle.RetainedVersions+2)
 }
 
-// restoringStore lets the store return from an older copy right after the next write.
+// restoringStore lets the store return from an older copy after some writes.
 type restoringStore struct {
 	*kvstore.Memory
-	older *kvstore.Copy // nil once the store has returned
+	older  kvstore.Copy
+	writes int // until the return
 }
 
 func (s *restoringStore) Swap(ctx context.Context, key string, value []byte, revision int64, lease store.LeaseID) (int64, error) {
 	written, err := s.Memory.Swap(ctx, key, value, revision, lease)
-	if s.older != nil {
-		s.Restore(*s.older)
-		s.older = nil
+	if s.writes--; s.writes == 0 {
+		s.Restore(s.older)
 	}
 	return written, err
 }
@@ -176,9 +176,8 @@
 	memory, key := kvstore.NewMemory(), newKey(t)
 	_, _, err := newPublisher(memory).RollOut(t.Context(), approve(t, services(t, 3, 0), 1, key))
 	assert.NilError(t, err)
-	older := memory.Copy()
 	second := approve(t, services(t, 3, 1), 2, key)
-	publisher := &bundle.Publisher{Store: store.NewClient(&restoringStore{memory, &older}, 1000, 1000)}
+	publisher := &bundle.Publisher{Store: store.NewClient(&restoringStore{memory, memory.Copy(), 1}, 1000, 1000)}
 	_, _, err = publisher.RollOut(t.Context(), second)
 	assert.Assert(t, store.Is(err, store.ErrEraEnded), "got %v", err)
 	reader := bundle.StoreReader{Store: memory}
@@ -192,3 +191,15 @@
 	_, err = reader.Manifest(t.Context(), head)
 	assert.NilError(t, err)
 }
+
+// Guards against a rollout that reports success although the store has returned from an older copy without the manifest, which
+// only the answer to the last write shows.
+func TestRollOutIsUncertainWhenItsHeadIsOfALaterEra(t *testing.T) {
+	memory, key := kvstore.NewMemory(), newKey(t)
+	_, _, err := newPublisher(memory).RollOut(t.Context(), approve(t, services(t, 3, 0), 1, key))
+	assert.NilError(t, err)
+	const manifestAndPart = 2
+	publisher := &bundle.Publisher{Store: store.NewClient(&restoringStore{memory, memory.Copy(), manifestAndPart}, 1000, 1000)}
+	_, _, err = publisher.RollOut(t.Context(), approve(t, services(t, 3, 1), 2, key))
+	assert.Assert(t, store.Is(err, store.ErrUncertain), "got %v", err)
+}
