sidecar: end the check of a reported era when another answer shows a new one

Cause, found by reading: the check went on reading this node's key, while the store rejected calls, after an answer to another call had already shown the new era. And a sender was distrusted for a minute when an earlier call's answer showed an era between the known and the reported one, since that alone does not refute the report.

Change: the check ends when the era that it began in ends. Only an answer to its own read, sent after the report arrived, refutes a report.

--- a/sidecar/reported_era.go
+++ b/sidecar/reported_era.go
@@ -104,32 +104,34 @@
 }
 
 // checkReportedEra reads this node's key, so that the answer shows the era of the store: a report is no proof. The reads of
-// all nodes are spread, and none is needed when another answer shows the era in the meantime.
+// all nodes are spread, and none is needed when another answer shows a new era in the meantime.
 func (s *Sidecar) checkReportedEra(ctx context.Context, client *store.Client, report eraReport) {
+	era := client.Era()
 	timer := time.NewTimer(s.eraSchedule.delay(report.era, s.eraSpread()))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return
-	case <-client.Era().Changed:
+	case <-era.Changed:
 		return
 	case <-timer.C:
 	}
-	if !s.readEra(ctx, client) || client.Era().Current >= report.era {
+	if !s.readEra(ctx, client, era) || client.Era().Current >= report.era {
 		return
 	}
 	s.eraReports.distrust(report.from)
 	eraReportsRefutedTotal.Inc()
-	s.Log.Warn("reported era not confirmed by the store", "from", report.from.String(), "reported", int64(report.era), "era", int64(client.Era().Current))
+	s.Log.Warn("reported era not confirmed by the store", "from", report.from.String(), "reported", int64(report.era), "era", int64(era.Current))
 }
 
-// readEra makes calls until the store answers one, which shows its era. It returns false when none was answered in time.
-func (s *Sidecar) readEra(ctx context.Context, client *store.Client) bool {
+// readEra reads this node's key until the store answers, which shows its era. It returns false when the era ends before, or no
+// read was answered in time.
+func (s *Sidecar) readEra(ctx context.Context, client *store.Client, era store.EraStatus) bool {
 	ctx, cancel := context.WithTimeout(ctx, eraCheckTimeout)
 	defer cancel()
 	key, _ := s.nodeKey()
-	backoff := store.Backoff{MaxDelay: maxEraCheckDelay}
-	for {
+	backoff := store.Backoff{MaxDelay: maxEraCheckDelay, Changed: era.Changed}
+	for !era.Ended() {
 		_, err := client.Get(ctx, key)
 		if err == nil || store.Is(err, store.ErrNotFound) {
 			return true
@@ -138,4 +140,5 @@
 			return false
 		}
 	}
+	return false
 }
