soak: widen the bound of the forwarded time limit by waits for a processor on the path

Cause: bounds are widened by the time for which the machine did not run the test, but the detector sees neither a node that the machine did not run nor one thread of the test, so such a wait counted as a delay of the node. Change: for this check only, the waits of 30 ms or more of threads of the test and of the two nodes on the request's path widen the bound by the part of the interval that they cover. The bound itself, and GONE, CONFIG and DRAIN, for which there is no such trace, stay as they were.

--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -60,6 +60,7 @@
 type oracle struct {
 	service func(machine int) string // service of the back end on a machine
 	stall   *stallDetector
+	waits   *threadWaits
 
 	mu          sync.Mutex
 	requests    map[string]*request
@@ -75,7 +76,7 @@
 
 func newOracle(service func(int) string, stall *stallDetector) *oracle {
 	return &oracle{
-		service: service, stall: stall, requests: make(map[string]*request), withdrawals: make(map[string]time.Time), disturbed: make(map[int][]span), stops: make(map[int][]span), failing: make(map[int][]span),
+		service: service, stall: stall, waits: &threadWaits{last: make(map[string]schedStat)}, requests: make(map[string]*request), withdrawals: make(map[string]time.Time), disturbed: make(map[int][]span), stops: make(map[int][]span), failing: make(map[int][]span),
 		starts: make(map[int][]time.Time),
 	}
 }
--- a/soak/scheduling_test.go
+++ b/soak/scheduling_test.go
@@ -12,14 +12,21 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/platform/standin"
 )
 
 const (
 	waitSampleInterval = 100 * time.Millisecond
 	// maxListedWaits is the number of waits that a failed run lists.
 	maxListedWaits = 15
+	// testProcess is the name of the test's own process.
+	testProcess = "test"
 )
 
+// nodeName returns the name of the node on a machine.
+func nodeName(machine int) string { return fmt.Sprintf("m%d", machine) }
+
 // threadWait is one period in which a thread was ready to run and the machine did not run it.
 type threadWait struct {
 	process string
@@ -38,7 +45,7 @@
 }
 
 // threadWaits records the waits of the threads of some processes. They tell a node that the machine did not run from one
-// that held a request up, and widen no bound. It is safe for concurrent use.
+// that held a request up. It is safe for concurrent use.
 type threadWaits struct {
 	mu    sync.Mutex
 	last  map[string]schedStat // by folder of the thread
@@ -70,7 +77,7 @@
 // compare records a wait if the thread waited longer than minStall each time since the sample before.
 func (w *threadWaits) compare(t threadWait, before, now schedStat) {
 	waited := now.waited - before.waited
-	if times := now.slices - before.slices; times == 0 || waited < time.Duration(times)*minStall {
+	if times := now.slices - before.slices; times <= 0 || waited < time.Duration(times)*minStall {
 		return
 	}
 	t.to = time.Now()
@@ -78,6 +85,40 @@
 	w.waits = append(w.waits, t)
 }
 
+// during returns the waits of the processes that overlap the interval.
+func (w *threadWaits) during(from, to time.Time, processes ...string) []span {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []span
+	for _, wait := range w.waits {
+		if wait.overlap(from, to) > 0 && slices.Contains(processes, wait.process) {
+			out = append(out, wait.span)
+		}
+	}
+	return out
+}
+
+// notRun returns for how much of the interval the machine did not run the test, one of its threads, or a thread of the nodes
+// on these machines.
+func (o *oracle) notRun(from, to time.Time, machines ...int) time.Duration {
+	processes := []string{testProcess}
+	for _, m := range machines {
+		processes = append(processes, nodeName(m))
+	}
+	return covered(append(o.stall.during(from, to), o.waits.during(from, to, processes...)...), from, to)
+}
+
+// covered returns the length of the part of the interval that the spans cover.
+func covered(spans []span, from, to time.Time) time.Duration {
+	slices.SortFunc(spans, func(a, b span) int { return a.from.Compare(b.from) })
+	var sum time.Duration
+	for _, s := range spans {
+		sum += s.overlap(from, to)
+		from = later(from, s.to)
+	}
+	return sum
+}
+
 // longest lists the longest waits, one per line.
 func (w *threadWaits) longest() string {
 	w.mu.Lock()
@@ -91,8 +132,8 @@
 }
 
 // recordWaits samples the test's process and the nodes until the end of the test.
-func (f *fleet) recordWaits() *threadWaits {
-	w := &threadWaits{last: make(map[string]schedStat)}
+func (f *fleet) recordWaits() {
+	w := f.oracle.waits
 	done := make(chan struct{})
 	f.t.Cleanup(func() { close(done) })
 	go func() {
@@ -104,13 +145,12 @@
 				return
 			case <-ticker.C:
 			}
-			w.sample("test", os.Getpid())
+			w.sample(testProcess, os.Getpid())
 			for _, m := range f.machines {
-				w.sample(fmt.Sprintf("m%d", m.index), m.proc.Load().ID())
+				w.sample(nodeName(m.index), m.proc.Load().ID())
 			}
 		}
 	}()
-	return w
 }
 
 // Guards against a run whose delays cannot be told from those of the machine, since no long wait is recorded, and against
@@ -132,3 +172,26 @@
 		})
 	}
 }
+
+// Guards against violations of nodes whose threads were ready and got no processor from the machine, as at a load of eight
+// times the processors, and against bounds that are widened by nodes which the request did not pass.
+func TestWaitsOnThePathWidenBounds(t *testing.T) {
+	for _, c := range []struct {
+		waiting    string
+		violations int
+	}{{"m1", 0}, {"m2", 0}, {testProcess, 0}, {"m3", 1}} {
+		t.Run(c.waiting, func(t *testing.T) {
+			sent := time.Now().Add(-time.Minute)
+			arrived := sent.Add(800 * time.Millisecond)
+			o := newOracle(serviceOf, &stallDetector{})
+			o.waits.waits = []threadWait{
+				{process: c.waiting, span: span{sent, sent.Add(700 * time.Millisecond)}},
+				{process: c.waiting, span: span{sent.Add(-time.Second), sent.Add(10 * time.Millisecond)}},
+			}
+			r := &request{id: "1", machine: 1, sent: sent, limit: requestLimit, ended: arrived}
+			o.checkArrival(r, standin.ReceivedRequest{At: arrived, Instance: "m2-1", TimeLeft: requestLimit}, true)
+			assert.Equal(t, len(o.violations), c.violations, "%q", o.violations)
+			assert.Equal(t, o.notRun(sent, arrived, 1, 2) == 700*time.Millisecond, c.violations == 0)
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -101,7 +101,7 @@
 	o := newOracle(serviceOf, startStallDetector(t))
 	f := newFleet(t, folder, o)
 	defer f.close()
-	waits := f.recordWaits()
+	f.recordWaits()
 	assert.Assert(t, f.awaitReady(), "not all nodes are ready before the first fault; logs in %s", folder)
 
 	ctx, stopCallers := context.WithCancel(context.Background())
@@ -136,7 +136,7 @@
 		t.Error(violation)
 	}
 	t.Logf("logs are kept in %s; faults of seed %d:\n%s", folder, seed, describe(schedule))
-	t.Logf("stalls of the test: %v; longest waits of threads for a processor:\n%s", o.stall, waits.longest())
+	t.Logf("stalls of the test: %v; longest waits of threads for a processor:\n%s", o.stall, o.waits.longest())
 }
 
 // checkRecovery checks the served share within the span after all faults, and the memory of each node.
--- a/soak/stall_test.go
+++ b/soak/stall_test.go
@@ -104,16 +104,23 @@
 
 // within returns for how much of the interval this process was not scheduled, including a stall that has not ended.
 func (m *stallDetector) within(from, to time.Time) time.Duration {
+	return covered(m.during(from, to), from, to)
+}
+
+// during returns the stalls that overlap the interval.
+func (m *stallDetector) during(from, to time.Time) []span {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var sum time.Duration
+	var out []span
 	for _, s := range m.stalls {
-		sum += s.overlap(from, to)
+		if s.overlap(from, to) > 0 {
+			out = append(out, s)
+		}
 	}
 	if current := (span{m.polled, time.Now()}); !m.polled.IsZero() && current.to.Sub(current.from) > minStall {
-		sum += current.overlap(from, to)
+		out = append(out, current)
 	}
-	return sum
+	return out
 }
 
 // awaitWithin waits until the channel is closed. It returns false when the limit, widened by the stalls meanwhile, ends
