--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -11,25 +12,28 @@
 // were added up at its beginning.
 func TestLimitOfStopIsWidenedByStalls(t *testing.T) {
 	const (
-		limit = 500 * time.Millisecond
-		stop  = time.Second
+		limit = 200 * time.Millisecond
+		stop  = 350 * time.Millisecond
 	)
 	for _, c := range []struct {
 		name  string
 		stall time.Duration
 		ended bool
-	}{{"stalled", time.Second, true}, {"not stalled", 0, false}} {
+	}{{"stalled", 200 * time.Millisecond, true}, {"stalled too briefly", 100 * time.Millisecond, false}, {"not stalled", 0, false}} {
 		t.Run(c.name, func(t *testing.T) {
-			stall := &stallDetector{}
-			exited := make(chan struct{})
-			time.AfterFunc(stop, func() { close(exited) })
-			from := time.Now()
-			time.AfterFunc(limit/2, func() {
-				stall.mu.Lock()
-				defer stall.mu.Unlock()
-				stall.stalls = []span{{from, from.Add(c.stall)}}
+			synctest.Test(t, func(t *testing.T) {
+				stall := &stallDetector{}
+				exited := make(chan struct{})
+				time.AfterFunc(stop, func() { close(exited) })
+				from := time.Now()
+				time.AfterFunc(limit/2, func() {
+					stall.mu.Lock()
+					defer stall.mu.Unlock()
+					stall.stalls = []span{{from, from.Add(c.stall)}}
+				})
+				assert.Equal(t, stall.awaitWithin(exited, limit), c.ended)
+				<-exited
 			})
-			assert.Equal(t, stall.awaitWithin(exited, limit), c.ended)
 		})
 	}
 }
