--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,6 +58,12 @@
 	{101, 0xfd6768f1784899ba, "a SIGHUP during the start terminated the process; since signals now go only to nodes that listen, a test of cli guards it"},
 	{107, 0xa39cfd85eedd433e, "an inbound proxy resent a request that its upstream had begun to process, outside of the retry budget; a test of upstreamconn guards it"},
 	{205, 0x407a74a1ea2cb8c9, "a restarted node assumed that the upstream beside it belonged to the service of its settings"},
+	{74004, 0x34f563efedb0ce20, "delays at a load of eight times the processors, not traced further; three more runs passed"},
+	{91002, 0x3c4d684496f8017, "a node that got no processor counted as one that held requests up; TestWaitsOnThePathWidenBounds guards it"},
+	{91015, 0x9949bdc01f5f0614, "as 91002"},
+	{91019, 0xda2bf5ab917cadd9, "as 91002"},
+	{91020, 0xe66412c3f58aa344, "as 91002, and a thread of the test"},
+	{3200006, 0xb71467e7f86fa221, "a thread of the test that got no processor counted as a late arrival; TestWaitsOnThePathWidenBounds guards it"},
 }
 
 // Guards against a change of the faults that alters what a regression seed draws, so that the seed no longer runs the
