upstreamconn: count the kept connections that the upstream ends under a request

A repeatable request whose kept connection ends within 20 ms is sent once more by the home node, since the connection is taken for one that the upstream had closed before. An upstream that resets requests, because it fails or is full, looks the same. The counter tells the two apart by how long the connection had been idle: recently-used or long-idle.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		c.pool.observeFailure(addr, err)
 		stale = conn.reused && !x.received && ctx.Err() == nil && time.Since(start) < staleConnWindow
+		if stale {
+			connUseOf(start.Sub(conn.lastUsed)).counter().Inc()
+		}
 		return nil, stale, c.refusalOf(ctx, req, addr, x.sent.Load(), err)
 	}
 	if refusal := c.rejection(response, addr); refusal != nil {
--- a/transport/upstreamconn/fault.go
+++ b/transport/upstreamconn/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 
@@ -40,6 +41,15 @@
 	unprovenRefusal skipReason = "unproven-refusal"
 )
 
+// connUse describes when a kept connection was last used before a request was lost on it. Its value is a label of the
+// counter.
+type connUse string
+
+const (
+	recentlyUsed connUse = "recently-used" // within maxIdleNonRepeatable: the upstream probably reset the request itself
+	longIdle     connUse = "long-idle"     // before: the upstream had probably closed the connection
+)
+
 // init exports the counters with 0 before their first increment.
 func init() {
 	for f := range faultTexts {
@@ -48,6 +58,21 @@
 	for _, reason := range []skipReason{otherRequestID, noRequestID, unprovenRefusal} {
 		reason.counter()
 	}
+	for _, use := range []connUse{recentlyUsed, longIdle} {
+		use.counter()
+	}
+}
+
+// connUseOf returns the class of a connection that was idle for the given time.
+func connUseOf(idle time.Duration) connUse {
+	if idle < maxIdleNonRepeatable {
+		return recentlyUsed
+	}
+	return longIdle
+}
+
+func (u connUse) counter() *vm.Counter {
+	return metrics.Counter(fmt.Sprintf(`magnoliawharf_upstream_kept_connections_lost_total{reason=%q}`, string(u)))
 }
 
 func (r skipReason) counter() *vm.Counter {
