entry: charge the repetition of a request on a lost kept connection to the retry budget

Cause: when a kept connection ended within 20 ms after a repeatable request was sent on it, upstreamconn sent the request once more, outside of any budget. A reset by an upstream that fails or is full looks like a connection that was closed before, but is an arrival. The second attempt also replaced the outcome of the first: a request that may have run could be refused as not-run when the upstream was gone, and a crash under a request on a kept connection was not recorded as one.

Change: a home node sends a request once. The loss is refused as kept-connection-lost, unknown. The entry node retries it within its budget like any request that may have run: at another upstream, or at the same one again when there is no other or the route allows no other. The attempts that a route allows are now counted by distinct upstreams.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -75,6 +75,7 @@
 	PeerLost            Reason = "peer-lost"
 	UpstreamUnreachable Reason = "upstream-unreachable"
 	UpstreamLost        Reason = "upstream-lost"
+	KeptConnectionLost  Reason = "kept-connection-lost"
 	UpstreamRejected    Reason = "upstream-rejected"
 	AnswerMismatch      Reason = "answer-mismatch"
 	BodyCut             Reason = "body-cut"
@@ -87,7 +88,7 @@
 	StaleIncarnation, StaleBundle, QueueFull, DeadlineUnmeetable, DeadlinePassed, Cancelled,
 	Overload, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
 	KeyInProgress, KeyUnknown, KeyAlreadyRun, NoKeeper, PeerUnreachable, PeerLost,
-	UpstreamUnreachable, UpstreamLost, UpstreamRejected, AnswerMismatch, BodyCut, BodyTooLarge,
+	UpstreamUnreachable, UpstreamLost, KeptConnectionLost, UpstreamRejected, AnswerMismatch, BodyCut, BodyTooLarge,
 }
 
 func init() { metrics.RegisterReasons(Reasons) }
--- a/caller/retry.go
+++ b/caller/retry.go
@@ -33,8 +33,8 @@
 var retryCosts = map[Reason]RetryCost{
 	Draining: FreeRetry, NotReady: FreeRetry, StaleIncarnation: FreeRetry, PeerUnreachable: FreeRetry,
 	StaleBundle: PaidRetry, UpstreamUnreachable: PaidRetry, PeerLost: PaidRetry, UpstreamLost: PaidRetry, AnswerMismatch: PaidRetry,
-	UpstreamRejected: PaidRetry,
-	ColdUpstream:     DelayedRetry, QueueFull: DelayedRetry, DeadlineUnmeetable: DelayedRetry, Overload: DelayedRetry,
+	UpstreamRejected: PaidRetry, KeptConnectionLost: PaidRetry,
+	ColdUpstream: DelayedRetry, QueueFull: DelayedRetry, DeadlineUnmeetable: DelayedRetry, Overload: DelayedRetry,
 }
 
 // RetryCostOf returns the cost class of a refusal.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
@@ -51,17 +52,18 @@
 // call is the state of one request while it is dispatched. Only the dispatching goroutine changes its fields.
 type call struct {
 	*Dispatcher
-	req              *caller.Request
-	route            *contract.Route
-	startedAt        time.Time
-	estimate         *routeEstimate
-	budget           *caller.RetryBudget
-	triedNodes       []string        // nodes to which an attempt was sent
-	upstreamAttempts int             // attempts that an upstream received or may have received
-	ran              caller.RunState // Unknown once a failed attempt may have run
-	lastTarget       peer.Candidate
-	retryReasons     []string        // reasons of the failed attempts that were retried, for the log
-	lastRefusal      *caller.Refusal // the last refusal that was followed by a retry
+	req          *caller.Request
+	route        *contract.Route
+	startedAt    time.Time
+	estimate     *routeEstimate
+	budget       *caller.RetryBudget
+	triedNodes   []string        // nodes to which an attempt was sent, in order
+	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
+	ran          caller.RunState // Unknown once a failed attempt may have run
+	lastTarget   peer.Candidate
+	mayRepeat    bool            // the next attempt may go to the node of lastTarget again
+	retryReasons []string        // reasons of the failed attempts that were retried, for the log
+	lastRefusal  *caller.Refusal // the last refusal that was followed by a retry
 	// exhausted is set when no other node can be tried.
 	exhausted  bool
 	retryAfter time.Duration // shortest delay that the retried refusals suggested for a resend, 0 for none
@@ -114,7 +116,7 @@
 // try chooses a node and sends the request to its upstream, hedged by a second attempt when the request qualifies for
 // one.
 func (c *call) try(ctx context.Context) (*caller.Answer, *caller.Refusal) {
-	chosen, err := c.choose(ctx)
+	chosen, err := c.nextTarget(ctx)
 	if err != nil {
 		c.exhausted = true
 		return nil, c.noUpstream(ctx)
@@ -125,7 +127,22 @@
 	return c.recordOutcome(c.attempt(ctx, chosen))
 }
 
-// choose picks the node for the next attempt.
+// nextTarget returns the node for the next attempt: one that was not tried before, or the last one again if it may be
+// repeated and there is no other.
+func (c *call) nextTarget(ctx context.Context) (peer.Candidate, error) {
+	repeat := c.mayRepeat
+	c.mayRepeat = false
+	if repeat && !c.mayReachAnother() {
+		return c.lastTarget, nil
+	}
+	chosen, err := c.choose(ctx)
+	if err != nil && repeat {
+		return c.lastTarget, nil
+	}
+	return chosen, err
+}
+
+// choose picks a node that was not tried before.
 func (c *call) choose(ctx context.Context) (peer.Candidate, error) {
 	serviceTime, bytes := c.estimate.get()
 	return c.Roster.Choose(ctx, peer.Criteria{Service: c.req.Service, ServiceTime: serviceTime, Bytes: bytes, Exclude: c.hasTried})
@@ -146,6 +163,13 @@
 	placedTotal.Inc()
 }
 
+// countReached records that the upstream of the node received an attempt or may have received one.
+func (c *call) countReached(chosen peer.Candidate) {
+	if node := chosen.Status.Node; !slices.Contains(c.reachedNodes, node) {
+		c.reachedNodes = append(c.reachedNodes, node)
+	}
+}
+
 // attempt sends the request to the node as the next attempt.
 func (c *call) attempt(ctx context.Context, chosen peer.Candidate) outcome {
 	c.countAttempt(chosen)
@@ -186,10 +210,10 @@
 		c.observeFailure(o, expected)
 		return nil, o.refusal
 	case o.answer.Failed():
-		c.upstreamAttempts++
+		c.countReached(o.chosen)
 		o.chosen.Observe(time.Now(), peer.Failed, o.took, expected)
 	default:
-		c.upstreamAttempts++
+		c.countReached(o.chosen)
 		serviceTime := o.took - o.answer.Waited
 		o.chosen.Observe(time.Now(), peer.Served, serviceTime, expected)
 		c.estimate.add(serviceTime, o.answer.Length)
@@ -199,13 +223,7 @@
 
 // hasTried reports whether an attempt was already sent to the node.
 func (c *call) hasTried(p *peer.Peer) bool {
-	node := p.Status().Node
-	for _, tried := range c.triedNodes {
-		if tried == node {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.triedNodes, p.Status().Node)
 }
 
 // noUpstream returns the refusal of a request for which no upstream is left: the last one of a node if there is one. A
@@ -227,12 +245,12 @@
 func (c *call) observeFailure(o outcome, expected time.Duration) {
 	switch {
 	case o.refusal.Ran == caller.Unknown && o.refusal.Reason != caller.Cancelled:
-		c.upstreamAttempts++
+		c.countReached(o.chosen)
 		o.chosen.Observe(time.Now(), peer.Failed, o.took, expected)
 	case o.refusal.Reason == caller.PeerUnreachable, o.refusal.Reason == caller.UpstreamUnreachable:
 		o.chosen.Observe(time.Now(), peer.Failed, o.took, expected)
 	case o.refusal.Reason == caller.UpstreamRejected:
-		c.upstreamAttempts++
+		c.countReached(o.chosen)
 		o.chosen.Observe(time.Now(), peer.Failed, o.took, expected)
 	}
 }
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -27,7 +27,7 @@
 
 // hedgeDelay returns the time from now after which a hedge, a concurrent second attempt, is sent; 0 for none.
 func (c *call) hedgeDelay() time.Duration {
-	if c.route.Rule != bundle.Idempotent || c.route.MaxAttempts-c.upstreamAttempts < 2 || c.route.LatencyObjective <= 0 || !c.req.Body.Shareable() || len(c.triedNodes) > 0 {
+	if c.route.Rule != bundle.Idempotent || c.route.MaxAttempts-len(c.reachedNodes) < 2 || c.route.LatencyObjective <= 0 || !c.req.Body.Shareable() || len(c.triedNodes) > 0 {
 		return 0
 	}
 	serviceTime, _ := c.estimate.get()
@@ -125,7 +125,7 @@
 		if number == winner || h.running == 0 {
 			continue
 		}
-		h.upstreamAttempts++
+		h.countReached(h.targets[number])
 		h.targets[number].Observe(time.Now(), peer.Served, time.Since(h.sent[number]), expected)
 		cancel()
 	}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -32,7 +32,7 @@
 // budgetedRetryReasons are the reasons after which an upstream may have received the request. A retry then adds load to
 // the service and is charged to its budget.
 var budgetedRetryReasons = map[caller.Reason]bool{
-	caller.UpstreamRejected: true, caller.UpstreamLost: true, caller.PeerLost: true, caller.AnswerMismatch: true, caller.BodyCut: true,
+	caller.UpstreamRejected: true, caller.UpstreamLost: true, caller.KeptConnectionLost: true, caller.PeerLost: true, caller.AnswerMismatch: true, caller.BodyCut: true,
 }
 
 // prepareRetry reports whether the request is retried after the refusal. If so, it charges the budget and records the
@@ -46,7 +46,7 @@
 	}
 	metrics.CountRetry(refusal.Reason)
 	c.retryReasons = append(c.retryReasons, string(refusal.Reason))
-	c.lastRefusal = refusal
+	c.lastRefusal, c.mayRepeat = refusal, mayRepeatAfter(refusal)
 	if refusal.RetryAfter > 0 && (c.retryAfter == 0 || refusal.RetryAfter < c.retryAfter) {
 		c.retryAfter = refusal.RetryAfter
 	}
@@ -62,9 +62,16 @@
 	if refusal.Ran != caller.NotRun && c.route.Rule != bundle.Idempotent {
 		return false
 	}
-	return c.upstreamAttempts < c.route.MaxAttempts && c.hasTimeLeft()
+	return (c.mayReachAnother() || mayRepeatAfter(refusal)) && c.hasTimeLeft()
 }
 
+// mayRepeatAfter reports whether the request may be sent again to the upstream at which it failed: that may only have
+// closed an idle connection before the request arrived.
+func mayRepeatAfter(refusal *caller.Refusal) bool { return refusal.Reason == caller.KeptConnectionLost }
+
+// mayReachAnother reports whether the route allows an attempt at another upstream.
+func (c *call) mayReachAnother() bool { return len(c.reachedNodes) < c.route.MaxAttempts }
+
 // hasTimeLeft reports whether enough time remains before the deadline for a retry.
 func (c *call) hasTimeLeft() bool {
 	serviceTime, _ := c.estimate.get()
@@ -83,7 +90,7 @@
 // prepareRetryOfAnswer reports whether the request is retried at another upstream after an answer that reports a failure.
 // If so, it charges the budget and closes the answer.
 func (c *call) prepareRetryOfAnswer(ctx context.Context, answer *caller.Answer) bool {
-	if !answer.Failed() || c.route.Rule != bundle.Idempotent || c.upstreamAttempts >= c.route.MaxAttempts {
+	if !answer.Failed() || c.route.Rule != bundle.Idempotent || !c.mayReachAnother() {
 		return false
 	}
 	if ctx.Err() != nil || len(c.triedNodes) >= maxNodesTried || !c.req.Body.Replayable() || !c.hasTimeLeft() || !c.spendBudget() {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -46,7 +46,7 @@
 	switch {
 	case refusal.Reason == caller.UpstreamUnreachable:
 		c.Detector.ProcessEnded(time.Now())
-	case refusal.Reason == caller.UpstreamLost && refusal.Ran == caller.Unknown:
+	case (refusal.Reason == caller.UpstreamLost || refusal.Reason == caller.KeptConnectionLost) && refusal.Ran == caller.Unknown:
 		watched.finish(ConnectionLost)
 	}
 }
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -22,8 +22,8 @@
 	maxIdleNonRepeatable = 250 * time.Millisecond
 	// neverReuse is the idle time of a request that is sent on a new connection.
 	neverReuse time.Duration = -1
-	// staleConnWindow is the time after the start of a request within which a failure on a reused connection means that
-	// the upstream had closed the connection before. An upstream that closes it later may have worked on the request.
+	// staleConnWindow is the time after the start of a request within which a failure on a reused connection may mean that
+	// the upstream had closed the connection before.
 	staleConnWindow = 20 * time.Millisecond
 	// maxSkippedAnswers limits the answers to other requests that are skipped before the answer to this request.
 	maxSkippedAnswers = 3
@@ -56,41 +56,27 @@
 // KeepOnly closes the idle connections to all addresses other than addr.
 func (c *Client) KeepOnly(addr string) { c.pool.keepOnly(addr) }
 
-// Send sends an admitted request to the upstream at addr. The error is a *caller.Refusal; it states not-run when the
-// upstream said so or no byte was sent. A repeatable request that failed on a stale connection, one that the upstream
-// had closed before, is sent once more on a new connection.
+// Send sends an admitted request once to the upstream at addr, on an idle connection or a new one. The error is a
+// *caller.Refusal; it states not-run when the upstream said so or no byte was sent. It is KeptConnectionLost when the
+// upstream may have closed an idle connection before the request arrived.
 func (c *Client) Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error) {
-	repeatable := req.Placement != nil && req.Placement.Repeatable
-	maxIdleTime := maxIdleNonRepeatable
-	if repeatable {
-		maxIdleTime = defaultIdleTimeout
-	}
-	answer, stale, refusal := c.attempt(ctx, req, addr, maxIdleTime)
-	if refusal != nil && stale && repeatable && req.Body.Replayable() && ctx.Err() == nil {
-		answer, _, refusal = c.attempt(ctx, req, addr, 0)
-	}
-	if refusal != nil {
-		return nil, refusal
-	}
-	return answer, nil
-}
-
-// attempt sends the request once, on an idle connection that was last used within maxIdleTime or on a new one. stale
-// reports whether the upstream had closed the connection before the request was sent.
-func (c *Client) attempt(ctx context.Context, req *caller.Request, addr string, maxIdleTime time.Duration) (answer *caller.Answer, stale bool, refusal *caller.Refusal) {
 	outgoing, refusal := upstreamhttp.NewRequest(req, "http://"+addr)
 	if refusal != nil {
 		refusal.Step = sendStep
-		return nil, false, refusal
+		return nil, refusal
 	}
 	c.setSystemFields(outgoing, req)
+	maxIdleTime := maxIdleNonRepeatable
+	if req.Placement != nil && req.Placement.Repeatable {
+		maxIdleTime = defaultIdleTimeout
+	}
 	wantID := outgoing.Header.Get(c.dialect.RequestID)
 	if wantID == "" {
 		maxIdleTime = neverReuse // without an ID a late answer to an earlier request cannot be told apart
 	}
 	conn, err := c.connect(ctx, addr, maxIdleTime)
 	if err != nil {
-		return nil, false, c.refusalOf(ctx, req, addr, false, err)
+		return nil, c.refusalOf(ctx, req, addr, false, err)
 	}
 	conn.setUserTimeout(transport.UserTimeoutOf(req.Body.Length(), userTimeout))
 	start := time.Now()
@@ -98,19 +84,20 @@
 	response, err := x.run(ctx, bodyLength(req))
 	if err != nil {
 		c.pool.observeFailure(addr, err)
-		stale = conn.reused && !x.received && ctx.Err() == nil && time.Since(start) < staleConnWindow
-		if stale {
+		refusal := c.refusalOf(ctx, req, addr, x.sent.Load(), err)
+		if refusal.Reason == caller.UpstreamLost && conn.reused && !x.received && time.Since(start) < staleConnWindow {
 			connUseOf(start.Sub(conn.lastUsed)).counter().Inc()
+			refusal.Reason = caller.KeptConnectionLost
 		}
-		return nil, stale, c.refusalOf(ctx, req, addr, x.sent.Load(), err)
+		return nil, refusal
 	}
 	if refusal := c.rejection(response, addr); refusal != nil {
 		x.abort()
-		return nil, false, refusal
+		return nil, refusal
 	}
-	answer = transport.AnswerOf(response)
+	answer := transport.AnswerOf(response)
 	answer.Body = &answerBody{exchange: x, response: response, returnConn: func() { c.pool.put(addr, conn) }}
-	return answer, false, nil
+	return answer, nil
 }
 
 // connect returns an idle connection that was last used within maxIdleTime, or a new one.
