Test that a request lost on a kept connection counts as one that may have run

TestUpstreamThatEndsUnderARequestOnAKeptConnection failed on: the home node sent the request once more, was refused the connection and said not-run of a request that the upstream had read. TestLostRequestsAreSuspected guards the crash monitor against leaving out the new reason.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -129,6 +131,29 @@
 	}
 }
 
+// Guards against a request that is not suspected although the connection that carried it was lost in a crash, whether the
+// connection was new or kept, and against a suspected one that did not run.
+func TestLostRequestsAreSuspected(t *testing.T) {
+	const f = Fingerprint(9)
+	for _, test := range []struct {
+		refusal *caller.Refusal
+		crashes int
+	}{
+		{caller.RefuseUncertain(caller.UpstreamLost, "send", "", nil), 1},
+		{caller.RefuseUncertain(caller.KeptConnectionLost, "send", "", nil), 1},
+		{caller.Refuse(caller.UpstreamRejected, "send", ""), 0},
+	} {
+		l := NewList(nil)
+		monitor := &CrashMonitor{Suspects: l, Detector: NewCrashDetector(l, "n")}
+		now := time.Now()
+		monitor.Detector.ProcessSeen(now, ProcessInfo{Process: "a"})
+		monitor.RecordResult(t.Context(), &caller.Request{Fingerprint: uint64(f)}, now, nil, test.refusal)
+		monitor.Detector.ProcessEnded(time.Now())
+		s, _ := l.suspects.Get(f)
+		assert.Equal(t, s.unclearedCrashes(), test.crashes, "%v", test.refusal)
+	}
+}
+
 // fleet simulates nodes with a list each. Notices reach the other nodes late, twice and out of order.
 type fleet struct {
 	t       *rapid.T
--- a/transport/upstreamconn/client_test.go
+++ b/transport/upstreamconn/client_test.go
@@ -281,6 +281,33 @@
 	}
 }
 
+// Guards against a refusal that says not-run of a request that may have run, when the upstream ends with the request on a
+// kept connection and refuses new connections afterwards.
+func TestUpstreamThatEndsUnderARequestOnAKeptConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if r, err := http.ReadRequest(reader); err == nil && reply(conn.(*net.TCPConn), r.Header.Get("X-Id"), "ok") {
+			_, _ = http.ReadRequest(reader)
+		}
+		_ = listener.Close()
+	}()
+	client := newClient(t)
+	_, refusal, err := send(t, client, listener.Addr().String(), requestOf("r1", true, ""))
+	assert.NilError(t, err)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	_, refusal, err = send(t, client, listener.Addr().String(), requestOf("r2", true, ""))
+	assert.NilError(t, err)
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Ran, caller.Unknown, "%v", refusal)
+}
+
 // Guards against a request that runs twice at one upstream without being charged to the retry budget: an upstream that
 // closes a reused connection after it has worked on the request had not closed the connection before.
 func TestLostAnswerOnReusedConnectionIsNotResent(t *testing.T) {
