upstreamconn: lose one request when an upstream drops all its idle connections

Seen in a test: with 8 idle connections that the upstream had dropped without notice, each of the next 8 requests found one of them and was lost on it. Each such loss now costs a retry of the budget.

Change: after a loss on a connection that had been idle for 250 ms or more, connections to this upstream are reused only within 250 ms of their last use, as for requests that must not run twice, for 30 s. This closes the others that are idle as long, and those that get so old later. A loss on a recently used connection changes nothing: it says nothing of idle ones. A health check that is lost in this way counts too.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -18,7 +18,8 @@
 	sendStep        = "send to upstream"
 	healthCheckStep = "read load of upstream"
 	// maxIdleNonRepeatable is the longest idle time after which a connection is reused for a request that must not run
-	// twice. An upstream may close idle connections early, and a request that is lost on such a connection may have run.
+	// twice, and for any request to an upstream that has dropped idle connections. An upstream may close idle connections
+	// early, and a request that is lost on such a connection may have run.
 	maxIdleNonRepeatable = 250 * time.Millisecond
 	// neverReuse is the idle time of a request that is sent on a new connection.
 	neverReuse time.Duration = -1
@@ -47,7 +48,7 @@
 
 // NewClient returns a client that uses the header fields of the dialect.
 func NewClient(dialect caller.Dialect) *Client {
-	return &Client{dialect: dialect, pool: pool{idle: make(map[string][]*pooledConn)}}
+	return &Client{dialect: dialect, pool: newPool()}
 }
 
 // Close closes the idle connections. Connections in use are closed when their request ends.
@@ -85,8 +86,8 @@
 	if err != nil {
 		c.pool.observeFailure(addr, err)
 		refusal := c.refusalOf(ctx, req, addr, x.sent.Load(), err)
-		if refusal.Reason == caller.UpstreamLost && conn.reused && !x.received && time.Since(start) < staleConnWindow {
-			connUseOf(start.Sub(conn.lastUsed)).counter().Inc()
+		if refusal.Reason == caller.UpstreamLost && x.mayBeStale(start) {
+			c.observeKeptConnLost(addr, start.Sub(conn.lastUsed))
 			refusal.Reason = caller.KeptConnectionLost
 		}
 		return nil, refusal
@@ -100,6 +101,15 @@
 	return answer, nil
 }
 
+// observeKeptConnLost records that the upstream ended a connection which had been idle for the given time.
+func (c *Client) observeKeptConnLost(addr string, idle time.Duration) {
+	use := connUseOf(idle)
+	use.counter().Inc()
+	if use == longIdle {
+		c.pool.observeDroppedIdle(addr, time.Now())
+	}
+}
+
 // connect returns an idle connection that was last used within maxIdleTime, or a new one.
 func (c *Client) connect(ctx context.Context, addr string, maxIdleTime time.Duration) (*pooledConn, error) {
 	if maxIdleTime > neverReuse {
@@ -174,10 +184,14 @@
 	if err != nil {
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
+	start := time.Now()
 	x := &exchange{conn: conn, request: outgoing, dialect: &c.dialect}
 	response, err := x.run(ctx, 0)
 	if err != nil {
 		c.pool.observeFailure(addr, err)
+		if ctx.Err() == nil && x.mayBeStale(start) {
+			c.observeKeptConnLost(addr, start.Sub(conn.lastUsed))
+		}
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
 	body := &answerBody{exchange: x, response: response, returnConn: func() { c.pool.put(addr, conn) }}
--- a/transport/upstreamconn/client_test.go
+++ b/transport/upstreamconn/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -281,6 +282,50 @@
 	}
 }
 
+// Guards against many lost requests when the upstream drops all its idle connections: the loss of one must keep requests off
+// the others, which have been idle as long, and off those that are idle as long later.
+func TestOneRequestIsLostOnDroppedIdleConnections(t *testing.T) {
+	const conns = 8
+	var together sync.WaitGroup
+	together.Add(conns)
+	var drops atomic.Int64   // times that all open connections were dropped
+	var openedAfter sync.Map // by connection, the drops before it
+	addr, accepted := startUpstream(t, func(c *net.TCPConn, n int, r *http.Request) bool {
+		if before, _ := openedAfter.LoadOrStore(c, drops.Load()); before.(int64) < drops.Load() {
+			_ = c.SetLinger(0)
+			return false
+		}
+		if n < conns {
+			together.Done()
+			together.Wait()
+		}
+		return reply(c, r.Header.Get("X-Id"), "ok")
+	})
+	client := newClient(t)
+	var opened sync.WaitGroup
+	for n := range conns {
+		opened.Go(func() {
+			_, refusal, err := send(t, client, addr, requestOf(fmt.Sprint("open", n), true, ""))
+			assert.Check(t, err == nil && refusal == nil, "%v %v", err, refusal)
+		})
+	}
+	opened.Wait()
+	assert.Equal(t, accepted.Load(), int64(conns))
+	const idle = 300 * time.Millisecond
+	lost := 0
+	for n := range 2 * conns {
+		if n%conns == 0 {
+			time.Sleep(idle)
+			drops.Add(1)
+		}
+		if _, refusal, _ := send(t, client, addr, requestOf(fmt.Sprint("r", n), true, "")); refusal != nil {
+			assert.Equal(t, refusal.Reason, caller.KeptConnectionLost)
+			lost++
+		}
+	}
+	assert.Equal(t, lost, 1)
+}
+
 // Guards against a refusal that says not-run of a request that may have run, when the upstream ends with the request on a
 // kept connection and refuses new connections afterwards.
 func TestUpstreamThatEndsUnderARequestOnAKeptConnection(t *testing.T) {
--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -26,6 +26,8 @@
 	// idleTimeoutMargin is how long before the end of the upstream's idle timeout a connection is no longer reused, so that
 	// no request is sent while the upstream closes the connection.
 	idleTimeoutMargin = time.Second
+	// droppedIdleMemory is how long after the loss of an idle connection only recently used ones are reused.
+	droppedIdleMemory = 30 * time.Second
 	// maxIdleConns is the maximum number of idle connections to one upstream.
 	maxIdleConns = 64
 	// userTimeout is how long a request may stay unacknowledged before the kernel closes the connection.
@@ -52,14 +54,22 @@
 
 // pool holds the idle connections by address, most recently used last.
 type pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*pooledConn
-	closed bool
+	mu             sync.Mutex
+	idle           map[string][]*pooledConn
+	shortIdleUntil map[string]time.Time // by address, the time until which only recently used connections are reused
+	closed         bool
+}
+
+func newPool() pool {
+	return pool{idle: make(map[string][]*pooledConn), shortIdleUntil: make(map[string]time.Time)}
 }
 
 // get removes an idle connection that was last used within maxIdleTime from the pool and returns it, nil when there is
 // none. It closes the connections that cannot be reused.
 func (p *pool) get(addr string, now time.Time, maxIdleTime time.Duration) *pooledConn {
+	if p.dropsIdle(addr, now) {
+		maxIdleTime = min(maxIdleTime, maxIdleNonRepeatable)
+	}
 	for {
 		conn := p.pop(addr)
 		if conn == nil {
@@ -86,6 +96,21 @@
 	return conn
 }
 
+// dropsIdle reports whether the upstream at addr has lately dropped an idle connection.
+func (p *pool) dropsIdle(addr string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.shortIdleUntil[addr])
+}
+
+// observeDroppedIdle records that the upstream at addr had dropped an idle connection. It has probably dropped the others
+// as well, so that they are not reused.
+func (p *pool) observeDroppedIdle(addr string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shortIdleUntil[addr] = now.Add(droppedIdleMemory)
+}
+
 func (p *pool) put(addr string, conn *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,6 +134,11 @@
 		}
 		delete(p.idle, other)
 	}
+	for other := range p.shortIdleUntil {
+		if other != addr {
+			delete(p.shortIdleUntil, other)
+		}
+	}
 }
 
 // observeFailure closes the idle connections to addr when err, the failure of a request, shows that one to addr no longer
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -143,6 +143,12 @@
 	return response.Header.Get(x.dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
 }
 
+// mayBeStale reports, after a failure, whether the upstream may have closed the connection before the request arrived,
+// which was sent at start.
+func (x *exchange) mayBeStale(start time.Time) bool {
+	return x.conn.reused && !x.received && time.Since(start) < staleConnWindow
+}
+
 // abort ends the exchange and closes the connection.
 func (x *exchange) abort() {
 	x.stopWatch()
