store: write the keys of a session only in the era of its lease

What callers could see: a node or another process whose key in the store goes. When the store returns from an older copy between the grant of a lease and the write of the keys under it, and has given the lease ID to another process, a session wrote its key under the lease of that process, found the key there at its check of the new era, kept the lease for its own and revoked it at its end.

Cause: renewals and the revocation of a session were bound to the era of its lease, the writes after the grant were not.

Change: Session.Run passes the writer a view of the store that is bound to the era of the grant. A write in a later era is not sent, and the session obtains a new lease. A node takes the store for reachable then. The tests of sessions write through that view; their checks are the same.

Measured: TestKeyIsNotWrittenUnderALeaseOfAnEarlierEra failed before (key under the lease of the other process, whose key was removed at the end). With the change go test -race ./store and the tests of eras in ./sidecar pass, 1 run each.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -60,7 +60,7 @@
 	session.EraDelay = s.eraDelay
 	session.KeysKept = func(ctx context.Context, id store.LeaseID) bool { return s.isRegistered(ctx, client, id) }
 	go func() {
-		_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { return s.registerNode(ctx, client, id) }) // returns when ctx ends
+		_ = session.Run(ctx, s.registerNode) // returns when ctx ends
 	}()
 	go s.runDiscovery(ctx, client)
 	go s.pollContracts(ctx, client)
@@ -208,16 +208,16 @@
 
 // registerNode writes the store key of this node and reads those of all others. It writes first, so that of two nodes that
 // start at the same time at least one finds the other.
-func (s *Sidecar) registerNode(ctx context.Context, client *store.Client, id store.LeaseID) error {
+func (s *Sidecar) registerNode(ctx context.Context, granted store.Store, id store.LeaseID) error {
 	key, address := s.nodeKey()
-	if err := store.Put(ctx, client, key, address, id); err != nil {
-		s.setStoreReachable(false)
+	if err := store.Put(ctx, granted, key, address, id); err != nil {
+		s.setStoreReachable(store.Is(err, store.ErrEraEnded))
 		s.Log.Warn("cannot register node in store", "key", key, "lease", int64(id), "cause", err.Error())
 		return err
 	}
 	s.setStoreReachable(true)
 	s.Log.Info("node registered in store", "key", key, "lease", int64(id))
-	return s.discoverNodes(ctx, client)
+	return s.discoverNodes(ctx, granted)
 }
 
 // nodeKey returns the store key of this node and its value.
@@ -226,7 +226,7 @@
 }
 
 // discoverNodes lists the keys of all nodes in the store and adds their addresses to the roster.
-func (s *Sidecar) discoverNodes(ctx context.Context, client *store.Client) error {
+func (s *Sidecar) discoverNodes(ctx context.Context, client store.Store) error {
 	entries, err := client.List(ctx, s.Platform.NodesPrefix)
 	if err != nil {
 		s.Log.Warn("cannot list nodes in store", "cause", err.Error())
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -181,9 +181,9 @@
 		var ids []store.LeaseID
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
-			_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error {
+			_ = session.Run(ctx, func(ctx context.Context, granted store.Store, id store.LeaseID) error {
 				ids = append(ids, id)
-				_, err := memory.Swap(ctx, "/s", []byte("me"), 0, id)
+				_, err := granted.Swap(ctx, "/s", []byte("me"), 0, id)
 				return err
 			})
 		}()
@@ -223,7 +223,7 @@
 		memory.SetFaults(kvstore.Faults{Down: true})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
-			_ = session.Run(ctx, func(context.Context, store.LeaseID) error { return nil }) // the error of ctx
+			_ = session.Run(ctx, func(context.Context, store.Store, store.LeaseID) error { return nil }) // the error of ctx
 		}()
 		time.Sleep(5 * time.Minute)
 		synctest.Wait()
@@ -252,7 +252,7 @@
 		session.Wake = wake
 		session.OnReachable = func(ok bool) { reached++ }
 		go func() { // the error of ctx
-			_ = session.Run(t.Context(), func(context.Context, store.LeaseID) error { return nil })
+			_ = session.Run(t.Context(), func(context.Context, store.Store, store.LeaseID) error { return nil })
 		}()
 		synctest.Wait()
 		assert.Equal(t, reached, 1)
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -127,11 +127,11 @@
 					return store.IsKept(ctx, client, "/own", []byte("me"), id)
 				}
 				go func() {
-					_ = session.Run(ctx, func(ctx context.Context, id store.LeaseID) error { // the error of ctx
+					_ = session.Run(ctx, func(ctx context.Context, granted store.Store, id store.LeaseID) error { // the error of ctx
 						if _, ok := copies["granted"]; !ok {
 							copies["granted"] = memory.Copy()
 						}
-						return store.Put(ctx, client, "/own", []byte("me"), id)
+						return store.Put(ctx, granted, "/own", []byte("me"), id)
 					})
 				}()
 				time.Sleep(time.Second)
@@ -180,7 +180,7 @@
 		memory := kvstore.NewMemory()
 		session := store.NewSession(store.NewClient(memory, 0, 0), time.Minute)
 		go func() { // the error of ctx
-			_ = session.Run(t.Context(), func(context.Context, store.LeaseID) error { return nil })
+			_ = session.Run(t.Context(), func(context.Context, store.Store, store.LeaseID) error { return nil })
 		}()
 		synctest.Wait()
 		first, held := session.Lease()
@@ -263,7 +263,7 @@
 			return true
 		}
 		go func() { // the error of ctx
-			_ = session.Run(t.Context(), func(context.Context, store.LeaseID) error { return nil })
+			_ = session.Run(t.Context(), func(context.Context, store.Store, store.LeaseID) error { return nil })
 		}()
 		synctest.Wait()
 		first, held := session.Lease()
@@ -294,8 +294,8 @@
 			return store.IsKept(ctx, client, "/own", []byte("me"), id)
 		}
 		go func() { // the error of ctx
-			_ = session.Run(t.Context(), func(ctx context.Context, id store.LeaseID) error {
-				return store.Put(ctx, client, "/own", []byte("me"), id)
+			_ = session.Run(t.Context(), func(ctx context.Context, granted store.Store, id store.LeaseID) error {
+				return store.Put(ctx, granted, "/own", []byte("me"), id)
 			})
 		}()
 		synctest.Wait()
--- a/store/session.go
+++ b/store/session.go
@@ -88,16 +88,17 @@
 }
 
 // Run holds a lease until ctx ends and then revokes it. After each grant it calls onGrant, which
-// writes the keys of the session under the lease; when onGrant fails the lease is revoked. A lease
+// writes the keys of the session under the lease to granted, a view of the store that is bound to the era of the grant; when
+// onGrant fails the lease is revoked. A lease
 // that lapsed is replaced by a new one. So is the lease when the era of the store changes, unless KeysKept shows that the store
 // still has it: the store may have lost it or its keys, and may have given its ID to another process.
-func (s *Session) Run(ctx context.Context, onGrant func(ctx context.Context, id LeaseID) error) error {
+func (s *Session) Run(ctx context.Context, onGrant func(ctx context.Context, granted Store, id LeaseID) error) error {
 	backoff := Backoff{MaxDelay: s.MaxRetryDelay, Wake: s.Wake}
 	for {
 		era := s.store.Era() // before the first call, so that no change during the calls is missed
 		backoff.Changed = era.Changed
 		if id, err := s.grant(ctx); err == nil {
-			if err := onGrant(ctx, id); err == nil {
+			if err := onGrant(ctx, Within(s.store, era), id); err == nil {
 				backoff.Reset()
 				era = s.renew(ctx, id, era)
 			}
