datacentre: write a contact only in the era of its lease

What callers could see: nothing; a border node may write its contact under the lease of another process, and corrects it within contactEraJitter. If that process ends in between, the contact goes with it.

The contact was written without the era in which its lease was granted.

Change: the write is bound to that era, and is not sent after its end.

--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -122,7 +122,7 @@
 	}
 	key := contactPrefix + self.DataCentre + "/" + string(self.ID)
 	// The key may exist already, from an earlier incarnation or from a write whose response was lost.
-	if err := store.Put(ctx, m.config.Store, key, []byte(self.PeerAddr), lease); err != nil {
+	if err := store.Put(ctx, store.Within(m.config.Store, era), key, []byte(self.PeerAddr), lease); err != nil {
 		return err // the unused lease lapses
 	}
 	entry.lease, entry.held, entry.era = lease, true, era
--- a/datacentre/contacts_test.go
+++ b/datacentre/contacts_test.go
@@ -92,3 +92,50 @@
 		<-m.done
 	})
 }
+
+// storeReturningAfterGrant returns from the copy after the first grant of a lease, and gives the lease to another process.
+type storeReturningAfterGrant struct {
+	*kvstore.Memory
+	older       kvstore.Copy
+	rival       store.LeaseID // 0 before the return
+	rivalWrites int           // writes of this process under the lease of the other
+}
+
+func (s *storeReturningAfterGrant) Swap(ctx context.Context, key string, value []byte, revision int64, id store.LeaseID) (int64, error) {
+	if id == s.rival {
+		s.rivalWrites++
+	}
+	return s.Memory.Swap(ctx, key, value, revision, id)
+}
+
+func (s *storeReturningAfterGrant) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	id, err := s.Memory.GrantLease(ctx, ttl)
+	if err != nil || s.rival != 0 {
+		return id, err
+	}
+	s.Restore(s.older)
+	if s.rival, err = s.Memory.GrantLease(ctx, time.Hour); err != nil { // the answer shows the era
+		return 0, err
+	}
+	return id, nil
+}
+
+// Guards against a border node that writes its contact under the lease of another process, because the store returned from an
+// older copy between the grant and the write and gave the lease ID out again.
+func TestContactIsNotWrittenUnderALeaseOfAnEarlierEra(t *testing.T) {
+	t.Parallel()
+	runInVirtualTime(t, func(n *network) {
+		kv := kvstore.NewMemory()
+		returning := &storeReturningAfterGrant{Memory: kv, older: kv.Copy()}
+		n.store = returning
+		m := n.start(record("dc-1", "r", 0), nil)
+		time.Sleep(time.Minute)
+		contacts, err := kv.List(context.Background(), contactPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(contacts), 1)
+		assert.Assert(t, returning.rival != 0)
+		assert.Equal(t, returning.rivalWrites, 0, "writes under the lease of another process")
+		m.stop()
+		<-m.done
+	})
+}
