inbound: bound the departures that a node remembers

What callers could see: nothing yet; the memory of a node grows with each removal of an upstream that it does not know, without a limit, when another writer sends such removals.

Cause: each removal leaves an entry for good.

Change: beyond 1,024 departures the one that started first is forgotten.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -118,7 +118,7 @@
 	previous := p.current
 	replaced := a.ID != previous.ID || a.Born != previous.Born
 	if replaced && previous.ID != "" && previous.ID != a.ID {
-		p.departed[previous.ID] = previous.Born
+		p.recordDeparture(previous.ID, previous.Born)
 	}
 	p.current, p.lastSeen = a, now
 	next := serving
@@ -154,16 +154,35 @@
 func (p *Proxy) Deregister(now time.Time, id string) {
 	p.mu.Lock()
 	if id != p.current.ID {
-		p.departed[id] = max(p.departed[id], now.UnixMilli())
+		p.recordDeparture(id, max(p.departed[id], now.UnixMilli()))
 		p.mu.Unlock()
 		return
 	}
-	p.departed[id] = p.current.Born
+	p.recordDeparture(id, p.current.Born)
 	p.lastSeen = now
 	notify := p.setState(now, draining, "left")
 	p.mu.Unlock()
 	notify()
 }
 
+// maxDepartures bounds the number of departed incarnations that are remembered.
+const maxDepartures = 1024
+
+// recordDeparture remembers that the incarnation has departed. Beyond maxDepartures it forgets the one that started first. It is
+// called with the lock held.
+func (p *Proxy) recordDeparture(id string, born int64) {
+	p.departed[id] = born
+	if len(p.departed) <= maxDepartures {
+		return
+	}
+	first := id
+	for other, otherBorn := range p.departed {
+		if otherBorn < p.departed[first] {
+			first = other
+		}
+	}
+	delete(p.departed, first)
+}
+
 // processName returns a name that differs between the processes of an upstream, also when it keeps its ID.
 func processName(a Announcement) string { return fmt.Sprintf("%s@%d", a.ID, a.Born) }
