entryhttp: deliver answers that come later than the write deadline of the connection

What callers could see: a connection that closes without an answer. When a node gets to the outcome of a request more than a second after its deadline, as one that was suspended meanwhile does, the write deadline of the connection has passed, and net/http drops the answer or refusal.

Cause: the write deadline was set once, at the arrival of the request.

Change: after an outcome that comes later than the deadline the connection may be written for another second.

--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -28,7 +28,8 @@
 	startupRetryAfter = 200 * time.Millisecond
 	// defaultRetryAfter is the delay before a retry when the refusal sets none.
 	defaultRetryAfter = 100 * time.Millisecond
-	// connectionGrace is the time that the connection may still be read and written after the deadline of a request.
+	// connectionGrace is the time that the connection may still be read and written after the deadline of a request, and
+	// written after a late outcome.
 	connectionGrace = time.Second
 	// refusedBodyTimeout is how long net/http may read the rest of the body of a refused request, which it does before it sends
 	// the answer.
@@ -62,6 +63,7 @@
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(start)
+	extendWriteDeadline(w, req.Deadline)
 	if err != nil {
 		h.Refuse(w, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
@@ -75,6 +77,14 @@
 	}
 }
 
+// extendWriteDeadline lets the answer be written although the deadline of the request has passed, as it has when the node was
+// suspended.
+func extendWriteDeadline(w http.ResponseWriter, deadline time.Time) {
+	if now := time.Now(); now.After(deadline) {
+		_ = http.NewResponseController(w).SetWriteDeadline(now.Add(connectionGrace))
+	}
+}
+
 // interruptBody ends reads of the request's body when the context of the request ends, so that a request which the server has
 // cancelled is answered although its body is incomplete. stop ends this.
 func interruptBody(w http.ResponseWriter, r *http.Request) (stop func() bool) {
--- a/transport/entryhttp/handler_test.go
+++ b/transport/entryhttp/handler_test.go
@@ -43,7 +43,9 @@
 	return d.answer, d.err
 }
 
-func startServer(t *testing.T, d *recordingDispatcher) *httptest.Server {
+func startServer(t *testing.T, d *recordingDispatcher) *httptest.Server { return startServerWith(t, d) }
+
+func startServerWith(t *testing.T, d entryhttp.Dispatcher) *httptest.Server {
 	t.Helper()
 	contracts, err := contract.New(contract.Contracts{
 		Version: 3, Services: map[string]contract.Service{"s": {}}, Limits: contract.Limits{MaxBodyBytes: 100 << 10},
