upstreamconn: ignore a Retry-After that is too large

What callers could see: a refusal with a Retry-After of 292 years (arm64), when an upstream refuses with a number too large for a duration. On amd64 the conversion gives a negative delay, which the refusal drops.

Cause: the number was converted to a duration without a bound.

Change: a delay of over an hour is ignored, as one that cannot be read.

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -37,6 +37,8 @@
 	maxBodyWrittenFirst = 2 << 10
 	// defaultRetryAfter is the delay before the retry of a rejected request when the upstream sends no Retry-After.
 	defaultRetryAfter = 50 * time.Millisecond
+	// maxRetryAfter is the longest delay that an upstream may ask for; a longer one is ignored.
+	maxRetryAfter = time.Hour
 )
 
 // Client sends requests to the upstream beside a node. It is safe for concurrent use.
@@ -158,7 +160,7 @@
 	refusal := caller.Refuse(caller.UpstreamRejected, sendStep, addr)
 	refusal.Cause = fmt.Errorf("status %d", response.StatusCode)
 	refusal.RetryAfter = defaultRetryAfter
-	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 && seconds <= maxRetryAfter.Seconds() {
 		refusal.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	return refusal
