callerhttp: do not hold a refusal back until the body has arrived

What callers could see: no answer, as at the listener of entryhttp: a request without a route or before the first bundle, whose body is incomplete, was refused only when the rest had arrived, without a limit.

Cause: the same. Refusals of accept are written before the deadlines of the connection are set.

Change: the limit moves to transport.LimitRefusedBody, which both front ends call before they write a refusal.

--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -158,5 +158,6 @@
 
 func refuse(w http.ResponseWriter, refusal *caller.Refusal) {
 	metrics.CountRefusal(refusal.Reason)
+	transport.LimitRefusedBody(w)
 	transport.WriteRefusal(w, refusal)
 }
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -31,9 +31,6 @@
 	// connectionGrace is the time that the connection may still be read and written after the deadline of a request, and
 	// written after a late outcome.
 	connectionGrace = time.Second
-	// refusedBodyTimeout is how long net/http may read the rest of the body of a refused request, which it does before it sends
-	// the answer.
-	refusedBodyTimeout = 100 * time.Millisecond
 )
 
 // Dispatcher sends a request to an upstream and returns its answer. The error is a *caller.Refusal.
@@ -209,7 +206,7 @@
 // Refuse writes the refusal as an HTTP response.
 func (h *Handler) Refuse(w http.ResponseWriter, refusal *caller.Refusal) {
 	metrics.CountRefusal(refusal.Reason)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	transport.LimitRefusedBody(w)
 	header := w.Header()
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
