--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -28,7 +28,8 @@
 	startupRetryAfter = 200 * time.Millisecond
 	// defaultRetryAfter is the delay before a retry when the refusal sets none.
 	defaultRetryAfter = 100 * time.Millisecond
-	// connectionGrace is the time that the connection may still be read and written after the deadline of a request.
+	// connectionGrace is the time that the connection may still be read and written after the deadline of a request, and
+	// written after a late outcome.
 	connectionGrace = time.Second
 )
 
@@ -49,6 +50,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	defer interruptBody(w, r)()
 	req, route, refusal := h.accept(w, r, start)
 	if refusal != nil {
 		h.Refuse(w, refusal)
@@ -58,6 +60,7 @@
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(start)
+	extendWriteDeadline(w, req.Deadline)
 	if err != nil {
 		h.Refuse(w, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
@@ -71,6 +74,20 @@
 	}
 }
 
+// extendWriteDeadline lets the answer be written although the deadline of the request has passed, as it has when the node was
+// suspended.
+func extendWriteDeadline(w http.ResponseWriter, deadline time.Time) {
+	if now := time.Now(); now.After(deadline) {
+		_ = http.NewResponseController(w).SetWriteDeadline(now.Add(connectionGrace))
+	}
+}
+
+// interruptBody ends reads of the request's body when the context of the request ends, so that a request which the server has
+// cancelled is answered although its body is incomplete. stop ends this.
+func interruptBody(w http.ResponseWriter, r *http.Request) (stop func() bool) {
+	return context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+}
+
 // accept converts the HTTP request to a request for its route. It reads the body when it is short enough to be replayed.
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*caller.Request, *contract.Route, *caller.Refusal) {
 	contracts := h.Contracts.Load()
@@ -151,8 +168,11 @@
 	switch {
 	case err == nil:
 		return caller.NewBody(io.MultiReader(&buffer, r.Body), -1), nil, nil
-	case !errors.Is(err, io.EOF):
-		refusal := caller.Refuse(caller.BodyCut, acceptStep, "")
+	case errors.Is(err, io.EOF):
+	case errors.As(context.Cause(r.Context()), &refusal): // that of the server
+		return nil, nil, refusal
+	default:
+		refusal = caller.Refuse(caller.BodyCut, acceptStep, "")
 		refusal.Cause = err
 		return nil, nil, refusal
 	}
@@ -186,6 +206,7 @@
 // Refuse writes the refusal as an HTTP response.
 func (h *Handler) Refuse(w http.ResponseWriter, refusal *caller.Refusal) {
 	metrics.CountRefusal(refusal.Reason)
+	transport.LimitRefusedBody(w)
 	header := w.Header()
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
