transport: don't limit the rest of a body that has been read

What callers could see: a kept connection whose next request is cancelled at once, after a refusal by a node that paused for over 100 ms before it had sent it, as a node whose share of a core is used up does.

Cause: each refusal set a read deadline of 100 ms, for the rest of a body that a silent caller does not send. After the end of a body, or for a request without one, net/http reads the connection to notice that the caller is gone; a deadline that passes then cancels the context of the connection, and with it of all later requests on it.

Change: transport.RequestBody records whether the body was read to its end, and limits only a rest.

Measured: TestRefusalKeepsTheConnection failed before in both cases (context canceled) and passes now; TestRefusalDoesNotWaitForTheBody of both front ends and the tests of planned stops pass, 1 run each.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -183,7 +183,7 @@
 func (s *Sidecar) trackRequests(next *entryhttp.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.rejecting.Load() {
-			next.Refuse(w, caller.Refuse(caller.Draining, "accept", s.Settings.Node))
+			next.Refuse(w, r, caller.Refuse(caller.Draining, "accept", s.Settings.Node))
 			return
 		}
 		defer s.requests.Begin()()
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -44,9 +44,10 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	callsTotal.Inc()
+	body := transport.TrackBody(r)
 	req, refusal := h.accept(w, r)
 	if refusal != nil {
-		refuse(w, refusal)
+		refuse(w, body, refusal)
 		return
 	}
 	w.Header().Set(transport.HeaderRequestID, req.ID)
@@ -55,7 +56,7 @@
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req)
 	if err != nil {
-		refuse(w, caller.AsRefusal(err, caller.PeerLost, acceptStep))
+		refuse(w, body, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
 	}
 	w.Header().Set(transport.HeaderUpstream, answer.Upstream)
@@ -156,8 +157,8 @@
 	return r.Host
 }
 
-func refuse(w http.ResponseWriter, refusal *caller.Refusal) {
+func refuse(w http.ResponseWriter, body *transport.RequestBody, refusal *caller.Refusal) {
 	metrics.CountRefusal(refusal.Reason)
-	transport.LimitRefusedBody(w)
+	body.LimitRest(w)
 	transport.WriteRefusal(w, refusal)
 }
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -51,9 +51,10 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	defer interruptBody(w, r)()
+	body := transport.TrackBody(r)
 	req, route, refusal := h.accept(w, r, start)
 	if refusal != nil {
-		h.Refuse(w, refusal)
+		refuse(w, body, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
@@ -62,7 +63,7 @@
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(start)
 	extendWriteDeadline(w, req.Deadline)
 	if err != nil {
-		h.Refuse(w, caller.AsRefusal(err, caller.PeerLost, acceptStep))
+		refuse(w, body, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
 	}
 	if _, ok := answer.Header["Content-Type"]; !ok {
@@ -203,10 +204,15 @@
 	return http.StatusBadGateway
 }
 
-// Refuse writes the refusal as an HTTP response.
-func (h *Handler) Refuse(w http.ResponseWriter, refusal *caller.Refusal) {
+// Refuse refuses a request whose body has not been read.
+func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request, refusal *caller.Refusal) {
+	refuse(w, transport.TrackBody(r), refusal)
+}
+
+// refuse writes the refusal as an HTTP response.
+func refuse(w http.ResponseWriter, body *transport.RequestBody, refusal *caller.Refusal) {
 	metrics.CountRefusal(refusal.Reason)
-	transport.LimitRefusedBody(w)
+	body.LimitRest(w)
 	header := w.Header()
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/transport/refusal.go
+++ b/transport/refusal.go
@@ -4,7 +4,6 @@
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 )
@@ -39,15 +38,6 @@
 	return http.StatusBadGateway
 }
 
-// refusedBodyTimeout is how long the rest of the body of a refused request is read.
-const refusedBodyTimeout = 100 * time.Millisecond
-
-// LimitRefusedBody bounds the wait for the rest of the body of a request that is about to be refused: net/http reads a short rest
-// before it sends the answer.
-func LimitRefusedBody(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
-}
-
 // WriteRefusal writes the refusal as an HTTP response: its reason, whether the request ran, and the delay
 // after which a retry may succeed.
 func WriteRefusal(w http.ResponseWriter, refusal *caller.Refusal) {
