transport: lift the user timeout for a long body on a new connection too

Callers whose upload was the first request on a connection between nodes, or to the upstream of the v3 node, lost it when the receiver paused for longer than the user timeout (500 ms between nodes) before it read the body.

Cause: trackedConn took the user timeout of a new connection for 0, while the dialer had set it, so that begin(0) changed nothing. A full receive window counts as unacknowledged data.

trackedConn now starts with the dialer's value.

--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: conn, onTimeout: client.connTimedOut}, nil
+			return &trackedConn{Conn: conn, onTimeout: client.connTimedOut, userTimeout: p.UserTimeout}, nil
 		},
 		MaxIdleConnsPerHost:    p.IdlePerHost,
 		IdleConnTimeout:        p.IdleTimeout,
--- a/transport/outbound_test.go
+++ b/transport/outbound_test.go
@@ -123,3 +123,22 @@
 		assert.NilError(t, response.Body.Close())
 	}
 }
+
+// Guards against an upload that is cut off on a new connection while its receiver pauses, because the user timeout with which
+// the connection was opened stays.
+func TestSlowReaderOfLongBodyOnNewConnectionIsNotCutOff(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		time.Sleep(5 * testUserTimeout)
+		n, err := io.Copy(io.Discard, r.Body)
+		assert.Check(t, err)
+		assert.Check(t, n == r.ContentLength)
+	}))
+	server.Listener = listenWithSmallWindow(t)
+	server.Start()
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL, bytes.NewReader(make([]byte, 1<<20)))
+	assert.NilError(t, err)
+	response, _, err := newClient(t).RoundTrip(context.Background(), request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+}
--- a/transport/trackedconn.go
+++ b/transport/trackedconn.go
@@ -42,8 +42,8 @@
 	onTimeout func() // called when the kernel has closed the connection because the peer acknowledged no packets
 
 	mu          sync.Mutex
-	userTimeout time.Duration
-	requests    uint64 // requests that the connection has carried
+	userTimeout time.Duration // as set on the connection; from the dialer at first
+	requests    uint64        // requests that the connection has carried
 }
 
 // begin sets the user timeout for the next request and returns the number of the request on this connection.
