transport: send a long body only on a connection that was used within 250 ms

Callers with a body over 32 KiB, or of unknown length, waited for their deadline when the kept connection below had fallen silent. Such a request has no user timeout, since a receiver that reads slowly delays the acknowledgement, and the kernel probes no connection with data in flight.

Between nodes and to the upstream such a request now takes a connection that was idle for at most 250 ms, or a new one. No socket option beyond those in use is needed. A connection that falls silent within these 250 ms, or while the body is on its way, still costs the request its deadline.

TestLongBodyIsNotSentOnConnectionThatFellSilent in ./transport and ./transport/upstreamconn failed before (deadline exceeded on the second request) and pass after. TestSlowReaderOfLongBodyIsNotCutOff sends a second long body, as short and long bodies no longer share connections between nodes.

--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -12,6 +12,10 @@
 	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
+// longBodyIdleTimeout is the longest idle time after which a connection is reused for a request whose data has no user timeout:
+// on a connection that fell silent it would wait for its deadline.
+const longBodyIdleTimeout = 250 * time.Millisecond
+
 // PoolOptions configures a connection pool.
 type PoolOptions struct {
 	DialTimeout     time.Duration
@@ -27,20 +31,28 @@
 // reached the server.
 type Client struct {
 	transport   *http.Transport
+	longBodies  *http.Transport // for requests whose data has no user timeout
 	userTimeout time.Duration
 }
 
 // NewClient returns a client with its own connection pool.
 func NewClient(p PoolOptions) *Client {
-	dialer := sockopt.Dialer(p.DialTimeout, p.UserTimeout)
 	client := &Client{userTimeout: p.UserTimeout}
-	client.transport = &http.Transport{
+	client.transport = p.newTransport(client.connTimedOut)
+	p.IdleTimeout = min(p.IdleTimeout, longBodyIdleTimeout)
+	client.longBodies = p.newTransport(client.connTimedOut)
+	return client
+}
+
+func (p PoolOptions) newTransport(onTimeout func()) *http.Transport {
+	dialer := sockopt.Dialer(p.DialTimeout, p.UserTimeout)
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: conn, onTimeout: client.connTimedOut, userTimeout: p.UserTimeout}, nil
+			return &trackedConn{Conn: conn, onTimeout: onTimeout, userTimeout: p.UserTimeout}, nil
 		},
 		MaxIdleConnsPerHost:    p.IdlePerHost,
 		IdleConnTimeout:        p.IdleTimeout,
@@ -49,7 +61,6 @@
 		ReadBufferSize:         p.ReadBufferSize,
 		DisableCompression:     true,
 	}
-	return client
 }
 
 // connTimedOut is called when the kernel has closed a connection whose peer acknowledged no packets. What silenced it may
@@ -60,14 +71,21 @@
 }
 
 // Close closes the idle connections.
-func (o *Client) Close() { o.transport.CloseIdleConnections() }
+func (o *Client) Close() {
+	o.transport.CloseIdleConnections()
+	o.longBodies.CloseIdleConnections()
+}
 
 // RoundTrip sends the request. After an error, sent reports whether any byte of the request was
 // handed to a connection; when none was, the request certainly did not run.
 func (o *Client) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
 	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
 	tracker.trace.GotConn = tracker.gotConn
-	response, err = o.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
+	pool := o.transport
+	if tracker.userTimeout == 0 {
+		pool = o.longBodies
+	}
+	response, err = pool.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
 	if err != nil {
 		tracker.stopTimer()
 		return nil, tracker.sent(), err
--- a/transport/outbound_test.go
+++ b/transport/outbound_test.go
@@ -8,12 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
@@ -28,25 +28,10 @@
 	return client
 }
 
-// listenWithSmallWindow returns a loopback listener whose connections take about 2 KiB before they are read. Loopback
-// acknowledges all that fits the receive window.
-func listenWithSmallWindow(t *testing.T) net.Listener {
-	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			assert.Check(t, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1))
-		})
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	return listener
-}
-
 // sendToSilentPeer sends a short request to a peer that accepts the connection and never reads.
 func sendToSilentPeer(t *testing.T, client *transport.Client) (sent bool, err error) {
 	t.Helper()
-	addr := listenWithSmallWindow(t).Addr().String()
+	addr := sockets.ListenWithSmallWindow(t).Addr().String()
 	request, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", bytes.NewReader(make([]byte, 30<<10)))
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -100,7 +85,7 @@
 }
 
 // Guards against an upload that is cut off while its receiver pauses: a full receive window stays unacknowledged like a
-// silent connection, also when a request with a short body has used the connection before.
+// silent connection, also on a connection that has carried a request before.
 func TestSlowReaderOfLongBodyIsNotCutOff(t *testing.T) {
 	const length = 1 << 20
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -111,11 +96,11 @@
 		assert.Check(t, err)
 		assert.Check(t, n == r.ContentLength)
 	}))
-	server.Listener = listenWithSmallWindow(t)
+	server.Listener = sockets.ListenWithSmallWindow(t)
 	server.Start()
 	defer server.Close()
 	client := newClient(t)
-	for _, body := range [][]byte{nil, make([]byte, length)} {
+	for _, body := range [][]byte{nil, make([]byte, length), make([]byte, length)} {
 		request, err := http.NewRequest(http.MethodPost, server.URL, bytes.NewReader(body))
 		assert.NilError(t, err)
 		response, _, err := client.RoundTrip(context.Background(), request)
@@ -133,7 +118,7 @@
 		assert.Check(t, err)
 		assert.Check(t, n == r.ContentLength)
 	}))
-	server.Listener = listenWithSmallWindow(t)
+	server.Listener = sockets.ListenWithSmallWindow(t)
 	server.Start()
 	defer server.Close()
 	request, err := http.NewRequest(http.MethodPost, server.URL, bytes.NewReader(make([]byte, 1<<20)))
@@ -142,3 +127,32 @@
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
 }
+
+// Guards against an upload that waits for its deadline on a kept connection which fell silent: its data has no user timeout,
+// since a receiver that reads slowly delays the acknowledgement.
+func TestLongBodyIsNotSentOnConnectionThatFellSilent(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	client, addr := newClient(t), sockets.StartServerThatFallsSilent(t)
+	for _, length := range []int64{0, 1 << 20, -1} {
+		body := io.LimitReader(zeroReader{}, 1<<20)
+		if length == 0 {
+			body = http.NoBody
+		}
+		request, err := http.NewRequest(http.MethodPut, "http://"+addr+"/", body)
+		assert.NilError(t, err)
+		request.ContentLength = length
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		response, _, err := client.RoundTrip(ctx, request)
+		assert.NilError(t, err, "body of %d bytes", length)
+		_, err = io.Copy(io.Discard, response.Body) // else the connection is not kept
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		time.Sleep(pause)
+	}
+}
+
+// zeroReader reads zero bytes without end.
+type zeroReader struct{}
+
+func (zeroReader) Read(p []byte) (int, error) { return len(p), nil }
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -20,6 +20,9 @@
 	// maxIdleNonRepeatable is the longest idle time after which a connection is reused for a request that must not run
 	// twice. An upstream may close idle connections early, and a request that is lost on such a connection may have run.
 	maxIdleNonRepeatable = 250 * time.Millisecond
+	// maxIdleLongBody is the longest idle time after which a connection is reused for a request whose data has no user timeout:
+	// on a connection that fell silent it would wait for its deadline.
+	maxIdleLongBody = 250 * time.Millisecond
 	// neverReuse is the idle time of a request that is sent on a new connection.
 	neverReuse time.Duration = -1
 	// staleConnWindow is the time after the start of a request within which a failure on a reused connection means that
@@ -88,11 +91,15 @@
 	if wantID == "" {
 		maxIdleTime = neverReuse // without an ID a late answer to an earlier request cannot be told apart
 	}
+	dataTimeout := transport.UserTimeoutOf(req.Body.Length(), userTimeout)
+	if dataTimeout == 0 {
+		maxIdleTime = min(maxIdleTime, maxIdleLongBody)
+	}
 	conn, err := c.connect(ctx, addr, maxIdleTime)
 	if err != nil {
 		return nil, false, c.refusalOf(ctx, req, addr, false, err)
 	}
-	conn.setUserTimeout(transport.UserTimeoutOf(req.Body.Length(), userTimeout))
+	conn.setUserTimeout(dataTimeout)
 	start := time.Now()
 	x := &exchange{conn: conn, request: outgoing, wantID: wantID, dialect: &c.dialect}
 	response, err := x.run(ctx, bodyLength(req))
--- a/transport/upstreamconn/unresponsive_test.go
+++ b/transport/upstreamconn/unresponsive_test.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 )
 
 // pausingUpstream is an upstream whose connections take about 2 KiB before they are read. It pauses before it reads the body
@@ -27,13 +27,7 @@
 
 func startPausingUpstream(t *testing.T, pause time.Duration) *pausingUpstream {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			assert.Check(t, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1))
-		})
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	listener := sockets.ListenWithSmallWindow(t)
 	u := &pausingUpstream{addr: listener.Addr().String(), pause: pause}
 	server := &http.Server{Handler: u, ConnState: func(_ net.Conn, state http.ConnState) {
 		switch state {
@@ -97,3 +91,26 @@
 		assert.Assert(t, time.Now().Before(deadline), "the idle connections are still open")
 	}
 }
+
+// Guards against an upload that waits for its deadline on a kept connection which fell silent: its data has no user timeout,
+// since an upstream that reads slowly delays the acknowledgement.
+func TestLongBodyIsNotSentOnConnectionThatFellSilent(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	client, addr := newClient(t), sockets.StartServerThatFallsSilent(t)
+	for id, content := range map[string]*caller.Body{
+		"known length":   caller.NewBody(strings.NewReader(strings.Repeat("x", 1<<20)), 1<<20),
+		"unknown length": caller.NewBody(strings.NewReader(strings.Repeat("x", 1<<20)), -1),
+	} {
+		_, refusal, err := send(t, client, addr, requestOf("before "+id, true, ""))
+		assert.NilError(t, err)
+		assert.Assert(t, refusal == nil, "%v", refusal)
+		time.Sleep(pause)
+		req := requestOf(id, true, "")
+		req.Body = content
+		ctx, cancel := context.WithDeadline(t.Context(), req.Deadline)
+		defer cancel()
+		answer, err := client.Send(ctx, req, addr)
+		assert.NilError(t, err, id)
+		assert.NilError(t, answer.Body.Close())
+	}
+}
