--- a/contract/contract.go
+++ b/contract/contract.go
@@ -76,8 +76,8 @@
 	return &c, nil
 }
 
-// maxWeight bounds the weight of a part, so that no sum of weights overflows.
-const maxWeight = 1 << 30
+// MaxWeight bounds the weight of a part, so that no sum of weights overflows.
+const MaxWeight = 1 << 30
 
 func validateRoute(r *Route, services map[string]Service) error {
 	total := 0
@@ -85,8 +85,8 @@
 		if _, ok := services[part.Service]; !ok {
 			return fmt.Errorf("service %q is not defined", part.Service)
 		}
-		if part.Weight < 0 || part.Weight > maxWeight {
-			return fmt.Errorf("weight %d of service %q not in the range 0 to %d", part.Weight, part.Service, maxWeight)
+		if part.Weight < 0 || part.Weight > MaxWeight {
+			return fmt.Errorf("weight %d of service %q not in the range 0 to %d", part.Weight, part.Service, MaxWeight)
 		}
 		total += part.Weight
 	}
