upstreamconn: bound health checks by the user timeout after a long body too

A request with a long body removes the user timeout of its connection. The next user may be a health check, which did not set it again: on a connection that fell silent the check waited for its deadline, and the failure was not taken as a connection that timed out.

TestHealthCheckAfterLongBodyHasUserTimeout failed before (0 ms instead of 500).

--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -191,6 +191,7 @@
 	if err != nil {
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
+	conn.setUserTimeout(userTimeout)
 	x := &exchange{conn: conn, request: outgoing, dialect: &c.dialect}
 	response, err := x.run(ctx, 0)
 	if err != nil {
