transport: keep the idle connections to others when one machine is lost

When one machine lost power, every node that talked to it closed its idle connections to all other nodes, again and again while the connections to the lost one timed out, and the next requests to the others waited for new ones.

Cause: one http.Transport held the connections to all peers, and a connection that had timed out closed all idle ones, since whatever silenced it may have silenced others.

Each peer has a pool of its own now, removed after an idle timeout without use. A time-out closes the idle connections to its peer, and the node tries a new connection to it: only when the peer accepts one is the peer not lost, and the idle connections to all are closed as before.

TestLostPeerKeepsIdleConnectionsToOthers failed before (2 connections instead of 1). TestTimedOutConnectionClosesIdleOnes holds as before, with the idle ones to a peer that accepts connections; TestTimedOutConnectionClosesIdleOnesToItsPeer is new and passed before as well.

--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
-	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 // longBodyIdleTimeout is the longest idle time after which a connection is reused for a request whose data has no user timeout:
@@ -30,49 +28,22 @@
 // Client sends requests over pooled HTTP/1.1 connections. It tracks whether a failed request may have
 // reached the server.
 type Client struct {
-	transport   *http.Transport
+	peers       *peerPools
 	longBodies  *http.Transport // for requests whose data has no user timeout
 	userTimeout time.Duration
 }
 
-// NewClient returns a client with its own connection pool.
+// NewClient returns a client with its own connection pools.
 func NewClient(p PoolOptions) *Client {
-	client := &Client{userTimeout: p.UserTimeout}
-	client.transport = p.newTransport(client.connTimedOut)
+	client := &Client{peers: newPeerPools(p), userTimeout: p.UserTimeout}
 	p.IdleTimeout = min(p.IdleTimeout, longBodyIdleTimeout)
-	client.longBodies = p.newTransport(client.connTimedOut)
+	client.longBodies = p.newTransport(client.peers.connTimedOut)
 	return client
 }
 
-func (p PoolOptions) newTransport(onTimeout func()) *http.Transport {
-	dialer := sockopt.Dialer(p.DialTimeout, p.UserTimeout)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &trackedConn{Conn: conn, onTimeout: onTimeout, userTimeout: p.UserTimeout}, nil
-		},
-		MaxIdleConnsPerHost:    p.IdlePerHost,
-		IdleConnTimeout:        p.IdleTimeout,
-		MaxResponseHeaderBytes: int64(p.HeaderBytes),
-		WriteBufferSize:        p.WriteBufferSize,
-		ReadBufferSize:         p.ReadBufferSize,
-		DisableCompression:     true,
-	}
-}
-
-// connTimedOut is called when the kernel has closed a connection whose peer acknowledged no packets. What silenced it may
-// have silenced others, so the idle connections to all peers are closed before a request is sent on one of them.
-func (o *Client) connTimedOut() {
-	ConnsTimedOut.Inc()
-	o.transport.CloseIdleConnections()
-}
-
 // Close closes the idle connections.
 func (o *Client) Close() {
-	o.transport.CloseIdleConnections()
+	o.peers.closeIdle()
 	o.longBodies.CloseIdleConnections()
 }
 
@@ -81,11 +52,7 @@
 func (o *Client) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
 	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
 	tracker.trace.GotConn = tracker.gotConn
-	pool := o.transport
-	if tracker.userTimeout == 0 {
-		pool = o.longBodies
-	}
-	response, err = pool.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
+	response, err = o.poolFor(request).RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
 	if err != nil {
 		tracker.stopTimer()
 		return nil, tracker.sent(), err
@@ -93,6 +60,13 @@
 	return response, true, nil // the timer goes on: the body of the response may pause as well
 }
 
+func (o *Client) poolFor(request *http.Request) http.RoundTripper {
+	if UserTimeoutOf(request.ContentLength, o.userTimeout) == 0 {
+		return o.longBodies
+	}
+	return o.peers.poolFor(request.URL.Host, time.Now())
+}
+
 // writeTracker records whether one request was written to any of the connections that it used.
 // http.Transport.RoundTrip returns an error only after it has closed the connection, so no write can start
 // after sent is called.
