transport: do not close new connections when an old one times out

After connections had fallen silent, those in use timed out one after the other for up to 3 s, and each closed the idle connections to all peers again, those opened since included. The next requests had to wait for new ones.

A time-out of a connection that was opened before the idle ones to all peers were closed last is now only counted: the connections of its age are closed already.

TestLaterTimeoutOfOldConnectionKeepsNewOnes failed before (3 connections instead of 2).

--- a/transport/outbound_test.go
+++ b/transport/outbound_test.go
@@ -156,6 +156,26 @@
 	assert.Equal(t, conns.opened.Load(), int64(1))
 }
 
+// Guards against connections that are closed again and again while those that fell silent with the first one time out one
+// after the other.
+func TestLaterTimeoutOfOldConnectionKeepsNewOnes(t *testing.T) {
+	url, conns := startServer(t)
+	client := newClient(t)
+	keepConns(t, client, url, 1)
+	silent := "http://" + sockets.ListenWithSmallWindow(t).Addr().String()
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { _, err := sendUnread(t, client, silent); first <- err }()
+	time.Sleep(testUserTimeout / 2)
+	go func() { _, err := sendUnread(t, client, silent); second <- err }()
+	assert.Assert(t, <-first != nil)
+	assertClosed(t, conns)
+	keepConns(t, client, url, 1)
+	assert.Assert(t, <-second != nil)
+	time.Sleep(200 * time.Millisecond)
+	keepConns(t, client, url, 1)
+	assert.Equal(t, conns.opened.Load(), int64(2))
+}
+
 // Guards against an upload that is cut off while its receiver pauses: a full receive window stays unacknowledged like a
 // silent connection, also on a connection that has carried a request before.
 func TestSlowReaderOfLongBodyIsNotCutOff(t *testing.T) {
--- a/transport/peerpools.go
+++ b/transport/peerpools.go
@@ -15,9 +15,10 @@
 
 // peerPools holds the kept connections to each peer in a pool of their own, so that those to a lost peer can be closed alone.
 type peerPools struct {
-	options   PoolOptions
-	pools     *shard.Map[string, *peerPool] // by the address of the peer
-	lastSweep atomic.Int64                  // Unix time in ns
+	options    PoolOptions
+	pools      *shard.Map[string, *peerPool] // by the address of the peer
+	lastSweep  atomic.Int64                  // Unix time in ns
+	lastClosed atomic.Int64                  // Unix time in ns at which the idle connections to all peers were closed last
 }
 
 // peerPool holds the kept connections to one peer.
@@ -59,14 +60,18 @@
 // connTimedOut is called when the kernel has closed a connection to addr since the peer acknowledged no packets. The idle
 // connections to the peer are closed before a request is sent on one of them. Those to all peers are closed when the peer
 // accepts a new connection: then not the peer is lost, but whatever silenced its connection may have silenced others.
-func (p *peerPools) connTimedOut(addr string) {
+func (p *peerPools) connTimedOut(addr string, openedAt time.Time) {
 	ConnsTimedOut.Inc()
+	if openedAt.UnixNano() < p.lastClosed.Load() {
+		return // the connections that were idle with it are closed already
+	}
 	pool := p.poolFor(addr, time.Now())
 	pool.CloseIdleConnections()
 	if pool.checking.CompareAndSwap(false, true) {
 		go func() {
 			defer pool.checking.Store(false)
 			if p.accepts(addr) {
+				p.lastClosed.Store(time.Now().UnixNano())
 				p.closeIdle()
 			}
 		}()
@@ -91,7 +96,7 @@
 }
 
 // newTransport returns a pool whose connections call onTimeout when they time out.
-func (p PoolOptions) newTransport(onTimeout func(addr string)) *http.Transport {
+func (p PoolOptions) newTransport(onTimeout func(addr string, openedAt time.Time)) *http.Transport {
 	dialer := sockopt.Dialer(p.DialTimeout, p.UserTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -99,7 +104,8 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: conn, onTimeout: func() { onTimeout(addr) }, userTimeout: p.UserTimeout}, nil
+			openedAt := time.Now()
+			return &trackedConn{Conn: conn, onTimeout: func() { onTimeout(addr, openedAt) }, userTimeout: p.UserTimeout}, nil
 		},
 		MaxIdleConnsPerHost:    p.IdlePerHost,
 		IdleConnTimeout:        p.IdleTimeout,
