entryhttp: close a connection after an answer that its read deadline has overtaken

What callers could see: a request that is cancelled as it arrives, on the connection of an answer that came over a second after the deadline of its request.

Cause: net/http reads the connection while a request is handled; when the read deadline of that request passes, it cancels the context of the connection, and with it those of all later requests.

Change: a late outcome moves both deadlines of the connection. When the read deadline had passed, the answer announces that the connection closes.

--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -29,7 +29,7 @@
 	// defaultRetryAfter is the delay before a retry when the refusal sets none.
 	defaultRetryAfter = 100 * time.Millisecond
 	// connectionGrace is the time that the connection may still be read and written after the deadline of a request, and
-	// written after a late outcome.
+	// after a late outcome.
 	connectionGrace = time.Second
 )
 
@@ -61,7 +61,7 @@
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(start)
-	extendWriteDeadline(w, req.Deadline)
+	extendDeadlines(w, req.Deadline)
 	if err != nil {
 		refuse(w, body, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
@@ -75,11 +75,19 @@
 	}
 }
 
-// extendWriteDeadline lets the answer be written although the deadline of the request has passed, as it has when the node was
-// suspended.
-func extendWriteDeadline(w http.ResponseWriter, deadline time.Time) {
-	if now := time.Now(); now.After(deadline) {
-		_ = http.NewResponseController(w).SetWriteDeadline(now.Add(connectionGrace))
+// extendDeadlines lets the answer be written although the deadline of the request has passed, as it has when the node was
+// suspended. When the connection could no longer be read, the context of later requests on it has ended as well, so that it is
+// closed after the answer.
+func extendDeadlines(w http.ResponseWriter, deadline time.Time) {
+	now := time.Now()
+	if !now.After(deadline) {
+		return
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(now.Add(connectionGrace))
+	_ = controller.SetWriteDeadline(now.Add(connectionGrace))
+	if time.Since(deadline) >= connectionGrace {
+		w.Header().Set("Connection", "close")
 	}
 }
 
--- a/transport/entryhttp/late_answer_test.go
+++ b/transport/entryhttp/late_answer_test.go
@@ -44,3 +44,34 @@
 		})
 	}
 }
+
+// Guards against a request that is cancelled at once, because it comes on the connection of an answer that came later than the
+// connection may be read, which ends the context of all its requests.
+func TestRequestAfterALateAnswerIsNotCancelled(t *testing.T) {
+	const late = 1500 * time.Millisecond
+	d := &contextDispatcher{late: late}
+	server := startServerWith(t, d)
+	for range 2 {
+		response := request(t, server, "/a/", "", map[string]string{"X-Time": "100"})
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		_, err := io.Copy(io.Discard, response.Body) // so that the connection is used again
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, d.second, "the context of the second request")
+}
+
+// contextDispatcher answers the first request late, and records whether the context of the second has ended when it comes.
+type contextDispatcher struct {
+	late   time.Duration
+	calls  int
+	second error
+}
+
+func (d *contextDispatcher) Dispatch(ctx context.Context, req *caller.Request, _ *contract.Route) (*caller.Answer, error) {
+	if d.calls++; d.calls == 1 {
+		time.Sleep(time.Until(req.Deadline) + d.late)
+	} else {
+		d.second = ctx.Err()
+	}
+	return &caller.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("ok")), Length: 2}, nil
+}
