Reword comments and names that stopped a first reader

Comments of the era between nodes, of confirmations and of redirected updates say what is done in the order in which it happens, and names say what they hold: untilCall, recentOnlyUntil, droppedIdlePeriod, mayRetrySameNode, timeslices.

--- a/datacentre/confirmation.go
+++ b/datacentre/confirmation.go
@@ -9,9 +9,10 @@
 const (
 	// helpersPerRound is the number of other members asked in each round.
 	helpersPerRound = 7
-	// extraHelpers is the number of further members asked after a round with few confirmations, so that lost
-	// members that are asked by chance do not prevent the declaration of a failure.
-	extraHelpers            = 7
+	// extraHelpers is how many more members are asked after a round with few confirmations. Some of those asked
+	// may have failed as well.
+	extraHelpers = 7
+	// fewConfirmationsPercent is the share of confirmations below which a round counts as having few.
 	fewConfirmationsPercent = 60
 	// confirmationPercent is the share of the asked members that must confirm that the member is
 	// unresponsive. After the loss of 40 of 188 members 79 in 100 can answer: with more than half required
--- a/datacentre/contacts.go
+++ b/datacentre/contacts.go
@@ -45,8 +45,8 @@
 	era   store.EraStatus // in which the lease was obtained
 }
 
-// wait waits for d, or until the era of the contact ends and up to contactEraJitter longer. It reports false when ctx was done
-// first.
+// wait returns after d. When the era of the contact ends first, it returns up to contactEraJitter later. It reports false when
+// ctx was done first.
 func (e *contactEntry) wait(ctx context.Context, d time.Duration) bool {
 	if !e.held {
 		return wait.For(ctx, d)
--- a/datacentre/outbox.go
+++ b/datacentre/outbox.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// drain pushes the queued updates until the queue is empty or the peer has not answered pushAttempts times.
+// drain pushes the queued updates until the queue is empty, or pushAttempts pushes in a row have failed.
 func (o *outbox) drain(ctx context.Context, q *peerQueue) {
 	failures := 0
 	for {
@@ -201,8 +201,8 @@
 	}
 }
 
-// redirect passes the updates that a member has not acknowledged to the member that takes its place. Without it
-// a member is missed when all members that pass updates on to it fail together.
+// redirect passes the updates that a member has not acknowledged to the member that takes its place. Otherwise
+// a member would miss them when all members that pass updates on to it fail together.
 func (o *outbox) redirect(gone instance.Record) {
 	q, ok := o.queues.Get(gone.ID)
 	if !ok {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,18 +52,18 @@
 // call is the state of one request while it is dispatched. Only the dispatching goroutine changes its fields.
 type call struct {
 	*Dispatcher
-	req          *caller.Request
-	route        *contract.Route
-	startedAt    time.Time
-	estimate     *routeEstimate
-	budget       *caller.RetryBudget
-	triedNodes   []string        // nodes to which an attempt was sent, in order
-	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
-	ran          caller.RunState // Unknown once a failed attempt may have run
-	lastTarget   peer.Candidate
-	mayRepeat    bool            // the next attempt may go to the node of lastTarget again
-	retryReasons []string        // reasons of the failed attempts that were retried, for the log
-	lastRefusal  *caller.Refusal // the last refusal that was followed by a retry
+	req              *caller.Request
+	route            *contract.Route
+	startedAt        time.Time
+	estimate         *routeEstimate
+	budget           *caller.RetryBudget
+	triedNodes       []string        // nodes to which an attempt was sent, in order
+	reachedNodes     []string        // nodes whose upstream received an attempt or may have received one
+	ran              caller.RunState // Unknown once a failed attempt may have run
+	lastTarget       peer.Candidate
+	mayRetrySameNode bool            // the next attempt may go to the node of lastTarget again
+	retryReasons     []string        // reasons of the failed attempts that were retried, for the log
+	lastRefusal      *caller.Refusal // the last refusal that was followed by a retry
 	// exhausted is set when no other node can be tried.
 	exhausted  bool
 	retryAfter time.Duration // shortest delay that the retried refusals suggested for a resend, 0 for none
@@ -130,8 +130,8 @@
 // nextTarget returns the node for the next attempt: one that was not tried before, or the last one again if it may be
 // repeated and there is no other.
 func (c *call) nextTarget(ctx context.Context) (peer.Candidate, error) {
-	repeat := c.mayRepeat
-	c.mayRepeat = false
+	repeat := c.mayRetrySameNode
+	c.mayRetrySameNode = false
 	if repeat && !c.mayReachAnother() {
 		return c.lastTarget, nil
 	}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -46,7 +46,7 @@
 	}
 	metrics.CountRetry(refusal.Reason)
 	c.retryReasons = append(c.retryReasons, string(refusal.Reason))
-	c.lastRefusal, c.mayRepeat = refusal, mayRepeatAfter(refusal)
+	c.lastRefusal, c.mayRetrySameNode = refusal, mayRepeatAfter(refusal)
 	if refusal.RetryAfter > 0 && (c.retryAfter == 0 || refusal.RetryAfter < c.retryAfter) {
 		c.retryAfter = refusal.RetryAfter
 	}
--- a/sidecar/era.go
+++ b/sidecar/era.go
@@ -46,15 +46,16 @@
 	s.socket.SendStoreEra(s.roster.Addresses(maxEraRecipients), era)
 }
 
-// eraSchedule holds the time at which this node acts on a new era of the store. It is safe for concurrent use.
+// eraSchedule draws, once for each era, the time at which this node calls the store for it. It is safe for concurrent use.
 type eraSchedule struct {
 	mu  sync.Mutex
 	era store.Era
 	at  time.Time
 }
 
-// delay returns the time until this node acts on the era. The first call for an era draws it at random, up to spread.
-func (e *eraSchedule) delay(era store.Era, spread time.Duration) time.Duration {
+// untilCall returns the time until this node calls the store for the era. The first call for an era draws it at random, up to
+// spread.
+func (e *eraSchedule) untilCall(era store.Era, spread time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if era != e.era {
@@ -70,7 +71,7 @@
 
 // eraDelay returns the delay before this node checks its key in the present era of the store.
 func (s *Sidecar) eraDelay() time.Duration {
-	return s.eraSchedule.delay(s.storeClient.Era().Current, s.eraSpread())
+	return s.eraSchedule.untilCall(s.storeClient.Era().Current, s.eraSpread())
 }
 
 // isRegistered reports whether the store still has the key of this node under the lease.
--- a/sidecar/era_internal_test.go
+++ b/sidecar/era_internal_test.go
@@ -14,10 +14,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		const spread, era = time.Hour, 2
 		var schedule eraSchedule
-		first := schedule.delay(era, spread)
+		first := schedule.untilCall(era, spread)
 		assert.Assert(t, first > 0 && first < spread)
 		time.Sleep(first)
-		assert.Equal(t, schedule.delay(era, spread), time.Duration(0))
-		assert.Assert(t, schedule.delay(era+1, spread) > 0)
+		assert.Equal(t, schedule.untilCall(era, spread), time.Duration(0))
+		assert.Assert(t, schedule.untilCall(era+1, spread) > 0)
 	})
 }
--- a/sidecar/reported_era.go
+++ b/sidecar/reported_era.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// add adds a report unless its sender is distrusted. While one is pending, others are dropped: its check shows any new era.
+// add adds a report unless its sender is distrusted. While one is pending, others are dropped: the check of that one shows any
+// new era.
 func (r *eraReports) add(report eraReport) {
 	if r.isDistrusted(report.from) {
 		return
@@ -79,8 +80,8 @@
 	r.distrusted[node] = now.Add(eraDistrustTime)
 }
 
-// handlePeerEra has a later era that another node reports checked. A sender that has not reported its address is ignored: it
-// may be no node. So is any report while this node knows of no era.
+// handlePeerEra queues a check of a later era that another node reports. It ignores senders that have not sent a status, which
+// may be no nodes, and all reports while no era is known.
 func (s *Sidecar) handlePeerEra(era store.Era, from netip.AddrPort) {
 	current := s.storeClient.Era().Current
 	if current == 0 || era <= current || s.roster.ForwardAddress(from) == "" {
@@ -107,7 +108,7 @@
 // all nodes are spread, and none is needed when another answer shows a new era in the meantime.
 func (s *Sidecar) checkReportedEra(ctx context.Context, client *store.Client, report eraReport) {
 	era := client.Era()
-	timer := time.NewTimer(s.eraSchedule.delay(report.era, s.eraSpread()))
+	timer := time.NewTimer(s.eraSchedule.untilCall(report.era, s.eraSpread()))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -29,7 +29,7 @@
 	crashingRequestShare  = 0.4
 	crashingRequestStream = 1 << 20
 	// storeRestoredShare is the share of runs in which the store returns from an older copy. It is drawn from its own random
-	// stream, storeRestoredStream, which draws none for the regression seeds.
+	// stream, storeRestoredStream, whose draws give the regression seeds no such fault.
 	storeRestoredShare  = 0.5
 	storeRestoredStream = 1 << 24
 	// faultsPerSecond is the mean number of faults that begin in a second.
--- a/soak/scheduling_test.go
+++ b/soak/scheduling_test.go
@@ -40,8 +40,8 @@
 
 // schedStat is the content of a thread's schedstat file.
 type schedStat struct {
-	waited time.Duration // total time of waits for a processor
-	slices int64         // how often it began to run
+	waited     time.Duration // total time of waits for a processor
+	timeslices int64         // how often it began to run
 }
 
 // threadWaits records the waits of the threads of some processes. They tell a node that the machine did not run from one
@@ -64,7 +64,7 @@
 		}
 		var ran int64
 		var now schedStat
-		if _, err := fmt.Sscan(string(text), &ran, &now.waited, &now.slices); err != nil {
+		if _, err := fmt.Sscan(string(text), &ran, &now.waited, &now.timeslices); err != nil {
 			continue
 		}
 		if before, ok := w.last[thread]; ok {
@@ -77,7 +77,7 @@
 // compare records a wait if the thread waited longer than minStall each time since the sample before.
 func (w *threadWaits) compare(t threadWait, before, now schedStat) {
 	waited := now.waited - before.waited
-	if times := now.slices - before.slices; times <= 0 || waited < time.Duration(times)*minStall {
+	if times := now.timeslices - before.timeslices; times <= 0 || waited < time.Duration(times)*minStall {
 		return
 	}
 	t.to = time.Now()
@@ -171,13 +171,13 @@
 		now      schedStat
 		recorded int
 	}{
-		{"one long wait", schedStat{waited: 900 * time.Millisecond, slices: 12}, 1},
-		{"many short waits", schedStat{waited: 900 * time.Millisecond, slices: 200}, 0},
-		{"did not run", schedStat{waited: 100 * time.Millisecond, slices: 10}, 0},
+		{"one long wait", schedStat{waited: 900 * time.Millisecond, timeslices: 12}, 1},
+		{"many short waits", schedStat{waited: 900 * time.Millisecond, timeslices: 200}, 0},
+		{"did not run", schedStat{waited: 100 * time.Millisecond, timeslices: 10}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := &threadWaits{}
-			w.compare(threadWait{}, schedStat{waited: 100 * time.Millisecond, slices: 10}, c.now)
+			w.compare(threadWait{}, schedStat{waited: 100 * time.Millisecond, timeslices: 10}, c.now)
 			assert.Equal(t, len(w.waits), c.recorded)
 		})
 	}
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -25,7 +25,8 @@
 	MaxDelay time.Duration
 	// Wake ends a delay early, because another process has reached the store. It may be nil.
 	Wake <-chan struct{}
-	// Changed ends a delay early, because the era of the store has changed, so that an answer has come. It may be nil.
+	// Changed ends a delay early. It is closed when an answer of the store shows a new era, so the store answers again. It may
+	// be nil.
 	Changed <-chan struct{}
 
 	limit time.Duration
--- a/store/within.go
+++ b/store/within.go
@@ -2,8 +2,8 @@
 
 import "context"
 
-// Within returns a view of s for calls that name a revision or a lease of the era: one that was read or obtained after the
-// status. Once the era has ended, Swap, Delete, RenewLease and RevokeLease return ErrEraEnded and are not sent. A write that is
+// Within returns a view of s that is bound to an era, for calls that name a revision or a lease which was obtained after era
+// was read. Once the era has ended, Swap, Delete, RenewLease and RevokeLease return ErrEraEnded and are not sent. A write that is
 // confirmed after the end of the era returns ErrUncertain: its condition may have compared revisions of two eras, or the store
 // may have lost it. A view of a Client shares its rate limit, and a call checks the era after the wait for it.
 func Within(s Store, era EraStatus) Store {
--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -26,8 +26,8 @@
 	// idleTimeoutMargin is how long before the end of the upstream's idle timeout a connection is no longer reused, so that
 	// no request is sent while the upstream closes the connection.
 	idleTimeoutMargin = time.Second
-	// droppedIdleMemory is how long after the loss of an idle connection only recently used ones are reused.
-	droppedIdleMemory = 30 * time.Second
+	// droppedIdlePeriod is how long after the loss of an idle connection only recently used ones are reused.
+	droppedIdlePeriod = 30 * time.Second
 	// maxIdleConns is the maximum number of idle connections to one upstream.
 	maxIdleConns = 64
 	// userTimeout is how long a request may stay unacknowledged before the kernel closes the connection.
@@ -54,14 +54,14 @@
 
 // pool holds the idle connections by address, most recently used last.
 type pool struct {
-	mu             sync.Mutex
-	idle           map[string][]*pooledConn
-	shortIdleUntil map[string]time.Time // by address, the time until which only recently used connections are reused
-	closed         bool
+	mu              sync.Mutex
+	idle            map[string][]*pooledConn
+	recentOnlyUntil map[string]time.Time // by address, the time until which only recently used connections are reused
+	closed          bool
 }
 
 func newPool() pool {
-	return pool{idle: make(map[string][]*pooledConn), shortIdleUntil: make(map[string]time.Time)}
+	return pool{idle: make(map[string][]*pooledConn), recentOnlyUntil: make(map[string]time.Time)}
 }
 
 // get removes an idle connection that was last used within maxIdleTime from the pool and returns it, nil when there is
@@ -100,7 +100,7 @@
 func (p *pool) dropsIdle(addr string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Before(p.shortIdleUntil[addr])
+	return now.Before(p.recentOnlyUntil[addr])
 }
 
 // observeDroppedIdle records that the upstream at addr had dropped an idle connection. It has probably dropped the others
@@ -108,7 +108,7 @@
 func (p *pool) observeDroppedIdle(addr string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.shortIdleUntil[addr] = now.Add(droppedIdleMemory)
+	p.recentOnlyUntil[addr] = now.Add(droppedIdlePeriod)
 }
 
 func (p *pool) put(addr string, conn *pooledConn) {
@@ -134,9 +134,9 @@
 		}
 		delete(p.idle, other)
 	}
-	for other := range p.shortIdleUntil {
+	for other := range p.recentOnlyUntil {
 		if other != addr {
-			delete(p.shortIdleUntil, other)
+			delete(p.recentOnlyUntil, other)
 		}
 	}
 }
