logs: check the order of lines in virtual time

Cause: Close waits for at most 200 ms for the last lines, as it says, and a test process that the machine does not run for that long loses them.

Change: the test runs in virtual time, which passes only while all its goroutines wait. The check is the same, and the limit of Close stays.

--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -31,15 +32,18 @@
 	return b.all.String()
 }
 
-// Guards against lines that are lost by Close or written out of order.
+// Guards against lines that are lost by Close or written out of order. It runs in virtual time, since Close waits for a limited
+// time.
 func TestLinesAreWrittenInOrder(t *testing.T) {
-	var out lockedBuffer
-	w := logs.NewWriter(&out, logs.DefaultBufferSize)
-	for _, line := range []string{"a\n", "b\n", "c\n"} {
-		_, _ = w.Write([]byte(line))
-	}
-	w.Close()
-	assert.Equal(t, out.String(), "a\nb\nc\n")
+	synctest.Test(t, func(t *testing.T) {
+		var out lockedBuffer
+		w := logs.NewWriter(&out, logs.DefaultBufferSize)
+		for _, line := range []string{"a\n", "b\n", "c\n"} {
+			_, _ = w.Write([]byte(line))
+		}
+		w.Close()
+		assert.Equal(t, out.String(), "a\nb\nc\n")
+	})
 }
 
 // Guards against a Write that blocks when the output is not read, and against a buffer that then grows without bound.
