callerhttp: deliver answers that come later than the write deadline

What callers could see: a connection that closes without an answer, as at the listener of entryhttp before, when a node that was suspended has the outcome more than a second after the deadline of the request.

Cause: the same. The write deadline of the connection was set once, at the arrival of the request.

Change: the deadlines of connections move to transport, where the three servers had them alike, and both front ends extend them for a late outcome.

Measured: TestLateAnswersAreDelivered of callerhttp failed before in both cases (EOF) and passes now, 1 run; the tests of entryhttp, peerhttp and node pass.

--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -19,9 +19,6 @@
 
 const acceptStep = "accept"
 
-// connectionGrace is the time that the connection may still be read and written after the deadline of a request.
-const connectionGrace = time.Second
-
 // maxKeyLength is the largest length of an idempotency key, in bytes.
 const maxKeyLength = 128
 
@@ -55,6 +52,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req)
+	transport.ExtendConnDeadlines(w, req.Deadline)
 	if err != nil {
 		refuse(w, body, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
@@ -114,10 +112,7 @@
 // prepare sets the fingerprint of the request, for which it reads a short body, and the deadlines of the
 // connection, so that a caller that stops sending or reading is disconnected after the deadline.
 func prepare(w http.ResponseWriter, req *caller.Request) *caller.Refusal {
-	controller := http.NewResponseController(w)
-	connDeadline := req.Deadline.Add(connectionGrace)
-	_ = controller.SetReadDeadline(connDeadline)
-	_ = controller.SetWriteDeadline(connDeadline)
+	transport.SetConnDeadlines(w, req.Deadline)
 	var shortBody []byte
 	if length := req.Body.Length(); length >= 0 && length <= caller.MaxFingerprintBody {
 		buffered, err := req.Body.Buffer()
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -28,9 +28,6 @@
 	startupRetryAfter = 200 * time.Millisecond
 	// defaultRetryAfter is the delay before a retry when the refusal sets none.
 	defaultRetryAfter = 100 * time.Millisecond
-	// connectionGrace is the time that the connection may still be read and written after the deadline of a request, and
-	// after a late outcome.
-	connectionGrace = time.Second
 )
 
 // Dispatcher sends a request to an upstream and returns its answer. The error is a *caller.Refusal.
@@ -61,7 +58,7 @@
 	defer cancel()
 	answer, err := h.Dispatcher.Dispatch(ctx, req, route)
 	metrics.Histogram("magnoliawharf_request_seconds", "route", route.Name).UpdateDuration(start)
-	extendDeadlines(w, req.Deadline)
+	transport.ExtendConnDeadlines(w, req.Deadline)
 	if err != nil {
 		refuse(w, body, caller.AsRefusal(err, caller.PeerLost, acceptStep))
 		return
@@ -75,22 +72,6 @@
 	}
 }
 
-// extendDeadlines lets the answer be written although the deadline of the request has passed, as it has when the node was
-// suspended. When the connection could no longer be read, the context of later requests on it has ended as well, so that it is
-// closed after the answer.
-func extendDeadlines(w http.ResponseWriter, deadline time.Time) {
-	now := time.Now()
-	if !now.After(deadline) {
-		return
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(now.Add(connectionGrace))
-	_ = controller.SetWriteDeadline(now.Add(connectionGrace))
-	if time.Since(deadline) >= connectionGrace {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // interruptBody ends reads of the request's body when the context of the request ends, so that a request which the server has
 // cancelled is answered although its body is incomplete. stop ends this.
 func interruptBody(w http.ResponseWriter, r *http.Request) (stop func() bool) {
@@ -117,9 +98,7 @@
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	deadline := now.Add(h.timeLimit(r, route))
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(deadline.Add(connectionGrace))
-	_ = controller.SetWriteDeadline(deadline.Add(connectionGrace))
+	transport.SetConnDeadlines(w, deadline)
 	body, fingerprinted, refusal := bufferBody(r)
 	if refusal != nil {
 		return nil, nil, refusal
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -12,11 +12,7 @@
 	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
-const (
-	receiveStep = "receive forward"
-	// connectionGrace is the time that the connection may still be read and written after the deadline of a request.
-	connectionGrace = time.Second
-)
+const receiveStep = "receive forward"
 
 // UpstreamProxy serves forwarded requests at the node beside the upstream.
 type UpstreamProxy interface {
@@ -53,9 +49,7 @@
 	s.exchangeVersions(w, call)
 	received := time.Now()
 	deadline := received.Add(call.timeLeft)
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(deadline.Add(connectionGrace))
-	_ = controller.SetWriteDeadline(deadline.Add(connectionGrace))
+	transport.SetConnDeadlines(w, deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	req := requestOf(r, call, deadline)
