soak: don't widen the bound of GONE by waits of nodes

Cause: widened this bound by waits for a processor of the test and of the two nodes on a request's path, but its one trace shows a thread of the test. For nodes the check had become easier without a trace.

Change: only waits of the test widen it. The bound of the forwarded time limit, for which nodes were traced, stays as it was.

--- a/soak/scheduling_test.go
+++ b/soak/scheduling_test.go
@@ -184,12 +184,13 @@
 }
 
 // Guards against violations of nodes whose threads were ready and got no processor from the machine, as at a load of eight
-// times the processors, and against bounds that are widened by nodes which the request did not pass.
+// times the processors, against bounds that are widened by nodes which the request did not pass, and against a late arrival after
+// the caller gave up that is excused by a wait of a node.
 func TestWaitsOnThePathWidenBounds(t *testing.T) {
 	for _, c := range []struct {
 		waiting    string
-		violations int
-	}{{"m1", 0}, {"m2", 0}, {testProcess, 0}, {"m3", 2}} {
+		violations []string
+	}{{"m1", []string{"GONE"}}, {"m2", []string{"GONE"}}, {testProcess, nil}, {"m3", []string{"BUDGET", "GONE"}}} {
 		t.Run(c.waiting, func(t *testing.T) {
 			sent := time.Now().Add(-time.Minute)
 			arrived := sent.Add(800 * time.Millisecond)
@@ -200,8 +201,13 @@
 			}
 			r := &request{id: "1", machine: 1, sent: sent, limit: requestLimit, ended: arrived, abandoned: sent.Add(time.Millisecond)}
 			o.checkArrival(r, standin.ReceivedRequest{At: arrived, Instance: "m2-1", TimeLeft: requestLimit}, true)
-			assert.Equal(t, len(o.violations), c.violations, "%q", o.violations)
-			assert.Equal(t, o.notRun(sent, arrived, 1, 2) == 700*time.Millisecond, c.violations == 0)
+			var signs []string
+			for _, violation := range o.violations {
+				sign, _, _ := strings.Cut(violation, ":")
+				signs = append(signs, sign)
+			}
+			assert.DeepEqual(t, signs, c.violations)
+			assert.Equal(t, o.notRun(sent, arrived, 1, 2) == 700*time.Millisecond, c.waiting != "m3")
 		})
 	}
 }
