idempotency: requests of a later epoch make a member read the record

Callers saw: every request with an idempotency key of a service was refused for good, until a node was restarted.

Cause: the only member of a group stopped as planned, wrote the epoch with its successor, did not get the store's answer and ended, so that nobody informed the successor. The node first in rank outside the group read that record, took the successor for a live member and left the group alone. The successor was not first in rank and did not read the store. Grants and seals of a later epoch make a node read the record; claims and settlements, the only messages that still reached the successor, did not.

Change: a claim or settlement that is refused because of the owner makes the node read the record if the sender knows a later epoch, at most once a second, as grants and seals do. The simulation schedules the node's timer after these messages, as the keeper does now.

Before: TestRequestOfLaterEpochReadsRecord failed in 4 of 6 cases and TestGroupServesAfterUnansweredStop failed; now both pass.

--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -2,9 +2,18 @@
 
 import "maps"
 
-// Claim answers an entry node that asks to run a key. The lock keeps the epoch from changing while
-// the table is used, so that a later hand-over contains what was granted.
+// Claim answers an entry node that asks to run a key.
 func (g *Group) Claim(now Instant, r ClaimRequest) ClaimReply {
+	reply := g.claim(now, r)
+	if reply.Verdict == NotOwner {
+		g.readIfBehind(now, r.Epoch)
+	}
+	return reply
+}
+
+// claim decides on a claim. The lock keeps the epoch from changing while the table is used, so that a
+// later hand-over contains what was granted.
+func (g *Group) claim(now Instant, r ClaimRequest) ClaimReply {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	if reply, ok := g.notOwner(r.To, r.Key); ok {
@@ -27,6 +36,14 @@
 // Settle records the outcome of an attempt. It needs no lease: it never frees a key that this member
 // could not grant anyway. The settlement of a key that moved must go to the new owner.
 func (g *Group) Settle(now Instant, r SettleRequest) SettleReply {
+	reply := g.settle(now, r)
+	if !reply.Accepted {
+		g.readIfBehind(now, r.Epoch)
+	}
+	return reply
+}
+
+func (g *Group) settle(now Instant, r SettleRequest) SettleReply {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	if group, ok := g.notOwner(r.To, r.Key); ok {
@@ -36,6 +53,16 @@
 	return SettleReply{Accepted: true}
 }
 
+// readIfBehind schedules a read of the store when an entry node knows a later epoch. The member that
+// wrote that epoch may have ended before it informed the new members; only such requests then reach them.
+func (g *Group) readIfBehind(now Instant, epoch uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.record == nil || epoch > g.record.Epoch {
+		g.readSoon(now)
+	}
+}
+
 // notOwner reports whether this incarnation of the node does not own the key, and returns the record
 // that names the owner.
 func (g *Group) notOwner(to Identity, key Key) (*Record, bool) {
--- a/idempotency/oracle_test.go
+++ b/idempotency/oracle_test.go
@@ -116,7 +116,10 @@
 		Service: "s", Epoch: e.record.Epoch, To: owner.Identity, Key: c.key, Attempt: c.attempt, TimeLeft: 10 * time.Second,
 	}
 	sim.toNode(&e.simProcess, owner, func(to *simNode) {
-		sendMessage(sim, &e.simProcess, &to.simProcess, func() ClaimReply { return to.group.Claim(to.instant(), request) },
+		sendMessage(sim, &e.simProcess, &to.simProcess, func() ClaimReply {
+			defer to.schedule()
+			return to.group.Claim(to.instant(), request)
+		},
 			func(r ClaimReply) { c.claimed(r, served) })
 	})
 	if sim.now-c.started > 500*time.Millisecond {
@@ -216,7 +219,10 @@
 		Service: "s", Epoch: e.record.Epoch, To: owner.Identity, Key: c.key, Attempt: c.attempt, Outcome: outcome, Answer: answer,
 	}
 	sim.toNode(&e.simProcess, owner, func(to *simNode) {
-		sendMessage(sim, &e.simProcess, &to.simProcess, func() SettleReply { return to.group.Settle(to.instant(), request) },
+		sendMessage(sim, &e.simProcess, &to.simProcess, func() SettleReply {
+			defer to.schedule()
+			return to.group.Settle(to.instant(), request)
+		},
 			func(r SettleReply) {
 				c.resolved = c.resolved || r.Accepted
 				e.cacheIfNewer(r.Group)
--- a/idempotency/serve.go
+++ b/idempotency/serve.go
@@ -10,7 +10,11 @@
 	if !ok {
 		return ClaimReply{Verdict: NotOwner}
 	}
-	return s.group.Claim(k.clock.Now(), r)
+	reply := s.group.Claim(k.clock.Now(), r)
+	if reply.Verdict == NotOwner {
+		s.resetTimer()
+	}
+	return reply
 }
 
 // Settle answers an entry node.
@@ -19,7 +23,11 @@
 	if !ok {
 		return SettleReply{}
 	}
-	return s.group.Settle(k.clock.Now(), r)
+	reply := s.group.Settle(k.clock.Now(), r)
+	if !reply.Accepted {
+		s.resetTimer()
+	}
+	return reply
 }
 
 // Grant answers a member.
