entry: keep a failed answer until a node is chosen for the retry

What callers saw: an idempotent request that the only upstream of its service answered with 500 ended as "no upstream, unknown" (502); after an earlier refusal it ended with that refusal. The answer of the upstream was lost.

Cause: the answer was closed, and the retry budget charged, before another node was known. The budget was charged in the same way for a retry after a lost upstream, so that retries of other requests were withheld for attempts that nobody sent.

Now the node for a retry is chosen first; without one the answer, or the refusal, of the last attempt is the outcome and the token goes back to the budget. The same holds when the request ends while a node is chosen. A retry is counted and logged only when it is sent.

--- a/caller/budget.go
+++ b/caller/budget.go
@@ -67,3 +67,10 @@
 	b.tokens--
 	return true
 }
+
+// Refund returns the token of a retry or hedge that was not sent.
+func (b *RetryBudget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.capacity(), b.tokens+1)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,21 +52,17 @@
 // call is the state of one request while it is dispatched. Only the dispatching goroutine changes its fields.
 type call struct {
 	*Dispatcher
-	req              *caller.Request
-	route            *contract.Route
-	startedAt        time.Time
-	estimate         *routeEstimate
-	budget           *caller.RetryBudget
-	triedNodes       []string        // nodes to which an attempt was sent, in order
-	reachedNodes     []string        // nodes whose upstream received an attempt or may have received one
-	ran              caller.RunState // Unknown once a failed attempt may have run
-	lastTarget       peer.Candidate
-	mayRetrySameNode bool            // the next attempt may go to the node of lastTarget again
-	retryReasons     []string        // reasons of the failed attempts that were retried, for the log
-	lastRefusal      *caller.Refusal // the last refusal that was followed by a retry
-	// exhausted is set when no other node can be tried.
-	exhausted  bool
-	retryAfter time.Duration // shortest delay that the retried refusals suggested for a resend, 0 for none
+	req          *caller.Request
+	route        *contract.Route
+	startedAt    time.Time
+	estimate     *routeEstimate
+	budget       *caller.RetryBudget
+	triedNodes   []string        // nodes to which an attempt was sent, in order
+	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
+	ran          caller.RunState // Unknown once a failed attempt may have run
+	lastTarget   peer.Candidate
+	retryReasons []string      // reasons of the failed attempts that were retried, for the log
+	retryAfter   time.Duration // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
 }
 
 // New returns a dispatcher with the exported fields of e and without estimates.
@@ -100,48 +96,33 @@
 	return answer, nil
 }
 
-// run sends attempts until an answer is accepted or no retry is allowed.
+// run sends attempts until an answer is accepted, no retry is allowed or no other node is left.
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
+	chosen, err := c.choose(ctx)
+	if err != nil {
+		return nil, c.noUpstream(ctx)
+	}
 	for {
-		answer, refusal := c.try(ctx)
-		if refusal == nil && !c.prepareRetryOfAnswer(ctx, answer) {
-			return answer, nil
+		answer, refusal := c.try(ctx, chosen)
+		next, retry := c.retryTarget(ctx, answer, refusal)
+		if !retry {
+			return answer, c.finalRefusal(refusal)
 		}
-		if refusal != nil && (c.exhausted || !c.prepareRetry(ctx, refusal)) {
-			return nil, c.finalRefusal(refusal)
+		if answer != nil {
+			_ = answer.Body.Close()
 		}
+		chosen = next
 	}
 }
 
-// try chooses a node and sends the request to its upstream, hedged by a second attempt when the request qualifies for
-// one.
-func (c *call) try(ctx context.Context) (*caller.Answer, *caller.Refusal) {
-	chosen, err := c.nextTarget(ctx)
-	if err != nil {
-		c.exhausted = true
-		return nil, c.noUpstream(ctx)
-	}
+// try sends the request to the upstream of the node, hedged by a second attempt when the request qualifies for one.
+func (c *call) try(ctx context.Context, chosen peer.Candidate) (*caller.Answer, *caller.Refusal) {
 	if delay := c.hedgeDelay(); delay > 0 {
 		return c.sendHedged(ctx, chosen, delay)
 	}
 	return c.recordOutcome(c.attempt(ctx, chosen))
 }
 
-// nextTarget returns the node for the next attempt: one that was not tried before, or the last one again if it may be
-// repeated and there is no other.
-func (c *call) nextTarget(ctx context.Context) (peer.Candidate, error) {
-	repeat := c.mayRetrySameNode
-	c.mayRetrySameNode = false
-	if repeat && !c.mayReachAnother() {
-		return c.lastTarget, nil
-	}
-	chosen, err := c.choose(ctx)
-	if err != nil && repeat {
-		return c.lastTarget, nil
-	}
-	return chosen, err
-}
-
 // choose picks a node that was not tried before.
 func (c *call) choose(ctx context.Context) (peer.Candidate, error) {
 	serviceTime, bytes := c.estimate.get()
@@ -226,15 +207,12 @@
 	return slices.Contains(c.triedNodes, p.Status().Node)
 }
 
-// noUpstream returns the refusal of a request for which no upstream is left: the last one of a node if there is one. A
-// resend may succeed soon, for example once the replacement of an upstream has started.
+// noUpstream returns the refusal of a request for which there is no upstream. A resend may succeed soon, for example once
+// the replacement of an upstream has started.
 func (c *call) noUpstream(ctx context.Context) *caller.Refusal {
 	if ctx.Err() != nil {
 		return caller.Refuse(contextReason(ctx), dispatchStep, "")
 	}
-	if c.lastRefusal != nil {
-		return c.lastRefusal
-	}
 	refusal := caller.Refuse(caller.NoUpstream, dispatchStep, c.req.Service)
 	refusal.RetryAfter = noUpstreamRetryAfter
 	return refusal
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -75,7 +75,11 @@
 	if body == nil {
 		body = strings.NewReader("ok")
 	}
-	return &caller.Answer{Status: next.status, Body: io.NopCloser(body), Length: -1, Waited: next.waited}, nil, nil
+	closer, ok := body.(io.ReadCloser)
+	if !ok {
+		closer = io.NopCloser(body)
+	}
+	return &caller.Answer{Status: next.status, Body: closer, Length: -1, Waited: next.waited}, nil, nil
 }
 
 // count returns the number of attempts that ended with the reason.
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -8,6 +8,7 @@
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/peer"
 )
 
 const (
@@ -35,39 +36,87 @@
 	caller.UpstreamRejected: true, caller.UpstreamLost: true, caller.KeptConnectionLost: true, caller.PeerLost: true, caller.AnswerMismatch: true, caller.BodyCut: true,
 }
 
-// prepareRetry reports whether the request is retried after the refusal. If so, it charges the budget and records the
-// reason.
-func (c *call) prepareRetry(ctx context.Context, refusal *caller.Refusal) bool {
-	if refusal.Ran != caller.NotRun {
+// retryTarget returns the node at which the request is retried after an attempt, and false when it is not retried. The budget
+// is charged only when there is a node for the retry.
+func (c *call) retryTarget(ctx context.Context, answer *caller.Answer, refusal *caller.Refusal) (peer.Candidate, bool) {
+	if !c.retryAllowed(ctx, answer, refusal) {
+		return peer.Candidate{}, false
+	}
+	charged := refusal == nil || budgetedRetryReasons[refusal.Reason]
+	if charged && !c.spendBudget() {
+		return peer.Candidate{}, false
+	}
+	c.recordRetryAfter(refusal)
+	chosen, err := c.nextTarget(ctx, refusal)
+	if err != nil || ctx.Err() != nil {
+		if charged {
+			c.budget.Refund()
+		}
+		return peer.Candidate{}, false
+	}
+	c.recordRetry(answer, refusal)
+	return chosen, true
+}
+
+// nextTarget returns the node for a retry: one that was not tried before, or the last one again if it may be repeated and
+// there is no other.
+func (c *call) nextTarget(ctx context.Context, refusal *caller.Refusal) (peer.Candidate, error) {
+	repeat := mayRepeatAfter(refusal)
+	if repeat && !c.mayReachAnother() {
+		return c.lastTarget, nil
+	}
+	chosen, err := c.choose(ctx)
+	if err != nil && repeat {
+		return c.lastTarget, nil
+	}
+	return chosen, err
+}
+
+// recordRetry records the reason of a retry, and that the attempt before it may have run.
+func (c *call) recordRetry(answer *caller.Answer, refusal *caller.Refusal) {
+	if refusal == nil {
 		c.ran = caller.Unknown
+		metrics.CountRetry(caller.UpstreamLost)
+		c.retryReasons = append(c.retryReasons, strconv.Itoa(answer.Status))
+		return
 	}
-	if !c.retryAllowed(ctx, refusal) || (budgetedRetryReasons[refusal.Reason] && !c.spendBudget()) {
-		return false
+	if refusal.Ran != caller.NotRun {
+		c.ran = caller.Unknown
 	}
 	metrics.CountRetry(refusal.Reason)
 	c.retryReasons = append(c.retryReasons, string(refusal.Reason))
-	c.lastRefusal, c.mayRetrySameNode = refusal, mayRepeatAfter(refusal)
-	if refusal.RetryAfter > 0 && (c.retryAfter == 0 || refusal.RetryAfter < c.retryAfter) {
+}
+
+// recordRetryAfter records the delay that the refusal, which may be nil, suggests for a resend.
+func (c *call) recordRetryAfter(refusal *caller.Refusal) {
+	if refusal != nil && refusal.RetryAfter > 0 && (c.retryAfter == 0 || refusal.RetryAfter < c.retryAfter) {
 		c.retryAfter = refusal.RetryAfter
 	}
-	return true
 }
 
-// retryAllowed reports whether the reason, the rule of the route and the limits allow a retry, whatever the budget.
-func (c *call) retryAllowed(ctx context.Context, refusal *caller.Refusal) bool {
-	allowed := freeRetryReasons[refusal.Reason] || budgetedRetryReasons[refusal.Reason]
-	if !allowed || ctx.Err() != nil || len(c.triedNodes) >= maxNodesTried || !c.req.Body.Replayable() {
+// retryAllowed reports whether the outcome of the attempt, the rule of the route and the limits allow a retry, whatever the
+// budget.
+func (c *call) retryAllowed(ctx context.Context, answer *caller.Answer, refusal *caller.Refusal) bool {
+	if ctx.Err() != nil || len(c.triedNodes) >= maxNodesTried || !c.req.Body.Replayable() || !c.hasTimeLeft() {
+		return false
+	}
+	if refusal == nil {
+		return answer.Failed() && c.route.Rule == bundle.Idempotent && c.mayReachAnother()
+	}
+	if !freeRetryReasons[refusal.Reason] && !budgetedRetryReasons[refusal.Reason] {
 		return false
 	}
 	if refusal.Ran != caller.NotRun && c.route.Rule != bundle.Idempotent {
 		return false
 	}
-	return (c.mayReachAnother() || mayRepeatAfter(refusal)) && c.hasTimeLeft()
+	return c.mayReachAnother() || mayRepeatAfter(refusal)
 }
 
 // mayRepeatAfter reports whether the request may be sent again to the upstream at which it failed: that may only have
-// closed an idle connection before the request arrived.
-func mayRepeatAfter(refusal *caller.Refusal) bool { return refusal.Reason == caller.KeptConnectionLost }
+// closed an idle connection before the request arrived. The refusal is nil after an answer.
+func mayRepeatAfter(refusal *caller.Refusal) bool {
+	return refusal != nil && refusal.Reason == caller.KeptConnectionLost
+}
 
 // mayReachAnother reports whether the route allows an attempt at another upstream.
 func (c *call) mayReachAnother() bool { return len(c.reachedNodes) < c.route.MaxAttempts }
@@ -87,25 +136,12 @@
 	return false
 }
 
-// prepareRetryOfAnswer reports whether the request is retried at another upstream after an answer that reports a failure.
-// If so, it charges the budget and closes the answer.
-func (c *call) prepareRetryOfAnswer(ctx context.Context, answer *caller.Answer) bool {
-	if !answer.Failed() || c.route.Rule != bundle.Idempotent || !c.mayReachAnother() {
-		return false
-	}
-	if ctx.Err() != nil || len(c.triedNodes) >= maxNodesTried || !c.req.Body.Replayable() || !c.hasTimeLeft() || !c.spendBudget() {
-		return false
-	}
-	_ = answer.Body.Close()
-	c.ran = caller.Unknown
-	metrics.CountRetry(caller.UpstreamLost)
-	c.retryReasons = append(c.retryReasons, strconv.Itoa(answer.Status))
-	return true
-}
-
 // finalRefusal returns the refusal for the caller. It says not-run only when that holds for every attempt, and suggests
-// the shortest delay of the retried refusals if they suggested any.
+// the shortest delay of the refusals that allowed a retry if they suggested any. It returns nil for nil.
 func (c *call) finalRefusal(refusal *caller.Refusal) *caller.Refusal {
+	if refusal == nil {
+		return nil
+	}
 	final := *refusal
 	if c.ran == caller.Unknown {
 		final.Ran = caller.Unknown
