entry: return an earlier answer when the retry or hedge after it fails

What callers saw: an idempotent request that one upstream answered with a 5xx ended as a refusal (502 or 504) when the retry or the hedge that followed was refused, lost or late, and when the first attempt was lost after the hedge had been answered.

A complete answer that reports a failure is now kept until a later attempt is answered. One that is longer than the part that is read ahead still occupies its upstream and ends with the context, so it is closed as before. The context of a hedged attempt ends as soon as its whole answer is read.

--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -24,7 +24,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		_ = answer.Body.Close()
-		answer.Body = io.NopCloser(&buffered)
+		answer.Body = &bufferedBody{buffered}
 		if answer.Length < 0 {
 			answer.Length = n
 		}
@@ -41,6 +41,19 @@
 	return nil
 }
 
+// isComplete reports whether the whole body of the answer was read ahead. It then needs neither the upstream nor the context
+// of the request any more.
+func isComplete(answer *caller.Answer) bool {
+	_, ok := answer.Body.(*bufferedBody)
+	return ok
+}
+
+// bufferedBody is a body that was read ahead as a whole.
+type bufferedBody struct{ bytes.Buffer }
+
+// Close implements io.Closer.
+func (*bufferedBody) Close() error { return nil }
+
 // partlyBufferedBody is a body whose beginning was read ahead.
 type partlyBufferedBody struct {
 	io.Reader
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,8 +61,9 @@
 	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
 	ran          caller.RunState // Unknown once a failed attempt may have run
 	lastTarget   peer.Candidate
-	retryReasons []string      // reasons of the failed attempts that were retried, for the log
-	retryAfter   time.Duration // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
+	retryReasons []string       // reasons of the failed attempts that were retried, for the log
+	failedAnswer *caller.Answer // the last complete answer that reports a failure and was followed by another attempt
+	retryAfter   time.Duration  // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
 }
 
 // New returns a dispatcher with the exported fields of e and without estimates.
@@ -106,15 +107,36 @@
 		answer, refusal := c.try(ctx, chosen)
 		next, retry := c.retryTarget(ctx, answer, refusal)
 		if !retry {
-			return answer, c.finalRefusal(refusal)
-		}
-		if answer != nil {
-			_ = answer.Body.Close()
+			return c.finalOutcome(answer, refusal)
 		}
+		c.keepFailed(answer)
 		chosen = next
 	}
 }
 
+// keepFailed keeps an answer that reports a failure, for the case that no later attempt is answered. One whose body is still
+// arriving occupies the upstream and is closed. The answer is nil after a refusal.
+func (c *call) keepFailed(answer *caller.Answer) {
+	switch {
+	case answer == nil:
+	case isComplete(answer):
+		c.failedAnswer = answer
+	default:
+		_ = answer.Body.Close()
+	}
+}
+
+// finalOutcome returns the outcome of the call: that of its last attempt, or an earlier answer if the last attempt has none.
+func (c *call) finalOutcome(answer *caller.Answer, refusal *caller.Refusal) (*caller.Answer, *caller.Refusal) {
+	switch {
+	case refusal == nil:
+		return answer, nil
+	case c.failedAnswer != nil:
+		return c.failedAnswer, nil
+	}
+	return nil, c.finalRefusal(refusal)
+}
+
 // try sends the request to the upstream of the node, hedged by a second attempt when the request qualifies for one.
 func (c *call) try(ctx context.Context, chosen peer.Candidate) (*caller.Answer, *caller.Refusal) {
 	if delay := c.hedgeDelay(); delay > 0 {
--- a/entry/no_other_node_test.go
+++ b/entry/failed_answer_test.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -101,3 +103,53 @@
 		assert.Equal(t, tokensLeft(budget), budgetTokens)
 	})
 }
+
+// Guards against an upstream's answer that is lost because the retry or the hedge after it is refused.
+func TestFailedAnswerIsReturnedWhenTheLaterAttemptIsRefused(t *testing.T) {
+	failed := outcome{status: 500, ran: true}
+	tests := map[string][]outcome{
+		"refused":                       {failed, refused(caller.Draining)},
+		"lost":                          {failed, lost(caller.UpstreamLost)},
+		"hedge lost":                    {{status: 500, ran: true, after: 300 * time.Millisecond}, {refusal: lost(caller.UpstreamLost).refusal, ran: true, after: 200 * time.Millisecond}},
+		"lost, answer of the hedge":     {{refusal: lost(caller.UpstreamLost).refusal, ran: true, after: 500 * time.Millisecond}, {status: 500, ran: true, after: 100 * time.Millisecond}},
+		"refused, then deadline passes": {failed, {status: 200, ran: true, after: 2 * time.Second}},
+	}
+	for name, outcomes := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &cluster{outcomes: outcomes}
+				e, _ := newBudgetedEntry(f, 2)
+				answer, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+				assert.Equal(t, len(f.sent), 2)
+				assert.Assert(t, refusal == nil, "%v", refusal)
+				assert.Equal(t, answer.Status, 500)
+				content, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(content), "ok")
+			})
+		})
+	}
+}
+
+// Guards against a failed answer whose slot stays in use after the answer of a retry or hedge.
+func TestFailedAnswerIsClosedAfterALaterAnswer(t *testing.T) {
+	tests := map[string][]outcome{
+		"retried":     {{status: 500, ran: true}, good},
+		"hedged":      {{status: 500, ran: true, after: 300 * time.Millisecond}, {status: 200, ran: true, after: 200 * time.Millisecond}},
+		"fails again": {{status: 500, ran: true}, {status: 503, ran: true}},
+	}
+	for name, outcomes := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := &connectionBody{Reader: strings.NewReader(strings.Repeat("x", 1<<20))}
+				f := &cluster{outcomes: slices.Clone(outcomes)}
+				f.outcomes[0].body = body
+				e, _ := newBudgetedEntry(f, 2)
+				answer, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+				assert.Assert(t, refusal == nil, "%v", refusal)
+				assert.Equal(t, answer.Status, outcomes[1].status)
+				assert.Assert(t, body.closed)
+			})
+		})
+	}
+}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -93,13 +93,13 @@
 }
 
 // accept returns the outcome as the result of the call and cancels the other attempt. The context of the accepted attempt
-// ends when the body of the answer is closed.
+// ends when the body of the answer has been read ahead or is closed.
 func (h *hedgedCall) accept(o numberedOutcome) (*caller.Answer, *caller.Refusal) {
 	h.cancelOthers(o.number)
 	answer, refusal := h.recordOutcome(o.outcome)
-	if answer == nil {
+	if answer == nil || isComplete(answer) {
 		h.cancels[o.number]()
-		return nil, refusal
+		return answer, refusal
 	}
 	answer.Body = inflight.OnClose(answer.Body, h.cancels[o.number])
 	return answer, nil
@@ -108,9 +108,7 @@
 // discard records a failed outcome while the other attempt is still running.
 func (h *hedgedCall) discard(o numberedOutcome) {
 	answer, refusal := h.recordOutcome(o.outcome)
-	if answer != nil {
-		_ = answer.Body.Close()
-	}
+	h.keepFailed(answer)
 	if refusal == nil || refusal.Ran == caller.Unknown {
 		h.ran = caller.Unknown
 	}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -137,11 +137,8 @@
 }
 
 // finalRefusal returns the refusal for the caller. It says not-run only when that holds for every attempt, and suggests
-// the shortest delay of the refusals that allowed a retry if they suggested any. It returns nil for nil.
+// the shortest delay of the refusals that allowed a retry if they suggested any.
 func (c *call) finalRefusal(refusal *caller.Refusal) *caller.Refusal {
-	if refusal == nil {
-		return nil
-	}
 	final := *refusal
 	if c.ran == caller.Unknown {
 		final.Ran = caller.Unknown
