entry: a declined hedge is no load of the chosen node

What callers saw: the node that was chosen for a hedge, which was then declined for lack of budget or of spare capacity, looked one request busier than it was until its next load report, so that later requests avoided it and queued elsewhere.

Cause: Choose counts the request in the known load of the node that it returns, whether or not the request is sent.

The request is taken back when it is not sent, unless a newer load has replaced the one in which it was counted. The same cause elsewhere: a retry whose request ended while its node was chosen.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -146,7 +146,11 @@
 		return peer.Candidate{}, false
 	}
 	chosen, err := c.choose(ctx)
-	if err != nil || float64(chosen.Load.Running+chosen.Load.Waiting+1) > hedgeMaxUtilization*float64(chosen.Status.Slots) || !c.spendBudget() {
+	if err != nil {
+		return peer.Candidate{}, false
+	}
+	if float64(chosen.Load.Running+chosen.Load.Waiting+1) > hedgeMaxUtilization*float64(chosen.Status.Slots) || !c.spendBudget() {
+		chosen.CancelPlacement()
 		return peer.Candidate{}, false
 	}
 	return chosen, true
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -48,7 +48,7 @@
 	}
 	c.recordRetryAfter(refusal)
 	chosen, err := c.nextTarget(ctx, refusal)
-	if err != nil || ctx.Err() != nil {
+	if err != nil {
 		if charged {
 			c.budget.Refund()
 		}
@@ -59,14 +59,18 @@
 }
 
 // nextTarget returns the node for a retry: one that was not tried before, or the last one again if it may be repeated and
-// there is no other.
+// there is no other. The error is that of the context when the request ends meanwhile.
 func (c *call) nextTarget(ctx context.Context, refusal *caller.Refusal) (peer.Candidate, error) {
 	repeat := mayRepeatAfter(refusal)
 	if repeat && !c.mayReachAnother() {
 		return c.lastTarget, nil
 	}
 	chosen, err := c.choose(ctx)
-	if err != nil && repeat {
+	switch {
+	case err == nil && ctx.Err() != nil:
+		chosen.CancelPlacement()
+		return peer.Candidate{}, ctx.Err()
+	case err != nil && repeat:
 		return c.lastTarget, nil
 	}
 	return chosen, err
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -50,10 +50,12 @@
 	Load    Load
 	LoadAge time.Duration // age of Load; negative when no load was known
 	Cost    time.Duration // expected time until the answer arrives, with penalties
+
+	countedAt time.Time // time of the load to which Choose added the request
 }
 
-// Choose queries the load of a sample of the service's nodes and returns the one with the lowest cost. Its only error
-// is ErrNoUpstream.
+// Choose queries the load of a sample of the service's nodes and returns the one with the lowest cost, to whose load it
+// adds the request. Its only error is ErrNoUpstream.
 func (r *Roster) Choose(ctx context.Context, need Criteria) (Candidate, error) {
 	now := time.Now()
 	candidates := r.candidates(now, need)
@@ -72,7 +74,7 @@
 	if best.Peer == nil {
 		return Candidate{}, ErrNoUpstream
 	}
-	best.CountPlacement()
+	best.countedAt = best.countPlacement()
 	return best, nil
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -181,10 +181,21 @@
 	return !p.isSelf && p.query.unanswered >= unresponsiveQueries && now.Sub(p.lastHeard) > unresponsiveTime
 }
 
-// CountPlacement adds a request to the known load of the peer, so that the requests placed before the next answer do not all
-// choose the same node.
-func (p *Peer) CountPlacement() {
+// countPlacement adds a request to the known load of the peer, so that the requests placed before the next answer do not all
+// choose the same node. It returns the time of that load.
+func (p *Peer) countPlacement() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.load.Running++
+	return p.loadAt
+}
+
+// CancelPlacement takes the request back from the load of the candidate when it is not sent. A load that is newer than the
+// choice does not include it.
+func (c Candidate) CancelPlacement() {
+	c.Peer.mu.Lock()
+	defer c.Peer.mu.Unlock()
+	if c.countedAt.Equal(c.loadAt) {
+		c.load.Running--
+	}
 }
