node: charge the retry budget only for attempts that are sent

What callers saw: while a service had a single upstream, each late request and each lost one took a token of its retry budget, until retries of other requests were withheld. A request that the only upstream had lost ended as "no upstream" in place of the reason.

Cause: hedges and retries took their token before a link was known.

The token goes back when there is no link, and the link of a retry is chosen before the refusal of the last attempt is given up, as in package entry.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -12,12 +12,8 @@
 	"github.com/magnoliawharf/magnoliawharf/link"
 )
 
-// try sends the request to a chosen upstream, with a hedge when the route allows one.
-func (c *call) try(ctx context.Context) (*caller.Answer, *caller.Refusal) {
-	chosen, refusal := c.choose()
-	if refusal != nil {
-		return nil, refusal
-	}
+// try sends the request to the chosen upstream, with a hedge when the route allows one.
+func (c *call) try(ctx context.Context, chosen *link.Link) (*caller.Answer, *caller.Refusal) {
 	if c.kind == link.Short && caller.MayHedge(c.route, c.req.Body, c.retried) {
 		if after := chosen.HedgeAfter(); after > 0 {
 			return c.tryWithHedge(ctx, chosen, after)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -69,15 +69,21 @@
 	if !c.retried {
 		c.budget.Deposit(c.contract.RetryRatio)
 	}
+	chosen, refusal := c.choose()
+	if refusal != nil {
+		return nil, refusal
+	}
 	for {
-		answer, refusal := c.try(ctx)
+		answer, refusal := c.try(ctx, chosen)
 		if refusal == nil {
 			return answer, nil
 		}
-		if !c.retry(ctx, refusal) {
+		next, ok := c.retryLink(ctx, refusal)
+		if !ok {
 			return nil, c.finalRefusal(refusal)
 		}
 		metrics.CountRetry(refusal.Reason)
+		chosen = next
 	}
 }
 
@@ -120,8 +126,9 @@
 	}
 }
 
-// retry reports whether to retry the request after the refusal. It waits for the delay before the retry.
-func (c *call) retry(ctx context.Context, refusal *caller.Refusal) bool {
+// retryLink returns the link on which the request is retried after the refusal, and false when it is not retried. It waits for
+// the delay before the retry. The budget is charged only when there is another upstream.
+func (c *call) retryLink(ctx context.Context, refusal *caller.Refusal) (*link.Link, bool) {
 	if refusal.Ran != caller.NotRun {
 		c.ran = caller.Unknown
 	}
@@ -130,13 +137,27 @@
 		Retried: c.retried, Replayable: c.req.Body.Replayable(), TimeLeft: time.Until(c.req.Deadline),
 	})
 	if !decision.Retry || ctx.Err() != nil {
-		return false
+		return nil, false
 	}
 	if decision.Paid && !c.budget.TryWithdraw() {
 		retriesWithheld.Inc()
-		return false
+		return nil, false
+	}
+	chosen, ok := c.chooseAfter(ctx, caller.Jitter(decision.Delay))
+	if !ok && decision.Paid {
+		c.budget.Refund()
 	}
-	return wait.For(ctx, caller.Jitter(decision.Delay))
+	return chosen, ok
+}
+
+// chooseAfter waits for the delay and returns the link for the next attempt. It returns false when ctx ends first or no upstream
+// is left.
+func (c *call) chooseAfter(ctx context.Context, delay time.Duration) (*link.Link, bool) {
+	if !wait.For(ctx, delay) {
+		return nil, false
+	}
+	chosen, refusal := c.choose()
+	return chosen, refusal == nil
 }
 
 // finalRefusal returns the refusal of the whole call. Its Ran is NotRun only when that is true of every
--- a/node/hedge.go
+++ b/node/hedge.go
@@ -50,13 +50,18 @@
 	return nil, refused
 }
 
-// hedgeLink returns the link for a hedge when the budget has a token and there is another upstream.
+// hedgeLink returns the link for a hedge when the budget has a token and there is another upstream. Only then is the budget
+// charged.
 func (c *call) hedgeLink() (*link.Link, bool) {
 	if !c.budget.TryWithdraw() {
 		return nil, false
 	}
 	chosen, refusal := c.choose()
-	return chosen, refusal == nil
+	if refusal != nil {
+		c.budget.Refund()
+		return nil, false
+	}
+	return chosen, true
 }
 
 // launch starts an attempt over the link.
