node: answer requests that outlast the stop timeout

What callers saw: a request that was still in flight at the end of a planned stop of `node run` ended with a closed connection, not with an answer.

Cause: nothing ended the requests that outlast the stop timeout before their connections were closed.

Half a second before the end of the stop timeout, or a quarter of a shorter one, the contexts of callers' requests are cancelled with the refusal "draining", and the listener waits for the answers in the time that is left. The reason of an ended context is found by one function for both front ends.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -133,6 +134,19 @@
 	return RefuseUncertain(reason, step, "", err)
 }
 
+// ContextReason returns the reason for which the context of a request has ended: that of the refusal with which this node
+// cancelled it, else the deadline or the caller.
+func ContextReason(ctx context.Context) Reason {
+	var refusal *Refusal
+	switch {
+	case errors.As(context.Cause(ctx), &refusal):
+		return refusal.Reason
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return DeadlinePassed
+	}
+	return Cancelled
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	text := fmt.Sprintf("%s: %s (%s)", r.Step, r.Reason, r.Ran)
--- a/entry/buffer.go
+++ b/entry/buffer.go
@@ -33,7 +33,7 @@
 		_ = answer.Body.Close()
 		reason := caller.UpstreamLost
 		if ctx.Err() != nil {
-			reason = contextReason(ctx)
+			reason = caller.ContextReason(ctx)
 		}
 		return caller.RefuseUncertain(reason, "read answer", answer.Upstream, err)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -233,7 +232,7 @@
 // the replacement of an upstream has started.
 func (c *call) noUpstream(ctx context.Context) *caller.Refusal {
 	if ctx.Err() != nil {
-		return caller.Refuse(contextReason(ctx), dispatchStep, "")
+		return caller.Refuse(caller.ContextReason(ctx), dispatchStep, "")
 	}
 	refusal := caller.Refuse(caller.NoUpstream, dispatchStep, c.req.Service)
 	refusal.RetryAfter = noUpstreamRetryAfter
@@ -286,21 +285,8 @@
 	refusal := caller.AsRefusal(err, caller.PeerLost, dispatchStep)
 	if ctx.Err() != nil && (refusal.Reason == caller.Cancelled || refusal.Reason == caller.DeadlinePassed) {
 		ended := *refusal
-		ended.Reason = contextReason(ctx)
+		ended.Reason = caller.ContextReason(ctx)
 		return &ended
 	}
 	return refusal
 }
-
-// contextReason returns the reason for which the context of a request has ended: that of the refusal with which this node
-// cancelled it, else the deadline or the caller.
-func contextReason(ctx context.Context) caller.Reason {
-	var refusal *caller.Refusal
-	switch {
-	case errors.As(context.Cause(ctx), &refusal):
-		return refusal.Reason
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return caller.DeadlinePassed
-	}
-	return caller.Cancelled
-}
--- a/node/at_most_once.go
+++ b/node/at_most_once.go
@@ -188,7 +188,7 @@
 	case !time.Now().Before(req.Deadline):
 		return caller.Refuse(caller.DeadlinePassed, claimStep, "")
 	case ctx.Err() != nil:
-		return caller.Refuse(caller.Cancelled, claimStep, "")
+		return caller.Refuse(caller.ContextReason(ctx), claimStep, "")
 	}
 	return refusalOfVerdict(idempotency.NoLease)
 }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -185,13 +184,13 @@
 	return chosen, nil
 }
 
-// asRefusal returns the refusal in err. A cancellation because the deadline passed becomes DeadlinePassed.
+// asRefusal returns the refusal in err. When the context of the request has ended, a cancellation gets the reason for that.
 func asRefusal(ctx context.Context, err error) *caller.Refusal {
 	refusal := caller.AsRefusal(err, caller.PeerLost, dispatchStep)
-	if refusal.Reason == caller.Cancelled && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		late := *refusal
-		late.Reason = caller.DeadlinePassed
-		return &late
+	if refusal.Reason == caller.Cancelled && ctx.Err() != nil {
+		ended := *refusal
+		ended.Reason = caller.ContextReason(ctx)
+		return &ended
 	}
 	return refusal
 }
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,13 @@
 	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
+const (
+	// finalAnswerTimeout is the part of the stop timeout in which callers are answered whose requests are still in flight.
+	finalAnswerTimeout = 500 * time.Millisecond
+	// maxFinalAnswerPart bounds finalAnswerTimeout to one part in so many of a short stop timeout.
+	maxFinalAnswerPart = 4
+)
+
 // Node is one magnoliawharf process: the listeners and the objects that handle their requests. Its methods
 // Provision, Validate, Run and Cleanup are called in this order, each once.
 type Node struct {
@@ -205,8 +212,7 @@
 	n.self.Stop(time.Now())
 	n.callers.Drain()
 	wait.For(ctx, time.Duration(n.Settings.Runtime.DrainNotice))
-	err := n.proxy.Idle(ctx)
-	err = errors.Join(err, n.callers.Shutdown(ctx))
+	err := n.finishRequests(ctx)
 	n.controlPlane.stop(ctx)
 	err = errors.Join(err, n.peers.Shutdown(ctx), n.local.Shutdown(ctx))
 	if err != nil {
@@ -216,6 +222,23 @@
 	return nil
 }
 
+// finishRequests closes the callers' listener and waits for the requests in flight. Callers' requests that outlast the wait
+// are cancelled before ctx ends, so that they are answered: a connection that closes without an answer doesn't tell the caller
+// whether its request was read.
+func (n *Node) finishRequests(ctx context.Context) error {
+	timeout := time.Duration(n.Settings.Runtime.StopTimeout)
+	end, _ := ctx.Deadline()
+	waiting, cancel := context.WithDeadline(ctx, end.Add(-min(finalAnswerTimeout, timeout/maxFinalAnswerPart)))
+	defer cancel()
+	err := n.proxy.Idle(waiting)
+	err = errors.Join(err, n.callers.Shutdown(waiting))
+	if err == nil {
+		return nil
+	}
+	n.callers.CancelRequests(caller.Refuse(caller.Draining, "stop", n.Settings.ID))
+	return errors.Join(err, n.callers.Shutdown(ctx))
+}
+
 // servers returns the listeners.
 func (n *Node) servers() []*httpserver.Server {
 	return []*httpserver.Server{n.callers, n.peers, n.local}
