callerhttp: answer requests with an incomplete body at the end of a planned stop

What callers saw: a caller of `node run` whose body had not arrived completely by the end of the stop timeout got a closed connection in place of an answer.

Evidence: TestStopAnswersRequestsThatOutlastTheStopTimeout, cases "short body incomplete" and "long body incomplete", failed before (unexpected EOF) and pass now, 5 of 5 runs under the race detector; so do the tests of ./transport/... and ./sidecar.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -18,8 +18,8 @@
 	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
-// Guards against a caller's connection that a stopping node closes without an answer, because the request outlasts the stop
-// timeout.
+// Guards against a caller's connection that a stopping node closes without an answer, because the request, or the arrival of its
+// body, outlasts the stop timeout.
 func TestStopAnswersRequestsThatOutlastTheStopTimeout(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -29,6 +29,8 @@
 		reasons []string
 	}{
 		{"at the upstream", "GET /catalogue/x?work=8s HTTP/1.1\r\nHost: x\r\n\r\n", http.StatusBadGateway, "unknown", []string{"draining"}},
+		{"short body incomplete", "POST /catalogue/x HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc", http.StatusServiceUnavailable, "not-run", []string{"draining"}},
+		{"long body incomplete", "POST /catalogue/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1048576\r\n\r\nabc", http.StatusBadGateway, "unknown", []string{"draining", "body-cut"}}, // by what the attempt notices first
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -41,6 +41,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	callsTotal.Inc()
+	defer transport.InterruptBody(w, r)()
 	body := transport.TrackBody(r)
 	req, refusal := h.accept(w, r)
 	if refusal != nil {
@@ -99,7 +100,7 @@
 		Deadline: now.Add(chain.Limit(now, timeout)),
 		Attempt:  chain.Attempt, Depth: chain.Depth, BundleVersion: current.Version,
 	}
-	return req, prepare(w, req)
+	return req, prepare(w, r, req)
 }
 
 func bodyOf(r *http.Request) *caller.Body {
@@ -111,15 +112,13 @@
 
 // prepare sets the fingerprint of the request, for which it reads a short body, and the deadlines of the
 // connection, so that a caller that stops sending or reading is disconnected after the deadline.
-func prepare(w http.ResponseWriter, req *caller.Request) *caller.Refusal {
+func prepare(w http.ResponseWriter, r *http.Request, req *caller.Request) *caller.Refusal {
 	transport.SetConnDeadlines(w, req.Deadline)
 	var shortBody []byte
 	if length := req.Body.Length(); length >= 0 && length <= caller.MaxFingerprintBody {
 		buffered, err := req.Body.Buffer()
 		if err != nil {
-			refusal := caller.Refuse(caller.BodyCut, acceptStep, "")
-			refusal.Cause = err
-			return refusal
+			return transport.BodyRefusal(r, err, acceptStep)
 		}
 		shortBody = buffered
 	}
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -47,7 +47,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	defer interruptBody(w, r)()
+	defer transport.InterruptBody(w, r)()
 	body := transport.TrackBody(r)
 	req, route, refusal := h.accept(w, r, start)
 	if refusal != nil {
@@ -72,12 +72,6 @@
 	}
 }
 
-// interruptBody ends reads of the request's body when the context of the request ends, so that a request which the server has
-// cancelled is answered although its body is incomplete. stop ends this.
-func interruptBody(w http.ResponseWriter, r *http.Request) (stop func() bool) {
-	return context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
-}
-
 // accept converts the HTTP request to a request for its route. It reads the body when it is short enough to be replayed.
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*caller.Request, *contract.Route, *caller.Refusal) {
 	contracts := h.Contracts.Load()
@@ -157,12 +151,8 @@
 	case err == nil:
 		return caller.NewBody(io.MultiReader(&buffer, r.Body), -1), nil, nil
 	case errors.Is(err, io.EOF):
-	case errors.As(context.Cause(r.Context()), &refusal): // that of the server
-		return nil, nil, refusal
 	default:
-		refusal = caller.Refuse(caller.BodyCut, acceptStep, "")
-		refusal.Cause = err
-		return nil, nil, refusal
+		return nil, nil, transport.BodyRefusal(r, err, acceptStep)
 	}
 	if n <= caller.MaxFingerprintBody {
 		fingerprinted = buffer.Bytes()
--- a/transport/requestbody.go
+++ b/transport/requestbody.go
@@ -1,10 +1,14 @@
 package transport
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
 // refusedBodyTimeout is how long the rest of the body of a refused request is read.
@@ -37,6 +41,24 @@
 	return n, err
 }
 
+// InterruptBody ends reads of the request's body when the context of the request ends, so that a request which the server has
+// cancelled is answered although its body is incomplete. stop ends this.
+func InterruptBody(w http.ResponseWriter, r *http.Request) (stop func() bool) {
+	return context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+}
+
+// BodyRefusal returns the refusal of a request whose body ended early with err, before the first attempt: that with which the
+// server has cancelled the request, if it has.
+func BodyRefusal(r *http.Request, err error, step string) *caller.Refusal {
+	var refusal *caller.Refusal
+	if errors.As(context.Cause(r.Context()), &refusal) {
+		return refusal
+	}
+	refusal = caller.Refuse(caller.BodyCut, step, "")
+	refusal.Cause = err
+	return refusal
+}
+
 // LimitRest bounds the wait for the rest of the body of a request that is about to be refused: net/http reads a short rest
 // before it sends the answer. After the end of the body it sets no deadline: net/http then reads the connection to notice that
 // the caller is gone, and takes a deadline that passes for the loss of the connection.
