link: mark a removed link under the lock that ends its ejection

What callers saw: a link that was ejected while it left its set counted against the quota of ejected links for good. With the quota used up, links to instances that fail stayed in use, so that requests went to them and were lost.

Cause: the ejection was ended under one hold of the lock and the link marked as removed under another; a failure in between ejected the link again, and nothing released its place.

--- a/link/ejection.go
+++ b/link/ejection.go
@@ -102,16 +102,21 @@
 // markRemoved releases the ejection quota of a link that leaves its set and prevents further ejections. Attempts in
 // flight may still end on it.
 func (l *Link) markRemoved() {
-	l.reinstate()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removed = true
+	l.endEjection()
 }
 
 // reinstate ends an ejection without a trial.
 func (l *Link) reinstate() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.endEjection()
+}
+
+// endEjection ends an ejection, if there is one. The caller holds mu.
+func (l *Link) endEjection() {
 	if l.ejection.ejected {
 		l.ejection.ejected = false
 		l.set.quota.release()
