link: only the trial itself ends its reservation

What callers saw: an ejected link got further requests while its trial was in flight, one after each attempt on it that was cancelled or failed meanwhile, and lost them like the trial.

Cause: the end of any attempt cleared the reservation of the trial.

The attempt that is the trial is remembered by its token, and the reservation ends with it or with the ejection.

Evidence: TestOtherAttemptsDoNotEndATrial (cancelled, lost, timed out: 1 further trial of 0 allowed) and TestCancelledTrialMakesRoomForTheNext failed before. They pass now, with the other tests of ./link, ./policybench and ./node under the race detector.

--- a/link/ejection.go
+++ b/link/ejection.go
@@ -26,6 +26,8 @@
 	backoff             time.Duration
 	backoffUntil        time.Time // end of the back-off
 	trialUntil          time.Time // end of the reservation of a trial request
+	trialClaimed        bool      // the trial is reserved and not sent yet
+	trial               *Token    // attempt that is the trial, nil without one in flight
 	reinstatedAt        time.Time // time at which an attempt last ended an ejection
 }
 
@@ -35,9 +37,24 @@
 		return false
 	}
 	e.trialUntil = now.Add(trialTimeout)
+	e.trialClaimed, e.trial = true, nil
 	return true
 }
 
+// beginTrial takes the attempt for the trial that was reserved, if there is one.
+func (e *ejection) beginTrial(token *Token) {
+	if e.trialClaimed {
+		e.trialClaimed, e.trial = false, token
+	}
+}
+
+// endTrial ends the reservation of the trial if the attempt is the trial.
+func (e *ejection) endTrial(token *Token) {
+	if e.trial == token {
+		e.trial, e.trialUntil = nil, time.Time{}
+	}
+}
+
 // rampShare returns the share of its normal traffic that a reinstated link receives.
 func (e *ejection) rampShare(now time.Time) float64 {
 	if e.reinstatedAt.IsZero() {
@@ -47,9 +64,9 @@
 }
 
 // recordResult updates the failure rate and the ejection state with the result of an attempt. The caller holds mu.
-func (l *Link) recordResult(now time.Time, result Result) {
+func (l *Link) recordResult(now time.Time, token *Token, result Result) {
+	l.ejection.endTrial(token)
 	if result == Cancelled {
-		l.ejection.trialUntil = time.Time{}
 		return
 	}
 	failure := 0.0
@@ -67,10 +84,9 @@
 	}
 	l.ejection.consecutiveFailures = 0
 	if l.ejection.ejected {
-		l.ejection.ejected = false
+		l.endEjection()
 		l.ejection.reinstatedAt = now
 		l.failureRate = 0 // the ramp after reinstatement limits the effect of further failures
-		l.set.quota.release()
 	}
 }
 
@@ -79,7 +95,6 @@
 func (l *Link) recordFailure(now time.Time) {
 	e := &l.ejection
 	e.consecutiveFailures++
-	e.trialUntil = time.Time{}
 	switch {
 	case e.ejected && now.Before(e.backoffUntil):
 		return // the request was sent before the ejection
@@ -115,10 +130,11 @@
 	l.endEjection()
 }
 
-// endEjection ends an ejection, if there is one. The caller holds mu.
+// endEjection ends an ejection, if there is one, and the reservation of its trial. The caller holds mu.
 func (l *Link) endEjection() {
 	if l.ejection.ejected {
 		l.ejection.ejected = false
+		l.ejection.trialClaimed, l.ejection.trial, l.ejection.trialUntil = false, nil, time.Time{}
 		l.set.quota.release()
 	}
 }
--- a/link/link.go
+++ b/link/link.go
@@ -112,6 +112,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	token := &Token{kind: kind, started: now, predicted: l.predictLatency(now, kind)}
+	l.ejection.beginTrial(token)
 	l.inFlight[kind]++
 	if kind == Short {
 		l.unanswered++
@@ -139,7 +140,7 @@
 	if result == Served || overdue {
 		l.recordLatency(now, token)
 	}
-	l.recordResult(now, result)
+	l.recordResult(now, token, result)
 }
 
 // End counts the attempt as finished. It records the result and the report unless RecordAnswer did so before; a connection
@@ -155,7 +156,7 @@
 	defer l.mu.Unlock()
 	l.inFlight[token.kind]--
 	if answered && result == ConnectionLost && !token.failed {
-		l.recordResult(now, result)
+		l.recordResult(now, token, result)
 	}
 }
 
