inbound: forget the load of an earlier incarnation

What callers saw: a restarted upstream that was still cold looked as fast as the one before it, so that requests were sent to it and were late; one that followed a slowed-down upstream was avoided.

Cause: the time of the last report was reset for a new incarnation, but not the report. A failed health check set the time again, so that the old report counted until a check succeeded. A check that was in progress when the new incarnation announced itself stored the load of the old one, since some upstreams keep their ID.

The load and the check in progress now end with the incarnation.

Evidence: TestLoadOfEarlierIncarnationIsForgotten (both cases) and TestHealthCheckOfEarlierIncarnationIsIgnored failed before (100 per cent of the usual service time in place of the 200 of a cold start) and pass now, with the other tests of ./inbound under the race detector.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
@@ -127,7 +128,7 @@
 		next = draining
 	}
 	if replaced {
-		p.loadCheckedAt = time.Time{}
+		p.load, p.loadCheckedAt, p.pendingCheck = caller.UpstreamLoad{}, time.Time{}, nil
 		p.options.Client.KeepOnly(a.Address)
 	}
 	if !replaced && next == p.state && a.Slots == previous.Slots && a.Service == previous.Service && a.Address == previous.Address {
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -46,7 +46,7 @@
 // it is the usual one, or a longer one during a cold start. A reported service time includes the effect of a cold start.
 func (p *Proxy) serviceTimePercent(now time.Time) int {
 	switch {
-	case p.load.ServiceTimePercent > 0 && !p.loadCheckedAt.IsZero():
+	case p.load.ServiceTimePercent > 0:
 		return p.load.ServiceTimePercent
 	case now.Sub(p.lastSeen) < p.current.ColdStartRemaining:
 		return coldSlowdown * usualServiceTimePercent
@@ -71,7 +71,7 @@
 	addr := p.current.Address
 	go func() {
 		report, err := p.checkHealth(addr, path)
-		p.finishHealthCheck(time.Now(), report, err)
+		p.finishHealthCheck(time.Now(), done, report, err)
 		close(done)
 	}()
 	return done
@@ -84,10 +84,14 @@
 }
 
 // finishHealthCheck records the load of a health check. A failed check or an unhealthy report does not take the upstream
-// out of service: checks give false results both ways, and the results of requests are a better signal.
-func (p *Proxy) finishHealthCheck(now time.Time, report HealthReport, err error) {
+// out of service: checks give false results both ways, and the results of requests are a better signal. A check that was started for
+// an earlier incarnation has no effect.
+func (p *Proxy) finishHealthCheck(now time.Time, check chan struct{}, report HealthReport, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.pendingCheck != check {
+		return
+	}
 	p.pendingCheck = nil
 	if err != nil || !p.isCurrent(report.UpstreamID) || !report.HasLoad {
 		p.loadCheckedAt = now // delays the next check by FreshFor
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -74,7 +74,7 @@
 	recalledServices map[string]string // services of upstreams that this node had before its restart, by ID
 	revision         uint32            // increases with each call of setState
 	stopping         bool
-	load             caller.UpstreamLoad // last one reported
+	load             caller.UpstreamLoad // last one that the current incarnation reported
 	loadCheckedAt    time.Time           // last load report or health check, zero before the first of the incarnation
 	pendingCheck     chan struct{}       // closed when the health check in progress has ended, nil without one
 }
--- a/inbound/proxy_test.go
+++ b/inbound/proxy_test.go
@@ -75,7 +75,9 @@
 	return len(c.sent)
 }
 
-func newProxy(c *fakeClient) *inbound.Proxy {
+func newProxy(c *fakeClient) *inbound.Proxy { return newProxyWith(c) }
+
+func newProxyWith(c inbound.Client) *inbound.Proxy {
 	return inbound.New(inbound.Options{
 		Node: "n1", Boot: boot, Address: "10.0.0.1:81", Zone: "z", Service: "s", Upstream: addr,
 		HealthPath: func(string) string { return "/health" }, FreshFor: 20 * time.Millisecond, LivenessTimeout: 7 * time.Second, SlotShare: 1,
--- /dev/null
+++ b/inbound/restart_test.go
@@ -0,0 +1,77 @@
+package inbound_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/inbound"
+)
+
+func healthyWithLoad(id string, serviceTimePercent int) inbound.HealthReport {
+	return inbound.HealthReport{Healthy: true, UpstreamID: id, HasLoad: true, Load: caller.UpstreamLoad{Slots: 2, ServiceTimePercent: serviceTimePercent}}
+}
+
+// cold returns the announcement of an incarnation that starts cold.
+func cold(id string, born int64) inbound.Announcement {
+	a := announcement(id, born, 1)
+	a.ColdStartRemaining = 30 * time.Second
+	return a
+}
+
+// coldServiceTime is the service time of a cold upstream that has reported none, in per cent of the usual one.
+const coldServiceTime = 200
+
+// Guards against requests that are sent to a cold upstream, or kept from a fast one, because its load is that of the incarnation
+// before it: a failed health check made the last load of the earlier one count again.
+func TestLoadOfEarlierIncarnationIsForgotten(t *testing.T) {
+	for name, next := range map[string]inbound.Announcement{"another ID": cold("b", 20), "the same ID": cold("a", 20)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &fakeClient{report: healthyWithLoad("a", 100)}
+				p := newProxy(c)
+				assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+				assert.Equal(t, p.Load(time.Now()).ServiceTimePercent, 100)
+				c.update(func(c *fakeClient) { c.checkErr = errors.New("refused") })
+				assert.NilError(t, p.Announce(time.Now(), next))
+				assert.Equal(t, p.Load(time.Now()).ServiceTimePercent, coldServiceTime)
+			})
+		})
+	}
+}
+
+// slowChecks is a Client whose first health check takes a while.
+type slowChecks struct {
+	*fakeClient
+	delay time.Duration
+	first inbound.HealthReport
+}
+
+func (c *slowChecks) CheckHealth(ctx context.Context, addr, path string) (inbound.HealthReport, error) {
+	delay := c.delay
+	c.delay = 0
+	if delay == 0 {
+		return c.fakeClient.CheckHealth(ctx, addr, path)
+	}
+	time.Sleep(delay)
+	return c.first, nil
+}
+
+// Guards against the load of an earlier incarnation that counts for its successor, because the health check that read it was in
+// progress when the successor announced itself.
+func TestHealthCheckOfEarlierIncarnationIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &slowChecks{fakeClient: &fakeClient{checkErr: errors.New("refused")}, delay: 100 * time.Millisecond, first: healthyWithLoad("a", 100)}
+		p := newProxyWith(c)
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+		p.Load(time.Now())
+		assert.NilError(t, p.Announce(time.Now(), cold("a", 20)))
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, p.Load(time.Now()).ServiceTimePercent, coldServiceTime)
+	})
+}
