inbound: adopt an upstream that was started again after it had left

What callers saw: an upstream that left, was started again with its ID and then refused one connection stayed out of service until its next announcement, although it answered health checks; with a single upstream all requests were refused meanwhile.

Cause: the departure was looked up by ID alone. Announcements compare the start of the incarnation as well; health checks did not.

Evidence: TestUpstreamRestartedAfterItLeftIsAdopted failed before (not in service 300 ms after the refused connection) and passes now, with the other tests of ./inbound under the race detector, among them those of upstreams that left and are not adopted.

--- a/inbound/load.go
+++ b/inbound/load.go
@@ -185,7 +185,8 @@
 // this process and is known through Recall. observed is the state before the health check.
 func (p *Proxy) adopt(now time.Time, observed state, addr string, report HealthReport) {
 	p.mu.Lock()
-	_, departed := p.departed[report.UpstreamID]
+	born, departed := p.departed[report.UpstreamID]
+	departed = departed && p.current.Born <= born
 	if p.state != observed || departed || (p.current.ID != "" && p.current.ID != report.UpstreamID) {
 		p.mu.Unlock()
 		return
--- a/inbound/restart_test.go
+++ b/inbound/restart_test.go
@@ -75,3 +75,22 @@
 		assert.Equal(t, p.Load(time.Now()).ServiceTimePercent, coldServiceTime)
 	})
 }
+
+// Guards against an upstream that left, was started again with its ID, refused a connection, and then stays out of service until it
+// announces itself once more.
+func TestUpstreamRestartedAfterItLeftIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &fakeClient{report: healthyWithLoad("a", 100), refusal: caller.Refuse(caller.UpstreamUnreachable, "send", addr)}
+		p := newProxy(c)
+		go p.Watch(t.Context())
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+		p.Deregister(time.Now(), "a")
+		time.Sleep(time.Second)
+		assert.Assert(t, !p.Status().Serving, "an upstream that left was adopted")
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 20, 1)))
+		assert.Equal(t, serve(t.Context(), p, "r1", "a", time.Second).Reason, caller.UpstreamUnreachable)
+		assert.Assert(t, !p.Status().Serving)
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, p.Status().Serving)
+	})
+}
