inbound: attribute the outcome of a request to the incarnation it was sent to

What callers saw: an upstream that was started again with its ID was taken out of service by the lost connection of a request to the process before it, or looked as fast as that one because of a late answer.

Cause: outcomes were matched by the ID of the upstream, and some upstreams keep theirs.

Evidence: TestOutcomeOfEarlierIncarnationIsIgnored failed in both cases before (not serving; 100 per cent of the usual service time in place of 200) and passes now, with the other tests of ./inbound under the race detector.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -59,6 +59,9 @@
 	return nil
 }
 
+// sameIncarnation reports whether both announcements are of one incarnation.
+func (a Announcement) sameIncarnation(b Announcement) bool { return a.ID == b.ID && a.Born == b.Born }
+
 // Announce applies an announcement of the upstream. The error wraps ErrInvalidAnnouncement. An outdated announcement is
 // ignored without an error.
 func (p *Proxy) Announce(now time.Time, a Announcement) error {
@@ -117,7 +120,7 @@
 // is nil, after releasing the lock.
 func (p *Proxy) apply(now time.Time, a Announcement) (notify func()) {
 	previous := p.current
-	replaced := a.ID != previous.ID || a.Born != previous.Born
+	replaced := !a.sameIncarnation(previous)
 	if replaced && previous.ID != "" && previous.ID != a.ID {
 		p.recordDeparture(previous.ID, previous.Born)
 	}
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -112,12 +112,13 @@
 	p.renewAnnouncement(now)
 }
 
-// recordAnswer records contact with the upstream with the ID, and the load that the answer reports.
-func (p *Proxy) recordAnswer(now time.Time, id string, answer *caller.Answer) {
+// recordAnswer records contact with the upstream, and the load that the answer reports. target is the announcement of the
+// incarnation to which the request was sent.
+func (p *Proxy) recordAnswer(now time.Time, target Announcement, answer *caller.Answer) {
 	load, ok := p.options.Client.LoadOf(answer.Header)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if id != p.current.ID {
+	if !p.current.sameIncarnation(target) {
 		return
 	}
 	if ok && load.ServiceTimePercent > 0 {
--- a/inbound/restart_test.go
+++ b/inbound/restart_test.go
@@ -94,3 +94,40 @@
 		assert.Assert(t, p.Status().Serving)
 	})
 }
+
+// loadedAnswers is a Client whose answers report a load. With a refusal, requests end with that in place of an answer.
+type loadedAnswers struct {
+	*fakeClient
+	load    caller.UpstreamLoad
+	refusal *caller.Refusal
+}
+
+func (c *loadedAnswers) Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error) {
+	answer, err := c.fakeClient.Send(ctx, req, addr)
+	if c.refusal != nil {
+		return nil, c.refusal
+	}
+	return answer, err
+}
+
+func (c *loadedAnswers) LoadOf(map[string][]string) (caller.UpstreamLoad, bool) { return c.load, true }
+
+// Guards against a new incarnation with the ID of the earlier one that takes on the load, or the lost connection, of a request which
+// was sent to the earlier one.
+func TestOutcomeOfEarlierIncarnationIsIgnored(t *testing.T) {
+	for name, refusal := range map[string]*caller.Refusal{"answered": nil, "unreachable": caller.Refuse(caller.UpstreamUnreachable, "send", addr)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &loadedAnswers{&fakeClient{work: 100 * time.Millisecond, checkErr: errors.New("refused")}, caller.UpstreamLoad{Slots: 2, ServiceTimePercent: 100}, refusal}
+				p := newProxyWith(c)
+				assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+				go serve(t.Context(), p, "r1", "a", time.Second)
+				time.Sleep(50 * time.Millisecond)
+				assert.NilError(t, p.Announce(time.Now(), cold("a", 20)))
+				time.Sleep(100 * time.Millisecond)
+				assert.Assert(t, p.Status().Serving)
+				assert.Equal(t, p.Load(time.Now()).ServiceTimePercent, coldServiceTime)
+			})
+		})
+	}
+}
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -56,22 +56,22 @@
 	}
 	waited := time.Since(arrived)
 	// The upstream may have been replaced while the request waited, and the caller may have cancelled it.
-	addr, refusal := p.recheckPlacement(ctx, req, boot)
+	target, refusal := p.recheckPlacement(ctx, req, boot)
 	if refusal != nil {
 		release()
 		return nil, refusal
 	}
 	done := p.inFlight.Begin()
 	began := time.Now()
-	answer, err := p.options.Client.Send(ctx, req, addr)
+	answer, err := p.options.Client.Send(ctx, req, target.Address)
 	p.crashes.RecordResult(ctx, req, began, answer, err)
 	if err != nil {
 		release()
 		done()
-		p.recordFailure(req, err)
+		p.recordFailure(target, err)
 		return nil, err
 	}
-	p.recordAnswer(time.Now(), req.Placement.Upstream, answer)
+	p.recordAnswer(time.Now(), target, answer)
 	answer.Upstream, answer.Waited = p.options.Node, waited
 	answer.Body = inflight.OnClose(answer.Body, func() { release(); done() })
 	return answer, nil
@@ -98,20 +98,20 @@
 	return nil
 }
 
-// recheckPlacement checks the request again after admission, and returns the current address of the upstream.
-func (p *Proxy) recheckPlacement(ctx context.Context, req *caller.Request, boot uint64) (addr string, refusal *caller.Refusal) {
+// recheckPlacement checks the request again after admission, and returns the announcement of the current incarnation.
+func (p *Proxy) recheckPlacement(ctx context.Context, req *caller.Request, boot uint64) (target Announcement, refusal *caller.Refusal) {
 	if refusal := p.checkPlacement(req, boot); refusal != nil {
-		return "", refusal
+		return Announcement{}, refusal
 	}
 	if refusal := p.crashes.Check(req); refusal != nil {
-		return "", refusal
+		return Announcement{}, refusal
 	}
 	if ctx.Err() != nil {
-		return "", caller.Refuse(caller.Cancelled, serveStep, p.options.Node)
+		return Announcement{}, caller.Refuse(caller.Cancelled, serveStep, p.options.Node)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.current.Address, nil
+	return p.current, nil
 }
 
 func (p *Proxy) admitRequest(req *caller.Request) upstream.AdmitRequest {
@@ -136,8 +136,8 @@
 }
 
 // recordFailure takes the upstream out of service when a request failed because the upstream is unreachable or its
-// address belongs to another incarnation.
-func (p *Proxy) recordFailure(req *caller.Request, err error) {
+// address belongs to another incarnation. target is the announcement of the incarnation to which the request was sent.
+func (p *Proxy) recordFailure(target Announcement, err error) {
 	var refusal *caller.Refusal
 	if !errors.As(err, &refusal) {
 		return
@@ -152,7 +152,7 @@
 		return
 	}
 	p.mu.Lock()
-	if req.Placement.Upstream != p.current.ID || p.state != serving {
+	if !p.current.sameIncarnation(target) || p.state != serving {
 		p.mu.Unlock()
 		return
 	}
