--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -52,21 +51,18 @@
 // call is the state of one request while it is dispatched. Only the dispatching goroutine changes its fields.
 type call struct {
 	*Dispatcher
-	req              *caller.Request
-	route            *contract.Route
-	startedAt        time.Time
-	estimate         *routeEstimate
-	budget           *caller.RetryBudget
-	triedNodes       []string        // nodes to which an attempt was sent, in order
-	reachedNodes     []string        // nodes whose upstream received an attempt or may have received one
-	ran              caller.RunState // Unknown once a failed attempt may have run
-	lastTarget       peer.Candidate
-	mayRetrySameNode bool            // the next attempt may go to the node of lastTarget again
-	retryReasons     []string        // reasons of the failed attempts that were retried, for the log
-	lastRefusal      *caller.Refusal // the last refusal that was followed by a retry
-	// exhausted is set when no other node can be tried.
-	exhausted  bool
-	retryAfter time.Duration // shortest delay that the retried refusals suggested for a resend, 0 for none
+	req          *caller.Request
+	route        *contract.Route
+	startedAt    time.Time
+	estimate     *routeEstimate
+	budget       *caller.RetryBudget
+	triedNodes   []string        // nodes to which an attempt was sent, in order
+	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
+	ran          caller.RunState // Unknown once a failed attempt may have run
+	lastTarget   peer.Candidate
+	retryReasons []string       // reasons of the failed attempts that were retried, for the log
+	failedAnswer *caller.Answer // the last complete answer that reports a failure and was followed by another attempt
+	retryAfter   time.Duration  // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
 }
 
 // New returns a dispatcher with the exported fields of e and without estimates.
@@ -100,46 +96,52 @@
 	return answer, nil
 }
 
-// run sends attempts until an answer is accepted or no retry is allowed.
+// run sends attempts until an answer is accepted, no retry is allowed or no other node is left.
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
+	chosen, err := c.choose(ctx)
+	if err != nil {
+		return nil, c.noUpstream(ctx)
+	}
 	for {
-		answer, refusal := c.try(ctx)
-		if refusal == nil && !c.prepareRetryOfAnswer(ctx, answer) {
-			return answer, nil
-		}
-		if refusal != nil && (c.exhausted || !c.prepareRetry(ctx, refusal)) {
-			return nil, c.finalRefusal(refusal)
+		answer, refusal := c.try(ctx, chosen)
+		next, retry := c.retryTarget(ctx, answer, refusal)
+		if !retry {
+			return c.finalOutcome(answer, refusal)
 		}
+		c.keepFailed(answer)
+		chosen = next
 	}
 }
 
-// try chooses a node and sends the request to its upstream, hedged by a second attempt when the request qualifies for
-// one.
-func (c *call) try(ctx context.Context) (*caller.Answer, *caller.Refusal) {
-	chosen, err := c.nextTarget(ctx)
-	if err != nil {
-		c.exhausted = true
-		return nil, c.noUpstream(ctx)
-	}
-	if delay := c.hedgeDelay(); delay > 0 {
-		return c.sendHedged(ctx, chosen, delay)
+// keepFailed keeps an answer that reports a failure, for the case that no later attempt is answered. One whose body is still
+// arriving occupies the upstream and is closed. The answer is nil after a refusal.
+func (c *call) keepFailed(answer *caller.Answer) {
+	switch {
+	case answer == nil:
+	case isComplete(answer):
+		c.failedAnswer = answer
+	default:
+		_ = answer.Body.Close()
 	}
-	return c.recordOutcome(c.attempt(ctx, chosen))
 }
 
-// nextTarget returns the node for the next attempt: one that was not tried before, or the last one again if it may be
-// repeated and there is no other.
-func (c *call) nextTarget(ctx context.Context) (peer.Candidate, error) {
-	repeat := c.mayRetrySameNode
-	c.mayRetrySameNode = false
-	if repeat && !c.mayReachAnother() {
-		return c.lastTarget, nil
+// finalOutcome returns the outcome of the call: that of its last attempt, or an earlier answer if the last attempt has none.
+func (c *call) finalOutcome(answer *caller.Answer, refusal *caller.Refusal) (*caller.Answer, *caller.Refusal) {
+	switch {
+	case refusal == nil:
+		return answer, nil
+	case c.failedAnswer != nil:
+		return c.failedAnswer, nil
 	}
-	chosen, err := c.choose(ctx)
-	if err != nil && repeat {
-		return c.lastTarget, nil
+	return nil, c.finalRefusal(refusal)
+}
+
+// try sends the request to the upstream of the node, hedged by a second attempt when the request qualifies for one.
+func (c *call) try(ctx context.Context, chosen peer.Candidate) (*caller.Answer, *caller.Refusal) {
+	if delay := c.hedgeDelay(); delay > 0 {
+		return c.sendHedged(ctx, chosen, delay)
 	}
-	return chosen, err
+	return c.recordOutcome(c.attempt(ctx, chosen))
 }
 
 // choose picks a node that was not tried before.
@@ -226,14 +228,11 @@
 	return slices.Contains(c.triedNodes, p.Status().Node)
 }
 
-// noUpstream returns the refusal of a request for which no upstream is left: the last one of a node if there is one. A
-// resend may succeed soon, for example once the replacement of an upstream has started.
+// noUpstream returns the refusal of a request for which there is no upstream. A resend may succeed soon, for example once
+// the replacement of an upstream has started.
 func (c *call) noUpstream(ctx context.Context) *caller.Refusal {
 	if ctx.Err() != nil {
-		return caller.Refuse(contextReason(ctx), dispatchStep, "")
-	}
-	if c.lastRefusal != nil {
-		return c.lastRefusal
+		return caller.Refuse(caller.ContextReason(ctx), dispatchStep, "")
 	}
 	refusal := caller.Refuse(caller.NoUpstream, dispatchStep, c.req.Service)
 	refusal.RetryAfter = noUpstreamRetryAfter
@@ -286,21 +285,8 @@
 	refusal := caller.AsRefusal(err, caller.PeerLost, dispatchStep)
 	if ctx.Err() != nil && (refusal.Reason == caller.Cancelled || refusal.Reason == caller.DeadlinePassed) {
 		ended := *refusal
-		ended.Reason = contextReason(ctx)
+		ended.Reason = caller.ContextReason(ctx)
 		return &ended
 	}
 	return refusal
 }
-
-// contextReason returns the reason for which the context of a request has ended: that of the refusal with which this node
-// cancelled it, else the deadline or the caller.
-func contextReason(ctx context.Context) caller.Reason {
-	var refusal *caller.Refusal
-	switch {
-	case errors.As(context.Cause(ctx), &refusal):
-		return refusal.Reason
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return caller.DeadlinePassed
-	}
-	return caller.Cancelled
-}
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -46,7 +46,7 @@
 // it is the usual one, or a longer one during a cold start. A reported service time includes the effect of a cold start.
 func (p *Proxy) serviceTimePercent(now time.Time) int {
 	switch {
-	case p.load.ServiceTimePercent > 0 && !p.loadCheckedAt.IsZero():
+	case p.load.ServiceTimePercent > 0:
 		return p.load.ServiceTimePercent
 	case now.Sub(p.lastSeen) < p.current.ColdStartRemaining:
 		return coldSlowdown * usualServiceTimePercent
@@ -71,7 +71,7 @@
 	addr := p.current.Address
 	go func() {
 		report, err := p.checkHealth(addr, path)
-		p.finishHealthCheck(time.Now(), report, err)
+		p.finishHealthCheck(time.Now(), done, report, err)
 		close(done)
 	}()
 	return done
@@ -84,10 +84,14 @@
 }
 
 // finishHealthCheck records the load of a health check. A failed check or an unhealthy report does not take the upstream
-// out of service: checks give false results both ways, and the results of requests are a better signal.
-func (p *Proxy) finishHealthCheck(now time.Time, report HealthReport, err error) {
+// out of service: checks give false results both ways, and the results of requests are a better signal. A check that was started for
+// an earlier incarnation has no effect.
+func (p *Proxy) finishHealthCheck(now time.Time, check chan struct{}, report HealthReport, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.pendingCheck != check {
+		return
+	}
 	p.pendingCheck = nil
 	if err != nil || !p.isCurrent(report.UpstreamID) || !report.HasLoad {
 		p.loadCheckedAt = now // delays the next check by FreshFor
@@ -108,12 +112,13 @@
 	p.renewAnnouncement(now)
 }
 
-// recordAnswer records contact with the upstream with the ID, and the load that the answer reports.
-func (p *Proxy) recordAnswer(now time.Time, id string, answer *caller.Answer) {
+// recordAnswer records contact with the upstream, and the load that the answer reports. target is the announcement of the
+// incarnation to which the request was sent.
+func (p *Proxy) recordAnswer(now time.Time, target Announcement, answer *caller.Answer) {
 	load, ok := p.options.Client.LoadOf(answer.Header)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if id != p.current.ID {
+	if !p.current.sameIncarnation(target) {
 		return
 	}
 	if ok && load.ServiceTimePercent > 0 {
@@ -181,7 +186,8 @@
 // this process and is known through Recall. observed is the state before the health check.
 func (p *Proxy) adopt(now time.Time, observed state, addr string, report HealthReport) {
 	p.mu.Lock()
-	_, departed := p.departed[report.UpstreamID]
+	born, departed := p.departed[report.UpstreamID]
+	departed = departed && p.current.Born <= born
 	if p.state != observed || departed || (p.current.ID != "" && p.current.ID != report.UpstreamID) {
 		p.mu.Unlock()
 		return
--- a/link/link.go
+++ b/link/link.go
@@ -112,6 +112,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	token := &Token{kind: kind, started: now, predicted: l.predictLatency(now, kind)}
+	l.ejection.beginTrial(token)
 	l.inFlight[kind]++
 	if kind == Short {
 		l.unanswered++
@@ -125,7 +126,7 @@
 func (l *Link) RecordAnswer(now time.Time, token *Token, result Result, report *Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	token.answered = true
+	token.answered, token.failed = true, result.failure()
 	if token.kind == Short {
 		l.unanswered--
 		l.unansweredStartSum -= int64(token.started.Sub(l.epoch))
@@ -139,11 +140,11 @@
 	if result == Served || overdue {
 		l.recordLatency(now, token)
 	}
-	l.recordResult(now, result)
+	l.recordResult(now, token, result)
 }
 
 // End counts the attempt as finished. It records the result and the report unless RecordAnswer did so before; a connection
-// that broke after RecordAnswer still counts as a failure.
+// that broke after RecordAnswer still counts as a failure, unless the answer counted as one.
 func (l *Link) End(now time.Time, token *Token, result Result, report *Report) {
 	l.mu.Lock()
 	answered := token.answered
@@ -154,8 +155,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight[token.kind]--
-	if answered && result == ConnectionLost {
-		l.recordResult(now, result)
+	if answered && result == ConnectionLost && !token.failed {
+		l.recordResult(now, token, result)
 	}
 }
 
