idempotency: a record that the store has lost is written again

Callers saw: nothing yet; found by reading. After the store has returned from an older copy, a service's keeper group could not change any more: a planned stop of a member ran into its limit, and after the store outage (75 minutes) every request with an idempotency key would have been refused.

Cause: the read of a record older than the known one was dropped. In Group this came before resumeChange, so that a change of epoch in stage reading waited for the next read, which was as old; the epoch was never confirmed again. In NonMember the same read left the next one 5 minutes away and an orphaned group was never replaced, since nobody could go on from the lost record.

Change: a member that reads an older record, by a read that began after it adopted the newer one, writes the newer one again at the revision read, as it does to clear a mark; like there, a mark is overwritten only while a majority responds. A node outside the group keeps the record it knows and marks or replaces the group from it at the revision read. Two writers meet at the compare-and-swap, and a late answer of a read changes nothing, because its revision has passed.

--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -250,8 +250,8 @@
 		return nil
 	}
 	out := g.adopt(now, in.Record)
-	if in.Record.Epoch != g.record.Epoch {
-		return out
+	if in.Record.Epoch < g.record.Epoch {
+		return g.restoreRecord(now, in)
 	}
 	if in.Record.Mark == nil {
 		g.confirm(in.Started)
@@ -261,6 +261,20 @@
 	return append(out, g.resumeChange(now, in)...)
 }
 
+// restoreRecord handles the read of an older record. A read that began after the known record was adopted shows that the store
+// has lost that record: a member writes it again, and reads it back before a change of epoch goes on. Like a mark of the known
+// epoch, one of the older record is overwritten only while a majority responds.
+func (g *Group) restoreRecord(now Instant, in RecordRead) []Output {
+	if _, ok := g.member(); !ok || in.Started.Mono < g.adoptedAt.Mono {
+		return nil
+	}
+	g.readFailed(now)
+	if in.Record.Mark != nil && !g.majorityResponsive(now) {
+		return nil
+	}
+	return []Output{SwapRecord{Record: g.record.withMark(nil), Revision: in.Revision, Era: in.Era}}
+}
+
 // failedReadDelay is the wait after a failed read. It is shorter while the epoch is unconfirmed or a
 // change is under way.
 func (g *Group) failedReadDelay() time.Duration {
@@ -299,7 +313,7 @@
 		}
 		return nil
 	}
-	if in.Record.Epoch == g.record.Epoch { // a mark was cleared
+	if in.Record.Epoch == g.record.Epoch { // a mark was cleared, or a lost record restored
 		g.confirm(in.Started)
 		return nil
 	}
--- a/idempotency/nonmember.go
+++ b/idempotency/nonmember.go
@@ -168,18 +168,15 @@
 		o.nextRead = now.Mono + o.config.ReadInterval/6
 		return nil
 	}
-	if in.Record != nil && o.record != nil && in.Record.Epoch < o.record.Epoch {
-		return nil
-	}
 	if o.era.Ended() {
 		o.observedMark = 0 // a revision of the earlier era does not identify the mark
 	}
-	o.read, o.record, o.revision, o.era, o.writeUncertain = true, in.Record, in.Revision, in.Era, false
+	o.read, o.record, o.revision, o.era, o.writeUncertain = true, o.newest(in.Record), in.Revision, in.Era, false
 	ownRank := o.candidateRank()
 	switch {
 	case ownRank < 0:
 		return nil
-	case in.Record == nil || len(in.Record.Members) == 0:
+	case o.record == nil || len(o.record.Members) == 0:
 		return o.createWhenDue(now, ownRank)
 	case ownRank > 0 && !o.holdsMark(), !o.orphaned():
 		o.observedMark = 0
@@ -189,6 +186,15 @@
 	return o.markOrReplace(now)
 }
 
+// newest returns the record read, or the known one when the store holds an older one. The next write then goes from the known
+// record to the revision read. The store has no mark on it that members could see.
+func (o *NonMember) newest(read *Record) *Record {
+	if read != nil && o.record != nil && read.Epoch < o.record.Epoch {
+		return o.record.withMark(nil)
+	}
+	return read
+}
+
 // createWhenDue creates the first group, or the next one after all members stopped as planned, when
 // this node's delay by rank has passed.
 func (o *NonMember) createWhenDue(now Instant, ownRank int) []Output {
