idempotency: a write of an earlier epoch does not confirm the present one

Callers saw: nothing yet; found by reading, beside the write of a lost record.

Cause: a member clears a mark, or writes a lost record again, by a write of the record it knows. When it adopted a later epoch from another node before the answer came, the answer was taken as that of a change of epoch: it confirmed the later epoch and sent the older record to the members of both.

Evidence: TestWriteOfAnEarlierEpochDoesNotConfirm failed before (the member granted a lease in an epoch that no read had confirmed) and passes now, with the whole package.

Change: the answer of a write of an earlier epoch is ignored. The next read, due since the adoption, confirms the epoch.

--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -313,6 +313,9 @@
 		}
 		return nil
 	}
+	if in.Record.Epoch < g.record.Epoch {
+		return nil // it says nothing of the epoch adopted since
+	}
 	if in.Record.Epoch == g.record.Epoch { // a mark was cleared, or a lost record restored
 		g.confirm(in.Started)
 		return nil
--- a/idempotency/keeper_test.go
+++ b/idempotency/keeper_test.go
@@ -286,3 +286,21 @@
 		})
 	}
 }
+
+// Guards against an epoch that counts as confirmed by the store because a write of the epoch before it was answered late.
+func TestWriteOfAnEarlierEpochDoesNotConfirm(t *testing.T) {
+	self := Identity{ID: "n0", Incarnation: 1}
+	record := func(epoch uint64) *Record {
+		return &Record{Epoch: epoch, Members: []Member{{Identity: self, Addr: "n0"}}, Outage: time.Hour.Milliseconds()}
+	}
+	clock := NewClock().Now()
+	g := NewGroup(self, "s", DefaultConfig(), NewTable(testSetting().Bounds))
+	g.Handle(clock, RecordReceived{Record: record(1)})
+	g.Handle(clock, RecordReceived{Record: record(2)})
+	out := g.Handle(clock, SwapDone{Started: clock, Record: record(1), Revision: 3, Swapped: true})
+	assert.Equal(t, len(out), 0, "the older record is sent to members")
+	grant := GrantRequest{Service: "s", Epoch: 2, From: self, To: self}
+	assert.Assert(t, !g.Grant(clock, grant).Granted)
+	g.Handle(clock, SwapDone{Started: clock, Record: record(2), Revision: 4, Swapped: true})
+	assert.Assert(t, g.Grant(clock, grant).Granted)
+}
