sidecar: a poll held back by the node's own rate limit is no failed poll

Callers saw: nothing yet; found by reading.

Cause: a poll has 600 ms. The rate limiter of the process returns an error at once when a call would have to wait longer than that, as the same ErrUnavailable that a silent store gives. The node then told the others that it does not reach the store, lost its rank as watcher and reader for the others, and kept the mark until it reached the store again: with a good poll if it still polled, else with the next renewal of its lease, up to 6.7 s later.

Change: the client returns ErrRateLimited, a subtype of ErrUnavailable, for a call that was not sent. A poll that ends with it is logged and leaves the mark as it is. All other callers that judge whether the store is reached call without a deadline, so that the limiter only delays them.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -169,7 +169,9 @@
 	entries, err := client.List(reading, s.Platform.ContractsPrefix)
 	if err != nil {
 		s.Log.Warn("cannot poll contracts", "cause", err.Error())
-		s.setStoreReachable(false)
+		if !store.Is(err, store.ErrRateLimited) {
+			s.setStoreReachable(false)
+		}
 		return
 	}
 	s.setStoreReachable(true)
--- a/store/client.go
+++ b/store/client.go
@@ -53,7 +53,7 @@
 // waitRateLimit blocks until the rate limit permits another call. operation names the call in the error.
 func (c *Client) waitRateLimit(ctx context.Context, operation string) error {
 	if err := c.limiter.Wait(ctx); err != nil {
-		return ErrUnavailable.Wrap(err, "%s: wait for the rate limit of this process", operation).WithProperty(PropertyOperation, operation)
+		return ErrRateLimited.Wrap(err, "%s: wait for the rate limit of this process", operation).WithProperty(PropertyOperation, operation)
 	}
 	return nil
 }
--- a/store/store.go
+++ b/store/store.go
@@ -72,6 +72,9 @@
 	// ErrUnavailable says that the store could not be reached or rejected the call. A write did not
 	// take effect.
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
+	// ErrRateLimited is the ErrUnavailable of a call that the rate limit of this process held back until its context would have
+	// ended. The call was not sent, so it says nothing of the store.
+	ErrRateLimited = ErrUnavailable.NewSubtype("rate_limited")
 	// ErrLeaseLapsed says that the lease no longer exists.
 	ErrLeaseLapsed = namespace.NewType("lease_lapsed")
 	// ErrEraEnded says that the revision or the lease of a call is of an earlier era of the store. The call was not sent.
