store: the end of Follow is no loss of the store

Callers saw: nothing yet; found by reading.

Cause: when the context of Follow ends, the watch closes and calls fail, and Follow reported that as a loss of the store. A node that stops watching for its zone, because one that ranks before it has started, told all others that it does not reach the store, until the next renewal of its lease, up to 6.7 s later. Until then it was the last choice as watcher and did not read for the others.

Evidence: TestEndOfFollowIsNoLossOfTheStore failed before ("ended while it follows: [true false]") and passes now, as do ./store, ./sidecar, ./platform and ./docs.

Change: a failure after the end of the context is not reported.

--- a/store/client_test.go
+++ b/store/client_test.go
@@ -172,6 +172,23 @@
 	})
 }
 
+// Guards against a node that tells the others that it has lost the store when it only stops following it.
+func TestEndOfFollowIsNoLossOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, delay := range map[string]time.Duration{"while it follows": time.Second, "while it waits for the rate limit": 0} {
+			var reports []bool
+			client := store.NewClient(kvstore.NewMemory(), 1, 1)
+			client.OnReachable = func(reached bool) { reports = append(reports, reached) }
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = client.Follow(ctx, "/f/", func([]store.Entry) {}) }()
+			time.Sleep(2*delay + time.Millisecond)
+			cancel()
+			synctest.Wait()
+			assert.Assert(t, !slices.Contains(reports, false), "ended %s: %v", name, reports)
+		}
+	})
+}
+
 // Guards against a session whose keys are not written again after its lease lapsed, and against one that still
 // reports the lease as held while the store is unreachable.
 func TestSessionReplacesLapsedLease(t *testing.T) {
--- a/store/follow.go
+++ b/store/follow.go
@@ -44,8 +44,11 @@
 	unreachable bool // the last attempt failed and was reported
 }
 
-// markUnreachable reports the first of a series of failures.
-func (f *follower) markUnreachable(cause string) {
+// markUnreachable reports the first of a series of failures. The end of ctx is none.
+func (f *follower) markUnreachable(ctx context.Context, cause string) {
+	if ctx.Err() != nil {
+		return
+	}
 	if !f.unreachable {
 		f.client.Log.Warn("store unreachable, retrying", "prefix", f.prefix, "cause", cause)
 		f.client.OnReachable(false)
@@ -64,7 +67,7 @@
 		_, err = f.read(ctx)
 	}
 	if err != nil {
-		f.markUnreachable(err.Error())
+		f.markUnreachable(ctx, err.Error())
 		return
 	}
 	f.backoff.Reset()
@@ -79,7 +82,7 @@
 		select {
 		case event, ok := <-events:
 			if !ok {
-				f.markUnreachable("the watch broke")
+				f.markUnreachable(ctx, "the watch broke")
 				return
 			}
 			f.apply(event)
