peer: an answer to an earlier load query does not replace a later load

Callers saw: nothing that breaks a promise; found by reading. A request could be placed by an outdated load that counted as fresh for 20 ms.

Cause: a load was stored with the time of its arrival, whatever query it answered. Datagrams overtake each other, may be doubled, and an answer to a node may arrive after its restart under the same address.

Change: a load counts only when its query was sent to the peer and after the one that the known load answers. Sequence numbers wrap around, so a load older than the longest delay of a datagram, 5 s, is replaced by any. The numbers are drawn under the lock of the peer; two requests could open their queries in the reverse order of their numbers before.

--- a/peer/choose.go
+++ b/peer/choose.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -114,7 +115,7 @@
 		if p.isSelf {
 			continue
 		}
-		wanted, send, rtt := p.startQuery(now, freshFor, r.lastSequence.Add(1), batch)
+		wanted, send, rtt := p.startQuery(now, freshFor, &r.lastSequence, batch)
 		if !wanted {
 			continue
 		}
@@ -131,8 +132,9 @@
 }
 
 // startQuery adds the batch to the waiters of the peer when the load is older than freshFor. send is false when an
-// open query is younger than minAnswerWait and is shared. An older open query is replaced and counts as unanswered.
-func (p *Peer) startQuery(now time.Time, freshFor time.Duration, sequence uint32, batch *queryBatch) (wanted, send bool, rtt time.Duration) {
+// open query is younger than minAnswerWait and is shared. An older open query is replaced and counts as unanswered. The sequence
+// number is drawn under the lock, so that those of one peer increase.
+func (p *Peer) startQuery(now time.Time, freshFor time.Duration, lastSequence *atomic.Uint32, batch *queryBatch) (wanted, send bool, rtt time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.loadAt.IsZero() && now.Sub(p.loadAt) < freshFor {
@@ -144,7 +146,7 @@
 	if p.query.open && now.Sub(p.query.sentAt) < minAnswerWait {
 		return true, false, p.rtt
 	}
-	p.openQuery(now, sequence)
+	p.openQuery(now, lastSequence.Add(1))
 	return true, true, p.rtt
 }
 
--- a/peer/contact.go
+++ b/peer/contact.go
@@ -63,8 +63,8 @@
 
 // query sends a load query to the peer that no request waits for.
 func (r *Roster) query(now time.Time, p *Peer) {
-	sequence := r.lastSequence.Add(1)
 	p.mu.Lock()
+	sequence := r.lastSequence.Add(1)
 	p.expireQuery(now)
 	p.openQuery(now, sequence)
 	p.mu.Unlock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -59,16 +59,17 @@
 	addr   netip.AddrPort // datagram address
 	isSelf bool
 
-	mu        sync.Mutex
-	status    Status
-	previous  PreviousUpstream // kept until the node has an upstream again
-	load      Load
-	loadAt    time.Time // zero when no load of the current boot and upstream is known
-	lastHeard time.Time
-	query     loadQuery
-	waiters   []waiter
-	rtt       time.Duration // estimate of the shortest round-trip time of a query
-	outcomes  outcomeStats
+	mu           sync.Mutex
+	status       Status
+	previous     PreviousUpstream // kept until the node has an upstream again
+	load         Load
+	loadAt       time.Time // zero when no load of the current boot and upstream is known
+	loadSequence uint32    // sequence number of the query that load answers
+	lastHeard    time.Time
+	query        loadQuery
+	waiters      []waiter
+	rtt          time.Duration // estimate of the shortest round-trip time of a query
+	outcomes     outcomeStats
 }
 
 // waiter is a batch that waits for the peer's answer.
@@ -134,8 +135,8 @@
 		p.observeRTT(now.Sub(p.query.sentAt))
 	}
 	stale = load.Boot != p.status.Boot || load.Revision != p.status.Revision
-	if !stale {
-		p.load, p.loadAt = load, now
+	if !stale && p.answersLater(now, sequence) {
+		p.load, p.loadAt, p.loadSequence = load, now, sequence
 	}
 	for _, w := range p.waiters {
 		w.batch.answered()
@@ -144,6 +145,17 @@
 	return stale
 }
 
+// maxDatagramDelay is the time for which a datagram may be on its way.
+const maxDatagramDelay = 5 * time.Second
+
+// answersLater reports whether the query with the sequence number was sent to the peer, and later than the one that the known
+// load answers. Sequence numbers wrap around. The caller holds the lock.
+func (p *Peer) answersLater(now time.Time, sequence uint32) bool {
+	sent := int32(p.query.sequence-sequence) >= 0
+	later := int32(sequence-p.loadSequence) > 0
+	return sent && (later || now.Sub(p.loadAt) > maxDatagramDelay)
+}
+
 // rttIncreaseWeight is the weight of a slower answer in the round-trip time; a faster one replaces it.
 const rttIncreaseWeight = 1.0 / 16
 
