peer: a late status of the run before does not replace the present one

Callers saw: nothing that breaks a promise; found by reading. Requests sent to the earlier run of a node are refused as not-run and tried elsewhere; the node's rank as watcher of the contracts and reader of the store went by its old word.

Cause: only a status of the same boot was compared with the known one. Boots are drawn at random, so they do not tell which of two runs is the later one, and any other boot counted as a restart. A status that was overtaken by the first one of the next run stood until the node was heard again: by a load query within milliseconds, without one by the next gossip.

Evidence: TestLateStatusOfAnEarlierRunIsIgnored failed before (boot 70 instead of 50) and passes now, as do ./peer, ./entry, ./sidecar and ./transport/datagram.

Change: a peer keeps the boot that the present one replaced, and statuses of it are ignored for 5 s, the longest delay of a datagram. When the late status was the second that was heard, the run taken for ended is the present one: TestPresentRunIsKnownAgainAfterALateStatus holds that it is accepted again as soon as it answers the latest load query, or after the 5 s. That test passed before too.

--- a/peer/late_test.go
+++ b/peer/late_test.go
@@ -36,6 +36,56 @@
 	}}
 }
 
+// currentBoot returns the boot of the only node of the service.
+func currentBoot(t *testing.T, r *peer.Roster) uint64 {
+	t.Helper()
+	known := r.Service("s")
+	assert.Equal(t, len(known), 1)
+	return known[0].Status().Boot
+}
+
+// Guards against a node that is known by the status of an earlier run again, because that message was overtaken by those of the
+// present run.
+func TestLateStatusOfAnEarlierRunIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, r := lateRoster()
+		r.HandleStatus(address(1), serving(70, "u1"))
+		time.Sleep(time.Second)
+		r.HandleStatus(address(1), serving(50, "u2"))
+		time.Sleep(time.Second)
+		r.HandleStatus(address(1), serving(70, "u1"))
+		assert.Equal(t, currentBoot(t, r), uint64(50))
+		r.HandleStatus(address(1), serving(60, "u3"))
+		assert.Equal(t, currentBoot(t, r), uint64(60), "a later restart")
+		r.HandleStatus(address(1), serving(50, "u2"))
+		assert.Equal(t, currentBoot(t, r), uint64(60))
+	})
+}
+
+// Guards against a node whose present run is ignored for good, because a late status of an earlier run was the second that was
+// heard.
+func TestPresentRunIsKnownAgainAfterALateStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const present, earlier = 50, 70
+		heardInWrongOrder := func() (*querySender, *peer.Roster) {
+			sender, r := lateRoster()
+			r.HandleStatus(address(1), serving(present, "u2"))
+			r.HandleStatus(address(1), serving(earlier, "u1"))
+			return sender, r
+		}
+		_, r := heardInWrongOrder()
+		time.Sleep(10 * time.Second)
+		r.HandleStatus(address(1), serving(present, "u2"))
+		assert.Equal(t, currentBoot(t, r), uint64(present), "after the longest delay of a message")
+
+		sender, r := heardInWrongOrder()
+		choose(t, r)
+		r.HandleLoad(address(1), sender.sequences[len(sender.sequences)-1], peer.Load{Boot: present, Revision: 3, Serving: true})
+		r.HandleStatus(address(1), serving(present, "u2"))
+		assert.Equal(t, currentBoot(t, r), uint64(present), "after it has answered a query")
+	})
+}
+
 // Guards against a choice by an outdated load: the answer to a query was overtaken by that to a later one, was doubled, or comes
 // from before a restart of this node.
 func TestLateLoadIsIgnored(t *testing.T) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -61,6 +61,7 @@
 
 	mu           sync.Mutex
 	status       Status
+	ended        endedRun
 	previous     PreviousUpstream // kept until the node has an upstream again
 	load         Load
 	loadAt       time.Time // zero when no load of the current boot and upstream is known
@@ -72,6 +73,12 @@
 	outcomes     outcomeStats
 }
 
+// endedRun is the run of a peer before the present one.
+type endedRun struct {
+	boot uint64
+	at   time.Time // when the present run was first heard of
+}
+
 // waiter is a batch that waits for the peer's answer.
 type waiter struct {
 	batch *queryBatch
@@ -110,6 +117,12 @@
 	if s.Boot == before.Boot && s.Revision < before.Revision {
 		return before // a delayed datagram of the same boot
 	}
+	if s.Boot == p.ended.boot && now.Sub(p.ended.at) < maxDatagramDelay {
+		return before // a delayed datagram of the run before
+	}
+	if s.Boot != before.Boot {
+		p.ended = endedRun{boot: before.Boot, at: now}
+	}
 	if s.Boot != before.Boot || s.Upstream != before.Upstream {
 		p.loadAt = time.Time{}
 		p.outcomes = outcomeStats{}
@@ -134,6 +147,9 @@
 		p.query.open = false
 		p.observeRTT(now.Sub(p.query.sentAt))
 	}
+	if sequence == p.query.sequence && load.Boot == p.ended.boot {
+		p.ended = endedRun{} // it answers the latest query: the datagram that replaced it was the delayed one
+	}
 	stale = load.Boot != p.status.Boot || load.Revision != p.status.Revision
 	if !stale && p.answersLater(now, sequence) {
 		p.load, p.loadAt, p.loadSequence = load, now, sequence
