sidecar: a stopping node keeps its listeners open while callers arrive

Callers saw: a closed connection instead of an answer, when they still sent to a node 3.2 s after the start of its stop.

Cause: a stopping node refuses requests from 3 s on, closes its listeners 0.2 s after the last request that it served, and did not look at those that it refused. A connection that waits to be accepted when its listener closes is reset, though the caller may have sent its request.

Ruled out: that requests are lost because other nodes learn of the stop only after its first second. By reading only: nor can a request be lost between the two looks at the number in flight: from then on all are refused, and the shutdown waits for them.

Change: the listeners close when no request, refused ones included, has arrived for 0.2 s, at the latest 2.2 s after the refusals began or at the end of the grace period. The answers then due have 0.3 s, as for requests that outlast the grace period; a stop without any of these no longer counts as failed.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -96,6 +96,7 @@
 	stopping       atomic.Bool      // the readiness probe fails
 	rejecting      atomic.Bool      // new requests are refused
 	requests       inflight.Counter // requests of callers
+	arrived        atomic.Uint64    // requests of callers so far, with those that were refused
 
 	callers, peers, registration, ready, metricsServer *httpserver.Server
 }
@@ -182,6 +183,7 @@
 // finished.
 func (s *Sidecar) trackRequests(next *entryhttp.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.arrived.Add(1)
 		if s.rejecting.Load() {
 			next.Refuse(w, r, caller.Refuse(caller.Draining, "accept", s.Settings.Node))
 			return
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -23,9 +23,11 @@
 	shutdownMargin = 500 * time.Millisecond
 	// finalAnswerTimeout is the part of shutdownMargin in which these answers are written.
 	finalAnswerTimeout = 300 * time.Millisecond
-	// idlePeriod is the delay after which a stopping node that has no request of a caller in flight checks this once more.
-	// The listeners are closed only after that.
+	// idlePeriod is the time without a request of a caller, in flight or arriving, after which a stopping node closes its
+	// listeners: a connection that is waiting to be accepted by then is closed without an answer.
 	idlePeriod = 200 * time.Millisecond
+	// maxLateCallerDelay bounds the time for which requests that are refused keep the listeners open.
+	maxLateCallerDelay = 2 * time.Second
 )
 
 // stop shuts the node down gracefully: it fails the readiness probe, keeps serving until the callers use other nodes, and
@@ -45,6 +47,8 @@
 	err = errors.Join(err, s.proxy.InFlight().Wait(ctx))
 	if err != nil {
 		s.refuseRemaining()
+	}
+	if ctx.Err() != nil {
 		ctx, cancel = context.WithTimeout(context.Background(), finalAnswerTimeout)
 		defer cancel()
 	}
@@ -66,15 +70,18 @@
 	s.callers.CancelRequests(caller.Refuse(caller.Draining, "stop", s.Settings.Node))
 }
 
-// waitIdle returns when no request of a caller is in flight, and none is idlePeriod later, or with the error of ctx.
+// waitIdle returns when no request of a caller is in flight and none has arrived for idlePeriod. It waits at most
+// maxLateCallerDelay for the latter, and returns the error of ctx when requests are in flight as ctx ends.
 func (s *Sidecar) waitIdle(ctx context.Context) error {
+	start := time.Now()
 	for {
 		if err := s.requests.Wait(ctx); err != nil {
 			return err
 		}
-		wait.For(ctx, idlePeriod)
-		if s.requests.Len() == 0 {
-			return ctx.Err()
+		arrived := s.arrived.Load()
+		last := !wait.For(ctx, idlePeriod) || time.Since(start) > maxLateCallerDelay
+		if s.requests.Len() == 0 && (last || s.arrived.Load() == arrived) {
+			return nil
 		}
 	}
 }
