idempotency: no second group when the store has lost the record

Callers saw: nothing yet; found by reading. A key could have run twice: two groups with different owners would have served the same service.

Cause: the same as for an older record. After the store returned from a copy that lacks the record, members took the missing record for a failed read, and the first node outside the group, though it knew the record, took it for the first start and created a group of epoch 1.

TestNoSecondGroupAfterTheStoreLostTheRecord and both cases of TestLostGroupIsNotCreatedAnew failed before and pass now, with the whole package.

Change: a member writes the record it knows again, as for an older one, here under the condition that the key does not exist. A node outside the group goes on from the record it knows: it leaves a group that serves alone, and marks one that is lost before it replaces it.

--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -245,14 +245,14 @@
 // recordRead processes the result of a store read. A read of the current epoch without a mark confirms it.
 func (g *Group) recordRead(now Instant, in RecordRead) []Output {
 	g.reading = false
-	if in.Failed || in.Record == nil {
+	switch {
+	case in.Failed || in.Record == nil && g.record == nil:
 		g.readFailed(now)
 		return nil
-	}
-	out := g.adopt(now, in.Record)
-	if in.Record.Epoch < g.record.Epoch {
+	case in.Record == nil || g.record != nil && in.Record.Epoch < g.record.Epoch:
 		return g.restoreRecord(now, in)
 	}
+	out := g.adopt(now, in.Record)
 	if in.Record.Mark == nil {
 		g.confirm(in.Started)
 	} else if _, ok := g.member(); ok && g.majorityResponsive(now) {
@@ -261,7 +261,7 @@
 	return append(out, g.resumeChange(now, in)...)
 }
 
-// restoreRecord handles the read of an older record. A read that began after the known record was adopted shows that the store
+// restoreRecord handles the read of an older record, or of none. A read that began after the known record was adopted shows that the store
 // has lost that record: a member writes it again, and reads it back before a change of epoch goes on. Like a mark of the known
 // epoch, one of the older record is overwritten only while a majority responds.
 func (g *Group) restoreRecord(now Instant, in RecordRead) []Output {
@@ -269,7 +269,7 @@
 		return nil
 	}
 	g.readFailed(now)
-	if in.Record.Mark != nil && !g.majorityResponsive(now) {
+	if in.Record != nil && in.Record.Mark != nil && !g.majorityResponsive(now) {
 		return nil
 	}
 	return []Output{SwapRecord{Record: g.record.withMark(nil), Revision: in.Revision, Era: in.Era}}
--- a/idempotency/nonmember.go
+++ b/idempotency/nonmember.go
@@ -186,10 +186,10 @@
 	return o.markOrReplace(now)
 }
 
-// newest returns the record read, or the known one when the store holds an older one. The next write then goes from the known
+// newest returns the record read, or the known one when the store holds an older one or none. The next write then goes from the known
 // record to the revision read. The store has no mark on it that members could see.
 func (o *NonMember) newest(read *Record) *Record {
-	if read != nil && o.record != nil && read.Epoch < o.record.Epoch {
+	if o.record != nil && (read == nil || read.Epoch < o.record.Epoch) {
 		return o.record.withMark(nil)
 	}
 	return read
--- a/idempotency/restored_test.go
+++ b/idempotency/restored_test.go
@@ -98,3 +98,52 @@
 		assert.Assert(t, f.record(t).Epoch > epoch, "the store has epoch %d", f.record(t).Epoch)
 	})
 }
+
+// Guards against a second group beside the one that serves, which runs keys again: the store has returned from a copy without the
+// record, and a node outside the group takes that for the first start.
+func TestNoSecondGroupAfterTheStoreLostTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(5)
+		defer f.stop()
+		empty := f.store.Copy()
+		time.Sleep(15 * time.Second)
+		serving := f.record(t)
+		f.store.Restore(empty)
+		time.Sleep(DefaultReadInterval + 2*minReadInterval)
+		entry, err := f.store.Get(t.Context(), StoreKey("s"))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, entry.Value, serving.Encode())
+		time.Sleep(2 * nonMemberReadInterval)
+		assert.Equal(t, f.record(t).Nonce, serving.Nonce)
+	})
+}
+
+// Guards against a group that is created anew by a node which knows the lost one, while members of that one may still serve.
+func TestLostGroupIsNotCreatedAnew(t *testing.T) {
+	self, member := Identity{ID: "n9", Incarnation: 1}, Identity{ID: "n0", Incarnation: 1}
+	peers := []Peer{
+		{Identity: self, Addr: "n9", Region: "r", Serves: true},
+		{Identity: member, Addr: "n0", Region: "r", Serves: true},
+	}
+	known := &Record{Epoch: 3, Region: "r", Members: []Member{{Identity: member, Addr: "n0"}}, Outage: time.Hour.Milliseconds()}
+	for name, gone := range map[string]bool{"group serves": false, "group is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			clock := NewClock().Now()
+			peers[1].Gone = gone
+			o := NewNonMember(clock, self, "s", DefaultConfig(), 0)
+			o.Handle(clock, PeersChanged{Peers: peers})
+			o.Handle(clock, RecordReceived{Record: known})
+			out := o.Handle(clock, RecordRead{})
+			assert.Equal(t, o.joinAskedAt, time.Duration(0), "a new group is formed")
+			if !gone {
+				assert.Equal(t, len(out), 0)
+				return
+			}
+			assert.Equal(t, len(out), 1)
+			written := out[0].(SwapRecord)
+			assert.Equal(t, written.Revision, int64(0))
+			assert.Equal(t, written.Record.Epoch, known.Epoch)
+			assert.Equal(t, written.Record.Mark.By, self)
+		})
+	}
+}
