idempotency: a sealed member reads the record when a request names a later epoch

Callers saw: new keys were refused as no-keeper for 6 s or more after a planned stop, although the group had its next epoch.

Cause: a member that is sealed waits two lease durations, and one more for each lower slot, before it reads the store and proposes an epoch. If the member that sealed it wrote the next epoch and ended before it informed this one, requests of entry nodes that had read the record reached it and named that epoch. A request refused because another member owns the key made it read the record at once, one refused for lack of a lease did not.

Change: a claim refused for lack of a lease makes the member read the record if it names a later epoch, at most once a second.

Before: TestRequestOfLaterEpochReadsRecordWhenSealed failed; now it passes.

--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -5,7 +5,7 @@
 // Claim answers an entry node that asks to run a key.
 func (g *Group) Claim(now Instant, r ClaimRequest) ClaimReply {
 	reply := g.claim(now, r)
-	if reply.Verdict == NotOwner {
+	if reply.Verdict.mayBeOutdated() {
 		g.readIfBehind(now, r.Epoch)
 	}
 	return reply
@@ -53,6 +53,10 @@
 	return SettleReply{Accepted: true}
 }
 
+// mayBeOutdated reports whether the claim may have been refused because this member does not know the present epoch: a member that
+// was sealed holds no lease until it does.
+func (v Verdict) mayBeOutdated() bool { return v == NotOwner || v == NoLease }
+
 // readIfBehind schedules a read of the store when an entry node knows a later epoch. The member that
 // wrote that epoch may have ended before it informed the new members; only such requests then reach them.
 func (g *Group) readIfBehind(now Instant, epoch uint64) {
--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -48,3 +48,22 @@
 	_, err := simulate(3, 2, []fault{stop}, mutation{})
 	assert.NilError(t, err)
 }
+
+// Guards against a sealed member that refuses new keys for seconds although requests of a later epoch reach it: the member that
+// sealed it wrote the epoch and ended before it informed this one.
+func TestRequestOfLaterEpochReadsRecordWhenSealed(t *testing.T) {
+	self, other := Identity{ID: "n0", Incarnation: 1}, Identity{ID: "n1", Incarnation: 1}
+	now := Instant{Mono: time.Hour, Wall: simEpoch}
+	g := NewGroup(self, "s", simConfig, NewTable(simBounds))
+	g.Handle(now, RecordReceived{Record: &Record{Epoch: 1, Members: []Member{{Identity: self}, {Identity: other, Slot: 1}}, Outage: 1}})
+	g.Handle(now, Tick{})
+	g.Handle(now, RecordRead{Started: now, Failed: true})
+	assert.Assert(t, g.Seal(now, SealRequest{Epoch: 1, From: other, To: self}).Sealed)
+	key := newKey(simEpoch, 1)
+	for serial := uint64(2); g.Record().Owner(key).Identity != self; serial++ {
+		key = newKey(simEpoch, serial)
+	}
+	now.Mono += minReadInterval
+	assert.Equal(t, g.Claim(now, ClaimRequest{Epoch: 2, To: self, Key: key}).Verdict, NoLease)
+	assert.Assert(t, slices.Contains(g.Handle(now, Tick{}), Output(ReadRecord{})))
+}
--- a/idempotency/serve.go
+++ b/idempotency/serve.go
@@ -11,7 +11,7 @@
 		return ClaimReply{Verdict: NotOwner}
 	}
 	reply := s.group.Claim(k.clock.Now(), r)
-	if reply.Verdict == NotOwner {
+	if reply.Verdict.mayBeOutdated() {
 		s.resetTimer()
 	}
 	return reply
