idempotency: the first node outside a group sends the record to its members

Callers saw: requests with an idempotency key of a service were refused for 83 minutes (store outage and margin) after two planned stops in a row.

Cause: the only member stopped as planned, wrote the epoch with its successor, did not get the store's answer and ended, so that nobody informed the successor. Requests with a key make the successor read the record since the change before, but without any it never learned that it is a member. At its own planned stop it had no group to leave, and its group stayed behind as orphaned.

Change: the first-ranked node outside the group, which reads the record when it starts and every 5 min, sends it to the members of a healthy group. These are up to three messages of one node of a service in that time.

--- a/idempotency/nonmember.go
+++ b/idempotency/nonmember.go
@@ -181,9 +181,12 @@
 		return nil
 	case in.Record == nil || len(in.Record.Members) == 0:
 		return o.createWhenDue(now, ownRank)
-	case ownRank > 0 && !o.holdsMark(), !o.orphaned():
+	case ownRank > 0 && !o.holdsMark():
 		o.observedMark = 0
 		return nil
+	case !o.orphaned():
+		o.observedMark = 0
+		return informMembers(in.Record) // the node that wrote it may have ended before it informed them
 	}
 	o.nextRead = now.Mono + o.config.ReadInterval
 	return o.markOrReplace(now)
@@ -279,9 +282,13 @@
 		return nil
 	}
 	o.observedMark = 0
+	return informMembers(in.Record)
+}
+
+func informMembers(record *Record) []Output {
 	var out []Output
-	for _, m := range in.Record.Members {
-		out = append(out, SendRecord{To: m, Record: in.Record})
+	for _, m := range record.Members {
+		out = append(out, SendRecord{To: m, Record: record})
 	}
 	return out
 }
--- /dev/null
+++ b/idempotency/stop_test.go
@@ -0,0 +1,68 @@
+package idempotency
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+)
+
+// Guards against a member that does not know that it is one while no request has a key, and then cannot leave the group at its
+// planned stop: the previous member wrote the epoch, did not receive the answer of the store and ended.
+func TestMemberLearnsRecordWithoutRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(2)
+		defer f.stop()
+		time.Sleep(15 * time.Second)
+		first := slices.IndexFunc(f.peers, func(p Peer) bool { return p.Identity == f.record(t).Members[0].Identity })
+		f.stopUnanswered(t, first)
+		f.restart(first)
+		time.Sleep(15 * time.Second)
+
+		second := f.peers[1-first].Identity
+		assert.Equal(t, f.record(t).Members[0].Identity, second)
+		stopCtx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		f.network.keepers[second].Stop(stopCtx)
+		f.network.down.Store(second, true)
+		f.peers[1-first].Gone, f.peers[1-first].Serves = true, false
+		f.update()
+		time.Sleep(15 * time.Second)
+		verdict, _ := f.claim(first, newKey(time.Now(), 1))
+		assert.Equal(t, verdict, Granted)
+	})
+}
+
+// stopUnanswered stops the node. The store performs the write that ends its epoch, and answers nothing afterwards.
+func (f *testFleet) stopUnanswered(t *testing.T, index int) {
+	epoch := f.record(t).Epoch
+	f.store.SetFaults(kvstore.Faults{DropResponses: true})
+	stopCtx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		f.network.keepers[f.peers[index].Identity].Stop(stopCtx)
+	}()
+	for f.record(t).Epoch == epoch {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.store.SetFaults(kvstore.Faults{Down: true})
+	<-stopped
+	f.store.SetFaults(kvstore.Faults{})
+	f.network.down.Store(f.peers[index].Identity, true)
+}
+
+// restart starts the node's next incarnation.
+func (f *testFleet) restart(index int) {
+	p := &f.peers[index]
+	p.Incarnation++
+	f.network.keepers[p.Identity] = NewKeeper(p.Identity, f.store, f.network.as(p.Identity))
+	f.clients[index] = NewClient(f.network.keepers[p.Identity], f.store, f.network.as(p.Identity))
+	f.update()
+}
