idempotency: a planned stop waits for a write that may make the node a member

Cause: a planned stop ended at once when the node was not a member. A write of that node which creates the group, and names it, may be unanswered then: it took effect in the store, and the group stayed behind with a member that had ended.

Change: a planned stop ends only when no write of the node outside the group is under way or uncertain. After a lost answer the node reads the record back, also while it stops and when its upstream no longer takes requests. If the write made it a member, it leaves the group as any member does. The wait is bounded by the time limit of the stop.

Tests of the package and of docs pass with -race.

--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -130,7 +130,7 @@
 	s.resetTimer()
 }
 
-// resetTimer makes run reset its timer, and ends a planned stop once the node is no longer a member.
+// resetTimer makes run reset its timer, and ends a planned stop once the node has left the group.
 func (s *serviceKeeper) resetTimer() {
 	select {
 	case s.wake <- struct{}{}:
@@ -140,12 +140,13 @@
 }
 
 // addPending changes the number of pending steps. A planned stop ends when the node is no longer a
-// member and nothing is pending, so that a hand-over that an input has just requested is not cut off.
+// member, no write of its own can make it one, and nothing is pending, so that a hand-over that an input
+// has just requested is not cut off.
 func (s *serviceKeeper) addPending(change int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending += change
-	if s.leftGroup == nil || s.pending > 0 || s.group.IsMember() {
+	if s.leftGroup == nil || s.pending > 0 || s.group.IsMember() || s.nonMember.writeUnresolved() {
 		return
 	}
 	select {
@@ -174,8 +175,10 @@
 			if in == nil || k.ctx.Err() != nil {
 				return
 			}
+			s.addPending(1)
 			k.process(s, machine, in)
 			k.shareRecord(s, in)
+			s.addPending(-1)
 			s.resetTimer()
 		})
 		if !started {
--- a/idempotency/nonmember.go
+++ b/idempotency/nonmember.go
@@ -38,6 +38,7 @@
 	era            store.EraStatus // in which the revision holds
 	read           bool            // the record has been read at least once
 	reading        bool
+	writing        bool // a write of this node is under way
 	writeUncertain bool // a write of this node may have taken effect although its reply was lost
 	stopping       bool
 	nextRead       time.Duration
@@ -71,6 +72,13 @@
 	return o.record
 }
 
+// writeUnresolved reports whether a write that makes this node a member may take effect, or may have done so unknown to it.
+func (o *NonMember) writeUnresolved() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.writing || o.writeUncertain
+}
+
 // Handle processes an input and returns the outputs to execute.
 func (o *NonMember) Handle(now Instant, in Input) []Output {
 	o.mu.Lock()
@@ -79,7 +87,10 @@
 	case Tick:
 		return o.tick(now)
 	case StopRequested:
-		o.stopping, o.nextRead = true, never
+		o.stopping = true
+		if !o.writeUncertain {
+			o.nextRead = never
+		}
 	case PeersChanged:
 		o.peers = in.Peers
 		o.readSoonIfOrphaned(now)
@@ -101,12 +112,10 @@
 }
 
 func (o *NonMember) tick(now Instant) []Output {
-	if o.stopping || now.Mono < o.nextRead || o.reading {
+	if now.Mono < o.nextRead || o.reading {
 		return nil
 	}
-	ownRank := o.candidateRank()
-	vacant := o.record == nil || len(o.record.Members) == 0
-	if ownRank < 0 || (o.read && !vacant && ownRank > 0 && !o.holdsMark() && !o.writeUncertain) {
+	if !o.writeUncertain && !o.watches() {
 		o.nextRead = now.Mono + o.config.ReadInterval
 		return nil
 	}
@@ -115,6 +124,14 @@
 	return []Output{ReadRecord{}}
 }
 
+// watches reports whether this node reads the record at its regular interval: as the first-ranked node outside the group, as the
+// one that marked it, or as any candidate while there is no group.
+func (o *NonMember) watches() bool {
+	ownRank := o.candidateRank()
+	vacant := o.record == nil || len(o.record.Members) == 0
+	return ownRank == 0 || ownRank > 0 && (!o.read || vacant || o.holdsMark())
+}
+
 // candidateRank returns the rank of this node among the serving nodes outside the group, in the
 // region of a new group, or -1 when it is not among them.
 func (o *NonMember) candidateRank() int {
@@ -162,6 +179,7 @@
 func (o *NonMember) recordRead(now Instant, in RecordRead) []Output {
 	o.reading = false
 	if o.stopping {
+		o.resolveWrite(now, in)
 		return nil
 	}
 	if in.Failed {
@@ -192,6 +210,16 @@
 	return o.markOrReplace(now)
 }
 
+// resolveWrite ends the uncertainty about a write of a stopping node once the record has been read. If the write made this node a
+// member, its Group receives the record and leaves the group.
+func (o *NonMember) resolveWrite(now Instant, in RecordRead) {
+	if in.Failed && o.writeUncertain {
+		o.nextRead = now.Mono + minReadInterval
+		return
+	}
+	o.writeUncertain, o.nextRead = false, never
+}
+
 // createWhenDue creates the first group, or the next one after all members stopped as planned, when
 // this node's delay by rank has passed.
 func (o *NonMember) createWhenDue(now Instant, ownRank int) []Output {
@@ -239,7 +267,7 @@
 		record = o.record.next(members, ceilings, o.config.StoreOutage)
 	}
 	record.Region = self.Region
-	return []Output{SwapRecord{Record: record, Revision: o.revision, Era: o.era}}
+	return o.write(record)
 }
 
 // markOrReplace marks an orphaned group, or replaces it when a mark has stood long enough, whoever
@@ -251,7 +279,7 @@
 	case o.record.Mark == nil:
 		o.observedMark = 0
 		marked := o.record.withMark(&ReplacementMark{By: o.self, Nonce: uuid.NewString()})
-		return []Output{SwapRecord{Record: marked, Revision: o.revision, Era: o.era}}
+		return o.write(marked)
 	case o.observedMark != o.revision:
 		o.observedMark, o.waitingSince = o.revision, now.Mono
 		return nil
@@ -266,15 +294,21 @@
 	return o.formGroup(now, ceilings)
 }
 
+func (o *NonMember) write(record *Record) []Output {
+	o.writing = true
+	return []Output{SwapRecord{Record: record, Revision: o.revision, Era: o.era}}
+}
+
 func (o *NonMember) swapDone(now Instant, in SwapDone) []Output {
-	if o.stopping {
-		return nil
-	}
+	o.writing = false
 	if !in.Swapped {
 		o.writeUncertain = true // it may have taken effect
 		o.nextRead = min(o.nextRead, now.Mono+minReadInterval)
 		return nil
 	}
+	if o.stopping {
+		return nil
+	}
 	changed := o.record == nil || in.Record.Epoch > o.record.Epoch
 	o.record, o.revision, o.era = in.Record, in.Revision, in.Era
 	if !changed {
