standin/backend: reserve the port of a crashed upstream until it restarts

No failed run of the demo or of a test was traced to it.

Cause: the upstream of the demo lets the kernel choose its port and listens on it again 0.5 s after a crash. Meanwhile the kernel may give the port to an outgoing connection; the upstream then stayed down for good.

Change: a crash binds the port with a socket that never listens, until the restart. The listener is closed by the crash itself, since a server that has not begun to serve does not close it at once.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -60,6 +60,7 @@
 
 	mu        sync.Mutex
 	server    *http.Server // nil while crashed or closed
+	listener  net.Listener // of server
 	faults    Faults
 	runs      map[string]int // by idempotency key; "" counts those without a key
 	inUse     int
@@ -82,8 +83,12 @@
 		runs:    make(map[string]int),
 		wake:    make(chan struct{}, 1), done: make(chan struct{}),
 	}
-	b.addr = b.options.Listen
-	if err := b.serve(); err != nil {
+	listener, err := net.Listen("tcp", b.options.Listen)
+	if err != nil {
+		return nil, err
+	}
+	b.addr = listener.Addr().String()
+	if err := b.serve(listener); err != nil {
 		return nil, err
 	}
 	if b.options.Node != "" {
@@ -114,22 +119,17 @@
 	return o
 }
 
-// serve binds the address and starts the server. A restart binds the address of the first start.
-func (b *Backend) serve() error {
-	listener, err := net.Listen("tcp", b.addr)
-	if err != nil {
-		return err
-	}
+// serve starts the server of one process.
+func (b *Backend) serve(listener net.Listener) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.closed {
 		return errors.Join(http.ErrServerClosed, listener.Close())
 	}
-	b.addr = listener.Addr().String()
 	b.coldUntil = time.Now().Add(b.options.Cold)
 	b.process = uuid.NewString()
 	server := &http.Server{Handler: b.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
-	b.server = server
+	b.server, b.listener = server, listener
 	b.goroutines.Go(func() { _ = server.Serve(listener) })
 	return nil
 }
@@ -178,9 +178,19 @@
 		return
 	}
 	b.options.Log.Info("upstream crashed", "addr", b.addr)
+	_ = b.listener.Close() // a server that has not begun to serve does not close it yet
 	_ = b.server.Close()
 	b.server = nil
-	b.goroutines.Go(b.restart)
+	port, err := reservePort(b.addr)
+	if err != nil {
+		b.options.Log.Warn("the port of the upstream may be given away until it restarts", "addr", b.addr, "err", err)
+	}
+	b.goroutines.Go(func() {
+		b.restart()
+		if err == nil {
+			port.release()
+		}
+	})
 }
 
 func (b *Backend) restart() {
@@ -191,7 +201,11 @@
 		return
 	case <-timer.C:
 	}
-	if err := b.serve(); err != nil {
+	listener, err := net.Listen("tcp", b.addr)
+	if err == nil {
+		err = b.serve(listener)
+	}
+	if err != nil {
 		b.options.Log.Error("upstream restart failed", "addr", b.addr, "err", err)
 		return
 	}
