datacentre: offer a broadcast again when its payload was requested elsewhere

Cause: a member requests an offered payload from the first holder that offers it. Where its answers to this holder are lost (a link cut in one direction), the payload never comes. The answers to the other holders said only that their payload was not requested, which they read as "held", and never offered it again. The same happened when the holder crashed after the request.

Change: - PushResponse has the field pending: offers whose payload the member lacks and has requested from another holder. The holder offers them again after 300 ms, up to 5 times, until the member holds the payload or is gone. When the same answer requests other payloads, the pending offers go along with these. - An answer that has nothing but pending offers waits, up to 300 ms, until the payload arrives or its request expires; the waiting holder is then asked. So nothing is repeated when nothing is lost, and a holder of a version without the field gets the request too. - Among the holders that offer, one that was not asked yet is preferred, and a repeated offer of the holder that was asked does not postpone the request to another one.

A missing field means what it meant: the offer counts as delivered. A member of a version without the field gets the same messages as before.

--- a/datacentre/broadcast.go
+++ b/datacentre/broadcast.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/instance"
 )
@@ -11,9 +10,6 @@
 	// maxSeenBroadcasts is the number of broadcasts that are remembered, so that none is handled twice.
 	// 8,300 releases a day are 6 a minute; the rest is room for crash fingerprints.
 	maxSeenBroadcasts = 4096
-	// offerRequestTimeout is how long after a broadcast was requested from one holder an offer of another
-	// holder is declined.
-	offerRequestTimeout = 300 * time.Millisecond
 )
 
 // Handler processes the payload of a broadcast. It must not block.
@@ -27,20 +23,14 @@
 	handlers  map[string]Handler
 	seen      map[broadcastKey]map[instance.ID]struct{} // peers known to hold the broadcast
 	order     []broadcastKey                            // keys of seen, oldest first
-	requested map[broadcastKey]requestedOffer
-}
-
-// requestedOffer is an offer whose payload was requested and has not arrived yet.
-type requestedOffer struct {
-	holder instance.ID
-	at     time.Time
+	requested map[broadcastKey]*payloadRequest
 }
 
 func newBroadcastTable() *broadcastTable {
 	return &broadcastTable{
 		handlers:  make(map[string]Handler),
 		seen:      make(map[broadcastKey]map[instance.ID]struct{}),
-		requested: make(map[broadcastKey]requestedOffer),
+		requested: make(map[broadcastKey]*payloadRequest),
 	}
 }
 
@@ -93,7 +83,7 @@
 		return false
 	}
 	t.seen[key] = map[instance.ID]struct{}{holder: {}}
-	delete(t.requested, key)
+	t.endRequest(key)
 	if t.order = append(t.order, key); len(t.order) > maxSeenBroadcasts {
 		delete(t.seen, t.order[0])
 		t.order = t.order[1:]
@@ -108,27 +98,3 @@
 	_, ok := t.seen[broadcastKey{b.Topic, b.ID}][peer]
 	return ok
 }
-
-// selectWanted returns the indexes of the offers whose broadcast is new and was not just requested from
-// another holder. A repeated offer by the same holder is accepted, since its payload did not arrive.
-func (t *broadcastTable) selectWanted(offers []Offer, holder instance.ID, now time.Time) []int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var indexes []int
-	for i, o := range offers {
-		key := broadcastKey{o.Topic, o.ID}
-		if holders, ok := t.seen[key]; ok {
-			holders[holder] = struct{}{}
-			continue
-		}
-		if asked := t.requested[key]; asked.holder != holder && now.Sub(asked.at) < offerRequestTimeout {
-			continue
-		}
-		if len(t.requested) >= maxSeenBroadcasts {
-			clear(t.requested)
-		}
-		t.requested[key] = requestedOffer{holder, now}
-		indexes = append(indexes, i)
-	}
-	return indexes
-}
--- a/datacentre/message.go
+++ b/datacentre/message.go
@@ -90,10 +90,13 @@
 	Offers     []Offer
 }
 
-// PushResponse lists the indexes of the offers whose payload the receiver lacks.
+// PushResponse lists the indexes of the offers whose payload the receiver lacks. It requests those of Wanted from
+// the sender of the push; it has requested those of Pending from another holder. The payloads of other offers
+// it holds.
 type PushResponse struct {
-	Sender Sender
-	Wanted []int
+	Sender  Sender
+	Wanted  []int
+	Pending []int
 }
 
 // PullRequest asks for the records of the buckets that differ in one data centre, or for all its records
--- a/datacentre/network_test.go
+++ b/datacentre/network_test.go
@@ -29,11 +29,15 @@
 	duplicate       float64            // share of messages delivered twice
 	jitter          time.Duration      // largest added delay; reorders messages
 	blocked         func(from, to *member) bool
+	receivePush     pushReceiver // processes the pushes of all members
 	store           store.Store
 	seeds           []string
 	lastIncarnation uint64
 }
 
+// pushReceiver processes a push at its receiver.
+type pushReceiver func(ctx context.Context, from, to *member, req PushRequest) (PushResponse, error)
+
 // member is one node of the network.
 type member struct {
 	*Membership
@@ -46,7 +50,12 @@
 }
 
 func newNetwork() *network {
-	return &network{members: make(map[string]*member), blocked: func(_, _ *member) bool { return false }}
+	return &network{
+		members: make(map[string]*member), blocked: func(_, _ *member) bool { return false },
+		receivePush: func(ctx context.Context, _, to *member, req PushRequest) (PushResponse, error) {
+			return to.ReceivePush(ctx, req)
+		},
+	}
 }
 
 func record(dataCentre, region string, index int) instance.Record {
@@ -282,7 +291,10 @@
 }
 
 func (w memberMessenger) Push(ctx context.Context, addr string, req PushRequest) (PushResponse, error) {
-	return call(ctx, w, addr, func(m *Membership) (PushResponse, error) { return m.ReceivePush(ctx, req) })
+	w.n.mu.Lock()
+	receive, to := w.n.receivePush, w.n.members[addr]
+	w.n.mu.Unlock()
+	return call(ctx, w, addr, func(*Membership) (PushResponse, error) { return receive(ctx, w.from, to, req) })
 }
 
 func (w memberMessenger) Pull(ctx context.Context, addr string, req PullRequest) (PullResponse, error) {
--- a/datacentre/outbox.go
+++ b/datacentre/outbox.go
@@ -23,9 +23,6 @@
 	pushAttempts = 5
 	// maxPushRecords limits a push to about 30 KB.
 	maxPushRecords = 256
-	// minOfferSize is the payload size from which a broadcast is offered before it is sent. Each node has up
-	// to 8 fingers and needs the payload once.
-	minOfferSize = 256
 	// deferDelay and deferJitter delay offers that are probably not needed. With 17 data centres this reduces
 	// the traffic of a border node for a release of 1 KB by about a fifth.
 	deferDelay  = 150 * time.Millisecond
@@ -33,7 +30,7 @@
 )
 
 // outbox batches the updates of a node and sends them to its fingers and, at a border node, to the other
-// data centres. Each peer has a queue with at most one push in flight.
+// data centres. Each peer has a queue with at most one push in flight; only repeated offers bypass it.
 type outbox struct {
 	m      *Membership
 	queues *shard.Map[instance.ID, *peerQueue]
@@ -183,8 +180,9 @@
 			return
 		}
 		start := time.Now()
-		if err := o.m.pushUpdates(ctx, peer, records, broadcasts); err == nil {
+		if pending, err := o.m.pushUpdates(ctx, peer, records, broadcasts); err == nil {
 			q.confirm()
+			o.startRepeats(peer, pending)
 			failures = 0
 			continue
 		}
@@ -250,41 +248,6 @@
 	return successors[0], true
 }
 
-// pushUpdates pushes records and broadcasts. Large broadcasts are offered, and sent when requested.
-func (m *Membership) pushUpdates(ctx context.Context, peer instance.Record, records []instance.Record, broadcasts []Broadcast) error {
-	request := PushRequest{Sender: m.sender(), Records: records}
-	var offered []Broadcast
-	for _, b := range broadcasts {
-		if len(b.Payload) < minOfferSize {
-			request.Broadcasts = append(request.Broadcasts, b)
-			continue
-		}
-		offered = append(offered, b)
-		request.Offers = append(request.Offers, Offer{b.Topic, b.ID})
-	}
-	response, err := m.push(ctx, peer, request)
-	if err != nil || len(response.Wanted) == 0 {
-		return err
-	}
-	follow := PushRequest{Sender: request.Sender}
-	for _, index := range response.Wanted {
-		follow.Broadcasts = append(follow.Broadcasts, offered[index])
-	}
-	return m.pushWithRetry(ctx, peer, follow)
-}
-
-// pushWithRetry repeats a push until it is answered, up to pushAttempts times. The peer has requested the
-// payloads and declines the offers of others meanwhile.
-func (m *Membership) pushWithRetry(ctx context.Context, peer instance.Record, request PushRequest) error {
-	var err error
-	for range pushAttempts {
-		if _, err = m.push(ctx, peer, request); err == nil || !m.isLive(peer) {
-			return err
-		}
-	}
-	return err
-}
-
 func (m *Membership) push(ctx context.Context, peer instance.Record, request PushRequest) (PushResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
--- a/datacentre/receive.go
+++ b/datacentre/receive.go
@@ -51,8 +51,9 @@
 	return response, nil
 }
 
-// ReceivePush implements Receiver.
-func (m *Membership) ReceivePush(_ context.Context, req PushRequest) (PushResponse, error) {
+// ReceivePush implements Receiver. It waits for at most offerRequestTimeout when it lacks the payload of an offer
+// and has requested it from another holder.
+func (m *Membership) ReceivePush(ctx context.Context, req PushRequest) (PushResponse, error) {
 	if err := m.accept(req.Sender, req.validate()); err != nil {
 		return PushResponse{}, err
 	}
@@ -62,7 +63,8 @@
 	for _, b := range req.Broadcasts {
 		m.receiveBroadcast(b, req.Sender.ID)
 	}
-	return PushResponse{Sender: m.sender(), Wanted: m.broadcasts.selectWanted(req.Offers, req.Sender.ID, time.Now())}, nil
+	wanted, pending := m.broadcasts.answerOffers(ctx, req.Offers, req.Sender.ID)
+	return PushResponse{Sender: m.sender(), Wanted: wanted, Pending: pending}, nil
 }
 
 // ReceivePull implements Receiver.
--- a/datacentre/validate.go
+++ b/datacentre/validate.go
@@ -1,6 +1,7 @@
 package datacentre
 
 import (
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -129,12 +130,12 @@
 }
 
 func (r PushResponse) validate(offers int) error {
-	if len(r.Wanted) > offers {
-		return ErrInvalid.New("%d payloads requested for %d offers", len(r.Wanted), offers)
+	if len(r.Wanted)+len(r.Pending) > offers {
+		return ErrInvalid.New("%d payloads requested and %d pending for %d offers", len(r.Wanted), len(r.Pending), offers)
 	}
-	for _, index := range r.Wanted {
+	for _, index := range slices.Concat(r.Wanted, r.Pending) {
 		if index < 0 || index >= offers {
-			return ErrInvalid.New("payload of offer %d requested, of %d offers", index, offers)
+			return ErrInvalid.New("payload of offer %d requested or pending, of %d offers", index, offers)
 		}
 	}
 	return r.Sender.validate()
--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -118,8 +118,9 @@
 		return datacentre.PushResponse{}, memberUnreachableError(err, "push", addr)
 	}
 	return datacentre.PushResponse{
-		Sender: memberSenderFromWire(response.Msg.GetSender()),
-		Wanted: memberConvertSlice(response.Msg.GetWanted(), func(index uint32) int { return int(index) }),
+		Sender:  memberSenderFromWire(response.Msg.GetSender()),
+		Wanted:  memberIndexesFromWire(response.Msg.GetWanted()),
+		Pending: memberIndexesFromWire(response.Msg.GetPending()),
 	}, nil
 }
 
--- a/transport/peerrpc/membership_contract_test.go
+++ b/transport/peerrpc/membership_contract_test.go
@@ -33,7 +33,7 @@
 		Sender: contractSender, Root: 3, Digests: []datacentre.Digest{{DataCentre: "kigali-1", Digest: 4}},
 		Contacts: []datacentre.Contact{{DataCentre: "kigali-2", Age: time.Minute}}, Newer: &contractRecord, Behind: true,
 	}
-	contractPush = datacentre.PushResponse{Sender: contractSender, Wanted: []int{0, 2}}
+	contractPush = datacentre.PushResponse{Sender: contractSender, Wanted: []int{0, 2}, Pending: []int{1}}
 	contractPull = datacentre.PullResponse{Sender: contractSender, Records: []instance.Record{contractRecord}}
 	contractPing = datacentre.PingResponse{Sender: contractSender}
 	contractVia  = datacentre.PingViaResponse{Sender: contractSender, Incarnation: 5}
--- a/transport/peerrpc/membership_server.go
+++ b/transport/peerrpc/membership_server.go
@@ -51,8 +51,9 @@
 		return nil, memberConnectError(err)
 	}
 	return connect.NewResponse(&pb.PushResponse{
-		Sender: memberSenderToWire(response.Sender),
-		Wanted: memberConvertSlice(response.Wanted, func(index int) uint32 { return uint32(index) }),
+		Sender:  memberSenderToWire(response.Sender),
+		Wanted:  memberIndexesToWire(response.Wanted),
+		Pending: memberIndexesToWire(response.Pending),
 	}), nil
 }
 
--- a/transport/peerrpc/membership_wire.go
+++ b/transport/peerrpc/membership_wire.go
@@ -85,6 +85,14 @@
 	}
 }
 
+func memberIndexesToWire(indexes []int) []uint32 {
+	return memberConvertSlice(indexes, func(index int) uint32 { return uint32(index) })
+}
+
+func memberIndexesFromWire(indexes []uint32) []int {
+	return memberConvertSlice(indexes, func(index uint32) int { return int(index) })
+}
+
 func memberSyncResponseToWire(r datacentre.SyncResponse) *pb.SyncResponse {
 	out := &pb.SyncResponse{
 		Sender: memberSenderToWire(r.Sender), Root: r.Root, Contacts: memberContactsToWire(r.Contacts), Behind: r.Behind,
