transport: keep other processes' connections out of the tests' counts

TestConnectionReuse, case "sends more", failed once beside the tests of other packages: 3 connections in place of 2. A client dials at most once for each of its two requests (Send has one call of dial), so that another process opened the third: nodes of other tests dial ports that a stopped one has given up, and the kernel may give such a port to this listener.

The upstreams whose connections are counted listen at 127.0.0.2, where no other test dials; the counts are as strict as before.

--- a/transport/peerhttp/client_test.go
+++ b/transport/peerhttp/client_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport/peerhttp"
 )
 
@@ -41,15 +42,6 @@
 	return listener.Addr().String()
 }
 
-// refusedPort returns an address that refuses connections.
-func refusedPort(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func newRequest(body *caller.Body) *caller.Request {
 	return &caller.Request{
 		ID: "id-1", Service: "ledger", Route: "all", Class: "short", Method: http.MethodPost, Path: "/charge",
@@ -93,7 +85,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			addr := refusedPort(t)
+			addr := sockets.ReservePort(t) // refuses connections
 			if c.respond != nil {
 				addr = rawPeer(t, c.respond)
 			}
--- a/transport/upstreamconn/client_test.go
+++ b/transport/upstreamconn/client_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport/upstreamconn"
 )
 
@@ -31,10 +32,14 @@
 // when it returns false.
 type script func(c *net.TCPConn, n int, r *http.Request) bool
 
+// countedAddr is the address of upstreams whose connections are counted. Tests of other packages, which run at the same time,
+// dial ports at 127.0.0.1 that their processes have given up, and that the kernel may have given to this process since.
+const countedAddr = "127.0.0.2:0"
+
 // startUpstream starts a stand-in upstream and returns its address and a counter of the connections that it has accepted.
 func startUpstream(t *testing.T, s script) (addr string, accepted *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", countedAddr)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	accepted = new(atomic.Int64)
@@ -274,11 +279,7 @@
 
 // Guards against a refusal that states unknown although nothing was sent.
 func TestConnectionRefused(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	addr := listener.Addr().String()
-	assert.NilError(t, listener.Close())
-	_, refusal, _ := send(t, newClient(t), addr, requestOf("r1", false, ""))
+	_, refusal, _ := send(t, newClient(t), sockets.ReservePort(t), requestOf("r1", false, ""))
 	assert.Equal(t, refusal.Reason, caller.UpstreamUnreachable)
 	assert.Equal(t, refusal.Ran, caller.NotRun)
 }
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport"
 	"github.com/magnoliawharf/magnoliawharf/transport/upstreamhttp"
 )
@@ -65,15 +66,12 @@
 // Guards against a refusal that states not-run although the upstream may have run the request, and against
 // answers whose truncation cannot be detected.
 func TestSendFailures(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, closed.Close())
 	cases := map[string]struct {
 		addr   string
 		reason caller.Reason
 		ran    caller.RunState
 	}{
-		"dial refused":     {closed.Addr().String(), caller.UpstreamUnreachable, caller.NotRun},
+		"dial refused":     {sockets.ReservePort(t), caller.UpstreamUnreachable, caller.NotRun},
 		"closed midway":    {startRawUpstream(t, func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) }), caller.UpstreamLost, caller.Unknown},
 		"closed when read": {startRawUpstream(t, respondAfterHeader("")), caller.UpstreamLost, caller.Unknown},
 		"unframed answer":  {startRawUpstream(t, respondAfterHeader("HTTP/1.1 200 OK\r\n\r\nhello")), caller.BodyCut, caller.Unknown},
