idempotency: a former member learns outside the group which record it was sent

Callers saw, in the simulation: every request with an idempotency key of a service refused for good, after a keeper group of two had lost its members.

Cause: a node runs one state machine as a member and one as a node outside the group. A record that another node sends was given only to the first. A member that was left out of an epoch learned so from that message, but its other state machine still took it for a member and never read the store again. If the node is the first in rank outside, all others wait for it to replace the group.

Change: Keeper.GroupInfo shares the record with both state machines, and the simulation does so as well.

Before: TestFormerMemberKnowsThatItIsOutside failed; now it passes, 3 of 3 with -race. The tests of the package pass with -race.

--- a/idempotency/nonmember_test.go
+++ b/idempotency/nonmember_test.go
@@ -1,10 +1,15 @@
 package idempotency
 
 import (
+	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 )
 
 // Guards against an orphaned group that nobody replaces for minutes: the first-ranked node outside knows it only from before it
@@ -41,3 +46,27 @@
 	_, err := simulate(0x268b95, 4, plan, mutation{})
 	assert.NilError(t, err)
 }
+
+// Guards against an orphaned group that nobody replaces: the first-ranked node outside was a member, was sent the record of the
+// epoch without it, and still takes itself for a member where it would replace the group.
+func TestFormerMemberKnowsThatItIsOutside(t *testing.T) {
+	self, other := Identity{ID: "n1", Incarnation: 1}, Identity{ID: "n2", Incarnation: 1}
+	unreachable := &inProcessPeers{from: self, down: &sync.Map{}, grants: new(atomic.Int64)}
+	k := NewKeeper(self, kvstore.NewMemory(), unreachable)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	defer k.Stop(ended)
+	s := &serviceKeeper{
+		service: "s", wake: make(chan struct{}, 1), table: NewTable(simBounds),
+		nonMember: NewNonMember(k.clock.Now(), self, "s", simConfig, 0),
+	}
+	s.group = NewGroup(self, "s", simConfig, s.table)
+	k.services.GetOrCreate("s", func() *serviceKeeper { return s })
+	for i, member := range []Identity{self, other} {
+		record := &Record{Epoch: uint64(i) + 1, Outage: 1, Members: []Member{{Identity: member}}}
+		k.GroupInfo(GroupInfoRequest{Service: "s", Record: record})
+	}
+	assert.Equal(t, s.group.Record().Epoch, uint64(2))
+	outside := s.nonMember.Record()
+	assert.Assert(t, outside != nil && outside.Epoch == 2, "the state machine of a node outside knows %+v", outside)
+}
--- a/idempotency/serve.go
+++ b/idempotency/serve.go
@@ -74,6 +74,7 @@
 	}
 	if r.Record != nil {
 		k.process(s, s.group.Handle, RecordReceived{Record: r.Record})
+		k.shareRecord(s, RecordReceived{Record: r.Record})
 		s.resetTimer()
 	}
 	if record := s.group.Record(); record != nil {
--- a/idempotency/sim_test.go
+++ b/idempotency/sim_test.go
@@ -389,6 +389,7 @@
 		sim.toNode(&n.simProcess, out.To, func(to *simNode) {
 			sendMessage(sim, &n.simProcess, &to.simProcess, func() bool {
 				to.executeAll(to.group.Handle, to.group.Handle(to.instant(), RecordReceived{Record: out.Record}))
+				to.nonMember.Handle(to.instant(), RecordReceived{Record: to.group.Record()})
 				to.schedule()
 				return true
 			}, func(bool) {})
