idempotency: any node outside an orphaned group reads the record

Callers saw, in the simulation: every request with an idempotency key of a service refused, after two of three members had restarted.

Cause: only the first-ranked node outside the group reads the record. A node that knows an older one may take a member for that node; if it is the first-ranked one by the present record, nobody reads. Here n4 knew epoch 1 and waited for n3, which was a member of epoch 2, until the end of the run.

Evidence: TestFuzzAtMostOnce with 2,500 plans, rapid, failed at plan 287.

With a present record the ranks agree, and the first-ranked node replaces the group as before.

Before: TestOrphanedGroupIsReadByAnyNodeOutside and TestGroupUnknownToOthersIsReplaced failed; now both pass, with the package.

--- a/idempotency/nonmember.go
+++ b/idempotency/nonmember.go
@@ -125,11 +125,11 @@
 }
 
 // watches reports whether this node reads the record at its regular interval: as the first-ranked node outside the group, as the
-// one that marked it, or as any candidate while there is no group.
+// one that marked it, or as any candidate while there is no group or it appears orphaned. A node that knows only an older record
+// may take a member for the first-ranked node outside, and be the first-ranked one itself.
 func (o *NonMember) watches() bool {
 	ownRank := o.candidateRank()
-	vacant := o.record == nil || len(o.record.Members) == 0
-	return ownRank == 0 || ownRank > 0 && (!o.read || vacant || o.holdsMark())
+	return ownRank == 0 || ownRank > 0 && (!o.read || o.holdsMark() || o.orphaned())
 }
 
 // candidateRank returns the rank of this node among the serving nodes outside the group, in the
@@ -200,6 +200,9 @@
 		return o.createWhenDue(now, ownRank)
 	case ownRank > 0 && !o.holdsMark():
 		o.observedMark = 0
+		if o.orphaned() {
+			o.nextRead = now.Mono + o.config.ReadInterval
+		}
 		return nil
 	case !o.orphaned():
 		o.observedMark = 0
--- a/idempotency/nonmember_test.go
+++ b/idempotency/nonmember_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -70,3 +71,30 @@
 	outside := s.nonMember.Record()
 	assert.Assert(t, outside != nil && outside.Epoch == 2, "the state machine of a node outside knows %+v", outside)
 }
+
+// Guards against an orphaned group that nobody replaces: the first-ranked node outside knows an older record, in which a present
+// member is not one yet, and leaves the replacement to that member.
+func TestOrphanedGroupIsReadByAnyNodeOutside(t *testing.T) {
+	now := Instant{Mono: time.Hour, Wall: simEpoch}
+	self, lost, member := Identity{ID: "n4", Incarnation: 1}, Identity{ID: "n1", Incarnation: 1}, Identity{ID: "n3", Incarnation: 1}
+	o := NewNonMember(now, self, "s", simConfig, 0)
+	o.Handle(now, PeersChanged{Peers: []Peer{
+		{Identity: self, Region: "r", Serves: true}, {Identity: member, Region: "r", Serves: true}, {Identity: lost, Region: "r", Gone: true},
+	}})
+	o.Handle(now, RecordRead{Record: &Record{Epoch: 1, Region: "r", Outage: 1, Members: []Member{{Identity: lost}}}})
+	assert.Equal(t, o.candidateRank(), 1)
+	now.Mono += simConfig.ReadInterval
+	assert.Assert(t, slices.Contains(o.Handle(now, Tick{}), Output(ReadRecord{})))
+}
+
+// Guards against the same in a whole group: two of three members, which none but the third and they know as members, restart.
+func TestGroupUnknownToOthersIsReplaced(t *testing.T) {
+	plan := []fault{
+		{kind: "crash", target: 1, at: 6900 * time.Millisecond, length: 5500 * time.Millisecond},
+		{kind: "crash", target: 2, at: 8200 * time.Millisecond, length: 400 * time.Millisecond},
+		{kind: "crash", target: 1, at: 5100 * time.Millisecond, length: 4700 * time.Millisecond},
+		{kind: "freeze", target: 4, at: 5300 * time.Millisecond, length: 12 * time.Second},
+	}
+	_, err := simulate(0x23a2df, 5, plan, mutation{})
+	assert.NilError(t, err)
+}
