review: case 4, a node that was started again forgets the DELETE that it acknowledges

The node finds its back end by a status check, and the back end leaves by a DELETE before its next report. A report that was sent just before arrives 2.5 s late.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/review/stand ] && [ -x target/magnoliawharf ] || exit 2
-exec target/review/stand reborn-in-jumped-time "$folder/record.txt"
+exec target/review/stand leaving-after-restart "$folder/record.txt"
--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -53,12 +52,12 @@
 	born                          int64
 	record                        *recorder
 	runs                          *runs
-	failShare                     float64 // of the requests that it runs, answered with 500
-	crashes                       bool    // a request whose path has /crash ends the backend
-	onCrash                       func()  // called after such an end
+	crashes                       bool   // a request whose path has /crash ends the backend
+	onCrash                       func() // called after such an end
 
 	server   *http.Server
 	sequence atomic.Int64
+	reported atomic.Int64 // sequence of the last report whose answer has come
 	busy     atomic.Int64
 	leaving  atomic.Bool
 	silent   atomic.Bool // sends no status reports any more
@@ -97,6 +96,7 @@
 			case <-ticker.C:
 				if !b.silent.Load() {
 					b.report(b.state())
+					b.reported.Store(b.sequence.Load())
 				}
 			}
 		}
@@ -202,8 +202,5 @@
 	text := attempt + " " + r.URL.RequestURI()
 	w.Header().Set("X-Response-Seal", fmt.Sprintf("%s.%s.%d", b.id, attempt, len(text)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	if rand.Float64() < b.failShare {
-		w.WriteHeader(http.StatusInternalServerError)
-	}
 	_, _ = io.WriteString(w, text)
 }
--- a/review/stand/clock.go
+++ b/review/stand/clock.go
@@ -30,21 +30,21 @@
 	// The time of day jumps back between two returns of the backend.
 	time.Sleep(jumpFor - (flaps-1)*flapPeriod)
 	for range flaps {
-		leaver.backend.end()
+		leaver.running.Load().end()
 		time.Sleep(flapPeriod / 2)
-		next := leaver.newBackend(leaver.backend.id)
+		next := leaver.newBackend(leaver.running.Load().id)
 		next.born = time.Now().UnixMilli()
 		if trouble && time.Since(jumped) < jumpFor {
 			next.born += jump.Milliseconds()
 		}
-		leaver.backend = next
+		leaver.running.Store(next)
 		if err := next.start(); err != nil {
 			return false, "", err
 		}
 		time.Sleep(flapPeriod / 2)
 	}
 	time.Sleep(calm)
-	b := leaver.backend
+	b := leaver.running.Load()
 	b.leaving.Store(true)
 	if !b.report("draining") {
 		return false, "", errNotAcknowledged
--- a/review/stand/crash.go
+++ b/review/stand/crash.go
@@ -39,7 +39,8 @@
 	}
 	defer f.close()
 	for _, m := range f.machines {
-		m.backend.crashes, m.backend.onCrash = trouble, m.returnAfterCrash
+		b := m.running.Load()
+		b.crashes, b.onCrash = trouble, m.returnAfterCrash
 	}
 	front := f.machines[0]
 	orders := make(chan reply, crashArrivals*ordersAtOnce)
@@ -66,13 +67,14 @@
 // returnAfterCrash starts the backend of the machine again after crashDowntime, as a new boot with a new id.
 func (m *machine) returnAfterCrash() {
 	time.Sleep(crashDowntime)
-	next := m.newBackend(m.backend.id + "x")
-	next.crashes, next.onCrash = m.backend.crashes, m.backend.onCrash
+	last := m.running.Load()
+	next := m.newBackend(last.id + "x")
+	next.crashes, next.onCrash = last.crashes, last.onCrash
 	if err := next.start(); err != nil {
 		m.fleet.record.logf("backend %s cannot start: %v", next.id, err)
 		return
 	}
-	m.backend = next
+	m.running.Store(next)
 }
 
 // judgeCrashes counts the attempts with crashPath that reached backends later than contact after the third crash. Without the
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -22,9 +22,6 @@
 	contact = 3 * time.Second
 	drain   = 2 * time.Second
 	graceS  = 6
-
-	usualRatio = "0.2"
-	usualSlack = 58
 )
 
 const (
@@ -43,8 +40,6 @@
 	folder   string
 	network  string // the first three bytes of all addresses
 	version  int
-	ratio    string // retryBudgetRatio
-	slack    int    // retryBudgetSlack
 	started  []*exec.Cmd
 }
 
@@ -54,7 +49,7 @@
 	index   int
 	ip      string
 	service string
-	backend *backend
+	running atomic.Pointer[backend] // nil before the first one has started
 	node    *exec.Cmd
 	exited  chan struct{} // closed when the node has exited
 
@@ -64,16 +59,11 @@
 // startFleet starts a store and one machine for each service in the list, publishes workRoutes, and returns once all machines
 // are in touch.
 func startFleet(record *recorder, services ...string) (*fleet, error) {
-	return startFleetWith(record, usualRatio, usualSlack, services...)
-}
-
-// startFleetWith is startFleet with other bounds of repeats, retryBudgetRatio and retryBudgetSlack.
-func startFleetWith(record *recorder, ratio string, slack int, services ...string) (*fleet, error) {
 	folder, err := os.MkdirTemp(os.Getenv("LOGS"), "review") // LOGS names a folder in which the logs of the nodes stay
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: record, ratio: ratio, slack: slack, runs: &runs{}, folder: folder, network: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))}
+	f := &fleet{record: record, runs: &runs{}, folder: folder, network: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))}
 	if f.store, err = startStore(f.network + "250:0"); err != nil {
 		return nil, err
 	}
@@ -102,10 +92,11 @@
 		}
 	}
 	for _, m := range f.machines {
-		m.backend = m.newBackend(fmt.Sprintf("i-%d", m.index))
-		if err := m.backend.start(); err != nil {
+		first := m.newBackend(fmt.Sprintf("i-%d", m.index))
+		if err := first.start(); err != nil {
 			return err
 		}
+		m.running.Store(first)
 	}
 	time.Sleep(contact + time.Second)
 	return nil
@@ -114,8 +105,8 @@
 // close kills all processes that were started.
 func (f *fleet) close() {
 	for _, m := range f.machines {
-		if m.backend != nil {
-			m.backend.end()
+		if b := m.running.Load(); b != nil {
+			b.end()
 		}
 	}
 	for _, p := range f.started {
@@ -174,7 +165,7 @@
 		"{{nodeName}}", m.name(), "{{zone}}", "a", "{{region}}", "r", "{{service}}", m.service, "{{appAddr}}", m.ip+":8301",
 		"{{heartbeatMs}}", fmt.Sprint(heartbeat.Milliseconds()), "{{listen.outbound}}", m.outbound(), "{{listen.inbound}}", m.ip+":8300",
 		"{{ip}}", m.ip, "{{internalPorts.0}}", "7620", "{{listen.control}}", m.ip+":8306", "{{listen.ready}}", m.ip+":8302",
-		"{{platform.address}}", m.fleet.store.address, "{{bounds.retryBudgetRatio}}", m.fleet.ratio, "{{bounds.retryBudgetSlack}}", fmt.Sprint(m.fleet.slack),
+		"{{platform.address}}", m.fleet.store.address, "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetSlack}}", "58",
 		"{{limits.memoryMb}}", "284", "{{limits.maxFds}}", "4100", "{{bounds.graceS}}", fmt.Sprint(graceS),
 	).Replace(string(template))
 	if strings.Contains(filled, "{{") {
--- a/review/stand/leave.go
+++ b/review/stand/leave.go
@@ -14,6 +14,8 @@
 	lateness = 2500 * time.Millisecond
 	// killPause is the time from the kill of a node to its next start.
 	killPause = 500 * time.Millisecond
+	// adoption is the time in which a node that was started again finds its backend by a status check.
+	adoption = 400 * time.Millisecond
 	// stay is the time for which a leaving backend serves on: "at times many seconds".
 	stay = 14 * time.Second
 	// orderInterval is the time between two orders, and orderPath their path.
@@ -65,7 +67,7 @@
 	sent := f.machines[0].sendOrders()
 	time.Sleep(2 * time.Second)
 	leaver := f.machines[1]
-	b := leaver.backend
+	b := leaver.running.Load()
 	report, reported := b.leave(), time.Now()
 	time.Sleep(orderInterval)
 	if !b.send(http.MethodDelete, "leaving", nil) {
@@ -91,6 +93,47 @@
 	return isBroken, seen, nil
 }
 
+// leavingAfterRestart kills a node right after a status report of its backend, and starts it again. Before the next report, the
+// backend leaves by a DELETE, which the new process acknowledges. The report that the backend sent just before arrives late.
+func leavingAfterRestart(record *recorder, trouble bool) (bool, string, error) {
+	f, err := startFleet(record, "front", "work", "work")
+	if err != nil {
+		return false, "", err
+	}
+	defer f.close()
+	sent := f.machines[0].sendOrders()
+	time.Sleep(2 * time.Second)
+	leaver := f.machines[1]
+	b := leaver.running.Load()
+	for last := b.reported.Load(); b.reported.Load() == last; {
+		time.Sleep(time.Millisecond)
+	}
+	inTouch := time.Now()
+	if trouble {
+		if err := leaver.killNode(killPause); err != nil {
+			return false, "", err
+		}
+		if err := leaver.awaitReady(5 * time.Second); err != nil {
+			return false, "", err
+		}
+		inTouch = time.Now().Add(contact)
+	}
+	time.Sleep(adoption)
+	report, reported := b.leave(), time.Now()
+	time.Sleep(orderInterval)
+	if !b.send(http.MethodDelete, "leaving", nil) {
+		return false, "", errNotAcknowledged
+	}
+	acknowledged := time.Now()
+	time.Sleep(time.Until(reported.Add(lateness)))
+	record.logf("the last status report of backend %s arrives, %.1f s after it was sent", b.id, time.Since(reported).Seconds())
+	b.send(http.MethodPut, "late ready", report)
+	time.Sleep(time.Until(acknowledged.Add(stay)))
+	b.end()
+	isBroken, seen := f.judgeDrain(b.id, acknowledged, inTouch, sent.end())
+	return isBroken, seen, nil
+}
+
 // leave makes the backend unhealthy for its status check, ends its reports and returns the last one, which says ready.
 func (b *backend) leave() []byte {
 	b.silent.Store(true)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,7 +23,7 @@
 	"crash-in-quiet-hours":      crashInQuietHours,
 	"crash-over-restarts":       crashOverRestarts,
 	"late-report-after-leaving": lateReportAfterLeaving,
-	"repeats-without-ratio":     repeatsWithoutRatio,
+	"leaving-after-restart":     leavingAfterRestart,
 	"reborn-in-jumped-time":     rebornInJumpedTime,
 }
 
--- a/review/stand/restart.go
+++ b/review/stand/restart.go
@@ -26,7 +26,8 @@
 	}
 	defer f.close()
 	for _, m := range f.machines {
-		m.backend.crashes, m.backend.onCrash = true, m.returnAfterCrash
+		b := m.running.Load()
+		b.crashes, b.onCrash = true, m.returnAfterCrash
 		go m.sendUsual()
 	}
 	sent := make(chan reply, maxOrders)
