peer, inbound: nodes keep and tell the departure of each other's upstream

Cause: the departure was known to the killed process only. The other nodes told the restarted one the ID and service of its former upstream, not that it had left.

Change: a node reports the departure to the others before the acknowledgement and with each status while no other upstream has taken the place; they keep it and send it to a node that runs anew and has not reported it since. A message of its own kind, as nodes of earlier versions drop a status with another number of fields. Also for a report of draining, and for a DELETE before the first report. Departures move into a file of their own.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -96,8 +96,9 @@
 // discardSender drops all datagrams.
 type discardSender struct{}
 
-func (discardSender) QueryLoad(netip.AddrPort, uint32)              {}
-func (discardSender) SendStatus(netip.AddrPort, peer.StatusMessage) {}
+func (discardSender) QueryLoad(netip.AddrPort, uint32)                    {}
+func (discardSender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
+func (discardSender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 
 // idleNode is a node without an upstream.
 type idleNode struct{}
@@ -105,6 +106,8 @@
 func (idleNode) Status() peer.Status                         { return peer.Status{} }
 func (idleNode) Load(time.Time) peer.Load                    { return peer.Load{} }
 func (idleNode) LearnPreviousUpstream(peer.PreviousUpstream) {}
+func (idleNode) Departure() peer.Departure                   { return peer.Departure{} }
+func (idleNode) LearnDeparture(peer.Departure)               {}
 
 // rosterOf returns a Roster of nodes that all serve the service "s".
 func rosterOf(nodes int) *peer.Roster {
--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
 
@@ -130,6 +131,9 @@
 		// A draining incarnation never returns to service.
 		next = draining
 	}
+	if next == draining {
+		p.lastDeparture = peer.Departure{Upstream: a.ID, Born: a.Born}
+	}
 	if replaced {
 		p.load, p.loadCheckedAt, p.pendingCheck = caller.UpstreamLoad{}, time.Time{}, nil
 		p.options.Client.KeepOnly(a.Address)
@@ -152,41 +156,5 @@
 	p.upstream.Announce(now, announced)
 }
 
-// Deregister marks the incarnation with the ID as departed. It gets no new requests, and its later announcements are ignored.
-// The current incarnation departs with its own Born, by the upstream's clock. For another ID no Born is known, and all
-// incarnations started up to now, by this node's clock, count as departed.
-func (p *Proxy) Deregister(now time.Time, id string) {
-	p.mu.Lock()
-	if id != p.current.ID {
-		p.recordDeparture(id, max(p.departed[id], now.UnixMilli()))
-		p.mu.Unlock()
-		return
-	}
-	p.recordDeparture(id, p.current.Born)
-	p.lastSeen = now
-	notify := p.setState(now, draining, "left")
-	p.mu.Unlock()
-	notify()
-}
-
-// maxDepartures bounds the number of departed incarnations that are remembered.
-const maxDepartures = 1024
-
-// recordDeparture remembers that the incarnation has departed. Beyond maxDepartures it forgets the one that started first. It is
-// called with the lock held.
-func (p *Proxy) recordDeparture(id string, born int64) {
-	p.departed[id] = born
-	if len(p.departed) <= maxDepartures {
-		return
-	}
-	first := id
-	for other, otherBorn := range p.departed {
-		if otherBorn < p.departed[first] {
-			first = other
-		}
-	}
-	delete(p.departed, first)
-}
-
 // processName returns a name that differs between the processes of an upstream, also when it keeps its ID.
 func processName(a Announcement) string { return fmt.Sprintf("%s@%d", a.ID, a.Born) }
--- /dev/null
+++ b/inbound/departures.go
@@ -0,0 +1,84 @@
+package inbound
+
+import (
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/peer"
+)
+
+// maxDepartures bounds the number of departed incarnations that are remembered.
+const maxDepartures = 1024
+
+// Deregister marks the incarnation with the ID as departed. It gets no new requests, and its later announcements are ignored.
+// The current incarnation departs with its own Born, by the upstream's clock. For another ID no Born is known, and all
+// incarnations started up to now, by this node's clock, count as departed.
+func (p *Proxy) Deregister(now time.Time, id string) {
+	p.mu.Lock()
+	if id != p.current.ID {
+		p.recordDeparture(id, now.UnixMilli())
+		isUnknown := p.current.ID == ""
+		if isUnknown {
+			p.lastDeparture = peer.Departure{Upstream: id, Born: now.UnixMilli()}
+		}
+		p.mu.Unlock()
+		if isUnknown {
+			p.options.OnStatusChange()
+		}
+		return
+	}
+	p.recordDeparture(id, p.current.Born)
+	p.lastDeparture = peer.Departure{Upstream: id, Born: p.current.Born}
+	p.lastSeen = now
+	notify := p.setState(now, draining, "left")
+	p.mu.Unlock()
+	notify()
+}
+
+// Departure implements peer.Self: the departure of the current incarnation or, while there is none, the last one known.
+func (p *Proxy) Departure() peer.Departure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current.ID != "" && p.current.ID != p.lastDeparture.Upstream {
+		return peer.Departure{}
+	}
+	return p.lastDeparture
+}
+
+// LearnDeparture records a departure that another node knows of from before a restart of this one. It takes the incarnation out
+// of service when a late announcement has put it there.
+func (p *Proxy) LearnDeparture(now time.Time, d peer.Departure) {
+	p.mu.Lock()
+	born, known := p.departed[d.Upstream]
+	if known && d.Born <= born || d.Born > now.Add(maxClockLead).UnixMilli() {
+		p.mu.Unlock()
+		return
+	}
+	p.recordDeparture(d.Upstream, d.Born)
+	notify := p.options.OnStatusChange
+	switch {
+	case p.current.ID == "":
+		p.lastDeparture = d
+	case p.current.ID == d.Upstream && p.current.Born <= d.Born:
+		p.lastDeparture = d
+		notify = p.setState(now, draining, "left before this node started")
+	}
+	p.mu.Unlock()
+	p.options.Log.Info("departure learned from another node", "upstream", d.Upstream, "born", d.Born)
+	notify()
+}
+
+// recordDeparture remembers that the incarnations with the ID that started up to born have departed. Beyond maxDepartures it
+// forgets the one that started first. It is called with the lock held.
+func (p *Proxy) recordDeparture(id string, born int64) {
+	p.departed[id] = max(p.departed[id], born)
+	if len(p.departed) <= maxDepartures {
+		return
+	}
+	first := id
+	for other, otherBorn := range p.departed {
+		if otherBorn < p.departed[first] {
+			first = other
+		}
+	}
+	delete(p.departed, first)
+}
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -70,7 +70,8 @@
 	current          Announcement
 	state            state
 	lastSeen         time.Time         // last contact with the current incarnation
-	departed         map[string]int64  // by ID, latest Born departed, in ms since the Unix epoch; clock: see Leave
+	departed         map[string]int64  // by ID, latest Born departed, in ms since the Unix epoch; clock: see Deregister
+	lastDeparture    peer.Departure    // of the current incarnation, or of an earlier one
 	recalledServices map[string]string // services of upstreams that this node had before its restart, by ID
 	revision         uint32            // increases with each call of setState
 	stopping         bool
--- a/peer/candidates_test.go
+++ b/peer/candidates_test.go
@@ -19,7 +19,8 @@
 	n.roster.HandleLoad(to, sequence, peer.Load{Boot: 1, Revision: 1, Serving: true, Limit: 8, ServiceTimePercent: 100})
 }
 
-func (*idleNodes) SendStatus(netip.AddrPort, peer.StatusMessage) {}
+func (*idleNodes) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
+func (*idleNodes) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 
 // serviceOf returns a roster that knows count nodes of the service "s", spread over the zones. A load is known for an hour.
 func serviceOf(tb testing.TB, count, zones int) (*peer.Roster, []netip.AddrPort) {
--- /dev/null
+++ b/peer/departure.go
@@ -0,0 +1,73 @@
+package peer
+
+import "net/netip"
+
+// Departure is an incarnation of an upstream that is leaving or has left. It gets no new requests, whatever it announces later.
+// The nodes keep the departure of each other's upstream, since a node that starts again knows nothing of it, and an earlier
+// announcement of the upstream may arrive late.
+type Departure struct {
+	Upstream string // ID of the incarnation, "" for none
+	Born     int64  // latest start of an incarnation with this ID that has departed, in ms since the Unix epoch, by the upstream's clock
+}
+
+// DepartureMessage is the message by which a node reports a departure.
+type DepartureMessage struct {
+	Departure
+	Boot       uint64 // run of the sender's process
+	OfReceiver bool   // the upstream of the receiver has departed, not that of the sender
+}
+
+// reportedDeparture is the departure that a peer has reported last.
+type reportedDeparture struct {
+	Departure
+	boot uint64 // run of the peer's process that reported it
+}
+
+// HandleDeparture handles a departure that another node reports.
+func (r *Roster) HandleDeparture(from netip.AddrPort, m DepartureMessage) {
+	if m.OfReceiver {
+		r.selfNode.LearnDeparture(m.Departure)
+		return
+	}
+	p, added := r.getOrAdd(from)
+	if p.isSelf {
+		return
+	}
+	p.recordDeparture(m)
+	if added {
+		r.sendStatus(p, true)
+	}
+}
+
+// sendDepartures sends the departure of this node's upstream to the peer, and that of the peer's upstream when the peer has
+// started again since it reported it.
+func (r *Roster) sendDepartures(p *Peer) {
+	r.sendOwnDeparture(p.addr)
+	if forgotten := p.forgottenDeparture(); forgotten.Upstream != "" {
+		r.sender.SendDeparture(p.addr, DepartureMessage{Departure: forgotten, Boot: r.selfNode.Status().Boot, OfReceiver: true})
+	}
+}
+
+func (r *Roster) sendOwnDeparture(to netip.AddrPort) {
+	if own := r.selfNode.Departure(); own.Upstream != "" {
+		r.sender.SendDeparture(to, DepartureMessage{Departure: own, Boot: r.selfNode.Status().Boot})
+	}
+}
+
+func (p *Peer) recordDeparture(m DepartureMessage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.departure = reportedDeparture{Departure: m.Departure, boot: m.Boot}
+}
+
+// forgottenDeparture returns the departure that an earlier run of the peer has reported and the present one has not, unless the
+// peer has another upstream by now.
+func (p *Peer) forgottenDeparture() Departure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isOther := p.status.Upstream != "" && p.status.Upstream != p.departure.Upstream
+	if p.status.Boot == 0 || p.status.Boot == p.departure.boot || isOther {
+		return Departure{}
+	}
+	return p.departure.Departure
+}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -103,6 +103,7 @@
 	status := r.selfNode.Status()
 	for _, addr := range r.Addresses(maxNotified) {
 		r.sender.SendStatus(addr, StatusMessage{Status: status})
+		r.sendOwnDeparture(addr)
 	}
 }
 
@@ -119,6 +120,7 @@
 
 func (r *Roster) sendStatus(p *Peer, reply bool) {
 	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.heardAddresses(), ReplyRequested: reply, Previous: p.previousUpstream()})
+	r.sendDepartures(p)
 }
 
 // Addresses returns the datagram addresses of up to limit random nodes, without this one and unresponsive ones.
--- a/peer/late_test.go
+++ b/peer/late_test.go
@@ -19,7 +19,8 @@
 	s.sequences = append(s.sequences, sequence)
 }
 
-func (s *querySender) SendStatus(netip.AddrPort, peer.StatusMessage) {}
+func (s *querySender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
+func (s *querySender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 
 func lateRoster() (*querySender, *peer.Roster) {
 	sender := &querySender{}
--- a/peer/odd_address_test.go
+++ b/peer/odd_address_test.go
@@ -27,6 +27,8 @@
 	r.queried[to]++
 }
 
+func (r *recorder) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
+
 func (r *recorder) SendStatus(to netip.AddrPort, i peer.StatusMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -63,6 +63,7 @@
 	status       Status
 	ended        endedRun
 	previous     PreviousUpstream // kept until the node has an upstream again
+	departure    reportedDeparture
 	load         Load
 	loadAt       time.Time // zero when no load of the current boot and upstream is known
 	loadSequence uint32    // sequence number of the query that load answers
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -19,6 +19,8 @@
 	QueryLoad(to netip.AddrPort, sequence uint32)
 	// SendStatus sends this node's status to another.
 	SendStatus(to netip.AddrPort, i StatusMessage)
+	// SendDeparture reports a departure to another node.
+	SendDeparture(to netip.AddrPort, m DepartureMessage)
 }
 
 // Self is the source of this node's own status and load.
@@ -27,6 +29,10 @@
 	Load(now time.Time) Load
 	// LearnPreviousUpstream receives what another node knows of the upstream that this node had before its restart.
 	LearnPreviousUpstream(PreviousUpstream)
+	// Departure returns the departure of the upstream beside this node, the zero value while it has not departed.
+	Departure() Departure
+	// LearnDeparture receives the departure of the upstream beside this node, which another node knows from before a restart.
+	LearnDeparture(Departure)
 }
 
 // Options configures a Roster.
@@ -162,7 +168,7 @@
 	if i.Previous.Upstream != "" {
 		r.selfNode.LearnPreviousUpstream(i.Previous)
 	}
-	if i.ReplyRequested || added {
+	if i.ReplyRequested || added || p.forgottenDeparture().Upstream != "" {
 		r.sendStatus(p, false)
 	}
 	for _, addr := range i.Addresses {
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -29,8 +29,10 @@
 	mu         sync.Mutex
 	nodes      map[netip.AddrPort]*node
 	roster     *peer.Roster
+	self       *own
 	introduced map[netip.AddrPort]int
-	former     map[netip.AddrPort]peer.PreviousUpstream // last sent to each node
+	former     map[netip.AddrPort]peer.PreviousUpstream   // last sent to each node
+	departures map[netip.AddrPort][]peer.DepartureMessage // sent to each node
 }
 
 func (n *network) QueryLoad(to netip.AddrPort, number uint32) {
@@ -59,6 +61,15 @@
 	time.AfterFunc(other.delay, func() { n.roster.HandleStatus(to, peer.StatusMessage{Status: status}) })
 }
 
+func (n *network) SendDeparture(to netip.AddrPort, m peer.DepartureMessage) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.departures == nil {
+		n.departures = make(map[netip.AddrPort][]peer.DepartureMessage)
+	}
+	n.departures[to] = append(n.departures[to], m)
+}
+
 // change modifies a node under the lock.
 func (n *network) change(i int, change func(*node)) {
 	n.mu.Lock()
@@ -72,19 +83,26 @@
 
 // own is a stand-in for the status and load of this node.
 type own struct {
-	status   peer.Status
-	load     peer.Load
-	recalled []peer.PreviousUpstream
+	status    peer.Status
+	load      peer.Load
+	recalled  []peer.PreviousUpstream
+	departure peer.Departure
+	learned   []peer.Departure
 }
 
 func (o *own) Status() peer.Status                           { return o.status }
 func (o *own) Load(time.Time) peer.Load                      { return o.load }
 func (o *own) LearnPreviousUpstream(f peer.PreviousUpstream) { o.recalled = append(o.recalled, f) }
+func (o *own) Departure() peer.Departure                     { return o.departure }
+func (o *own) LearnDeparture(d peer.Departure)               { o.learned = append(o.learned, d) }
 
 // rosterOf returns a Roster that knows count nodes. Node i is at address(i), in zone "z<i%2>".
 func rosterOf(t *testing.T, count int) (*network, *peer.Roster) {
 	t.Helper()
-	n := &network{nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int), former: make(map[netip.AddrPort]peer.PreviousUpstream)}
+	n := &network{
+		nodes: make(map[netip.AddrPort]*node), introduced: make(map[netip.AddrPort]int), former: make(map[netip.AddrPort]peer.PreviousUpstream),
+		self: &own{status: peer.Status{Node: "n5", Boot: 99, Zone: "z0", StoreReachable: true}},
+	}
 	for i := 1; i <= count; i++ {
 		n.nodes[address(i)] = &node{
 			status: peer.Status{
@@ -96,7 +114,7 @@
 	}
 	n.roster = peer.NewRoster(peer.Options{
 		Zone: "z0", Address: address(200), Routing: peer.Routing{FreshFor: 20 * time.Millisecond, ZoneCost: time.Millisecond},
-		Sender: n, Self: &own{status: peer.Status{Node: "n5", Boot: 99, Zone: "z0", StoreReachable: true}}, Log: slog.New(slog.DiscardHandler),
+		Sender: n, Self: n.self, Log: slog.New(slog.DiscardHandler),
 	})
 	for i := 1; i <= count; i++ {
 		n.roster.AddNode(address(i))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -275,6 +275,12 @@
 // LearnPreviousUpstream implements peer.Self.
 func (s localNode) LearnPreviousUpstream(former peer.PreviousUpstream) { s.proxy.Recall(former) }
 
+// Departure implements peer.Self.
+func (s localNode) Departure() peer.Departure { return s.proxy.Departure() }
+
+// LearnDeparture implements peer.Self.
+func (s localNode) LearnDeparture(d peer.Departure) { s.proxy.LearnDeparture(time.Now(), d) }
+
 // forwarder serves requests for the node's own upstream in process and sends all others to their node.
 type forwarder struct {
 	localBoot uint64 // boot of this node
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,5 +1,5 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, the era of the store, and notices of requests that crash upstreams. A message is one byte
+// replies, the status of nodes, departures of upstreams, the era of the store, and notices of requests that crash upstreams. A message is one byte
 // for its kind, followed by a CBOR array.
 package datagram
 
@@ -42,6 +42,8 @@
 	HandleStatus(from netip.AddrPort, i peer.StatusMessage)
 	// HandleLoad handles the reply of another node to the load query with the number.
 	HandleLoad(from netip.AddrPort, number uint32, load peer.Load)
+	// HandleDeparture handles a departure that another node reports.
+	HandleDeparture(from netip.AddrPort, m peer.DepartureMessage)
 	// The load of this node, in reply to a load query.
 	AnswerLoadQuery(from netip.AddrPort) peer.Load
 }
@@ -120,6 +122,8 @@
 		err = s.handleNotice(body)
 	case kindStoreEra:
 		err = s.handleStoreEra(from, body)
+	case kindDeparture:
+		err = handleDeparture(receiver, from, body)
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -206,6 +210,19 @@
 	return nil
 }
 
+func handleDeparture(receiver Receiver, from netip.AddrPort, body []byte) error {
+	var d departure
+	if err := cbor.Unmarshal(body, &d); err != nil {
+		return err
+	}
+	decoded, err := d.decode()
+	if err != nil {
+		return err
+	}
+	receiver.HandleDeparture(from, decoded)
+	return nil
+}
+
 // QueryLoad implements peer.Sender.
 func (s *Socket) QueryLoad(to netip.AddrPort, number uint32) {
 	s.send(to, kindLoadQuery, loadQuery{Number: number, ContractVersion: s.Version()})
@@ -216,6 +233,11 @@
 	s.send(to, kindStatus, newStatusMessage(s.Version(), i))
 }
 
+// SendDeparture implements peer.Sender.
+func (s *Socket) SendDeparture(to netip.AddrPort, m peer.DepartureMessage) {
+	s.send(to, kindDeparture, newDeparture(m))
+}
+
 // SendNotice sends a notice to each of the addresses.
 func (s *Socket) SendNotice(to []netip.AddrPort, n quarantine.Notice) {
 	for _, addr := range to {
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -24,6 +24,7 @@
 	notices  chan quarantine.Notice
 	versions chan uint64
 	eras     chan store.Era
+	departed chan peer.DepartureMessage
 	load     peer.Load
 }
 
@@ -31,14 +32,15 @@
 	return &recorder{
 		heard: make(chan peer.StatusMessage, 9), loads: make(chan peer.Load, 9),
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
-		eras: make(chan store.Era, 9),
+		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9),
 	}
 }
 
-func (r *recorder) AddNode(netip.AddrPort)                                {}
-func (r *recorder) HandleStatus(_ netip.AddrPort, i peer.StatusMessage)   { r.heard <- i }
-func (r *recorder) HandleLoad(_ netip.AddrPort, _ uint32, load peer.Load) { r.loads <- load }
-func (r *recorder) AnswerLoadQuery(netip.AddrPort) peer.Load              { return r.load }
+func (r *recorder) AddNode(netip.AddrPort)                                    {}
+func (r *recorder) HandleStatus(_ netip.AddrPort, i peer.StatusMessage)       { r.heard <- i }
+func (r *recorder) HandleLoad(_ netip.AddrPort, _ uint32, load peer.Load)     { r.loads <- load }
+func (r *recorder) HandleDeparture(_ netip.AddrPort, m peer.DepartureMessage) { r.departed <- m }
+func (r *recorder) AnswerLoadQuery(netip.AddrPort) peer.Load                  { return r.load }
 
 func startSocket(t *testing.T, version uint64, load peer.Load) (*Socket, *recorder) {
 	t.Helper()
@@ -102,6 +104,10 @@
 
 	a.SendStoreEra([]netip.AddrPort{b.Addr()}, 1<<62)
 	assert.Equal(t, awaitValue(t, fromA.eras), store.Era(1<<62))
+
+	departed := peer.DepartureMessage{Departure: peer.Departure{Upstream: "u-9", Born: 1 << 50}, Boot: 1 << 62, OfReceiver: true}
+	a.SendDeparture(b.Addr(), departed)
+	assert.Equal(t, awaitValue(t, fromA.departed), departed)
 }
 
 // Guards against load queries and replies of more than a few dozen bytes: one query is sent to each candidate node.
@@ -138,7 +144,8 @@
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
 		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
-		kindStatus: newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
+		kindDeparture: departure{Boot: 1, Upstream: "u", Born: 1},
+		kindStatus:    newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
 		body, err := cbor.Marshal(message)
 		assert.NilError(f, err)
@@ -166,6 +173,8 @@
 			assert.Check(t, len(heard.Addresses) <= peer.MaxAddresses)
 		case load := <-r.loads:
 			assert.Check(t, load.Running >= 0 && load.Running <= maxCount && load.ServiceTimePercent <= maxCount)
+		case departed := <-r.departed:
+			assert.Check(t, departed.Upstream != "" && len(departed.Upstream) <= maxTextLength)
 		default:
 		}
 	})
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -18,6 +18,7 @@
 	kindStatus    byte = 'i'
 	kindNotice    byte = 'n'
 	kindStoreEra  byte = 'e'
+	kindDeparture byte = 'd'
 )
 
 const (
@@ -150,6 +151,28 @@
 	Era int64
 }
 
+// departure reports that an incarnation of an upstream is leaving or has left. Like storeEra, it is a message of its own for the
+// sake of nodes of earlier versions.
+type departure struct {
+	_          struct{} `cbor:",toarray"`
+	Boot       uint64
+	OfReceiver bool // the upstream of the receiver, not that of the sender
+	Upstream   string
+	Born       int64
+}
+
+func newDeparture(m peer.DepartureMessage) departure {
+	return departure{Boot: m.Boot, OfReceiver: m.OfReceiver, Upstream: m.Upstream, Born: m.Born}
+}
+
+// decode validates the message and converts it to a peer.DepartureMessage.
+func (d departure) decode() (peer.DepartureMessage, error) {
+	if d.Upstream == "" || len(d.Upstream) > maxTextLength {
+		return peer.DepartureMessage{}, errors.New("departure has no ID of an upstream, or one that is too long")
+	}
+	return peer.DepartureMessage{Departure: peer.Departure{Upstream: d.Upstream, Born: d.Born}, Boot: d.Boot, OfReceiver: d.OfReceiver}, nil
+}
+
 // maxNoticeFingerprints is the largest number of fingerprints in one notice, so that the notice fits into a datagram.
 const maxNoticeFingerprints = 100
 
