inbound: the departure of an upstream with an unknown start counts for all until then

Cause: an incarnation found by a status check has the start 0. Its departure was recorded for that, and its own late report, with the true start, was taken for that of a later incarnation. The log line of the DELETE says born=0.

Change: where the start isn't known, all incarnations that started until now count as departed. The same where another incarnation replaces it.

Both cases of TestLateAnnouncementOfAnAdoptedUpstreamThatLeft failed before.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -63,6 +63,15 @@
 // sameIncarnation reports whether both announcements are of one incarnation.
 func (a Announcement) sameIncarnation(b Announcement) bool { return a.ID == b.ID && a.Born == b.Born }
 
+// latestBorn returns the start of the incarnation. When it is not known, because the upstream has not announced itself to this
+// process, it returns now: the incarnation has started before, and a later one will start afterwards.
+func (a Announcement) latestBorn(now time.Time) int64 {
+	if a.Born == 0 {
+		return now.UnixMilli()
+	}
+	return a.Born
+}
+
 // Announce applies an announcement of the upstream. The error wraps ErrInvalidAnnouncement. An outdated announcement is
 // ignored without an error.
 func (p *Proxy) Announce(now time.Time, a Announcement) error {
@@ -123,7 +132,7 @@
 	previous := p.current
 	replaced := !a.sameIncarnation(previous)
 	if replaced && previous.ID != "" && previous.ID != a.ID {
-		p.recordDeparture(previous.ID, previous.Born)
+		p.recordDeparture(previous.ID, previous.latestBorn(now))
 	}
 	p.current, p.lastSeen = a, now
 	next := serving
--- a/inbound/departures.go
+++ b/inbound/departures.go
@@ -10,7 +10,7 @@
 const maxDepartures = 1024
 
 // Deregister marks the incarnation with the ID as departed. It gets no new requests, and its later announcements are ignored.
-// The current incarnation departs with its own Born, by the upstream's clock. For another ID no Born is known, and all
+// The current incarnation departs with its own Born, by the upstream's clock. When that is not known, or for another ID, all
 // incarnations started up to now, by this node's clock, count as departed.
 func (p *Proxy) Deregister(now time.Time, id string) {
 	p.mu.Lock()
@@ -26,8 +26,9 @@
 		}
 		return
 	}
-	p.recordDeparture(id, p.current.Born)
-	p.lastDeparture = peer.Departure{Upstream: id, Born: p.current.Born}
+	born := p.current.latestBorn(now)
+	p.recordDeparture(id, born)
+	p.lastDeparture = peer.Departure{Upstream: id, Born: born}
 	p.lastSeen = now
 	notify := p.setState(now, draining, "left")
 	p.mu.Unlock()
--- a/inbound/departures_test.go
+++ b/inbound/departures_test.go
@@ -85,3 +85,34 @@
 		assert.Equal(t, p.Departure(), peer.Departure{Upstream: "a", Born: time.Now().UnixMilli()})
 	})
 }
+
+// Guards against an upstream that its restarted node has found by a health check, that leaves, and whose announcement from before
+// that arrives late: the node did not know the start of the incarnation, and took the announcement for that of a later one.
+func TestLateAnnouncementOfAnAdoptedUpstreamThatLeft(t *testing.T) {
+	for name, depart := range map[string]func(p *inbound.Proxy){
+		"withdrawn": func(p *inbound.Proxy) { p.Deregister(time.Now(), "a") },
+		"replaced, and its successor falls silent": func(p *inbound.Proxy) {
+			assert.Check(t, p.Announce(time.Now(), announcement("b", time.Now().UnixMilli(), 1)))
+			time.Sleep(8 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &fakeClient{report: healthyWithLoad("a", 100)}
+				p := newProxy(c)
+				go p.Watch(t.Context())
+				born := time.Now().UnixMilli()
+				time.Sleep(time.Second)
+				p.Recall(peer.PreviousUpstream{Upstream: "a", Service: "s"})
+				time.Sleep(300 * time.Millisecond)
+				assert.Assert(t, p.Status().Serving)
+				depart(p)
+				assert.NilError(t, p.Announce(time.Now(), announcement("a", born, 4)))
+				assert.Assert(t, !p.Status().Serving)
+				time.Sleep(time.Second)
+				assert.NilError(t, p.Announce(time.Now(), announcement("a", time.Now().UnixMilli(), 1)))
+				assert.Assert(t, p.Status().Serving, "the next incarnation of the ID")
+			})
+		})
+	}
+}
