inbound, quarantine: after a lost connection the node checks whether its upstream has ended

Cause: a lost connection counts against its request only if the end of the process is seen within 3 s, and only other requests or a new process showed that.

Change: the node checks the upstream itself, until an answer shows that the process goes on, at most for 3 s. A refused connection, or an answer of another incarnation, is the evidence; also where the check was one for the load. A counter tells losses explained by an end of the process from the others.

--- a/inbound/load.go
+++ b/inbound/load.go
@@ -73,10 +73,11 @@
 	}
 	done := make(chan struct{})
 	p.pendingCheck = done
-	addr := p.current.Address
+	target := p.current
 	go func() {
-		report, err := p.checkHealth(addr, path)
+		report, err := p.checkHealth(target.Address, path)
 		p.finishHealthCheck(time.Now(), done, report, err)
+		p.recordRefused(target, err)
 		close(done)
 	}()
 	return done
@@ -96,8 +97,8 @@
 }
 
 // finishHealthCheck records the load of a health check. A failed check or an unhealthy report does not take the upstream
-// out of service: checks give false results both ways, and the results of requests are a better signal. A check that was started for
-// an earlier incarnation has no effect.
+// out of service: checks give false results both ways, and the results of requests are a better signal. Only a refused connection
+// does (recordRefused). A check that was started for an earlier incarnation has no effect.
 func (p *Proxy) finishHealthCheck(now time.Time, check chan struct{}, report HealthReport, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -154,7 +155,7 @@
 	}
 }
 
-// probe checks the health of an upstream that is unknown or down. It marks a serving upstream as unknown when there was
+// probe checks the health of an upstream that is unknown or down, or that lost a connection. It marks a serving upstream as unknown when there was
 // no contact for Options.LivenessTimeout.
 func (p *Proxy) probe(now time.Time) {
 	p.mu.Lock()
@@ -165,8 +166,12 @@
 		notify()
 		return
 	}
-	service, recalled := p.current.Service, len(p.recalledServices) > 0
+	target, service, recalled := p.current, p.current.Service, len(p.recalledServices) > 0
 	p.mu.Unlock()
+	if observed == serving && p.crashes.Detector.NeedsEvidence(now) {
+		p.checkAfterLoss(target)
+		return
+	}
 	if observed == unknown && addr == "" && recalled {
 		addr, service = p.options.Upstream, p.options.Service
 	}
@@ -180,6 +185,33 @@
 	}
 }
 
+// checkAfterLoss checks whether the process of the upstream that lost a connection goes on.
+func (p *Proxy) checkAfterLoss(target Announcement) {
+	path := p.options.HealthPath(target.Service)
+	if path == "" {
+		return
+	}
+	began := time.Now()
+	report, err := p.checkHealth(target.Address, path)
+	switch {
+	case err != nil:
+		p.recordRefused(target, err)
+	case report.UpstreamID != "" && report.UpstreamID != target.ID:
+		p.crashes.Detector.ProcessEnded(began) // another process has its address
+	default:
+		p.crashes.Detector.ProcessAnswered(began)
+	}
+}
+
+// recordRefused takes the upstream out of service when the error of a health check shows that its process has ended.
+func (p *Proxy) recordRefused(target Announcement, err error) {
+	if !errors.Is(err, ErrRefused) {
+		return
+	}
+	p.crashes.Detector.ProcessEnded(time.Now())
+	p.recordFailure(target, caller.Refuse(caller.UpstreamUnreachable, serveStep, target.Address))
+}
+
 // maxRecalled bounds the number of upstreams that other nodes may report to Recall.
 const maxRecalled = 16
 
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -24,7 +25,8 @@
 type Client interface {
 	// Send sends an admitted request. The error is a *caller.Refusal.
 	Send(ctx context.Context, req *caller.Request, addr string) (*caller.Answer, error)
-	// CheckHealth requests the health path and returns the report, which may include the load.
+	// CheckHealth requests the health path and returns the report, which may include the load. The error wraps ErrRefused when
+	// nothing listens at the address.
 	CheckHealth(ctx context.Context, addr, path string) (HealthReport, error)
 	// LoadOf returns the load that the upstream reported in the header of an answer, and whether there was one.
 	LoadOf(header map[string][]string) (caller.UpstreamLoad, bool)
@@ -32,6 +34,9 @@
 	KeepOnly(addr string)
 }
 
+// ErrRefused is the error of a health check whose connection was refused: no process listens at the address.
+var ErrRefused = errors.New("the connection was refused")
+
 // HealthReport is the report that an upstream returns for its health path.
 type HealthReport struct {
 	Healthy    bool
--- a/inbound/proxy_test.go
+++ b/inbound/proxy_test.go
@@ -81,11 +81,13 @@
 
 func newProxy(c *fakeClient) *inbound.Proxy { return newProxyWith(c) }
 
-func newProxyWith(c inbound.Client) *inbound.Proxy {
+func newProxyWith(c inbound.Client) *inbound.Proxy { return newProxyOf(c, quarantine.NewList(nil)) }
+
+func newProxyOf(c inbound.Client, suspects *quarantine.List) *inbound.Proxy {
 	return inbound.New(inbound.Options{
 		Node: "n1", Boot: boot, Address: "10.0.0.1:81", Zone: "z", Service: "s", Upstream: addr,
 		HealthPath: func(string) string { return "/health" }, FreshFor: 20 * time.Millisecond, LivenessTimeout: 7 * time.Second, SlotShare: 1,
-		Client: c, Suspects: quarantine.NewList(nil), OnStatusChange: func() {}, Log: slog.New(slog.DiscardHandler),
+		Client: c, Suspects: suspects, OnStatusChange: func() {}, Log: slog.New(slog.DiscardHandler),
 	})
 }
 
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliawharf/magnoliawharf/metrics"
 )
 
 const (
@@ -15,10 +17,18 @@
 	lossWindow = 3 * time.Second
 	// lateLossWindow is the time after the detection in which further lost connections belong to the crash.
 	lateLossWindow = time.Second
+	// minEvidenceDelay is the time after a lost connection from which an answer of the upstream shows that its process goes on: a
+	// process that ends closes its connections and its listener one after the other.
+	minEvidenceDelay = 100 * time.Millisecond
 	// maxLosses bounds the losses kept. An upstream has at most a few hundred connections.
 	maxLosses = 1024
 )
 
+var (
+	lossesByCrash     = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="process-ended"}`)
+	lossesUnexplained = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="unexplained"}`)
+)
+
 // Outcome is the way in which a request to the upstream ended.
 type Outcome uint8
 
@@ -59,6 +69,7 @@
 	endedAt    time.Time // when the last process ended
 	lastCrash  Crash     // identifies that end
 	replaced   bool      // another process has been seen since then
+	answeredAt time.Time // start of the latest request or health check that was answered
 }
 
 // loss is a request whose connection broke.
@@ -77,7 +88,7 @@
 func (w *CrashDetector) RequestFinished(now, began time.Time, f Fingerprint, end Outcome) {
 	switch end {
 	case Answered:
-		w.markAlive(began)
+		w.ProcessAnswered(began)
 		w.list.Succeeded(now, f)
 	case ConnectionLost:
 		if crash, ok := w.recordLoss(loss{f, began, now}); ok {
@@ -86,12 +97,26 @@
 	}
 }
 
-// markAlive records a response to a request sent at began. If the last process had ended by then, another
-// process has replaced it.
-func (w *CrashDetector) markAlive(began time.Time) {
+// ProcessAnswered records a response to a request or health check sent at began. If the last process had ended by then,
+// another process has replaced it.
+func (w *CrashDetector) ProcessAnswered(began time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.replaced = w.replaced || began.After(w.endedAt)
+	if began.After(w.answeredAt) {
+		w.answeredAt = began
+	}
+}
+
+// NeedsEvidence reports whether connections were lost lately and nothing shows yet whether the process has ended. The caller
+// then checks it, since in quiet hours no other request does.
+func (w *CrashDetector) NeedsEvidence(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.losses, func(l loss) bool {
+		shown := l.at.Add(minEvidenceDelay)
+		return now.Sub(l.at) <= lossWindow && now.After(shown) && !w.answeredAt.After(shown)
+	})
 }
 
 // recordLoss keeps a loss until a crash is detected, or returns the recent crash to which it belongs.
@@ -101,13 +126,20 @@
 	if !w.endedAt.IsZero() && l.began.Before(w.endedAt) && l.at.Sub(w.endedAt) <= lateLossWindow {
 		return w.lastCrash, true
 	}
-	w.losses = slices.DeleteFunc(w.losses, func(earlier loss) bool { return l.at.Sub(earlier.at) > lossWindow })
+	w.forgetLosses(l.at)
 	if len(w.losses) < maxLosses {
 		w.losses = append(w.losses, l)
 	}
 	return 0, false
 }
 
+// forgetLosses removes the losses that are too old to belong to a crash which is detected now. It is called with the lock held.
+func (w *CrashDetector) forgetLosses(now time.Time) {
+	kept := len(w.losses)
+	w.losses = slices.DeleteFunc(w.losses, func(l loss) bool { return now.Sub(l.at) > lossWindow })
+	lossesUnexplained.Add(kept - len(w.losses))
+}
+
 // ProcessSeen records an announcement of the upstream's process.
 func (w *CrashDetector) ProcessSeen(now time.Time, s ProcessInfo) {
 	w.mu.Lock()
@@ -132,9 +164,11 @@
 		w.crashCount++
 		w.lastCrash, w.endedAt, w.replaced = Crash(xxhash.Sum64String(w.nodeIncarnation)+w.crashCount), now, false
 	}
+	w.forgetLosses(now)
+	lossesByCrash.Add(len(w.losses))
 	var suspects []Fingerprint
 	for _, l := range w.losses {
-		if now.Sub(l.at) <= lossWindow && !slices.Contains(suspects, l.fingerprint) {
+		if !slices.Contains(suspects, l.fingerprint) {
 			suspects = append(suspects, l.fingerprint)
 		}
 	}
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -186,7 +188,7 @@
 }
 
 // CheckHealth requests the health path of the upstream at addr and returns the health and load that it reports. The
-// error names the step and the address.
+// error names the step and the address. It wraps inbound.ErrRefused when nothing listens there.
 func (c *Client) CheckHealth(ctx context.Context, addr, path string) (inbound.HealthReport, error) {
 	outgoing, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, http.NoBody)
 	if err != nil {
@@ -194,6 +196,9 @@
 	}
 	outgoing.Header.Set("User-Agent", "")
 	conn, err := c.connect(ctx, addr, defaultIdleTimeout)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		err = fmt.Errorf("%w: %w", inbound.ErrRefused, err)
+	}
 	if err != nil {
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
--- a/transport/upstreamconn/client_test.go
+++ b/transport/upstreamconn/client_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/inbound"
 	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport/upstreamconn"
 )
@@ -284,6 +285,15 @@
 	assert.Equal(t, refusal.Ran, caller.NotRun)
 }
 
+// Guards against a crash that is not recognised, because a health check can't tell that nothing listens from other failures.
+func TestHealthCheckTellsARefusedConnection(t *testing.T) {
+	_, err := newClient(t).CheckHealth(t.Context(), sockets.ReservePort(t), "/health")
+	assert.ErrorIs(t, err, inbound.ErrRefused)
+	addr, _ := startUpstream(t, func(*net.TCPConn, int, *http.Request) bool { return false })
+	_, err = newClient(t).CheckHealth(t.Context(), addr, "/health")
+	assert.Assert(t, err != nil && !errors.Is(err, inbound.ErrRefused), "%v", err)
+}
+
 // Guards against work that continues at the upstream after the caller has cancelled the request.
 func TestCancellationClosesConnection(t *testing.T) {
 	closed := make(chan struct{})
