quarantine, peer: nodes send what they know of suspects to nodes that have started

Cause: notices of crashes are sent once, to the nodes that run then. A node that starts knows no suspects, and nobody tells it.

Change: a node sends records of suspects, with ages and the rest of the quarantine, to each node that has started and to those that a round of gossip contacts, which makes up for lost notices too. A message of its own kind; none while no request is suspected. A suspect's crashes are copied before they change, as Quarantined reads them outside the lock.

--- a/peer/departure_test.go
+++ b/peer/departure_test.go
@@ -1,8 +1,13 @@
 package peer_test
 
 import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -55,3 +60,42 @@
 		assert.DeepEqual(t, n.self.learned, []peer.Departure{left})
 	})
 }
+
+// Guards against a node that never learns what the others have been told by notices: one that was started again, and one that
+// the notices did not reach.
+func TestNodesAreContactedAfterTheirStartAndByTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := rosterOf(t, 4)
+		var mu sync.Mutex
+		contacts := map[netip.AddrPort]int{}
+		contactsOf := func(i int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return contacts[address(i)]
+		}
+		r := peer.NewRoster(peer.Options{
+			Zone: "z0", Address: address(200), Sender: n, Self: n.self, Log: slog.New(slog.DiscardHandler),
+			OnContact: func(addr netip.AddrPort) {
+				mu.Lock()
+				defer mu.Unlock()
+				contacts[addr]++
+			},
+		})
+		n.roster = r
+		for i := 1; i <= 4; i++ {
+			r.HandleStatus(address(i), peer.StatusMessage{Status: n.nodes[address(i)].status})
+			r.HandleStatus(address(i), peer.StatusMessage{Status: n.nodes[address(i)].status})
+			assert.Equal(t, contactsOf(i), 1)
+		}
+		restarted := n.nodes[address(1)].status
+		restarted.Boot = 77
+		r.HandleStatus(address(1), peer.StatusMessage{Status: restarted})
+		assert.Equal(t, contactsOf(1), 2)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		r.Run(ctx)
+		for i := 2; i <= 4; i++ {
+			assert.Assert(t, contactsOf(i) > 1, "node %d", i)
+		}
+	})
+}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -72,6 +72,7 @@
 	for _, p := range others[:min(gossipFanout, len(others))] {
 		p.countGossipAsQuery(now)
 		r.sendStatus(p, true)
+		r.contacted(p.addr)
 	}
 }
 
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -45,7 +45,10 @@
 	// OnStoreReachable, when not nil, is called when another node reports that it can reach the store again. No lock is held, and
 	// it must not block.
 	OnStoreReachable func()
-	Log              *slog.Logger
+	// OnContact, when not nil, is called with each node that has started and with those that a round of gossip contacts, which are
+	// all of them by turns. No lock is held, and it must not block.
+	OnContact func(addr netip.AddrPort)
+	Log       *slog.Logger
 }
 
 // Routing holds the settings by which a Roster chooses a node.
@@ -62,6 +65,7 @@
 	selfNode     Self
 	selfPeer     *Peer
 	storeReached func()
+	contacted    func(netip.AddrPort)
 	log          *slog.Logger
 	changes      *changeLog
 
@@ -75,7 +79,7 @@
 // NewRoster returns a roster that knows only this node.
 func NewRoster(o Options) *Roster {
 	r := &Roster{
-		zone: o.Zone, sender: o.Sender, selfNode: o.Self, storeReached: o.OnStoreReachable, log: o.Log, changes: newChangeLog(o.Log),
+		zone: o.Zone, sender: o.Sender, selfNode: o.Self, storeReached: o.OnStoreReachable, contacted: o.OnContact, log: o.Log, changes: newChangeLog(o.Log),
 		peers:       shard.NewString[string, *Peer](rosterShards),
 		services:    shard.NewString[string, serviceNodes](rosterShards),
 		rebroadcast: make(chan struct{}, 1),
@@ -83,6 +87,9 @@
 	if r.storeReached == nil {
 		r.storeReached = func() {}
 	}
+	if r.contacted == nil {
+		r.contacted = func(netip.AddrPort) {}
+	}
 	r.routing.Store(&o.Routing)
 	r.selfPeer = &Peer{addr: o.Address, isSelf: true}
 	r.peers.Set(o.Address.String(), r.selfPeer)
@@ -171,6 +178,9 @@
 	if i.ReplyRequested || added || p.forgottenDeparture().Upstream != "" {
 		r.sendStatus(p, false)
 	}
+	if before.Boot != i.Status.Boot {
+		r.contacted(from)
+	}
 	for _, addr := range i.Addresses {
 		r.AddNode(addr)
 	}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -224,9 +224,9 @@
 	for _, f := range n.Fingerprints {
 		switch n.Kind {
 		case Crashed:
-			l.mergeCrashes(now, f, n.Crashes, false)
+			l.mergeCrashes(now, f, recordsOf(now, n.Crashes, false), time.Time{})
 		case Cleared:
-			l.mergeCrashes(now, f, n.Crashes, true)
+			l.mergeCrashes(now, f, recordsOf(now, n.Crashes, true), time.Time{})
 		case TrialStarted:
 			l.update(f, func(s suspect, found bool) (suspect, bool) {
 				s.trial = now.Add(trialTimeout)
@@ -236,10 +236,20 @@
 	}
 }
 
+// recordsOf returns the records of crashes that this node learns of now.
+func recordsOf(now time.Time, crashes []Crash, cleared bool) []crashRecord {
+	records := make([]crashRecord, 0, len(crashes))
+	for _, crash := range crashes {
+		records = append(records, crashRecord{crash: crash, at: now, cleared: cleared})
+	}
+	return records
+}
+
 // mergeCrashes adds crashes to the set of the fingerprint. It begins a quarantine when one of them is new
 // and not cleared, and the threshold is reached. For a suspect that was in quarantine before, one new
-// crash is enough.
-func (l *List) mergeCrashes(now time.Time, f Fingerprint, crashes []Crash, cleared bool) {
+// crash is enough. A quarantine that another node has begun, with the given end, begins here too; the end is zero
+// when there is none.
+func (l *List) mergeCrashes(now time.Time, f Fingerprint, crashes []crashRecord, until time.Time) {
 	if l.count.Load() >= maxSuspects {
 		last := l.lastSweep.Load()
 		if now.UnixNano()-last >= int64(minSweepInterval) && l.lastSweep.CompareAndSwap(last, now.UnixNano()) {
@@ -253,11 +263,13 @@
 		}
 		isNew := false
 		for _, crash := range crashes {
-			isNew = s.mergeCrash(crashRecord{crash: crash, at: now, cleared: cleared}) || isNew
+			isNew = s.mergeCrash(crash) || isNew
 		}
 		switch {
 		case s.unclearedCrashes() == 0:
 			s.until, s.trial = time.Time{}, time.Time{}
+		case !until.IsZero():
+			s.until = later(s.until, until)
 		case isNew && (s.unclearedCrashes() >= Threshold || !s.until.IsZero()):
 			s.until, s.trial = now.Add(Period), time.Time{}
 		}
@@ -265,16 +277,30 @@
 	})
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mergeCrash adds a crash to the set and reports whether it is new and not cleared. A cleared crash stays
 // cleared.
 func (s *suspect) mergeCrash(record crashRecord) bool {
 	i := slices.IndexFunc(s.crashes, func(c crashRecord) bool { return c.crash == record.crash })
 	if i >= 0 {
 		s.crashes[i].cleared = s.crashes[i].cleared || record.cleared
+		if record.at.Before(s.crashes[i].at) {
+			s.crashes[i].at = record.at
+		}
 		return false
 	}
 	if len(s.crashes) >= maxCrashes {
-		s.crashes = slices.Delete(s.crashes, 0, 1)
+		oldest := slices.MinFunc(s.crashes, func(a, b crashRecord) int { return a.at.Compare(b.at) })
+		if !record.at.After(oldest.at) {
+			return false
+		}
+		s.crashes = slices.DeleteFunc(s.crashes, func(c crashRecord) bool { return c.crash == oldest.crash })
 	}
 	s.crashes = append(s.crashes, record)
 	return !record.cleared
@@ -294,6 +320,7 @@
 // the count.
 func (l *List) update(f Fingerprint, change func(suspect, bool) (suspect, bool)) {
 	l.suspects.Update(f, func(s suspect, found bool) (suspect, bool) {
+		s.crashes = slices.Clone(s.crashes) // others may read the previous value outside the lock
 		next, keep := change(s, found)
 		switch {
 		case keep && !found:
--- a/sidecar/isolation_test.go
+++ b/sidecar/isolation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,8 +19,9 @@
 
 // fakePeer answers the datagrams of other nodes until its socket is closed, and serves nothing else.
 type fakePeer struct {
-	socket *datagram.Socket
-	status peer.Status
+	socket     *datagram.Socket
+	status     peer.Status
+	onSuspects atomic.Pointer[chan []quarantine.Record] // gets the records that other nodes send; nil for none
 }
 
 // startFakePeer starts a peer of the zone "z" that has the version of the contracts and reaches the store.
@@ -32,6 +34,11 @@
 	socket.OnNotice = func(quarantine.Notice) {}
 	socket.OnStoreEra = func(store.Era, netip.AddrPort) {}
 	p := &fakePeer{socket: socket, status: peer.Status{Node: name, Boot: 1, Revision: 1, Address: "127.0.0.1:1", Zone: "z", StoreReachable: true}}
+	socket.OnSuspects = func(records []quarantine.Record) {
+		if received := p.onSuspects.Load(); received != nil {
+			*received <- records
+		}
+	}
 	go func() { _ = socket.Serve(t.Context(), p) }() // returns when the socket is closed
 	t.Cleanup(func() { _ = socket.Close() })
 	return p
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -136,10 +136,11 @@
 	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: peerRouting(s.Settings),
-		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, Log: s.Log,
+		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.sendSuspects, Log: s.Log,
 	})
 	s.socket.Version, s.socket.OnVersion = s.contracts.Version, s.handlePeerVersion
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
+	s.socket.OnSuspects = s.mergeSuspects
 	s.socket.OnStoreEra = s.handlePeerEra
 	s.setHandlers()
 	return nil
@@ -256,6 +257,20 @@
 	s.socket.SendNotice(s.roster.Addresses(maxNoticeRecipients), n)
 }
 
+// sendSuspects sends a part of what this node knows of requests that crash upstreams to a node that may have missed the notices.
+func (s *Sidecar) sendSuspects(to netip.AddrPort) {
+	if records := s.suspects.Records(time.Now(), datagram.MaxSuspects); len(records) > 0 {
+		s.socket.SendSuspects(to, records)
+	}
+}
+
+// mergeSuspects adds what another node knows of requests that crash upstreams.
+func (s *Sidecar) mergeSuspects(records []quarantine.Record) {
+	if added := s.suspects.Merge(time.Now(), records); added > 0 {
+		s.Log.Warn("quarantine learned from another node", "fingerprints", added)
+	}
+}
+
 // maxNoticeRecipients bounds the number of nodes to which a notice is sent.
 const maxNoticeRecipients = 256
 
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -60,6 +60,8 @@
 	OnVersion func(version uint64, from netip.AddrPort)
 	// OnNotice is called with each valid notice of another node. It must not block.
 	OnNotice func(n quarantine.Notice)
+	// OnSuspects is called with valid records of another node. It must not block.
+	OnSuspects func(records []quarantine.Record)
 	// OnStoreEra is called with the era of the store that another node reports, above 0. It must not block.
 	OnStoreEra func(era store.Era, from netip.AddrPort)
 }
@@ -122,6 +124,8 @@
 		err = s.handleNotice(body)
 	case kindStoreEra:
 		err = s.handleStoreEra(from, body)
+	case kindSuspects:
+		err = s.handleSuspects(body)
 	case kindDeparture:
 		err = handleDeparture(receiver, from, body)
 	default:
@@ -210,6 +214,19 @@
 	return nil
 }
 
+func (s *Socket) handleSuspects(body []byte) error {
+	var m suspects
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return err
+	}
+	records, err := m.decode()
+	if err != nil {
+		return err
+	}
+	s.OnSuspects(records)
+	return nil
+}
+
 func handleDeparture(receiver Receiver, from netip.AddrPort, body []byte) error {
 	var d departure
 	if err := cbor.Unmarshal(body, &d); err != nil {
@@ -245,6 +262,11 @@
 	}
 }
 
+// SendSuspects sends up to MaxSuspects records to another node.
+func (s *Socket) SendSuspects(to netip.AddrPort, records []quarantine.Record) {
+	s.send(to, kindSuspects, newSuspects(records))
+}
+
 // SendStoreEra sends the era of the store to each of the addresses.
 func (s *Socket) SendStoreEra(to []netip.AddrPort, era store.Era) {
 	for _, addr := range to {
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
@@ -25,6 +26,7 @@
 	versions chan uint64
 	eras     chan store.Era
 	departed chan peer.DepartureMessage
+	suspects chan []quarantine.Record
 	load     peer.Load
 }
 
@@ -32,7 +34,7 @@
 	return &recorder{
 		heard: make(chan peer.StatusMessage, 9), loads: make(chan peer.Load, 9),
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
-		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9),
+		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9), suspects: make(chan []quarantine.Record, 9),
 	}
 }
 
@@ -60,6 +62,7 @@
 	s.OnVersion = func(v uint64, _ netip.AddrPort) { r.versions <- v }
 	s.OnNotice = func(n quarantine.Notice) { r.notices <- n }
 	s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { r.eras <- era }
+	s.OnSuspects = func(records []quarantine.Record) { r.suspects <- records }
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(context.Background(), receiver(r)) }()
 	t.Cleanup(func() {
@@ -105,6 +108,13 @@
 	a.SendStoreEra([]netip.AddrPort{b.Addr()}, 1<<62)
 	assert.Equal(t, awaitValue(t, fromA.eras), store.Era(1<<62))
 
+	records := []quarantine.Record{{
+		Fingerprint: 1 << 63, Quarantined: true, Remaining: -time.Minute,
+		Crashes: []quarantine.RecordedCrash{{Crash: 1 << 63, Age: 90 * time.Second}, {Crash: 2, Cleared: true}},
+	}}
+	a.SendSuspects(b.Addr(), records)
+	assert.DeepEqual(t, awaitValue(t, fromA.suspects), records)
+
 	departed := peer.DepartureMessage{Departure: peer.Departure{Upstream: "u-9", Born: 1 << 50}, Boot: 1 << 62, OfReceiver: true}
 	a.SendDeparture(b.Addr(), departed)
 	assert.Equal(t, awaitValue(t, fromA.departed), departed)
@@ -129,6 +139,21 @@
 	assert.Assert(t, !slices.Contains([]byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice}, kindStoreEra))
 }
 
+// Guards against records of suspects that don't fit into a datagram and are never sent.
+func TestLargestMessageOfSuspectsFits(t *testing.T) {
+	crashes := make([]quarantine.RecordedCrash, quarantine.MaxNoticeCrashes)
+	for i := range crashes {
+		crashes[i] = quarantine.RecordedCrash{Crash: math.MaxUint64, Age: 15 * time.Minute, Cleared: true}
+	}
+	records := make([]quarantine.Record, MaxSuspects)
+	for i := range records {
+		records[i] = quarantine.Record{Fingerprint: math.MaxUint64, Quarantined: true, Remaining: -15 * time.Minute, Crashes: crashes}
+	}
+	raw, err := cbor.Marshal(newSuspects(records))
+	assert.NilError(t, err)
+	assert.Assert(t, len(raw) < maxSize, "%d bytes", len(raw))
+}
+
 // Guards against a status that nodes of an earlier version drop, because it has another number of fields than theirs.
 func TestStatusHasTheFieldsOfEarlierVersions(t *testing.T) {
 	const fields = 15
@@ -144,6 +169,7 @@
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
 		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
+		kindSuspects:  suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
 		kindDeparture: departure{Boot: 1, Upstream: "u", Born: 1},
 		kindStatus:    newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
@@ -162,6 +188,11 @@
 		r := newRecorder()
 		s.OnNotice = func(n quarantine.Notice) { assert.Check(t, n.Valid()) }
 		s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { assert.Check(t, era > 0) }
+		s.OnSuspects = func(records []quarantine.Record) {
+			for _, record := range records {
+				assert.Check(t, record.Valid())
+			}
+		}
 		panics := panicsTotal.Get()
 		s.receive(r, s.Addr(), raw)
 		assert.Equal(t, panicsTotal.Get(), panics)
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
@@ -19,6 +20,7 @@
 	kindNotice    byte = 'n'
 	kindStoreEra  byte = 'e'
 	kindDeparture byte = 'd'
+	kindSuspects  byte = 's'
 )
 
 const (
@@ -173,6 +175,69 @@
 	return peer.DepartureMessage{Departure: peer.Departure{Upstream: d.Upstream, Born: d.Born}, Boot: d.Boot, OfReceiver: d.OfReceiver}, nil
 }
 
+// MaxSuspects is the largest number of records in one message, so that it fits into a datagram.
+const MaxSuspects = 8
+
+// suspects holds what the sender knows of requests that crash upstreams.
+type suspects struct {
+	_       struct{} `cbor:",toarray"`
+	Records []suspectRecord
+}
+
+// suspectRecord is the wire form of a quarantine.Record.
+type suspectRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Quarantined bool
+	RemainingMs int64
+	Crashes     []recordedCrash
+}
+
+type recordedCrash struct {
+	_       struct{} `cbor:",toarray"`
+	Crash   uint64
+	AgeMs   int64
+	Cleared bool
+}
+
+func newSuspects(records []quarantine.Record) suspects {
+	var out suspects
+	for _, r := range records[:min(len(records), MaxSuspects)] {
+		encoded := suspectRecord{Fingerprint: uint64(r.Fingerprint), Quarantined: r.Quarantined, RemainingMs: r.Remaining.Milliseconds()}
+		for _, c := range r.Crashes {
+			encoded.Crashes = append(encoded.Crashes, recordedCrash{Crash: uint64(c.Crash), AgeMs: c.Age.Milliseconds(), Cleared: c.Cleared})
+		}
+		out.Records = append(out.Records, encoded)
+	}
+	return out
+}
+
+// decode validates the records and converts them.
+func (s suspects) decode() ([]quarantine.Record, error) {
+	if len(s.Records) > MaxSuspects {
+		return nil, errors.New("too many records of suspects")
+	}
+	records := make([]quarantine.Record, 0, len(s.Records))
+	for _, r := range s.Records {
+		record := quarantine.Record{Fingerprint: quarantine.Fingerprint(r.Fingerprint), Quarantined: r.Quarantined, Remaining: milliseconds(r.RemainingMs)}
+		for _, c := range r.Crashes {
+			record.Crashes = append(record.Crashes, quarantine.RecordedCrash{Crash: quarantine.Crash(c.Crash), Age: milliseconds(c.AgeMs), Cleared: c.Cleared})
+		}
+		if !record.Valid() {
+			return nil, errors.New("record of a suspect is outside its bounds")
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// maxMilliseconds bounds durations of other nodes, so that arithmetic on them cannot overflow.
+const maxMilliseconds = 1 << 40
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(max(n, -maxMilliseconds), maxMilliseconds)) * time.Millisecond
+}
+
 // maxNoticeFingerprints is the largest number of fingerprints in one notice, so that the notice fits into a datagram.
 const maxNoticeFingerprints = 100
 
