inbound: an incarnation with an earlier start takes over when the later one is silent

Cause: reports with an earlier start than that of the current incarnation were ignored for ever, as ones of an earlier incarnation, and acknowledged. The log has a line for each.

Change: they are ignored only while the current incarnation announces itself, for two intervals after its last announcement. Meanwhile a report of draining that is ignored is rejected, not acknowledged. Late reports of the incarnation that ended don't bring it back, also after a withdrawal.

Ruled out: a lost report, another incarnation at the address (see the postmortem).

Four cases of TestIncarnationAfterTheClockWentBack fail with the condition as it was.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -85,6 +85,10 @@
 	if cause := p.ignoreCause(now, a); cause != "" {
 		p.mu.Unlock()
 		p.options.Log.Info("announcement ignored", "upstream", a.ID, "born", a.Born, "sequence", a.Sequence, "cause", cause)
+		if a.Draining && cause == causeEarlierIncarnation {
+			// It may come from the running incarnation, and an acknowledgement would promise that this one gets no new requests.
+			return fmt.Errorf("%w: an incarnation with a later start announces itself", ErrInvalidAnnouncement)
+		}
 		return nil
 	}
 	notify := p.apply(now, a)
@@ -104,6 +108,24 @@
 	p.options.Log.Warn("announcement rejected", "upstream", id[:min(len(id), maxNameLength)], "cause", text[:min(len(text), maxLoggedCause)])
 }
 
+// causeEarlierIncarnation is the reason to ignore an announcement of an incarnation that has ended, by its start.
+const causeEarlierIncarnation = "an earlier incarnation of the same ID"
+
+// maxSilentIntervals is the number of announcement intervals without an announcement after which the current incarnation no longer
+// keeps one with an earlier start from taking its place.
+const maxSilentIntervals = 2
+
+// startedEarlier reports whether the announcement is of an incarnation with the current ID that has ended, by its start.
+func (p *Proxy) startedEarlier(a Announcement) bool {
+	return a.ID == p.current.ID && (a.Born < p.current.Born || a.sameIncarnation(p.superseded))
+}
+
+// announcesItself reports whether the current incarnation has announced itself lately. When it has not, an announcement with an
+// earlier start is not taken for a late one: the clock may have been set back before the upstream was started again.
+func (p *Proxy) announcesItself(now time.Time) bool {
+	return now.Sub(p.announcedAt) < maxSilentIntervals*p.options.AnnounceEvery
+}
+
 // ignoreCause returns the reason to ignore the announcement, "" when it is current.
 func (p *Proxy) ignoreCause(now time.Time, a Announcement) string {
 	born, departed := p.departed[a.ID]
@@ -111,8 +133,8 @@
 	switch {
 	case departed && a.Born <= born:
 		return "this incarnation has left"
-	case a.ID == p.current.ID && a.Born < p.current.Born:
-		return "an earlier incarnation of the same ID"
+	case p.startedEarlier(a) && p.announcesItself(now):
+		return causeEarlierIncarnation
 	case a.ID == p.current.ID && a.Born == p.current.Born && a.Sequence <= p.current.Sequence:
 		return "a later announcement is known"
 	case a.ID != p.current.ID && alive && a.Born < p.current.Born:
@@ -134,7 +156,10 @@
 	if replaced && previous.ID != "" && previous.ID != a.ID {
 		p.recordDeparture(previous.ID, previous.latestBorn(now))
 	}
-	p.current, p.lastSeen = a, now
+	if p.startedEarlier(a) {
+		p.superseded = previous
+	}
+	p.current, p.lastSeen, p.announcedAt = a, now, now
 	next := serving
 	if a.Draining || (!replaced && p.state == draining) {
 		// A draining incarnation never returns to service.
--- a/inbound/departures.go
+++ b/inbound/departures.go
@@ -27,6 +27,9 @@
 		return
 	}
 	born := p.current.latestBorn(now)
+	if p.superseded.ID == id {
+		born = max(born, p.superseded.Born)
+	}
 	p.recordDeparture(id, born)
 	p.lastDeparture = peer.Departure{Upstream: id, Born: born}
 	p.lastSeen = now
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -55,6 +55,7 @@
 	Upstream        string                      // host:port of the upstream in the settings
 	HealthPath      func(service string) string // "" while no contracts are known
 	FreshFor        time.Duration               // age up to which a known load is used without a new health check
+	AnnounceEvery   time.Duration               // interval at which an upstream announces itself
 	LivenessTimeout time.Duration               // silence after which an upstream is taken for gone
 	SlotShare       float64                     // share of the slots that may be in use
 	Client          Client
@@ -75,6 +76,8 @@
 	current          Announcement
 	state            state
 	lastSeen         time.Time         // last contact with the current incarnation
+	announcedAt      time.Time         // last announcement of the current incarnation
+	superseded       Announcement      // incarnation that one with the same ID and an earlier start has replaced, if any
 	departed         map[string]int64  // by ID, latest Born departed, in ms since the Unix epoch; clock: see Deregister
 	lastDeparture    peer.Departure    // of the current incarnation, or of an earlier one
 	recalledServices map[string]string // services of upstreams that this node had before its restart, by ID
--- a/inbound/proxy_test.go
+++ b/inbound/proxy_test.go
@@ -86,7 +86,8 @@
 func newProxyOf(c inbound.Client, suspects *quarantine.List) *inbound.Proxy {
 	return inbound.New(inbound.Options{
 		Node: "n1", Boot: boot, Address: "10.0.0.1:81", Zone: "z", Service: "s", Upstream: addr,
-		HealthPath: func(string) string { return "/health" }, FreshFor: 20 * time.Millisecond, LivenessTimeout: 7 * time.Second, SlotShare: 1,
+		HealthPath: func(string) string { return "/health" }, FreshFor: 20 * time.Millisecond,
+		AnnounceEvery: 1500 * time.Millisecond, LivenessTimeout: 7 * time.Second, SlotShare: 1,
 		Client: c, Suspects: suspects, OnStatusChange: func() {}, Log: slog.New(slog.DiscardHandler),
 	})
 }
--- a/inbound/restart_test.go
+++ b/inbound/restart_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/inbound"
+	"github.com/magnoliawharf/magnoliawharf/peer"
 )
 
 func healthyWithLoad(id string, serviceTimePercent int) inbound.HealthReport {
@@ -131,3 +132,58 @@
 		})
 	}
 }
+
+// Guards against an upstream that is never let go, or never used, because it was started again with its ID while the clock was back
+// from a jump ahead: its start looks earlier than that of the incarnation before, and its reports were acknowledged and ignored.
+func TestIncarnationAfterTheClockWentBack(t *testing.T) {
+	leaving := func(a inbound.Announcement) inbound.Announcement { a.Draining = true; return a }
+	type step struct {
+		after    time.Duration
+		announce inbound.Announcement
+		rejected bool
+	}
+	ahead, back := announcement("a", 2000, 3), announcement("a", 1000, 1)
+	for name, test := range map[string]struct {
+		steps   []step
+		serving bool
+		born    int64
+	}{
+		"reports and leaves": {[]step{{0, ahead, false}, {4 * time.Second, back, false}, {time.Second, leaving(announcement("a", 1000, 2)), false}}, false, 1000},
+		"leaves at once":     {[]step{{0, ahead, false}, {4 * time.Second, leaving(back), false}}, false, 1000},
+		"leaves while the one before may still announce itself": {[]step{{0, ahead, false}, {time.Second, leaving(back), true}, {1500 * time.Millisecond, leaving(announcement("a", 1000, 2)), true}, {time.Second, leaving(announcement("a", 1000, 3)), false}}, false, 1000},
+		"late report of an earlier one":                         {[]step{{0, ahead, false}, {time.Second, back, false}}, true, 2000},
+		"late report of the one before, after it leaves":        {[]step{{0, ahead, false}, {4 * time.Second, leaving(back), false}, {time.Second, announcement("a", 2000, 4), false}}, false, 1000},
+		"the one before goes on after all":                      {[]step{{0, ahead, false}, {4 * time.Second, back, false}, {4 * time.Second, leaving(announcement("a", 2000, 5)), false}}, false, 2000},
+		"a later one":                                           {[]step{{0, ahead, false}, {4 * time.Second, back, false}, {time.Second, announcement("a", 3000, 1), false}}, true, 3000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newProxy(&fakeClient{report: healthyWithLoad("a", 100)})
+				for _, step := range test.steps {
+					time.Sleep(step.after)
+					err := p.Announce(time.Now(), step.announce)
+					assert.Equal(t, errors.Is(err, inbound.ErrInvalidAnnouncement), step.rejected, "%v", err)
+				}
+				assert.Equal(t, p.Status().Serving, test.serving)
+				if !test.serving {
+					assert.Equal(t, p.Departure(), peer.Departure{Upstream: "a", Born: test.born})
+				}
+			})
+		})
+	}
+}
+
+// Guards against an upstream that was started again after the clock went back and was withdrawn, and that a late report of the
+// incarnation before puts into service.
+func TestLateReportAfterTheClockWentBackAndTheUpstreamLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProxy(&fakeClient{})
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 2000, 3)))
+		time.Sleep(4 * time.Second)
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 1000, 1)))
+		p.Deregister(time.Now(), "a")
+		time.Sleep(4 * time.Second)
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 2000, 4)))
+		assert.Assert(t, !p.Status().Serving)
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -130,6 +130,7 @@
 		Node: s.Settings.Node, Boot: s.boot, Address: cmp.Or(s.Settings.Listen.Advertised, s.peers.Addr()), Zone: s.Settings.Zone,
 		Service: s.Settings.Upstream.Service, Upstream: s.Settings.Upstream.Address, HealthPath: s.healthPath,
 		FreshFor:        time.Duration(s.Settings.Routing.FreshFor),
+		AnnounceEvery:   time.Duration(s.Settings.Upstream.AnnounceEvery),
 		LivenessTimeout: maxMissedAnnouncements * time.Duration(s.Settings.Upstream.AnnounceEvery),
 		SlotShare:       s.Settings.Upstream.SlotShare, Client: s.upstream, Suspects: s.suspects,
 		OnStatusChange: func() { s.roster.UpdateOwnStatus() }, Log: s.Log,
