sidecar: one schedule for the whole stop, counted from the request to stop

Cause: the last answers had 0.3 s from whenever that step was reached, the three listeners were closed one after the other, and late callers kept them open until 0.5 s before the kill when the grace period is short.

Change: the ends of all steps are worked out once from the request to stop. Late callers leave 0.5 s for closing; the listeners are closed side by side. The log line of the end says how long closing took. The test prints the lines of the stop when it fails.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -151,6 +152,19 @@
 	return strings.Contains(l.text.String(), text)
 }
 
+// lines returns the lines that contain one of the texts.
+func (l *lockedLog) lines(texts ...string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found strings.Builder
+	for line := range strings.Lines(l.text.String()) {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			found.WriteString(line)
+		}
+	}
+	return found.String()
+}
+
 // startMachine starts a node of the service "s" with an upstream that answers with the node's name after ?work=DURATION.
 func startMachine(t *testing.T, name string, s store.Store) *machine {
 	t.Helper()
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -24,13 +25,17 @@
 	// shutdownMargin is the part of the grace period reserved for answering the requests that are still in flight and for
 	// exiting before SIGKILL.
 	shutdownMargin = 500 * time.Millisecond
-	// finalAnswerTimeout is the part of shutdownMargin in which these answers are written.
+	// finalAnswerTimeout is the part of shutdownMargin in which these answers are written. The process exits in the rest.
 	finalAnswerTimeout = 300 * time.Millisecond
 	// idlePeriod is the time without a request of a caller, in flight or arriving, after which a stopping node closes its
 	// listeners: a connection that is waiting to be accepted by then is closed without an answer.
 	idlePeriod = 200 * time.Millisecond
-	// maxLateCallerDelay bounds the time for which requests that are refused keep the listeners open.
+	// maxLateCallerDelay bounds the time, from the end of the caller drain, for which requests that are refused keep the
+	// listeners open.
 	maxLateCallerDelay = 2 * time.Second
+	// closingTime is the part of the wait for requests in flight that late callers leave to the closing of connections: each needs
+	// the process to run, and a busy machine runs it late.
+	closingTime = 500 * time.Millisecond
 )
 
 // recordStopRequest records the end of ctx as the time from which the grace period counts.
@@ -41,55 +46,89 @@
 	})
 }
 
+// stopSchedule holds the times at which the steps of a stop end. All count from the request to stop, so that a step which is late,
+// because the process was starting or gets little processor time, leaves less time to the later ones and never moves their ends.
+type stopSchedule struct {
+	upstreamDrained time.Time // the upstream takes only requests that end in time from now on
+	callersGone     time.Time // the requests of callers are refused from now on
+	listening       time.Time // callers that still send no longer keep the listeners open
+	finished        time.Time // requests in flight are no longer waited for
+	answered        time.Time // connections are closed, also those with an answer on its way
+}
+
+func newStopSchedule(requested time.Time, grace time.Duration) stopSchedule {
+	callerDrain := min(callerDrainDelay, time.Duration(maxCallerDrainShare*float64(grace)))
+	finished := requested.Add(grace - shutdownMargin)
+	return stopSchedule{
+		upstreamDrained: requested.Add(min(upstreamDrainDelay, callerDrain)),
+		callersGone:     requested.Add(callerDrain),
+		listening:       earlier(requested.Add(callerDrain+maxLateCallerDelay), finished.Add(-closingTime)),
+		finished:        finished,
+		answered:        finished.Add(finalAnswerTimeout),
+	}
+}
+
 // stop shuts the node down gracefully: it fails the readiness probe, keeps serving until the callers use other nodes, and
-// then waits for the requests in flight. Its limits count from the request to stop, after which a process that is starting, or
-// gets little processor time, may reach this point late.
+// then waits for the requests in flight. Each wait ends at a time of the schedule.
 func (s *Sidecar) stop() error {
 	start := time.Now()
 	requested := start
 	if at := s.stopRequestedAt.Load(); at != nil {
 		requested = *at
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), requested.Add(time.Duration(s.Settings.Runtime.Grace)-shutdownMargin))
+	schedule := newStopSchedule(requested, time.Duration(s.Settings.Runtime.Grace))
+	finishing, cancel := context.WithDeadline(context.Background(), schedule.finished)
+	defer cancel()
+	answering, cancel := context.WithDeadline(context.Background(), schedule.answered)
 	defer cancel()
 	s.Log.Info("stopping node", "grace_ms", time.Duration(s.Settings.Runtime.Grace).Milliseconds(), "requested_ms_ago", start.Sub(requested).Milliseconds(),
 		"requests", s.requests.Len(), "at_upstream", s.proxy.InFlight().Len())
 	s.stopping.Store(true)
 	s.callers.Drain()
 	if hasCallers := s.wasReady.Load() || s.arrived.Load() > 0; hasCallers {
-		s.drainCallers(ctx, requested)
+		s.drainCallers(finishing, schedule)
 	}
 	s.proxy.Stop()
 	s.rejecting.Store(true)
-	err := s.waitIdle(ctx)
-	err = errors.Join(err, s.proxy.InFlight().Wait(ctx))
+	err := s.waitIdle(finishing, schedule.listening)
+	err = errors.Join(err, s.proxy.InFlight().Wait(finishing))
 	if err != nil {
 		s.refuseRemaining()
 	}
-	if ctx.Err() != nil {
-		ctx, cancel = context.WithTimeout(context.Background(), finalAnswerTimeout)
-		defer cancel()
-	}
-	for _, server := range []*httpserver.Server{s.callers, s.peers, s.registration} {
-		err = errors.Join(err, server.Shutdown(ctx))
-	}
-	s.Log.Info("node stopped", "took_ms", time.Since(start).Milliseconds(), "requests", s.requests.Len(), "at_upstream", s.proxy.InFlight().Len())
+	idle := time.Now()
+	err = errors.Join(err, shutDown(answering, s.callers, s.peers, s.registration))
+	s.Log.Info("node stopped", "took_ms", time.Since(start).Milliseconds(), "requested_ms_ago", time.Since(requested).Milliseconds(),
+		"closing_ms", time.Since(idle).Milliseconds(), "requests", s.requests.Len(), "at_upstream", s.proxy.InFlight().Len())
 	if err != nil {
 		return fmt.Errorf("requests were still in flight at the end of the grace period: %w", err)
 	}
 	return nil
 }
 
-// drainCallers waits until the platform has redirected the callers, and limits the use of the upstream to requests that can be
-// finished. The stop was requested at the given time and ends with ctx.
-func (s *Sidecar) drainCallers(ctx context.Context, requested time.Time) {
-	grace := time.Duration(s.Settings.Runtime.Grace)
-	callersGone := min(callerDrainDelay, time.Duration(maxCallerDrainShare*float64(grace)))
-	wait.For(ctx, time.Until(requested.Add(min(upstreamDrainDelay, callersGone))))
-	if end, limited := ctx.Deadline(); limited {
-		s.proxy.StopBy(end.Add(-finalAnswerTimeout))
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// shutDown shuts the servers down side by side until ctx ends.
+func shutDown(ctx context.Context, servers ...*httpserver.Server) error {
+	errs := make([]error, len(servers))
+	var closing sync.WaitGroup
+	for i, server := range servers {
+		closing.Go(func() { errs[i] = server.Shutdown(ctx) })
 	}
-	wait.For(ctx, time.Until(requested.Add(callersGone)))
+	closing.Wait()
+	return errors.Join(errs...)
+}
+
+// drainCallers waits until the platform has redirected the callers, and limits the use of the upstream to requests that can be
+// finished.
+func (s *Sidecar) drainCallers(ctx context.Context, schedule stopSchedule) {
+	wait.For(ctx, time.Until(schedule.upstreamDrained))
+	s.proxy.StopBy(schedule.finished.Add(-finalAnswerTimeout))
+	wait.For(ctx, time.Until(schedule.callersGone))
 }
 
 // refuseRemaining cancels the requests of callers that are still in flight, so that they are answered: a connection that
@@ -100,16 +139,15 @@
 	s.callers.CancelRequests(caller.Refuse(caller.Draining, "stop", s.Settings.Node))
 }
 
-// waitIdle returns when no request of a caller is in flight and none has arrived for idlePeriod. It waits at most
-// maxLateCallerDelay for the latter, and returns the error of ctx when requests are in flight as ctx ends.
-func (s *Sidecar) waitIdle(ctx context.Context) error {
-	start := time.Now()
+// waitIdle returns when no request of a caller is in flight and none has arrived for idlePeriod. It waits for the latter up to the
+// given time, and returns the error of ctx when requests are in flight as ctx ends.
+func (s *Sidecar) waitIdle(ctx context.Context, listening time.Time) error {
 	for {
 		if err := s.requests.Wait(ctx); err != nil {
 			return err
 		}
 		arrived := s.arrived.Load()
-		last := !wait.For(ctx, idlePeriod) || time.Since(start) > maxLateCallerDelay
+		last := !wait.For(ctx, idlePeriod) || !time.Now().Before(listening)
 		if s.requests.Len() == 0 && (last || s.arrived.Load() == arrived) {
 			return nil
 		}
--- a/sidecar/stop_accepted_test.go
+++ b/sidecar/stop_accepted_test.go
@@ -72,6 +72,9 @@
 	err := <-m.ended
 	assert.Check(t, time.Since(stopping) < grace, "the stop took %v: %v", time.Since(stopping), err)
 	callers.Wait()
+	if t.Failed() {
+		t.Log(m.log.lines("stopping node", "outlast", "node stopped"))
+	}
 }
 
 // sendUntilGone sends one request after another, over a new connection when the node has closed the last one, until the node is
--- a/sidecar/stop_early_test.go
+++ b/sidecar/stop_early_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -67,3 +69,46 @@
 	assert.NilError(t, node.Run(ctx, nil, nil))
 	assert.Assert(t, time.Since(requested) < time.Duration(node.Settings.Runtime.Grace), "the stop ended %v after the request", time.Since(requested))
 }
+
+// pausingHandler is a log handler that takes a while for one message, as a process does that gets no processor time.
+type pausingHandler struct {
+	slog.Handler
+	message string
+	pause   time.Duration
+}
+
+// Enabled implements slog.Handler.
+func (h pausingHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle implements slog.Handler.
+func (h pausingHandler) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == h.message {
+		time.Sleep(h.pause)
+	}
+	return nil
+}
+
+// Guards against a node that outlasts its grace period because a wait counts from the end of the step before: a process that gets
+// little processor time reaches the last step late, and a caller that has sent a part of a request holds the listener open.
+func TestLateStopEndsInItsGracePeriod(t *testing.T) {
+	const pause = 5850 * time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	node := provisioned(t, ctx)
+	node.Log = slog.New(pausingHandler{slog.DiscardHandler, "stopping node", pause})
+	ended := make(chan struct{})
+	go func() {
+		_ = node.Run(ctx, nil, nil) // an error for the connection that is still open
+		close(ended)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	requested := time.Now()
+	cancel()
+	time.Sleep(pause - 200*time.Millisecond)
+	conn, err := net.Dial("tcp", node.CallerAddr())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	<-ended
+	assert.Assert(t, time.Since(requested) < time.Duration(node.Settings.Runtime.Grace), "the stop ended %v after the request", time.Since(requested))
+}
