inbound: a node that has just started confirms the first announcement of an incarnation

What callers would see: when all nodes that know of a departure are killed at the same time, a late announcement still puts the upstream into service.

Change: in the first 10 s of its process a node gives requests to an incarnation that it did not know only once a health check or another announcement confirms it; a leaving upstream passes no check. An upstream that reports no load can be confirmed too, and recovers by a health check when it was down.

--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -168,6 +168,9 @@
 	if next == draining {
 		p.lastDeparture = peer.Departure{Upstream: a.ID, Born: a.Born}
 	}
+	if next == serving && replaced && p.needsConfirmation(now, previous) {
+		next = unknown
+	}
 	if replaced {
 		p.load, p.loadCheckedAt, p.pendingCheck = caller.UpstreamLoad{}, time.Time{}, nil
 		p.options.Client.KeepOnly(a.Address)
@@ -176,11 +179,18 @@
 		p.renewAnnouncement(now)
 		return nil
 	}
-	cause := "announced"
-	if next == draining {
-		cause = "announced that it leaves"
-	}
-	return p.setState(now, next, cause)
+	return p.setState(now, next, announcementCauses[next])
+}
+
+// announcementCauses are the causes of the states that follow from an announcement.
+var announcementCauses = map[state]string{
+	serving: "announced", draining: "announced that it leaves", unknown: "announced, to be confirmed by a health check or another announcement",
+}
+
+// needsConfirmation reports whether an incarnation that this process did not know has to be confirmed: by a health check, which an
+// upstream that leaves does not pass, or by another announcement, which it would not send. previous is the incarnation before.
+func (p *Proxy) needsConfirmation(now time.Time, previous Announcement) bool {
+	return p.options.ConfirmPeriod > 0 && now.Sub(p.started) < p.options.ConfirmPeriod && (previous.ID == "" || p.state == unknown)
 }
 
 // renewAnnouncement extends the validity of the announcement in the admission control without a change of state.
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -180,7 +180,7 @@
 		return
 	}
 	report, err := p.checkHealth(addr, path)
-	if err == nil && report.Healthy && report.UpstreamID != "" && report.HasLoad {
+	if err == nil && report.Healthy && report.UpstreamID != "" {
 		p.adopt(time.Now(), observed, addr, report)
 	}
 }
@@ -237,14 +237,17 @@
 		return
 	}
 	service, recalled := p.recalledServices[report.UpstreamID]
-	if p.current.ID == "" && !recalled {
+	if p.current.ID == "" && (!recalled || !report.HasLoad) {
 		p.mu.Unlock()
 		return
 	}
 	if p.current.ID == "" {
 		p.current = Announcement{ID: report.UpstreamID, Address: addr, Service: service, Slots: max(1, report.Load.Slots)}
 	}
-	p.lastSeen, p.load, p.loadCheckedAt = now, report.Load, now
+	if report.HasLoad {
+		p.load = report.Load
+	}
+	p.lastSeen, p.loadCheckedAt = now, now
 	notify := p.setState(now, serving, "answered a reading")
 	p.mu.Unlock()
 	notify()
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -57,17 +57,21 @@
 	FreshFor        time.Duration               // age up to which a known load is used without a new health check
 	AnnounceEvery   time.Duration               // interval at which an upstream announces itself
 	LivenessTimeout time.Duration               // silence after which an upstream is taken for gone
-	SlotShare       float64                     // share of the slots that may be in use
-	Client          Client
-	Suspects        *quarantine.List
-	OnStatusChange  func() // called without a lock after each change of Status
-	Log             *slog.Logger
+	// ConfirmPeriod is the time after the start of the process in which the first announcement of an incarnation has to be
+	// confirmed before it gets requests, since it may have been sent before a departure that this process does not know of.
+	ConfirmPeriod  time.Duration
+	SlotShare      float64 // share of the slots that may be in use
+	Client         Client
+	Suspects       *quarantine.List
+	OnStatusChange func() // called without a lock after each change of Status
+	Log            *slog.Logger
 }
 
 // Proxy controls access to the upstream beside this node. It implements peer.Self and peerhttp.UpstreamProxy, and is safe
 // for concurrent use.
 type Proxy struct {
 	options  Options
+	started  time.Time
 	upstream *upstream.Upstream
 	crashes  *quarantine.CrashMonitor
 	inFlight inflight.Counter
@@ -109,6 +113,7 @@
 	run := o.Node + "-" + time.Now().Format(time.RFC3339Nano)
 	return &Proxy{
 		options:          o,
+		started:          time.Now(),
 		upstream:         upstream.NewWithOptions(upstream.Options{TimeToLive: o.LivenessTimeout, SlotShare: o.SlotShare}),
 		crashes:          &quarantine.CrashMonitor{Suspects: o.Suspects, Detector: quarantine.NewCrashDetector(o.Suspects, run)},
 		departed:         make(map[string]int64),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -61,6 +61,8 @@
 	// maxMissedAnnouncements is the number of announcement intervals without an announcement after which an upstream counts
 	// as gone.
 	maxMissedAnnouncements = 5
+	// confirmPeriod is the time after the start of a node in which an announcement may have been sent before the start and be late.
+	confirmPeriod = 10 * time.Second
 	// retryBudgetShare is the share of the operator's retry limits that the nodes use. The nested calls of a retried request
 	// count against the limits too, and no node can tell them from first attempts.
 	retryBudgetShare = 0.5
@@ -131,6 +133,7 @@
 		Service: s.Settings.Upstream.Service, Upstream: s.Settings.Upstream.Address, HealthPath: s.healthPath,
 		FreshFor:        time.Duration(s.Settings.Routing.FreshFor),
 		AnnounceEvery:   time.Duration(s.Settings.Upstream.AnnounceEvery),
+		ConfirmPeriod:   confirmPeriod,
 		LivenessTimeout: maxMissedAnnouncements * time.Duration(s.Settings.Upstream.AnnounceEvery),
 		SlotShare:       s.Settings.Upstream.SlotShare, Client: s.upstream, Suspects: s.suspects,
 		OnStatusChange: func() { s.roster.UpdateOwnStatus() }, Log: s.Log,
