inbound: a node reports a departure that it learns while the next incarnation serves

Cause, found in a read of the change: an upstream that was started again under its ID serves, its node is restarted, and the others tell it the departure of the incarnation before. The node did not report that it knows, so that each status of it got one more status as an answer from each other node, for ever.

Change: it reports the departure of the ID, whichever incarnation serves.

Measured: the new case of TestDepartureIsPassedOn failed before.

--- a/inbound/departures.go
+++ b/inbound/departures.go
@@ -58,12 +58,11 @@
 		return
 	}
 	p.recordDeparture(d.Upstream, d.Born)
-	notify := p.options.OnStatusChange
-	switch {
-	case p.current.ID == "":
-		p.lastDeparture = d
-	case p.current.ID == d.Upstream && p.current.Born <= d.Born:
+	if p.current.ID == "" || p.current.ID == d.Upstream {
 		p.lastDeparture = d
+	}
+	notify := p.options.OnStatusChange
+	if p.current.ID == d.Upstream && p.current.Born <= d.Born {
 		notify = p.setState(now, draining, "left before this node started")
 	}
 	p.mu.Unlock()
--- a/inbound/departures_test.go
+++ b/inbound/departures_test.go
@@ -65,6 +65,11 @@
 			assert.NilError(t, p.Announce(now, announcement("a", 10, 1)))
 			p.LearnDeparture(now, left)
 		},
+		"learned while the next incarnation of the ID serves": func(p *inbound.Proxy) {
+			assert.NilError(t, p.Announce(now, announcement("a", 12, 1)))
+			p.LearnDeparture(now, left)
+			assert.Assert(t, p.Status().Serving)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newProxy(&fakeClient{})
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// probe checks the health of an upstream that is unknown or down, or that lost a connection. It marks a serving upstream as unknown when there was
-// no contact for Options.LivenessTimeout.
+// probe checks the health of an upstream that is unknown or down, or that lost a connection. It marks a serving upstream as
+// unknown when there was no contact for Options.LivenessTimeout.
 func (p *Proxy) probe(now time.Time) {
 	p.mu.Lock()
 	observed, addr := p.state, p.current.Address
