--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -255,58 +255,6 @@
 	return ""
 }
 
-// Broadcast implements quarantine.Broadcaster.
-func (s *Sidecar) Broadcast(n quarantine.Notice) {
-	s.Log.Warn("upstream ended with requests in flight", "kind", int(n.Kind), "fingerprints", len(n.Fingerprints), "crashes", len(n.Crashes))
-	s.socket.SendNotice(s.roster.Addresses(maxNoticeRecipients), n)
-}
-
-// sendSuspects sends a part of what this node knows of requests that crash upstreams to a node that may have missed the notices.
-func (s *Sidecar) sendSuspects(to netip.AddrPort) {
-	if records := s.suspects.Records(time.Now(), datagram.MaxSuspects); len(records) > 0 {
-		s.socket.SendSuspects(to, records)
-	}
-}
-
-// mergeSuspects adds what another node knows of requests that crash upstreams.
-func (s *Sidecar) mergeSuspects(records []quarantine.Record) {
-	if added := s.suspects.Merge(time.Now(), records); added > 0 {
-		s.Log.Warn("quarantine learned from another node", "fingerprints", added)
-	}
-}
-
-// maxNoticeRecipients bounds the number of nodes to which a notice is sent.
-const maxNoticeRecipients = 256
-
-// localNode implements peer.Self: it provides the state of this node that is sent to the other nodes.
-type localNode struct{ *Sidecar }
-
-// Status implements peer.Self.
-func (s localNode) Status() peer.Status {
-	status := s.proxy.Status()
-	status.StoreReachable = s.storeReachable.Load()
-	return status
-}
-
-// Load implements peer.Self.
-func (s localNode) Load(now time.Time) peer.Load { return s.proxy.Load(now) }
-
-// LearnPreviousUpstream implements peer.Self.
-func (s localNode) LearnPreviousUpstream(former peer.PreviousUpstream) { s.proxy.Recall(former) }
-
-// Departure implements peer.Self.
-func (s localNode) Departure() peer.Departure { return s.proxy.Departure() }
-
-// LearnDeparture implements peer.Self.
-func (s localNode) LearnDeparture(d peer.Departure) { s.proxy.LearnDeparture(time.Now(), d) }
-
-// forwarder serves requests for the node's own upstream in process and sends all others to their node.
-type forwarder struct {
-	localBoot uint64 // boot of this node
-	proxy     *inbound.Proxy
-	remote    entry.Forwarder
-}
-
 func (s *Sidecar) servers() []*httpserver.Server {
 	return []*httpserver.Server{s.callers, s.peers, s.registration, s.ready, s.metricsServer}
 }
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -121,13 +121,13 @@
 	case kindStatus:
 		err = s.handleStatus(receiver, from, body)
 	case kindNotice:
-		err = s.handleNotice(body)
+		err = decodeMessage[notice](body, s.OnNotice)
 	case kindStoreEra:
 		err = s.handleStoreEra(from, body)
 	case kindSuspects:
-		err = s.handleSuspects(body)
+		err = decodeMessage[suspects](body, s.OnSuspects)
 	case kindDeparture:
-		err = handleDeparture(receiver, from, body)
+		err = decodeMessage[departure](body, func(m peer.DepartureMessage) { receiver.HandleDeparture(from, m) })
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -189,19 +189,6 @@
 	return nil
 }
 
-func (s *Socket) handleNotice(body []byte) error {
-	var n notice
-	if err := cbor.Unmarshal(body, &n); err != nil {
-		return err
-	}
-	decoded := n.decode()
-	if !decoded.Valid() {
-		return errors.New("notice is outside its bounds")
-	}
-	s.OnNotice(decoded)
-	return nil
-}
-
 func (s *Socket) handleStoreEra(from netip.AddrPort, body []byte) error {
 	var m storeEra
 	if err := cbor.Unmarshal(body, &m); err != nil {
@@ -214,29 +201,20 @@
 	return nil
 }
 
-func (s *Socket) handleSuspects(body []byte) error {
-	var m suspects
-	if err := cbor.Unmarshal(body, &m); err != nil {
-		return err
-	}
-	records, err := m.decode()
-	if err != nil {
-		return err
-	}
-	s.OnSuspects(records)
-	return nil
-}
+// message is the wire form of a V.
+type message[V any] interface{ decode() (V, error) }
 
-func handleDeparture(receiver Receiver, from netip.AddrPort, body []byte) error {
-	var d departure
-	if err := cbor.Unmarshal(body, &d); err != nil {
+// decodeMessage reads the body as an M, validates it and passes it to handle.
+func decodeMessage[M message[V], V any](body []byte, handle func(V)) error {
+	var m M
+	if err := cbor.Unmarshal(body, &m); err != nil {
 		return err
 	}
-	decoded, err := d.decode()
+	decoded, err := m.decode()
 	if err != nil {
 		return err
 	}
-	receiver.HandleDeparture(from, decoded)
+	handle(decoded)
 	return nil
 }
 
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -260,7 +260,8 @@
 	return out
 }
 
-func (n notice) decode() quarantine.Notice {
+// decode validates the notice and converts it.
+func (n notice) decode() (quarantine.Notice, error) {
 	out := quarantine.Notice{Kind: quarantine.Kind(n.Kind)}
 	for _, f := range n.Fingerprints {
 		out.Fingerprints = append(out.Fingerprints, quarantine.Fingerprint(f))
@@ -268,5 +269,8 @@
 	for _, c := range n.Crashes {
 		out.Crashes = append(out.Crashes, quarantine.Crash(c))
 	}
-	return out
+	if !out.Valid() {
+		return quarantine.Notice{}, errors.New("notice is outside its bounds")
+	}
+	return out, nil
 }
