soak: back ends withdrawn around a kill of their node, with a report that arrives late

It draws such a fault from a stream of its own in three runs of ten, in every third with a kill of all nodes, and the acknowledgement binds once the machines are stable again.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -87,7 +87,7 @@
 		o.violationf("BUDGET: %s was forwarded to %s with a time limit %v above the time left; sent %s, arrived %s",
 			r.id, a.Instance, over, clock(r.sent), clock(a.At))
 	}
-	if acked, ok := o.withdrawals[a.Instance]; ok && a.Ran && a.At.After(acked.Add(drainTime+stall)) && o.stable(home, acked, a.At) {
+	if acked, ok := o.withdrawals[a.Instance]; ok && a.Ran && a.At.After(acked.Add(drainTime+stall)) && (o.stable(home, acked, a.At) || isStable && o.stable(home, r.sent, a.At)) {
 		o.violationf("DRAIN: %s arrived at %s %v after the back end's withdrawal was acknowledged", r.id, a.Instance, a.At.Sub(acked))
 	}
 	if !r.abandoned.IsZero() && a.At.After(r.abandoned.Add(abandonTime+o.notRun(r.sent, a.At))) && isStable && o.stable(home, r.sent, a.At) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -32,6 +32,14 @@
 	// stream, storeRestoredStream, whose draws give the regression seeds no such fault.
 	storeRestoredShare  = 0.5
 	storeRestoredStream = 1 << 24
+	// withdrawalShare is the share of runs in which a back end is withdrawn around a kill of its node. It is drawn from its own
+	// random stream, withdrawalStream, whose draws give the regression seeds no such fault.
+	withdrawalShare  = 0.3
+	withdrawalStream = 1<<28 + 363
+	// reportDelay is the time after the kill at which the last report of the back end arrives, and withdrawnServes how long it serves
+	// on then: beyond the time in which the node counts as disturbed.
+	reportDelay     = 700 * time.Millisecond
+	withdrawnServes = 5 * time.Second
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.5
 )
@@ -120,6 +128,11 @@
 	f.restoreStore(drawRestoredStore(draw))
 }}
 
+// withdrawnAroundKill is a back end that is withdrawn, whose node is killed, and whose last report arrives late.
+var withdrawnAroundKill = fault{"back end withdrawn around a kill", func(_ *fleet, m *machine, lasting time.Duration, draw uint64) {
+	m.withdrawAroundKill(serviceOf(m.index), lasting/4, draw%3 == 0)
+}}
+
 // forSomeMachines runs step concurrently for a subset of the machines, for all of them on every third draw.
 func (f *fleet) forSomeMachines(draw uint64, step func(*machine)) {
 	var steps sync.WaitGroup
@@ -160,8 +173,8 @@
 	return fmt.Sprintf("%v %s m%d for %v, %d times, draw %d", p.at.Round(time.Millisecond), p.fault.name, p.machine, p.lasting.Round(time.Millisecond), p.series, p.draw)
 }
 
-// drawFaults returns the faults of a run in order of time. The crashing request and the return of the store are drawn from
-// separate random streams, so that the other faults of a seed do not depend on them.
+// drawFaults returns the faults of a run in order of time. The crashing request, the return of the store and the withdrawal around a
+// kill are drawn from separate random streams, so that the other faults of a seed do not depend on them.
 func drawFaults(seed uint64, length time.Duration) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var schedule []plannedFault
@@ -191,6 +204,12 @@
 		}
 		schedule = append(schedule, p)
 	}
+	if separate := rand.New(rand.NewPCG(seed, withdrawalStream)); separate.Float64() < withdrawalShare {
+		schedule = append(schedule, plannedFault{
+			fault: withdrawnAroundKill, at: time.Duration(separate.Int64N(int64(length))), machine: separate.IntN(machineCount), series: 1,
+			lasting: minFaultTime + time.Duration(separate.Int64N(int64(maxFaultTime-minFaultTime))), draw: separate.Uint64(),
+		})
+	}
 	slices.SortFunc(schedule, func(a, b plannedFault) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -323,6 +323,32 @@
 	m.startBackend(service)
 }
 
+// withdrawAroundKill withdraws the back end, which serves on for a while. Its node is killed and started again, with those of all
+// machines if all is set, and then the last report of the back end arrives late.
+func (m *machine) withdrawAroundKill(service string, down time.Duration, all bool) {
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	acked, ok, sendLate := m.backend.Withdraw(ctx)
+	if ok {
+		m.fleet.oracle.recordWithdrawal(m.backend.ID(), acked)
+	}
+	var kills sync.WaitGroup
+	for _, other := range m.fleet.machines {
+		if other == m || all {
+			kills.Go(func() { other.killNode(down) })
+		}
+	}
+	kills.Wait()
+	time.Sleep(reportDelay)
+	sendLate(ctx)
+	time.Sleep(withdrawnServes)
+	_ = m.backend.Shutdown(ctx) // as in replaceBackend
+	time.Sleep(reuseAfter)
+	m.startBackend(service)
+}
+
 // failBackend injects the faults into the back end for the duration.
 func (m *machine) failBackend(faults standin.BackendFaults, lasting time.Duration) {
 	m.backendMu.Lock()
