--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -5,9 +5,9 @@
 // were in flight then. The list at each node holds the suspects of the whole fleet, identified by
 // fingerprint. A fingerprint that was in flight at the crashes of two distinct upstream processes, with no
 // success in between, is put in quarantine. When the quarantine ends, one request at a time is let through
-// as a trial. Crashes, successes of suspects and trials are broadcast to all nodes. The state of a
-// fingerprint is a set of crashes, each cleared or not, so that notices may arrive late, more than once and
-// in any order.
+// as a trial. Crashes, successes of suspects and trials are broadcast to all nodes, and records of suspects are
+// sent to nodes that may have missed them. The state of a fingerprint is a set of crashes, each cleared or not,
+// so that notices and records may arrive late, more than once and in any order.
 //
 // Layout: a CrashDetector represents one upstream, a List holds the suspects of the fleet. Concurrency: the list
 // is a shard.Map by fingerprint; a crash detector has one lock for its upstream.
