--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,6 +74,12 @@
 	{9120125, 0x1dc6d8876aecf749, "probably as 9120147, not traced"},
 	{9120127, 0x71d808f005954f62, "probably as 9120147, not traced"},
 	{9120131, 0xe33d2b6b2d11031b, "probably as 9120147, not traced"},
+	{6120655, 0xb4a962814bf8dc2a, "beside a load of 60 on eight processors: a thread of m3 waited 3 s for a processor while its callers waited"},
+	{6120657, 0xb929d39452ce507d, "as 6120655, for 4.4 s"},
+	{6120667, 0x5d15f14992602a3e, "beside a load of 30 and more, not traced"},
+	{6120673, 0x31ff4b3bf3ed6bc3, "beside a load of 60: the node m2 did nothing for 570 ms, not traced"},
+	{6120677, 0x9be372d121862e78, "as 6120655, m0 and the test, for 1.4 and 1.7 s"},
+	{6120678, 0xa0cbcbccfe7d5c9f, "as 6120655, m2, for 2.9 s"},
 	{9120147, 0x5f41f3e328f7aeef, "the exit of a node was reported late by the process that starts the nodes; TestEndIsSeenBeforeItIsReported guards it"},
 }
 
