--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -73,7 +73,7 @@
 }
 
 // Announce applies an announcement of the upstream. The error wraps ErrInvalidAnnouncement. An outdated announcement is
-// ignored without an error.
+// ignored, without an error unless it says that the upstream leaves and may be true.
 func (p *Proxy) Announce(now time.Time, a Announcement) error {
 	if err := a.validate(now); err != nil {
 		return err
--- a/inbound/probe.go
+++ b/inbound/probe.go
@@ -12,8 +12,8 @@
 // probeInterval is the time between health checks of an upstream that is down, unknown, or has lost a connection.
 const probeInterval = 200 * time.Millisecond
 
-// Watch probes an upstream that has not announced itself to this process yet, or that refused connections, until ctx
-// ends. It takes the upstream into service without waiting for an announcement, which may take more than a second.
+// Watch probes an upstream that has not announced itself to this process yet, whose announcement is to be confirmed, or that refused
+// connections, until ctx ends. It takes the upstream into service without waiting for an announcement, which may take more than a second.
 func (p *Proxy) Watch(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -98,8 +98,8 @@
 	}
 }
 
-// adopt takes an upstream into service on a health report: one that was down, or one that has not announced itself to
-// this process and is known through Recall. observed is the state before the health check.
+// adopt takes an upstream into service on a health report: one that was down, one whose first announcement is to be confirmed, or
+// one that has not announced itself to this process and is known through Recall. observed is the state before the health check.
 func (p *Proxy) adopt(now time.Time, observed state, addr string, report HealthReport) {
 	p.mu.Lock()
 	born, departed := p.departed[report.UpstreamID]
