Log the rate limits and the leaving that upstreams name in their answers

Cause: the platform's back ends may name in their answers a limit for the requests a second that they take, and that they leave. No node read either, so no log told whether a back end that got too much had named a limit, to whom, and when. Change: the dialect names both fields; the client reads them from answers, rejections and health reports, and the inbound proxy logs and counts changes. Nothing is decided by them yet.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -14,6 +14,7 @@
 	Length   int64         // length of Body in bytes, -1 when unknown
 	Upstream string        // ID of the instance that served the request
 	Waited   time.Duration // time in the queue for a slot of the upstream
+	Notice   Notice        // what the upstream states about itself
 }
 
 // Status codes that report a failure of the upstream (RFC 9110, section 15.6).
--- a/caller/dialect.go
+++ b/caller/dialect.go
@@ -12,6 +12,8 @@
 	NotRun     string // present in a response when the upstream did not run the request
 	Load       string // load of the upstream, in the format that ParseLoad reads
 	Origin     string // service of the machine from which the request originates
+	RateLimit  string // requests a second that the upstream takes from all nodes together, as a decimal number
+	Leaving    string // present in a response, and not 0, when the upstream leaves
 
 	// ParseLoad parses a value of the Load field. It returns false for a malformed value.
 	ParseLoad func(value string) (UpstreamLoad, bool)
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -43,8 +44,18 @@
 	UpstreamID string // "" when not reported
 	Load       caller.UpstreamLoad
 	HasLoad    bool
+	Notice     caller.Notice
 }
 
+// Rejection is the cause of the refusal of a request that the upstream answered without running it.
+type Rejection struct {
+	Status int // of the answer
+	Notice caller.Notice
+}
+
+// Error implements error.
+func (r *Rejection) Error() string { return fmt.Sprintf("status %d", r.Status) }
+
 // Options configure a Proxy.
 type Options struct {
 	Node            string
@@ -88,6 +99,7 @@
 	revision         uint32            // increases with each call of setState
 	stopping         bool
 	finishBy         time.Time           // a request with a later deadline is refused; zero for none
+	limit            caller.RateLimit    // that the current incarnation names
 	load             caller.UpstreamLoad // last one that the current incarnation reported
 	loadCheckedAt    time.Time           // last load report or health check, zero before the first of the incarnation
 	pendingCheck     chan struct{}       // closed when the health check in progress has ended, nil without one
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -65,6 +65,9 @@
 	began := time.Now()
 	answer, err := p.options.Client.Send(ctx, req, target.Address)
 	p.crashes.RecordResult(ctx, req, began, answer, err)
+	if notice, ok := noticeOf(req, target, began, answer, err); ok {
+		p.recordNotice(notice)
+	}
 	if err != nil {
 		release()
 		done()
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -98,6 +98,7 @@
 		return nil, refusal
 	}
 	answer := transport.AnswerOf(response)
+	answer.Notice = c.dialect.NoticeOf(response.Header)
 	answer.Body = &answerBody{exchange: x, response: response, returnConn: func() { c.pool.put(addr, conn) }}
 	return answer, nil
 }
@@ -171,7 +172,7 @@
 		return nil
 	}
 	refusal := caller.Refuse(caller.UpstreamRejected, sendStep, addr)
-	refusal.Cause = fmt.Errorf("status %d", response.StatusCode)
+	refusal.Cause = &inbound.Rejection{Status: response.StatusCode, Notice: c.dialect.NoticeOf(response.Header)}
 	refusal.RetryAfter = defaultRetryAfter
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 && seconds <= maxRetryAfter.Seconds() {
 		refusal.RetryAfter = time.Duration(seconds * float64(time.Second))
@@ -218,7 +219,9 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxHealthBody)); err != nil {
 		return inbound.HealthReport{}, fmt.Errorf("%s at %s: %w", healthCheckStep, addr, err)
 	}
-	reading := inbound.HealthReport{Healthy: response.StatusCode == http.StatusOK, UpstreamID: response.Header.Get(c.dialect.UpstreamID)}
+	reading := inbound.HealthReport{
+		Healthy: response.StatusCode == http.StatusOK, UpstreamID: response.Header.Get(c.dialect.UpstreamID), Notice: c.dialect.NoticeOf(response.Header),
+	}
 	reading.Load, reading.HasLoad = c.LoadOf(response.Header)
 	return reading, nil
 }
