Keep the rate limits that upstreams name, for all nodes together

What callers saw: an upstream in need names in its answers how many requests a second it takes, and gets several times that. Cause: nothing read the limit, and nothing in the fleet could hold one: admission knew slots only, and the nodes placed requests by load. Class: what an upstream says in its answers binds all nodes from then on, so it needs one owner, must outlive the owner, and must be known where requests are placed. Change: the node beside the upstream owns the limit. Its admission takes a token for each start, in the order of its queue (priority, deadline); what cannot start in time is refused at once with the reason rate-limited and a Retry-After in steps of the limit. A limit is lowered at once; it is raised or ended only by the answer to a request that was sent after the last answer which named it. The other nodes are told with each load, on change and with each status, place by what the limit leaves, refuse at once when no upstream has room, send no hedges there, and tell the limit to the node beside the upstream when that was started again. Why it works: each request to an upstream passes the admission of its node, so one bucket bounds the sum without messages.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -63,6 +63,7 @@
 	DeadlinePassed      Reason = "deadline-passed"
 	Cancelled           Reason = "cancelled"
 	Overload            Reason = "overload"
+	RateLimited         Reason = "rate-limited"
 	DepthExceeded       Reason = "depth-exceeded"
 	Quarantined         Reason = "quarantined"
 	KeyMissing          Reason = "key-missing"
@@ -87,7 +88,7 @@
 var Reasons = []Reason{
 	BadRequest, NoService, NoRoute, NoBundle, NoUpstream, Draining, ColdUpstream, NotReady,
 	StaleIncarnation, StaleBundle, QueueFull, DeadlineUnmeetable, DeadlinePassed, Cancelled,
-	Overload, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
+	Overload, RateLimited, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
 	KeyInProgress, KeyUnknown, KeyAlreadyRun, NoKeeper, PeerUnreachable, PeerLost,
 	UpstreamUnreachable, UpstreamLost, KeptConnectionLost, UpstreamRejected, AnswerMismatch, BodyCut, BodyTooLarge,
 }
--- a/caller/retry.go
+++ b/caller/retry.go
@@ -34,7 +34,7 @@
 	Draining: FreeRetry, NotReady: FreeRetry, StaleIncarnation: FreeRetry, PeerUnreachable: FreeRetry,
 	StaleBundle: PaidRetry, UpstreamUnreachable: PaidRetry, PeerLost: PaidRetry, UpstreamLost: PaidRetry, AnswerMismatch: PaidRetry,
 	UpstreamRejected: PaidRetry, KeptConnectionLost: PaidRetry,
-	ColdUpstream: DelayedRetry, QueueFull: DelayedRetry, DeadlineUnmeetable: DelayedRetry, Overload: DelayedRetry,
+	ColdUpstream: DelayedRetry, QueueFull: DelayedRetry, DeadlineUnmeetable: DelayedRetry, Overload: DelayedRetry, RateLimited: DelayedRetry,
 }
 
 // RetryCostOf returns the cost class of a refusal.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
 // dispatchStep is the step named by refusals that are issued in this package.
@@ -100,7 +102,7 @@
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
 	chosen, err := c.choose(ctx)
 	if err != nil {
-		return nil, c.noUpstream(ctx)
+		return nil, c.noUpstream(ctx, err)
 	}
 	for {
 		answer, refusal := c.try(ctx, chosen)
@@ -147,7 +149,9 @@
 // choose picks a node that was not tried before.
 func (c *call) choose(ctx context.Context) (peer.Candidate, error) {
 	serviceTime, bytes := c.estimate.get()
-	return c.Roster.Choose(ctx, peer.Criteria{Service: c.req.Service, ServiceTime: serviceTime, Bytes: bytes, Exclude: c.hasTried})
+	return c.Roster.Choose(ctx, peer.Criteria{
+		Service: c.req.Service, ServiceTime: serviceTime, Bytes: bytes, AnswerWithin: c.answerWithin(), Exclude: c.hasTried,
+	})
 }
 
 // outcome is the result of one attempt.
@@ -191,6 +195,7 @@
 		ID: instance.ID(chosen.Status.Node), Incarnation: chosen.Status.Boot, PeerAddr: chosen.Status.Address,
 	})
 	if err == nil {
+		chosen.ObserveNotice(time.Now(), answer.Notice)
 		err = bufferAnswer(ctx, answer)
 	}
 	o := outcome{chosen: chosen, took: time.Since(sentAt)}
@@ -210,6 +215,11 @@
 	return max(0, c.route.LatencyObjective-time.Since(c.startedAt))
 }
 
+// answerWithin returns the time in which the request is to be answered, by the measure of the nodes beside the upstreams.
+func (c *call) answerWithin() time.Duration {
+	return min(time.Duration(upstream.ObjectiveShare*float64(c.objectiveLeft())), max(0, time.Until(c.req.Deadline)))
+}
+
 // recordOutcome updates the statistics of the upstream and the estimate of the route by the outcome of an attempt. Time
 // spent waiting for a slot does not count as service time, so that queueing does not make an upstream look slow.
 func (c *call) recordOutcome(o outcome) (*caller.Answer, *caller.Refusal) {
@@ -238,10 +248,14 @@
 
 // noUpstream returns the refusal of a request for which there is no upstream. A resend may succeed soon, for example once
 // the replacement of an upstream has started.
-func (c *call) noUpstream(ctx context.Context) *caller.Refusal {
+func (c *call) noUpstream(ctx context.Context, cause error) *caller.Refusal {
 	if ctx.Err() != nil {
 		return caller.Refuse(caller.ContextReason(ctx), dispatchStep, "")
 	}
+	var limited *peer.LimitedError
+	if errors.As(cause, &limited) {
+		return refuseLimited(limited)
+	}
 	refusal := caller.Refuse(caller.NoUpstream, dispatchStep, c.req.Service)
 	refusal.RetryAfter = noUpstreamRetryAfter
 	return refusal
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -99,6 +99,7 @@
 func (discardSender) QueryLoad(netip.AddrPort, uint32)                    {}
 func (discardSender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
 func (discardSender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
+func (discardSender) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
 
 // idleNode is a node without an upstream.
 type idleNode struct{}
@@ -108,6 +109,8 @@
 func (idleNode) LearnPreviousUpstream(peer.PreviousUpstream) {}
 func (idleNode) Departure() peer.Departure                   { return peer.Departure{} }
 func (idleNode) LearnDeparture(peer.Departure)               {}
+func (idleNode) RateLimit(time.Time) peer.RateLimit          { return peer.RateLimit{} }
+func (idleNode) LearnRateLimit(peer.RateLimit)               {}
 
 // rosterOf returns a Roster of nodes that all serve the service "s".
 func rosterOf(nodes int) *peer.Roster {
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -156,7 +156,8 @@
 	}()
 }
 
-// hedgeTarget returns the node for a hedge, if there is one with spare capacity and the budget covers it.
+// hedgeTarget returns the node for a hedge, if there is one with spare capacity and the budget covers it. The requests that a rate limit
+// leaves are for first attempts and retries.
 func (c *call) hedgeTarget(ctx context.Context) (peer.Candidate, bool) {
 	if ctx.Err() != nil {
 		return peer.Candidate{}, false
@@ -165,7 +166,7 @@
 	if err != nil {
 		return peer.Candidate{}, false
 	}
-	if float64(chosen.Load.Running+chosen.Load.Waiting+1) > hedgeMaxUtilization*float64(chosen.Status.Slots) || !c.spendBudget() {
+	if chosen.Limit.Named || float64(chosen.Load.Running+chosen.Load.Waiting+1) > hedgeMaxUtilization*float64(chosen.Status.Slots) || !c.spendBudget() {
 		chosen.CancelPlacement()
 		return peer.Candidate{}, false
 	}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -26,7 +26,7 @@
 // service and is not charged to its budget.
 var freeRetryReasons = map[caller.Reason]bool{
 	caller.Draining: true, caller.NotReady: true, caller.StaleIncarnation: true, caller.PeerUnreachable: true,
-	caller.QueueFull: true, caller.DeadlineUnmeetable: true, caller.Overload: true, caller.ColdUpstream: true,
+	caller.QueueFull: true, caller.DeadlineUnmeetable: true, caller.Overload: true, caller.ColdUpstream: true, caller.RateLimited: true,
 	caller.UpstreamUnreachable: true,
 }
 
--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -173,7 +173,7 @@
 	}
 	if replaced {
 		p.load, p.loadCheckedAt, p.pendingCheck = caller.UpstreamLoad{}, time.Time{}, nil
-		p.limit = caller.RateLimit{}
+		p.forgetLimit(now, previous)
 		p.options.Client.KeepOnly(a.Address)
 	}
 	if !replaced && next == p.state && a.Slots == previous.Slots && a.Service == previous.Service && a.Address == previous.Address {
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -42,6 +42,7 @@
 	return peer.Load{
 		Boot: p.options.Boot, Revision: p.revision, Serving: p.acceptsWork(),
 		Running: report.InUse, Waiting: report.Queued, Limit: report.Slots, ServiceTimePercent: p.serviceTimePercent(now),
+		RateLimit: p.rateLimit(now),
 	}
 }
 
@@ -75,6 +76,9 @@
 	go func() {
 		report, err := p.checkHealth(target.Address, path)
 		p.finishHealthCheck(time.Now(), done, report, err)
+		if err == nil && report.UpstreamID == target.ID {
+			p.recordNotice(time.Now(), answerNotice{Notice: report.Notice, target: target, sentAt: now})
+		}
 		p.recordRefused(target, err)
 		close(done)
 	}()
--- a/inbound/probe.go
+++ b/inbound/probe.go
@@ -115,6 +115,7 @@
 	}
 	if p.current.ID == "" {
 		p.current = Announcement{ID: report.UpstreamID, Address: addr, Service: service, Slots: max(1, report.Load.Slots)}
+		p.forgetLimit(now, Announcement{})
 	}
 	if report.HasLoad {
 		p.load = report.Load
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -99,7 +99,8 @@
 	revision         uint32            // increases with each call of setState
 	stopping         bool
 	finishBy         time.Time           // a request with a later deadline is refused; zero for none
-	limit            caller.RateLimit    // that the current incarnation names
+	limit            namedLimit          // of the current incarnation
+	recalledLimit    peer.RateLimit      // that another node knows from before a restart of this one
 	load             caller.UpstreamLoad // last one that the current incarnation reported
 	loadCheckedAt    time.Time           // last load report or health check, zero before the first of the incarnation
 	pendingCheck     chan struct{}       // closed when the health check in progress has ended, nil without one
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -66,7 +66,7 @@
 	answer, err := p.options.Client.Send(ctx, req, target.Address)
 	p.crashes.RecordResult(ctx, req, began, answer, err)
 	if notice, ok := noticeOf(req, target, began, answer, err); ok {
-		p.recordNotice(notice)
+		p.recordNotice(time.Now(), notice)
 	}
 	if err != nil {
 		release()
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	p.recordAnswer(time.Now(), target, answer)
-	answer.Upstream, answer.Waited = p.options.Node, waited
+	answer.Upstream, answer.Waited, answer.Notice.Born = p.options.Node, waited, target.Born
 	answer.Body = inflight.OnClose(answer.Body, func() { release(); done() })
 	return answer, nil
 }
--- a/peer/candidates.go
+++ b/peer/candidates.go
@@ -44,12 +44,21 @@
 func (r *Roster) candidates(now time.Time, need Criteria) []*Peer {
 	nodes, _ := r.services.Get(need.Service)
 	allowed := func(p *Peer) bool { return need.Exclude == nil || !need.Exclude(p) }
-	usable := func(p *Peer) bool { return p.isServing(now) && allowed(p) }
+	usable := func(p *Peer) bool { return p.isServing(now) && allowed(p) && !p.isLimited(now, need) }
+	if sampled := r.sampleZones(nodes, usable); len(sampled) > 0 {
+		return sampled
+	}
+	// The limits of all may be known from reports that are out of date.
+	if sampled := r.sampleZones(nodes, func(p *Peer) bool { return p.isServing(now) && allowed(p) }); len(sampled) > 0 {
+		return sampled
+	}
+	return pick(nodes.all(), maxCandidates, func(p *Peer) bool { return p.Status().Serving && allowed(p) })
+}
+
+// sampleZones returns a random sample of the usable nodes, those of the own zone first.
+func (r *Roster) sampleZones(nodes serviceNodes, usable func(*Peer) bool) []*Peer {
 	otherZones := pick(nodes.otherZones, maxCandidates, usable)
 	sameZone := pick(nodes.sameZone, max(sameZoneQuota, maxCandidates-len(otherZones)), usable)
-	if len(sameZone)+len(otherZones) == 0 {
-		return pick(nodes.all(), maxCandidates, func(p *Peer) bool { return p.Status().Serving && allowed(p) })
-	}
 	return append(sameZone, otherZones[:min(len(otherZones), maxCandidates-len(sameZone))]...)
 }
 
--- a/peer/candidates_test.go
+++ b/peer/candidates_test.go
@@ -21,6 +21,7 @@
 
 func (*idleNodes) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
 func (*idleNodes) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
+func (*idleNodes) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
 
 // serviceOf returns a roster that knows count nodes of the service "s", spread over the zones. A load is known for an hour.
 func serviceOf(tb testing.TB, count, zones int) (*peer.Roster, []netip.AddrPort) {
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -12,6 +13,17 @@
 // ErrNoUpstream is returned when no known node has an upstream of the service that accepts work.
 var ErrNoUpstream = errors.New("no upstream serves the service")
 
+// LimitedError is returned when the rate limits of all upstreams that accept work make the request wait for longer than it may.
+type LimitedError struct {
+	Wait time.Duration // shortest one among the candidates
+	Rate float64       // sum of the limits of the candidates, in requests a second
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("the rate limits of all upstreams are used up for %v", e.Wait.Round(time.Millisecond))
+}
+
 const (
 	// minAnswerWait and maxAnswerWait bound the wait for further answers once one has arrived. maxFirstAnswerWait bounds
 	// the wait for the first one. All waits count from the sending of the queries. minAnswerWait is also the age up to
@@ -34,9 +46,11 @@
 // Criteria describes the request for which a node is chosen.
 type Criteria struct {
 	Service     string
-	ServiceTime time.Duration    // expected service time at the upstream
-	Bytes       float64          // expected bytes transferred
-	Exclude     func(*Peer) bool // reports whether a node must not be chosen; nil excludes none
+	ServiceTime time.Duration // expected service time at the upstream
+	Bytes       float64       // expected bytes transferred
+	// AnswerWithin is the time in which the request is to be answered. An upstream is not chosen if its rate limit makes that impossible.
+	AnswerWithin time.Duration
+	Exclude      func(*Peer) bool // reports whether a node must not be chosen; nil excludes none
 }
 
 // Candidate is a candidate node with a snapshot of its state and the cost estimated from it.
@@ -46,12 +60,16 @@
 	Load    Load
 	LoadAge time.Duration // age of Load; negative when no load was known
 	Cost    time.Duration // expected time until the answer arrives, with penalties
+	Limit   RateLimit     // rate limit of the upstream, if it has named one
+	// LimitWait is the part of Cost that is spent waiting for the rate limit.
+	LimitWait time.Duration
 
-	countedAt time.Time // time of the load to which Choose added the request
+	limitTooLate bool      // the wait for the rate limit makes the answer too late
+	countedAt    time.Time // time of the load to which Choose added the request
 }
 
 // Choose queries the load of a sample of the service's nodes and returns the one with the lowest cost, to whose load it
-// adds the request. Its only error is ErrNoUpstream.
+// adds the request. Its errors are ErrNoUpstream and *LimitedError.
 func (r *Roster) Choose(ctx context.Context, need Criteria) (Candidate, error) {
 	now := time.Now()
 	candidates := r.candidates(now, need)
@@ -62,18 +80,36 @@
 	r.refreshLoads(ctx, now, candidates)
 	now = time.Now()
 	best := Candidate{Cost: math.MaxInt64}
+	var limited *LimitedError
 	for _, p := range candidates {
-		if got := r.estimate(now, p, need); got.Status.Serving && got.Cost < best.Cost {
+		got := r.estimate(now, p, need)
+		switch {
+		case !got.Status.Serving:
+		case got.limitTooLate:
+			limited = limited.with(got)
+		case got.Cost < best.Cost:
 			best = got
 		}
 	}
-	if best.Peer == nil {
+	switch {
+	case best.Peer != nil:
+	case limited != nil:
+		return Candidate{}, limited
+	default:
 		return Candidate{}, ErrNoUpstream
 	}
 	best.countedAt = best.countPlacement()
 	return best, nil
 }
 
+// with returns the error with one more candidate. The receiver may be nil.
+func (e *LimitedError) with(c Candidate) *LimitedError {
+	if e == nil {
+		return &LimitedError{Wait: c.LimitWait, Rate: c.Limit.PerSecond}
+	}
+	return &LimitedError{Wait: min(e.Wait, c.LimitWait), Rate: e.Rate + c.Limit.PerSecond}
+}
+
 // refreshLoads queries the candidates whose load is not fresh and waits a bounded time for the answers. The load of this
 // node itself is read while the queries are in flight.
 func (r *Roster) refreshLoads(ctx context.Context, now time.Time, candidates []*Peer) {
@@ -142,11 +178,15 @@
 		candidate.LoadAge = now.Sub(p.loadAt)
 		candidate.Status.Serving = candidate.Status.Serving && p.load.Serving
 	}
+	candidate.LimitWait, candidate.limitTooLate = p.limitWait(now), p.limitTooLate(now, need)
+	if p.limit.Upstream == p.status.Upstream {
+		candidate.Limit = p.limit.RateLimit
+	}
 	cost := expectedSeconds(p.load, p.status.Slots, known, need.ServiceTime) * p.outcomes.costFactor(now)
 	if p.query.open || p.query.unanswered > 0 {
 		cost += unansweredPenalty.Seconds()
 	}
-	cost += p.rtt.Seconds()
+	cost += p.rtt.Seconds() + candidate.LimitWait.Seconds()
 	if p.status.Zone != r.zone {
 		cost += r.routing.Load().ZoneCost.Seconds() * need.Bytes / 1024
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -105,6 +105,7 @@
 	for _, addr := range r.Addresses(maxNotified) {
 		r.sender.SendStatus(addr, StatusMessage{Status: status})
 		r.sendOwnDeparture(addr)
+		r.sendOwnRateLimit(addr)
 	}
 }
 
@@ -120,6 +121,7 @@
 }
 
 func (r *Roster) sendStatus(p *Peer, reply bool) {
+	r.sendRateLimits(p) // first, so that a node which has started again knows the limit when it takes its upstream into service
 	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.heardAddresses(), ReplyRequested: reply, Previous: p.previousUpstream()})
 	r.sendDepartures(p)
 }
--- a/peer/late_test.go
+++ b/peer/late_test.go
@@ -21,6 +21,7 @@
 
 func (s *querySender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
 func (s *querySender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
+func (s *querySender) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
 
 func lateRoster() (*querySender, *peer.Roster) {
 	sender := &querySender{}
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -21,7 +21,8 @@
 	load   peer.Load
 	delay  time.Duration
 	down   bool
-	asked  int // load queries received
+	asked  int                   // load queries received
+	limit  peer.RateLimitMessage // sent with each load
 }
 
 // network carries datagrams between one Roster and stand-in nodes.
@@ -33,6 +34,7 @@
 	introduced map[netip.AddrPort]int
 	former     map[netip.AddrPort]peer.PreviousUpstream   // last sent to each node
 	departures map[netip.AddrPort][]peer.DepartureMessage // sent to each node
+	limits     map[netip.AddrPort][]peer.RateLimitMessage // sent to each node
 }
 
 func (n *network) QueryLoad(to netip.AddrPort, number uint32) {
@@ -45,7 +47,13 @@
 	other.asked++
 	load := other.load
 	load.Boot, load.Revision, load.Serving = other.status.Boot, other.status.Revision, other.status.Serving
-	time.AfterFunc(other.delay, func() { n.roster.HandleLoad(to, number, load) })
+	limit := other.limit
+	time.AfterFunc(other.delay, func() {
+		if limit.Named {
+			n.roster.HandleRateLimit(to, limit)
+		}
+		n.roster.HandleLoad(to, number, load)
+	})
 }
 
 func (n *network) SendStatus(to netip.AddrPort, i peer.StatusMessage) {
@@ -70,6 +78,15 @@
 	n.departures[to] = append(n.departures[to], m)
 }
 
+func (n *network) SendRateLimit(to netip.AddrPort, m peer.RateLimitMessage) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.limits == nil {
+		n.limits = make(map[netip.AddrPort][]peer.RateLimitMessage)
+	}
+	n.limits[to] = append(n.limits[to], m)
+}
+
 // change modifies a node under the lock.
 func (n *network) change(i int, change func(*node)) {
 	n.mu.Lock()
@@ -88,6 +105,8 @@
 	recalled  []peer.PreviousUpstream
 	departure peer.Departure
 	learned   []peer.Departure
+	limit     peer.RateLimit
+	told      []peer.RateLimit
 }
 
 func (o *own) Status() peer.Status                           { return o.status }
@@ -95,6 +114,8 @@
 func (o *own) LearnPreviousUpstream(f peer.PreviousUpstream) { o.recalled = append(o.recalled, f) }
 func (o *own) Departure() peer.Departure                     { return o.departure }
 func (o *own) LearnDeparture(d peer.Departure)               { o.learned = append(o.learned, d) }
+func (o *own) RateLimit(time.Time) peer.RateLimit            { return o.limit }
+func (o *own) LearnRateLimit(l peer.RateLimit)               { o.told = append(o.told, l) }
 
 // rosterOf returns a Roster that knows count nodes. Node i is at address(i), in zone "z<i%2>".
 func rosterOf(t *testing.T, count int) (*network, *peer.Roster) {
--- /dev/null
+++ b/peer/notice.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+)
+
+// ObserveNotice records what the upstream of the candidate has stated in an answer to a request of this node. The node beside the
+// upstream has recorded and reported it before. That report may be lost, and the node may end before it sends another.
+func (c Candidate) ObserveNotice(now time.Time, n caller.Notice) {
+	p := c.Peer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n.Limit.Named && p.status.Upstream == c.Status.Upstream {
+		p.observeLimit(now, c.Status, n)
+	}
+}
+
+// observeLimit records the limit that the upstream has named. What it leaves is known from the node beside the upstream only. The caller
+// holds the lock.
+func (p *Peer) observeLimit(now time.Time, answered Status, n caller.Notice) {
+	if p.limit.Upstream == answered.Upstream && p.limit.boot == answered.Boot && p.limit.Named {
+		p.limit.PerSecond = n.Limit.PerSecond
+		return
+	}
+	p.limit = reportedLimit{RateLimit{Upstream: answered.Upstream, Born: n.Born, RateLimit: n.Limit}, answered.Boot, now}
+}
--- a/peer/odd_address_test.go
+++ b/peer/odd_address_test.go
@@ -28,6 +28,7 @@
 }
 
 func (r *recorder) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
+func (r *recorder) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
 
 func (r *recorder) SendStatus(to netip.AddrPort, i peer.StatusMessage) {
 	r.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -52,6 +52,7 @@
 	Waiting            int // requests queued at the node
 	Limit              int // concurrent requests that the node admits to the upstream
 	ServiceTimePercent int // current service time, in per cent of the usual; above 100 the upstream is slowed down
+	RateLimit          RateLimit
 }
 
 // Peer is another node, or this one itself. It is safe for concurrent use.
@@ -64,6 +65,7 @@
 	ended        endedRun
 	previous     PreviousUpstream // kept until the node has an upstream again
 	departure    reportedDeparture
+	limit        reportedLimit
 	load         Load
 	loadAt       time.Time // zero when no load of the current boot and upstream is known
 	loadSequence uint32    // sequence number of the query that load answers
@@ -154,6 +156,7 @@
 	stale = load.Boot != p.status.Boot || load.Revision != p.status.Revision
 	if !stale && p.answersLater(now, sequence) {
 		p.load, p.loadAt, p.loadSequence = load, now, sequence
+		p.endLimit(load.Boot, sequence)
 	}
 	for _, w := range p.waiters {
 		w.batch.answered()
@@ -221,6 +224,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.load.Running++
+	p.limit.Available--
 	return p.loadAt
 }
 
@@ -231,5 +235,6 @@
 	defer c.Peer.mu.Unlock()
 	if c.countedAt.Equal(c.loadAt) {
 		c.load.Running--
+		c.limit.Available++
 	}
 }
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -19,6 +19,8 @@
 	QueryLoad(to netip.AddrPort, sequence uint32)
 	// SendStatus sends this node's status to another.
 	SendStatus(to netip.AddrPort, i StatusMessage)
+	// SendRateLimit reports a rate limit to another node.
+	SendRateLimit(to netip.AddrPort, m RateLimitMessage)
 	// SendDeparture reports a departure to another node.
 	SendDeparture(to netip.AddrPort, m DepartureMessage)
 }
@@ -33,6 +35,10 @@
 	Departure() Departure
 	// LearnDeparture receives the departure of the upstream beside this node, which another node knows from before a restart.
 	LearnDeparture(Departure)
+	// RateLimit returns the rate limit of the upstream beside this node, the zero value when it has never named one.
+	RateLimit(now time.Time) RateLimit
+	// LearnRateLimit receives the rate limit of the upstream beside this node, which another node knows from before a restart.
+	LearnRateLimit(RateLimit)
 }
 
 // Options configures a Roster.
@@ -227,6 +233,7 @@
 	r.selfPeer.mu.Lock()
 	defer r.selfPeer.mu.Unlock()
 	r.selfPeer.load, r.selfPeer.loadAt, r.selfPeer.lastHeard = load, time.Now(), now
+	r.selfPeer.limit = reportedLimit{load.RateLimit, load.Boot, r.selfPeer.loadAt}
 }
 
 // updateServices moves the peer between the lists of services after a change of its status, and logs the change.
--- a/sidecar/isolation_test.go
+++ b/sidecar/isolation_test.go
@@ -57,6 +57,9 @@
 // HandleDeparture implements datagram.Receiver.
 func (p *fakePeer) HandleDeparture(netip.AddrPort, peer.DepartureMessage) {}
 
+// HandleRateLimit implements datagram.Receiver.
+func (p *fakePeer) HandleRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
+
 // HandleLoad implements datagram.Receiver.
 func (p *fakePeer) HandleLoad(netip.AddrPort, uint32, peer.Load) {}
 
--- a/sidecar/local_node.go
+++ b/sidecar/local_node.go
@@ -27,3 +27,9 @@
 
 // LearnDeparture implements peer.Self.
 func (s localNode) LearnDeparture(d peer.Departure) { s.proxy.LearnDeparture(time.Now(), d) }
+
+// RateLimit implements peer.Self.
+func (s localNode) RateLimit(now time.Time) peer.RateLimit { return s.proxy.RateLimit(now) }
+
+// LearnRateLimit implements peer.Self.
+func (s localNode) LearnRateLimit(l peer.RateLimit) { s.proxy.LearnRateLimit(time.Now(), l) }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -133,6 +134,9 @@
 	cancel    context.CancelFunc
 	ended     chan error
 	runs      atomic.Int64
+	states    atomic.Pointer[http.Header] // header fields in each answer of the upstream, nil for none
+	mu        sync.Mutex
+	ranAt     []time.Time // when each request came to the upstream
 }
 
 type lockedLog struct {
@@ -192,7 +196,13 @@
 		if r.URL.Path == "/health" {
 			return
 		}
+		if states := m.states.Load(); states != nil {
+			maps.Copy(w.Header(), *states)
+		}
 		m.runs.Add(1)
+		m.mu.Lock()
+		m.ranAt = append(m.ranAt, time.Now())
+		m.mu.Unlock()
 		if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
 			time.Sleep(work)
 		}
@@ -212,6 +222,7 @@
 			Store: s, ContractsKey: contractsKey, ContractsPrefix: "operator/", NodesPrefix: "nodes/", DecodeContracts: decode,
 			Dialect: caller.Dialect{
 				RequestID: "X-Id", TimeLimit: "X-Time", Expect: "X-Expect", UpstreamID: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Origin: "X-Origin",
+				RateLimit: "X-Limit", Leaving: "X-Leaving",
 				ParseLoad: func(value string) (load caller.UpstreamLoad, ok bool) {
 					_, err := fmt.Sscanf(value, "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots)
 					return load, err == nil
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,5 +1,5 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, departures of upstreams, the era of the store, and notices of requests that crash upstreams. A message is one byte
+// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, and notices of requests that crash upstreams. A message is one byte
 // for its kind, followed by a CBOR array.
 package datagram
 
@@ -44,6 +44,8 @@
 	HandleLoad(from netip.AddrPort, number uint32, load peer.Load)
 	// HandleDeparture handles a departure that another node reports.
 	HandleDeparture(from netip.AddrPort, m peer.DepartureMessage)
+	// HandleRateLimit handles a rate limit that another node reports.
+	HandleRateLimit(from netip.AddrPort, m peer.RateLimitMessage)
 	// The load of this node, in reply to a load query.
 	AnswerLoadQuery(from netip.AddrPort) peer.Load
 }
@@ -128,6 +130,8 @@
 		err = decodeMessage[suspects](body, s.OnSuspects)
 	case kindDeparture:
 		err = decodeMessage[departure](body, func(m peer.DepartureMessage) { receiver.HandleDeparture(from, m) })
+	case kindRateLimit:
+		err = decodeMessage[rateLimit](body, func(m peer.RateLimitMessage) { receiver.HandleRateLimit(from, m) })
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -160,11 +164,19 @@
 	go func() {
 		defer s.recoverFrom(from)
 		defer func() { <-s.answerSlots }()
-		s.send(from, kindLoadReply, newLoadReply(q.Number, s.Version(), receiver.AnswerLoadQuery(from)))
+		s.sendLoad(from, q.Number, receiver.AnswerLoadQuery(from))
 	}()
 	return nil
 }
 
+// sendLoad replies to a load query. A rate limit goes first, so that it is known when the load arrives.
+func (s *Socket) sendLoad(to netip.AddrPort, number uint32, load peer.Load) {
+	if load.RateLimit.Named {
+		s.SendRateLimit(to, peer.RateLimitMessage{RateLimit: load.RateLimit, Boot: load.Boot})
+	}
+	s.send(to, kindLoadReply, newLoadReply(number, s.Version(), load))
+}
+
 func (s *Socket) handleLoadReply(receiver Receiver, from netip.AddrPort, body []byte) error {
 	var l loadReply
 	if err := cbor.Unmarshal(body, &l); err != nil {
@@ -233,6 +245,11 @@
 	s.send(to, kindDeparture, newDeparture(m))
 }
 
+// SendRateLimit implements peer.Sender.
+func (s *Socket) SendRateLimit(to netip.AddrPort, m peer.RateLimitMessage) {
+	s.send(to, kindRateLimit, newRateLimit(m))
+}
+
 // SendNotice sends a notice to each of the addresses.
 func (s *Socket) SendNotice(to []netip.AddrPort, n quarantine.Notice) {
 	for _, addr := range to {
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 	"github.com/magnoliawharf/magnoliawharf/store"
@@ -26,6 +27,7 @@
 	versions chan uint64
 	eras     chan store.Era
 	departed chan peer.DepartureMessage
+	limits   chan peer.RateLimitMessage
 	suspects chan []quarantine.Record
 	load     peer.Load
 }
@@ -34,7 +36,8 @@
 	return &recorder{
 		heard: make(chan peer.StatusMessage, 9), loads: make(chan peer.Load, 9),
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
-		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9), suspects: make(chan []quarantine.Record, 9),
+		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9), limits: make(chan peer.RateLimitMessage, 9),
+		suspects: make(chan []quarantine.Record, 9),
 	}
 }
 
@@ -42,6 +45,7 @@
 func (r *recorder) HandleStatus(_ netip.AddrPort, i peer.StatusMessage)       { r.heard <- i }
 func (r *recorder) HandleLoad(_ netip.AddrPort, _ uint32, load peer.Load)     { r.loads <- load }
 func (r *recorder) HandleDeparture(_ netip.AddrPort, m peer.DepartureMessage) { r.departed <- m }
+func (r *recorder) HandleRateLimit(_ netip.AddrPort, m peer.RateLimitMessage) { r.limits <- m }
 func (r *recorder) AnswerLoadQuery(netip.AddrPort) peer.Load                  { return r.load }
 
 func startSocket(t *testing.T, version uint64, load peer.Load) (*Socket, *recorder) {
@@ -118,6 +122,24 @@
 	departed := peer.DepartureMessage{Departure: peer.Departure{Upstream: "u-9", Born: 1 << 50}, Boot: 1 << 62, OfReceiver: true}
 	a.SendDeparture(b.Addr(), departed)
 	assert.Equal(t, awaitValue(t, fromA.departed), departed)
+
+	limited := peer.RateLimitMessage{RateLimit: peer.RateLimit{Upstream: "u-9", Born: 1 << 50, RateLimit: caller.RateLimit{Named: true, PerSecond: 0.2}, Available: -3.5}, Boot: 1 << 62}
+	a.SendRateLimit(b.Addr(), limited)
+	assert.Equal(t, awaitValue(t, fromA.limits), limited)
+	limited.RateLimit.RateLimit, limited.Available, limited.OfReceiver = caller.RateLimit{}, 0, true
+	a.SendRateLimit(b.Addr(), limited)
+	assert.Equal(t, awaitValue(t, fromA.limits), limited)
+}
+
+// Guards against a node that places a request at an upstream whose rate limit is used up, because the load arrives before the limit.
+func TestRateLimitArrivesBeforeTheLoad(t *testing.T) {
+	limit := peer.RateLimit{Upstream: "u", Born: 5, RateLimit: caller.RateLimit{Named: true, PerSecond: 7}, Available: 0.5}
+	a, fromB := startSocket(t, 7, peer.Load{})
+	b, _ := startSocket(t, 9, peer.Load{Boot: 3, Serving: true, RateLimit: limit})
+	a.QueryLoad(b.Addr(), 41)
+	awaitValue(t, fromB.loads)
+	assert.Equal(t, len(fromB.limits), 1)
+	assert.Equal(t, awaitValue(t, fromB.limits), peer.RateLimitMessage{RateLimit: limit, Boot: 3})
 }
 
 // Guards against load queries and replies of more than a few dozen bytes: one query is sent to each candidate node.
--- a/transport/datagram/odd_test.go
+++ b/transport/datagram/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -30,7 +31,7 @@
 		"a float where a number is": {0x82, 0xfb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0, 0x00},
 		"trailing bytes":            {0x82, 0x01, 0x01, 0xff},
 	}
-	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, 0, 255} {
+	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, 0, 255} {
 		for name, body := range bodies {
 			t.Run(fmt.Sprintf("%q %s", kind, name), func(t *testing.T) {
 				s, r := startSocket(t, 1, peer.Load{})
@@ -51,6 +52,26 @@
 	}
 }
 
+// Guards against a rate limit of another node that is no number, or would overflow, and is used.
+func TestOddRateLimitsAreDropped(t *testing.T) {
+	s, r := startSocket(t, 1, peer.Load{})
+	for name, odd := range map[string]rateLimit{
+		"no upstream":         {Named: true, PerSecond: 1},
+		"long upstream":       {Named: true, PerSecond: 1, Upstream: string(make([]byte, maxTextLength+1))},
+		"no number":           {Named: true, PerSecond: math.NaN(), Upstream: "u"},
+		"endless":             {Named: true, PerSecond: math.Inf(1), Upstream: "u"},
+		"negative":            {Named: true, PerSecond: -1, Upstream: "u"},
+		"leaves no number":    {Named: true, PerSecond: 1, Available: math.NaN(), Upstream: "u"},
+		"leaves without end":  {Named: true, PerSecond: 1, Available: math.Inf(-1), Upstream: "u"},
+		"leaves far too many": {Named: true, PerSecond: 1, Available: 1e300, Upstream: "u"},
+	} {
+		body, err := cbor.Marshal(odd)
+		assert.NilError(t, err)
+		s.receive(r, s.Addr(), append([]byte{kindRateLimit}, body...))
+		assert.Equal(t, len(r.limits), 0, "%s: accepted", name)
+	}
+}
+
 // Guards against a status with values out of range that is used.
 func TestOddStatusesAreDropped(t *testing.T) {
 	s, r := startSocket(t, 1, peer.Load{})
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -4,9 +4,11 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
@@ -21,6 +23,7 @@
 	kindStoreEra  byte = 'e'
 	kindDeparture byte = 'd'
 	kindSuspects  byte = 's'
+	kindRateLimit byte = 'r'
 )
 
 const (
@@ -175,6 +178,42 @@
 	return peer.DepartureMessage{Departure: peer.Departure{Upstream: d.Upstream, Born: d.Born}, Boot: d.Boot, OfReceiver: d.OfReceiver}, nil
 }
 
+// rateLimit reports the rate limit of an upstream. Like storeEra, it is a message of its own for the sake of nodes of earlier versions.
+type rateLimit struct {
+	_          struct{} `cbor:",toarray"`
+	Boot       uint64
+	OfReceiver bool // the upstream of the receiver, not that of the sender
+	Upstream   string
+	Born       int64
+	Named      bool // false: the limit has ended
+	PerSecond  float64
+	Available  float64
+}
+
+func newRateLimit(m peer.RateLimitMessage) rateLimit {
+	return rateLimit{
+		Boot: m.Boot, OfReceiver: m.OfReceiver, Upstream: m.Upstream, Born: m.Born,
+		Named: m.Named, PerSecond: m.PerSecond, Available: m.Available,
+	}
+}
+
+// decode validates the message and converts it to a peer.RateLimitMessage.
+func (l rateLimit) decode() (peer.RateLimitMessage, error) {
+	if l.Upstream == "" || len(l.Upstream) > maxTextLength {
+		return peer.RateLimitMessage{}, errors.New("rate limit has no ID of an upstream, or one that is too long")
+	}
+	m := peer.RateLimitMessage{RateLimit: peer.RateLimit{Upstream: l.Upstream, Born: l.Born}, Boot: l.Boot, OfReceiver: l.OfReceiver}
+	if !l.Named {
+		return m, nil
+	}
+	limit, ok := caller.LimitOf(l.PerSecond)
+	if !ok || math.IsNaN(l.Available) || math.Abs(l.Available) > caller.MaxRate {
+		return peer.RateLimitMessage{}, errors.New("rate limit is not a number of requests a second")
+	}
+	m.RateLimit.RateLimit, m.Available = limit, l.Available
+	return m, nil
+}
+
 // MaxSuspects is the largest number of records in one message, so that it fits into a datagram.
 const MaxSuspects = 8
 
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -90,6 +90,7 @@
 	}
 	answer := transport.AnswerOf(response)
 	answer.Upstream = peer
+	answer.Notice = decodeNotice(response.Header.Get(headerNotice))
 	if answer.Waited, err = decodeWaited(response.Header.Get(headerWaited)); err != nil {
 		answer.Waited = 0 // a malformed waiting time does not invalidate the answer
 	}
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -64,6 +64,9 @@
 	if placement != nil && answer.Waited >= minReportedWait {
 		w.Header().Set(headerWaited, encodeWaited(answer.Waited))
 	}
+	if notice := encodeNotice(answer.Notice); notice != "" {
+		w.Header().Set(headerNotice, notice)
+	}
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -23,6 +23,8 @@
 	headerPlacement = "Magnoliawharf-Placement"
 	// headerWaited is the time that a placed request waited for a slot, in microseconds. It is omitted below minReportedWait.
 	headerWaited = "Magnoliawharf-Waited"
+	// headerNotice is what the upstream states about itself in the answer, omitted when it states nothing.
+	headerNotice = "Magnoliawharf-Notice"
 )
 
 // ForwardPrefix is the path prefix of forwarded requests on the peer listener.
@@ -168,6 +170,40 @@
 	return waited, p.err
 }
 
+const noticeFieldCount = 4
+
+// encodeNotice returns the value of headerNotice, "" when the upstream states nothing.
+func encodeNotice(n caller.Notice) string {
+	if !n.Leaving && !n.Limit.Named {
+		return ""
+	}
+	out := strconv.AppendBool(make([]byte, 0, maxFieldLength), n.Leaving)
+	out = strconv.AppendBool(append(out, '&'), n.Limit.Named)
+	out = strconv.AppendFloat(append(out, '&'), n.Limit.PerSecond, 'g', -1, 64)
+	out = strconv.AppendInt(append(out, '&'), n.Born, 10)
+	return string(out)
+}
+
+// decodeNotice returns the notice of a header field. A malformed one states nothing, and does not invalidate the answer.
+func decodeNotice(text string) caller.Notice {
+	fields := strings.Split(text, "&")
+	if len(fields) != noticeFieldCount {
+		return caller.Notice{}
+	}
+	leaving, leavingErr := strconv.ParseBool(fields[0])
+	named, namedErr := strconv.ParseBool(fields[1])
+	rate, rateErr := strconv.ParseFloat(fields[2], 64)
+	born, bornErr := strconv.ParseInt(fields[3], 10, 64)
+	limit, ok := caller.LimitOf(rate)
+	if errors.Join(leavingErr, namedErr, rateErr, bornErr) != nil || !ok {
+		return caller.Notice{}
+	}
+	if !named {
+		limit = caller.RateLimit{}
+	}
+	return caller.Notice{Leaving: leaving, Limit: limit, Born: born}
+}
+
 const placementFieldCount = 7
 
 // maxPriority is the largest priority of a request that is accepted from another node.
--- a/transport/peerhttp/wire_test.go
+++ b/transport/peerhttp/wire_test.go
@@ -62,3 +62,15 @@
 		assert.Assert(t, err != nil, name)
 	}
 }
+
+// Guards against what an upstream states in an answer and another node does not learn, or learns wrongly from a malformed field.
+func TestNoticeBetweenNodes(t *testing.T) {
+	limit := caller.RateLimit{Named: true, PerSecond: 0.2}
+	for _, n := range []caller.Notice{{}, {Leaving: true, Born: 1 << 50}, {Limit: limit, Born: 7}, {Leaving: true, Limit: limit}} {
+		assert.Equal(t, decodeNotice(encodeNotice(n)), n)
+	}
+	assert.Equal(t, encodeNotice(caller.Notice{Born: 7}), "", "most answers carry none")
+	for _, odd := range []string{"", "true", "true&true&1", "true&true&NaN&1", "true&true&-1&1", "true&true&1&x", "2&true&1&1", "true&true&1&1&1"} {
+		assert.Equal(t, decodeNotice(odd), caller.Notice{}, "%q", odd)
+	}
+}
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -15,9 +15,9 @@
 	maxWaiting = 1024
 	// minRetryAfter is the shortest retry delay that a refusal for load gives to the caller.
 	minRetryAfter = 100 * time.Millisecond
-	// objectiveShare is the share of the time left to its objective in which a waiting request is expected to be answered. The rest
+	// ObjectiveShare is the share of the time left to its objective in which a waiting request is expected to be answered. The rest
 	// covers service times above the typical one and the way back.
-	objectiveShare = 0.7
+	ObjectiveShare = 0.7
 )
 
 // AdmitRequest holds the attributes of a request that admission depends on.
@@ -108,7 +108,7 @@
 	if r.Objective.IsZero() {
 		return r.Deadline
 	}
-	onTime := now.Add(time.Duration(objectiveShare * float64(r.Objective.Sub(now))))
+	onTime := now.Add(time.Duration(ObjectiveShare * float64(r.Objective.Sub(now))))
 	if onTime.Before(r.Deadline) {
 		return onTime
 	}
@@ -120,9 +120,9 @@
 	if u.canStart(now, w.request.Class) {
 		return nil
 	}
-	wait := u.expectedWait(now, w)
+	wait, byRate := u.expectedWait(now, w)
 	if now.Add(wait + u.typicalServiceTime(w.queue)).After(w.answerBy) {
-		return refuseForLoad(caller.DeadlineUnmeetable, wait)
+		return u.refuseUnmet(now, wait, byRate)
 	}
 	if maxWait := w.request.Class.MaxWait; maxWait > 0 && wait > maxWait {
 		return refuseForLoad(caller.Overload, wait)
@@ -130,6 +130,14 @@
 	return nil
 }
 
+// refuseUnmet returns the refusal of a request that cannot be answered in time. byRate says that the rate limit causes the wait.
+func (u *Upstream) refuseUnmet(now time.Time, wait time.Duration, byRate bool) *caller.Refusal {
+	if !byRate {
+		return refuseForLoad(caller.DeadlineUnmeetable, wait)
+	}
+	return refuseForLoad(caller.RateLimited, u.rate.returnAfter(now, wait))
+}
+
 // enforceQueueLimits refuses the least valuable request when a queue is at its limit: it returns a refusal
 // for the new request, or evicts a waiting one.
 func (u *Upstream) enforceQueueLimits(now time.Time, w *waiter) *caller.Refusal {
@@ -146,7 +154,11 @@
 	if u.announced.State == instance.Cold {
 		reason = caller.ColdUpstream
 	}
-	refusal := refuseForLoad(reason, u.expectedWait(now, w))
+	wait, byRate := u.expectedWait(now, w)
+	refusal := refuseForLoad(reason, wait)
+	if byRate {
+		refusal = u.refuseUnmet(now, wait, byRate)
+	}
 	if victim == nil || !moreValuable(w, victim) {
 		return refusal
 	}
@@ -194,15 +206,17 @@
 	case caller.Overload:
 		w.refusal = refuseForLoad(reason, w.request.Class.MaxWait)
 	case caller.DeadlineUnmeetable:
-		w.refusal = refuseForLoad(reason, u.expectedWait(time.Now(), w))
+		now := time.Now()
+		wait, byRate := u.expectedWait(now, w)
+		w.refusal = u.refuseUnmet(now, wait, byRate)
 	default:
 		w.refusal = caller.Refuse(reason, admitStep, "")
 	}
 }
 
-// canStart reports whether a request of the class may take a slot now.
+// canStart reports whether the slots and the rate limit allow a request of the class to start now.
 func (u *Upstream) canStart(now time.Time, class bundle.Class) bool {
-	return u.slots.canStart(class, u.rules, u.slotsInForce(now), u.announced.Slots)
+	return u.rate.ready(now) && u.slots.canStart(class, u.rules, u.slotsInForce(now), u.announced.Slots)
 }
 
 // grantWaiting grants slots to waiting requests while one can start, and wakes only those requests. A
@@ -211,6 +225,7 @@
 	for {
 		w := u.queues.next(now, u.rules.Aging, func(c bundle.Class) bool { return u.canStart(now, c) })
 		if w == nil {
+			u.scheduleGrant(now)
 			return
 		}
 		u.queues.remove(w)
@@ -226,6 +241,7 @@
 
 func (u *Upstream) acquireSlot(now time.Time, w *waiter) {
 	u.slots.acquire(now, w.request.Class)
+	u.rate.take(now)
 	w.lease = &lease{upstream: u, queue: w.queue, class: w.request.Class, started: now, slotSecondsAtStart: u.slots.slotSeconds}
 }
 
@@ -265,9 +281,16 @@
 	return q.serviceTime.medianTime()
 }
 
-// expectedWait estimates the time until the request gets a slot: the mean service times of the requests
-// ahead of it and one of its own class, divided by the slots that its kind of work (long or short) may use.
-func (u *Upstream) expectedWait(now time.Time, w *waiter) time.Duration {
+// expectedWait estimates the time until the request starts: the wait for a slot or, with byRate, the longer one for the rate limit.
+func (u *Upstream) expectedWait(now time.Time, w *waiter) (wait time.Duration, byRate bool) {
+	forSlot, ahead := u.slotWait(now, w)
+	forRate := u.rate.wait(now, ahead)
+	return max(forSlot, forRate), forRate > forSlot
+}
+
+// slotWait estimates the time until the request gets a slot: the mean service times of the requests ahead of it and one of its own
+// class, divided by the slots that its kind of work (long or short) may use. It also returns the number of all requests ahead of it.
+func (u *Upstream) slotWait(now time.Time, w *waiter) (wait time.Duration, aheadOfAnyKind int) {
 	limit := u.slotsInForce(now)
 	capacity := limit - min(u.slots.long, u.rules.LongSlots(limit))
 	if w.request.Class.Long {
@@ -280,14 +303,15 @@
 		switch {
 		case q == w.queue:
 			ahead = q.countAhead(w.answerBy)
-		case q.class.Long != w.request.Class.Long:
-			// Long and short requests wait for different slots.
 		case q.agedPriority(now, u.rules.Aging) < priority:
 			ahead = len(q.waiting)
 		case q.agedPriority(now, u.rules.Aging) == priority:
 			ahead = q.countAhead(w.answerBy) // the earliest deadline goes first among equal priorities
 		}
-		work += time.Duration(ahead) * q.serviceTime.meanTime()
+		aheadOfAnyKind += ahead
+		if q.class.Long == w.request.Class.Long { // long and short requests wait for different slots
+			work += time.Duration(ahead) * q.serviceTime.meanTime()
+		}
 	}
-	return work / time.Duration(max(1, capacity))
+	return work / time.Duration(max(1, capacity)), aheadOfAnyKind
 }
--- a/upstream/slots.go
+++ b/upstream/slots.go
@@ -96,6 +96,9 @@
 	if share := u.options.SlotShare; share > 0 {
 		limit = max(1, int(math.Round(share*float64(u.announced.Slots))))
 	}
+	if u.rateUnknown {
+		limit = min(limit, unknownRateSlots)
+	}
 	if u.coldSince.IsZero() || u.rules.ColdStart <= 0 {
 		return limit
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -39,6 +39,8 @@
 	slots       slots
 	queues      queueSet
 	limit       adaptiveLimit
+	rate        rateLimit
+	rateUnknown bool                // see RateUnknown
 	serviceTime serviceTimeEstimate // over all classes that are not long
 	options     Options
 }
@@ -89,6 +91,7 @@
 	}
 }
 
+// expire processes the waiting requests after a timer.
 func (u *Upstream) expire() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
