Treat an answer in which the upstream says that it leaves as its withdrawal

An upstream that says in its answers that it leaves, while its reports say ready or come late, gets requests until it ends; those that run then end with 502. Cause: the field was not read. Class: as the limits; a departure is one more thing that an upstream states and that binds all nodes. Change: the node beside the upstream records the departure of the incarnation that answered, with the memory and the messages that a DELETE has. The node that passed the answer on does not choose the upstream either until a later status of its node says otherwise, and tells a restarted node the departure: the report may be lost, and the node killed right after. A late answer of an earlier incarnation takes only that one out of use.

--- a/inbound/notice.go
+++ b/inbound/notice.go
@@ -45,8 +45,7 @@
 // admitted accordingly, and the other nodes have been told.
 func (p *Proxy) recordNotice(now time.Time, n answerNotice) {
 	if n.Leaving {
-		leavingTotal.Inc()
-		p.options.Log.Info("upstream says that it leaves", "upstream", n.target.ID, "born", n.target.Born, "id", n.requestID)
+		p.recordLeaving(now, n)
 	}
 	if n.Unreadable != "" {
 		unreadableLimitsTotal.Inc()
@@ -82,6 +81,25 @@
 	return p.current.sameIncarnation(n.target) || becameKnown
 }
 
+// recordLeaving marks the incarnation that answered as departed, as its withdrawal would.
+func (p *Proxy) recordLeaving(now time.Time, n answerNotice) {
+	p.mu.Lock()
+	born, departed := p.departed[n.target.ID]
+	if departed && n.target.latestBorn(n.sentAt) <= born {
+		p.mu.Unlock()
+		return
+	}
+	if !p.answeredByCurrent(n) {
+		p.recordDeparture(n.target.ID, n.target.latestBorn(n.sentAt))
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	leavingTotal.Inc()
+	p.options.Log.Info("upstream says that it leaves", "upstream", n.target.ID, "born", n.target.Born, "id", n.requestID)
+	p.Deregister(now, n.target.ID)
+}
+
 // namedLimit is the rate limit that the current incarnation has named.
 type namedLimit struct {
 	caller.RateLimit
--- a/inbound/notice_test.go
+++ b/inbound/notice_test.go
@@ -255,3 +255,50 @@
 		assert.Assert(t, float64(most) <= allowedIn(window, 1), "%d requests in %v", most, window)
 	})
 }
+
+// Guards against an upstream that says in an answer that it leaves and gets new requests: waiting ones, those placed by a late report
+// that says ready, and those after a restart of its node, which the other nodes tell.
+func TestLeavingInAnAnswerIsADeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newNoticingClient()
+		c.work = 200 * time.Millisecond
+		c.name(caller.Notice{Leaving: true})
+		p := newProxyWith(c)
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+		var running sync.WaitGroup
+		for range 6 {
+			running.Go(func() { serve(t.Context(), p, "r", "a", 5*time.Second) })
+		}
+		running.Wait()
+		assert.Equal(t, c.sentCount(), 2, "more than the two slots held")
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 2)))
+		assert.Assert(t, !p.Status().Serving)
+		assert.Equal(t, p.Departure(), peer.Departure{Upstream: "a", Born: 10})
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 20, 1)))
+		assert.Assert(t, p.Status().Serving, "the next incarnation with the ID")
+	})
+}
+
+// Guards against an upstream that is taken out of service by a late answer of the incarnation before it, which has left.
+func TestLeavingOfTheIncarnationBefore(t *testing.T) {
+	for name, next := range map[string]inbound.Announcement{"another ID": announcement("b", 20, 1), "the same ID": announcement("a", 20, 1)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newNoticingClient()
+				c.work = 200 * time.Millisecond
+				c.name(caller.Notice{Leaving: true})
+				p := newProxyWith(c)
+				assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+				var running sync.WaitGroup
+				running.Go(func() { serve(t.Context(), p, "r", "a", time.Second) })
+				time.Sleep(100 * time.Millisecond)
+				assert.NilError(t, p.Announce(time.Now(), next))
+				running.Wait()
+				assert.Assert(t, p.Status().Serving)
+				time.Sleep(8 * time.Second) // until the next one no longer counts as alive
+				assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 9)))
+				assert.Equal(t, p.Status().Upstream, next.ID, "the one that left is back")
+			})
+		})
+	}
+}
--- a/inbound/probe.go
+++ b/inbound/probe.go
@@ -52,7 +52,7 @@
 		return
 	}
 	report, err := p.checkHealth(addr, path)
-	if err == nil && report.Healthy && report.UpstreamID != "" {
+	if err == nil && report.Healthy && !report.Notice.Leaving && report.UpstreamID != "" {
 		p.adopt(time.Now(), observed, addr, report)
 	}
 }
--- a/peer/candidates.go
+++ b/peer/candidates.go
@@ -66,7 +66,7 @@
 func (p *Peer) isServing(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.status.Serving && !p.isUnresponsive(now)
+	return p.status.Serving && !p.hasLeft() && !p.isUnresponsive(now)
 }
 
 // pick returns up to limit random usable elements of peers. Each set of usable elements is equally likely.
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -178,6 +178,7 @@
 		candidate.LoadAge = now.Sub(p.loadAt)
 		candidate.Status.Serving = candidate.Status.Serving && p.load.Serving
 	}
+	candidate.Status.Serving = candidate.Status.Serving && !p.hasLeft()
 	candidate.LimitWait, candidate.limitTooLate = p.limitWait(now), p.limitTooLate(now, need)
 	if p.limit.Upstream == p.status.Upstream {
 		candidate.Limit = p.limit.RateLimit
--- a/peer/departure.go
+++ b/peer/departure.go
@@ -71,3 +71,22 @@
 	}
 	return p.departure.Departure
 }
+
+// leavingUpstream is an incarnation that has told this node in an answer that it leaves.
+type leavingUpstream struct {
+	upstream string
+	boot     uint64 // run of the node beside it that passed on the answer
+	revision uint32 // of the status of that node, as it was known then
+}
+
+// hasLeft reports whether the upstream of the peer has left, as far as this node knows, although the status of the peer says that it
+// serves: the status is older, or it is of a later run, which has not reported the departure. The caller holds the lock.
+func (p *Peer) hasLeft() bool {
+	upstream, boot := p.status.Upstream, p.status.Boot
+	if upstream == "" {
+		return false
+	}
+	saidSo := p.leaving.upstream == upstream && p.leaving.boot == boot && p.status.Revision <= p.leaving.revision
+	forgotten := p.departure.Upstream == upstream && p.departure.boot != boot
+	return saidSo || forgotten
+}
--- a/peer/notice.go
+++ b/peer/notice.go
@@ -12,11 +12,26 @@
 	p := c.Peer
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if n.Leaving {
+		p.observeLeaving(now, c.Status, n.Born)
+	}
 	if n.Limit.Named && p.status.Upstream == c.Status.Upstream {
 		p.observeLimit(now, c.Status, n)
 	}
 }
 
+// observeLeaving records that the upstream which the node had in the given status leaves. The caller holds the lock.
+func (p *Peer) observeLeaving(now time.Time, answered Status, born int64) {
+	p.leaving = leavingUpstream{answered.Upstream, answered.Boot, answered.Revision}
+	if p.departure.Upstream == answered.Upstream {
+		return
+	}
+	if born == 0 {
+		born = now.UnixMilli() // it has started before
+	}
+	p.departure = reportedDeparture{Departure{Upstream: answered.Upstream, Born: born}, answered.Boot}
+}
+
 // observeLimit records the limit that the upstream has named. What it leaves is known from the node beside the upstream only. The caller
 // holds the lock.
 func (p *Peer) observeLimit(now time.Time, answered Status, n caller.Notice) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,6 +65,7 @@
 	ended        endedRun
 	previous     PreviousUpstream // kept until the node has an upstream again
 	departure    reportedDeparture
+	leaving      leavingUpstream
 	limit        reportedLimit
 	load         Load
 	loadAt       time.Time // zero when no load of the current boot and upstream is known
--- a/peer/ratelimit_test.go
+++ b/peer/ratelimit_test.go
@@ -126,6 +126,33 @@
 	})
 }
 
+// Guards against requests to an upstream that has told this node in an answer that it leaves: the report of the node beside it was lost,
+// and that node was started again and uses the upstream. When it has reported the departure, its word counts.
+func TestUpstreamThatSaidThatItLeavesIsNotChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 1)
+		answered := choose(t, r)
+		answered.ObserveNotice(time.Now(), caller.Notice{Leaving: true, Born: 10})
+		isChosen := func() bool {
+			_, err := r.Choose(t.Context(), impatient)
+			assert.Assert(t, err == nil || errors.Is(err, peer.ErrNoUpstream))
+			return err == nil
+		}
+		assert.Assert(t, !isChosen(), "the status from before the answer says that it serves")
+		restarted := func(boot uint64, upstream string) {
+			n.change(1, func(n *node) { n.status.Boot, n.status.Upstream = boot, upstream })
+			r.HandleStatus(address(1), peer.StatusMessage{Status: n.nodes[address(1)].status})
+		}
+		restarted(77, "u1")
+		assert.Assert(t, !isChosen(), "the node was started again")
+		assert.DeepEqual(t, n.departures[address(1)], []peer.DepartureMessage{{Departure: peer.Departure{Upstream: "u1", Born: 10}, Boot: 99, OfReceiver: true}})
+		r.HandleDeparture(address(1), peer.DepartureMessage{Departure: peer.Departure{Upstream: "u1", Born: 10}, Boot: 77})
+		assert.Assert(t, isChosen(), "the node knows of the departure: a later incarnation has the ID")
+		restarted(78, "u9")
+		assert.Assert(t, isChosen(), "another upstream")
+	})
+}
+
 // Guards against a node that waits for the report of a limit which its own answer has told it.
 func TestLimitInAnAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/sidecar/notice_test.go
+++ b/sidecar/notice_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/inbound"
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 )
 
@@ -89,3 +90,19 @@
 	flood(machines, 20*time.Millisecond, time.Second)
 	assert.Check(t, limited.runs.Load()-before > 4*perSecond, "the limit goes on for %d requests", limited.runs.Load()-before)
 }
+
+// Guards against an upstream that says in its answers that it leaves, while its reports say that it is ready, and gets new requests.
+func TestLeavingInAnswersEndsNewRequests(t *testing.T) {
+	machines := startFleet(t)
+	leaving := machines[0]
+	leaving.states.Store(&http.Header{"X-Leaving": {"1"}})
+	flood(machines, 20*time.Millisecond, time.Second)
+	assert.Assert(t, leaving.runs.Load() > 0)
+	before := leaving.runs.Load()
+	assert.NilError(t, leaving.registrar.Announce(time.Now(), inbound.Announcement{
+		ID: "u-n1", Born: 1, Sequence: 2, Address: leaving.Settings.Upstream.Address, Service: "s", Slots: 4,
+	}))
+	failed := flood(machines, 20*time.Millisecond, 2*time.Second)
+	assert.Equal(t, leaving.runs.Load(), before, "it got requests after it had said that it leaves")
+	assert.Equal(t, failed, 0)
+}
