soak: back ends that name rate limits, or say in their answers that they leave

Cause: the soak's back ends stated nothing about themselves, so it could not find that nobody heeds it. Drawn from a stream of their own, so that the regression seeds keep their faults; two fixed seeds play both.

--- a/soak/ahead_test.go
+++ b/soak/ahead_test.go
@@ -71,7 +71,7 @@
 		}
 		c.fleet.oracle.recordEnd(r, time.Now(), func() {
 			if r.err = err; err == nil {
-				r.status, r.seal, r.body = response.StatusCode, response.Header.Get(wire.SealField), body
+				r.answered(response, body)
 			}
 		})
 		closing = closing || err != nil || response.Close
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -126,7 +126,7 @@
 	c.fleet.oracle.recordSent(r)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	status, seal, answer, err := c.exchange(out.WithContext(ctx))
+	response, answer, err := c.exchange(out.WithContext(ctx))
 	ended, abandoned := time.Now(), abandons && ctx.Err() != nil
 	c.fleet.oracle.recordEnd(r, ended, func() {
 		if abandoned {
@@ -135,7 +135,7 @@
 		}
 		r.err = err
 		if err == nil {
-			r.status, r.seal, r.body = status, seal, answer
+			r.answered(response, answer)
 		}
 	})
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -143,14 +143,14 @@
 	}
 }
 
-func (c *caller) exchange(out *http.Request) (status int, seal string, body []byte, err error) {
+func (c *caller) exchange(out *http.Request) (*http.Response, []byte, error) {
 	response, err := c.client.Do(out)
 	if err != nil {
-		return 0, "", nil, err
+		return nil, nil, err
 	}
 	defer response.Body.Close()
-	body, err = io.ReadAll(response.Body)
-	return response.StatusCode, response.Header.Get(wire.SealField), body, err
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
 }
 
 func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -36,6 +36,10 @@
 	// random stream, withdrawalStream, whose draws give the regression seeds no such fault.
 	withdrawalShare  = 0.3
 	withdrawalStream = 1<<28 + 363
+	// noticeShare is the share of runs in which a back end states in its answers that it limits its requests or leaves. It is drawn
+	// from its own random stream, noticeStream, whose draws give the regression seeds no such fault.
+	noticeShare  = 0.4
+	noticeStream = 1<<32 + 459888
 	// reportDelay is the time after the kill at which the last report of the back end arrives, and withdrawnServes how long it serves
 	// on then: beyond the time in which the node counts as disturbed.
 	reportDelay     = 700 * time.Millisecond
@@ -133,6 +137,9 @@
 	m.withdrawAroundKill(serviceOf(m.index), lasting/4, draw%3 == 0)
 }}
 
+// noticeKinds are the faults drawn from noticeStream.
+var noticeKinds = [...]fault{limitNamed, limitNamed, leavingInAnswers}
+
 // forSomeMachines runs step concurrently for a subset of the machines, for all of them on every third draw.
 func (f *fleet) forSomeMachines(draw uint64, step func(*machine)) {
 	var steps sync.WaitGroup
@@ -173,8 +180,8 @@
 	return fmt.Sprintf("%v %s m%d for %v, %d times, draw %d", p.at.Round(time.Millisecond), p.fault.name, p.machine, p.lasting.Round(time.Millisecond), p.series, p.draw)
 }
 
-// drawFaults returns the faults of a run in order of time. The crashing request, the return of the store and the withdrawal around a
-// kill are drawn from separate random streams, so that the other faults of a seed do not depend on them.
+// drawFaults returns the faults of a run in order of time. The crashing request, the return of the store, the withdrawal around a
+// kill and what back ends state in answers are drawn from separate random streams, so that the other faults of a seed do not depend on them.
 func drawFaults(seed uint64, length time.Duration) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var schedule []plannedFault
@@ -210,6 +217,12 @@
 			lasting: minFaultTime + time.Duration(separate.Int64N(int64(maxFaultTime-minFaultTime))), draw: separate.Uint64(),
 		})
 	}
+	if separate := rand.New(rand.NewPCG(seed, noticeStream)); separate.Float64() < noticeShare {
+		schedule = append(schedule, plannedFault{
+			fault: noticeKinds[separate.IntN(len(noticeKinds))], at: time.Duration(separate.Int64N(int64(length))), machine: separate.IntN(machineCount), series: 1,
+			lasting: minFaultTime + time.Duration(separate.Int64N(int64(maxFaultTime-minFaultTime))), draw: separate.Uint64(),
+		})
+	}
 	slices.SortFunc(schedule, func(a, b plannedFault) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -40,6 +40,7 @@
 	status                 int // 0 without a complete response
 	seal                   string
 	body                   []byte
+	limited, leaving       bool // the back end named a rate limit in the answer, or that it leaves
 	err                    error
 	crashes                string // name of the request that crashes back ends, "" for all others
 	arrivals               []standin.ReceivedRequest
@@ -71,7 +72,8 @@
 	failing     map[int][]span       // by machine, while its back end aborted responses or crashed
 	starts      map[int][]time.Time  // of the nodes' processes, by machine
 	store       []span               // while the store was disturbed
-	violations  []string             // messages of violated guarantees
+	limits      []namedLimit
+	violations  []string // messages of violated guarantees
 }
 
 func newOracle(service func(int) string, stall *stallDetector) *oracle {
@@ -239,6 +241,8 @@
 	o.checkRollbacks()
 	o.checkRetries()
 	o.checkCrashes()
+	o.checkLimits()
+	o.checkLeaving()
 	return o.violations
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,7 +94,7 @@
 
 // Guards against guarantees that hold under each single fault and are violated under a combination of faults.
 func TestSoak(t *testing.T) {
-	seeds := []uint64{1, 2}
+	seeds := []uint64{1, 2, 5, 12}
 	for _, r := range regressions {
 		seeds = append(seeds, r.seed)
 	}
