--- a/peer/departure.go
+++ b/peer/departure.go
@@ -29,14 +29,7 @@
 		r.selfNode.LearnDeparture(m.Departure)
 		return
 	}
-	p, added := r.getOrAdd(from)
-	if p.isSelf {
-		return
-	}
-	p.recordDeparture(m)
-	if added {
-		r.sendStatus(p, true)
-	}
+	r.recordReport(from, func(p *Peer) { p.departure = reportedDeparture{Departure: m.Departure, boot: m.Boot} })
 }
 
 // sendDepartures sends the departure of this node's upstream to the peer, and that of the peer's upstream when the peer has
@@ -54,19 +47,12 @@
 	}
 }
 
-func (p *Peer) recordDeparture(m DepartureMessage) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.departure = reportedDeparture{Departure: m.Departure, boot: m.Boot}
-}
-
 // forgottenDeparture returns the departure that an earlier run of the peer has reported and the present one has not, unless the
 // peer has another upstream by now.
 func (p *Peer) forgottenDeparture() Departure {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isOther := p.status.Upstream != "" && p.status.Upstream != p.departure.Upstream
-	if p.status.Boot == 0 || p.status.Boot == p.departure.boot || isOther {
+	if !p.status.hasForgotten(p.departure.Upstream, p.departure.boot) {
 		return Departure{}
 	}
 	return p.departure.Departure
--- a/peer/notice.go
+++ b/peer/notice.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
@@ -41,3 +42,24 @@
 	}
 	p.limit = reportedLimit{RateLimit{Upstream: answered.Upstream, Born: n.Born, RateLimit: n.Limit}, answered.Boot, now}
 }
+
+// recordReport lets record note what another node has reported of its upstream. It is called with the lock of the peer held.
+func (r *Roster) recordReport(from netip.AddrPort, record func(*Peer)) {
+	p, added := r.getOrAdd(from)
+	if p.isSelf {
+		return
+	}
+	p.mu.Lock()
+	record(p)
+	p.mu.Unlock()
+	if added {
+		r.sendStatus(p, true)
+	}
+}
+
+// hasForgotten reports whether the node was started again since the given run of it reported a fact on its upstream, unless it has
+// another upstream by now.
+func (s Status) hasForgotten(upstream string, reportedBy uint64) bool {
+	isOther := s.Upstream != "" && s.Upstream != upstream
+	return s.Boot != 0 && s.Boot != reportedBy && !isOther
+}
--- a/peer/ratelimit.go
+++ b/peer/ratelimit.go
@@ -36,20 +36,7 @@
 		r.selfNode.LearnRateLimit(m.RateLimit)
 		return
 	}
-	p, added := r.getOrAdd(from)
-	if p.isSelf {
-		return
-	}
-	p.recordLimit(reportedLimit{m.RateLimit, m.Boot, time.Now()})
-	if added {
-		r.sendStatus(p, true)
-	}
-}
-
-func (p *Peer) recordLimit(l reportedLimit) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limit = l
+	r.recordReport(from, func(p *Peer) { p.limit = reportedLimit{m.RateLimit, m.Boot, time.Now()} })
 }
 
 // sendRateLimits sends the rate limit of this node's upstream to the peer, and that of the peer's upstream when the peer has started
@@ -81,8 +68,7 @@
 func (p *Peer) forgottenLimit() RateLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isOther := p.status.Upstream != "" && p.status.Upstream != p.limit.Upstream
-	if p.status.Boot == 0 || p.status.Boot == p.limit.boot || isOther {
+	if !p.status.hasForgotten(p.limit.Upstream, p.limit.boot) {
 		return RateLimit{}
 	}
 	return p.limit.RateLimit
