inbound: tell an unsteady limit once a second, and hold back no upstream that started after its node

Cause: by reading, an upstream whose limit goes up and down by over a quarter with each answer would have made its node send a message to each other node with each. Change: changes are told at once at most once a second (each load tells them anyway); an upstream whose start is later than that of the process cannot have named a limit before and is not held back. Measured: TestUnsteadyLimitIsToldOnceASecond, TestUpstreamThatStartsAfterItsNodeIsNotHeldBack.

--- a/inbound/notice.go
+++ b/inbound/notice.go
@@ -55,6 +55,10 @@
 	previous := p.limit
 	changed := isCurrent && p.limit.apply(now, n)
 	next := p.limit
+	isNews := changed && isNews(previous.RateLimit, next.RateLimit) && now.Sub(p.limitToldAt) >= minNewsInterval
+	if isNews {
+		p.limitToldAt = now
+	}
 	if changed {
 		p.upstream.SetRateLimit(now, next.RateLimit)
 	}
@@ -68,7 +72,7 @@
 	limitChangesTotal.Inc()
 	p.options.Log.Info("rate limit of the upstream changed", "upstream", n.target.ID, "born", n.target.Born, "from", rateText(previous.RateLimit),
 		"to", rateText(next.RateLimit), "cause", "an answer", "id", n.requestID, "sent_ms_ago", now.Sub(n.sentAt).Milliseconds())
-	if isNews(previous.RateLimit, next.RateLimit) {
+	if isNews {
 		p.options.OnStatusChange()
 	}
 }
--- a/inbound/notice_test.go
+++ b/inbound/notice_test.go
@@ -75,6 +75,15 @@
 	return &noticingClient{fakeClient: &fakeClient{report: healthyWithLoad("a", 100)}}
 }
 
+// newStartedProxy returns a proxy of a node that has just started. It confirms announcements within the given time.
+func newStartedProxy(c inbound.Client, confirm time.Duration, onStatusChange func()) *inbound.Proxy {
+	return inbound.New(inbound.Options{
+		Node: "n1", Boot: boot, Address: "10.0.0.1:81", Service: "s", Upstream: addr, HealthPath: func(string) string { return "/health" },
+		AnnounceEvery: time.Second, LivenessTimeout: time.Hour, ConfirmPeriod: confirm, SlotShare: 1,
+		Client: c, Suspects: quarantine.NewList(nil), OnStatusChange: onStatusChange, Log: slog.New(slog.DiscardHandler),
+	})
+}
+
 // mostSentWithin returns the largest number of requests sent in any window.
 func (c *noticingClient) mostSentWithin(window time.Duration) int {
 	c.mu.Lock()
@@ -242,11 +251,7 @@
 		c := newNoticingClient()
 		c.work = 700 * time.Millisecond
 		c.name(named(1))
-		p := inbound.New(inbound.Options{
-			Node: "n1", Boot: boot, Address: "10.0.0.1:81", Service: "s", Upstream: addr, HealthPath: func(string) string { return "/health" },
-			AnnounceEvery: time.Second, LivenessTimeout: time.Hour, ConfirmPeriod: 10 * time.Second, SlotShare: 1,
-			Client: c, Suspects: quarantine.NewList(nil), OnStatusChange: func() {}, Log: slog.New(slog.DiscardHandler),
-		})
+		p := newStartedProxy(c, 10*time.Second, func() {})
 		for sequence := range uint64(2) {
 			assert.NilError(t, p.Announce(time.Now(), wide("a", 10, 1+sequence)))
 		}
@@ -256,6 +261,43 @@
 	})
 }
 
+// Guards against a message to each other node with each answer of an upstream whose limit goes up and down.
+func TestUnsteadyLimitIsToldOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newNoticingClient()
+		told := 0
+		p := newStartedProxy(c, 0, func() { told++ })
+		assert.NilError(t, p.Announce(time.Now(), wide("a", 10, 1)))
+		told = 0
+		for i := range 100 {
+			c.name(named(float64(50 + 50*(i%2))))
+			assert.Assert(t, serve(t.Context(), p, "r", "a", time.Second) == nil)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, told >= 3 && told <= 6, "%d in 5 s", told)
+	})
+}
+
+// Guards against a fleet that starts slowly, because each node takes its upstream, which has just started too, for one that may have named
+// a limit before.
+func TestUpstreamThatStartsAfterItsNodeIsNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newNoticingClient()
+		c.work = 100 * time.Millisecond
+		p := newStartedProxy(c, 10*time.Second, func() {})
+		for sequence := range uint64(2) {
+			assert.NilError(t, p.Announce(time.Now(), wide("a", time.Now().UnixMilli(), 1+sequence)))
+		}
+		var running sync.WaitGroup
+		for range 8 {
+			running.Go(func() { serve(t.Context(), p, "r", "a", time.Second) })
+		}
+		synctest.Wait()
+		assert.Equal(t, c.sentCount(), 8)
+		running.Wait()
+	})
+}
+
 // Guards against an upstream that says in an answer that it leaves and gets new requests: waiting ones, those placed by a late report
 // that says ready, and those after a restart of its node, which the other nodes tell.
 func TestLeavingInAnAnswerIsADeparture(t *testing.T) {
--- a/inbound/ratelimit.go
+++ b/inbound/ratelimit.go
@@ -46,6 +46,9 @@
 // newsShare is the relative change of a limit that the other nodes are told at once. They learn smaller ones with the next load.
 const newsShare = 0.25
 
+// minNewsInterval is the least time between two changes that are told at once, since each takes a message to each node.
+const minNewsInterval = time.Second
+
 // isNews reports whether the other nodes are to be told a change of the limit at once.
 func isNews(before, after caller.RateLimit) bool {
 	if before.Named != after.Named {
@@ -123,7 +126,15 @@
 	p.limit = namedLimit{}
 	p.upstream.SetRateLimit(now, caller.RateLimit{})
 	p.recallLimit(now)
-	if p.options.ConfirmPeriod > 0 && now.Sub(p.started) < p.options.ConfirmPeriod && previous.ID == "" {
+	if previous.ID == "" && p.mayHaveNamedLimit(now) {
 		p.upstream.RateUnknown()
 	}
 }
+
+// mayHaveNamedLimit reports whether the current incarnation, which this process has just found, may have named a limit to a process of
+// this node that has ended. It is called with the lock held.
+func (p *Proxy) mayHaveNamedLimit(now time.Time) bool {
+	isRecent := p.options.ConfirmPeriod > 0 && now.Sub(p.started) < p.options.ConfirmPeriod
+	startedLater := p.current.Born >= p.started.UnixMilli()
+	return isRecent && !startedLater
+}
