entry: a retry ratio of 0 earns no retries

What callers saw: nothing; the back ends of an operator who sets the ratio to 0 got up to a tenth of all requests again. Cause: RetryBudget.Deposit takes 0 for its default, which serves bundles, and the sidecar's setting allows 0. Change: the entry node deposits nothing then. Evidence: TestRetryRatioOfZeroEarnsNoRetries: 109 arrivals of 100 requests before, 100 now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,9 @@
 	c := &call{
 		Dispatcher: e, req: req, route: route, startedAt: time.Now(), estimate: e.estimates.forRoute(route), budget: e.Budgets.Of(req.Service), ran: caller.NotRun,
 	}
-	c.budget.Deposit(e.RetryRatio())
+	if ratio := e.RetryRatio(); ratio > 0 { // Deposit takes 0 for its default
+		c.budget.Deposit(ratio)
+	}
 	fingerprint := quarantine.Fingerprint(req.Fingerprint)
 	decision, retryAfter := e.Quarantine.Admit(time.Now(), fingerprint)
 	if decision == quarantine.Refuse {
