inbound: heed what the health report that adopts an upstream states

Cause: by reading, a restarted node took its upstream into service by a health report and did not read the limit that the same report names. Change: it is applied like that of any other report. Measured: TestLimitInTheReportThatAdoptsTheUpstream failed before, passes now.

--- a/inbound/load.go
+++ b/inbound/load.go
@@ -76,8 +76,8 @@
 	go func() {
 		report, err := p.checkHealth(target.Address, path)
 		p.finishHealthCheck(time.Now(), done, report, err)
-		if err == nil && report.UpstreamID == target.ID {
-			p.recordNotice(time.Now(), answerNotice{Notice: report.Notice, target: target, sentAt: now})
+		if err == nil {
+			p.recordHealthNotice(target, now, report)
 		}
 		p.recordRefused(target, err)
 		close(done)
--- a/inbound/notice.go
+++ b/inbound/notice.go
@@ -40,6 +40,13 @@
 	return n, true
 }
 
+// recordHealthNotice applies what a health report states about the upstream, if it is of the given incarnation. It was asked for at sentAt.
+func (p *Proxy) recordHealthNotice(target Announcement, sentAt time.Time, report HealthReport) {
+	if report.UpstreamID == target.ID {
+		p.recordNotice(time.Now(), answerNotice{Notice: report.Notice, target: target, sentAt: sentAt})
+	}
+}
+
 // recordNotice applies what an answer states about the upstream. When it returns, the requests of all nodes that reach this one are
 // admitted accordingly, and the other nodes have been told.
 func (p *Proxy) recordNotice(now time.Time, n answerNotice) {
--- a/inbound/notice_test.go
+++ b/inbound/notice_test.go
@@ -261,6 +261,21 @@
 	})
 }
 
+// Guards against a restarted node that takes its upstream into service by a health report, and does not heed the limit that this names.
+func TestLimitInTheReportThatAdoptsTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newNoticingClient()
+		c.inHealthReports = true
+		c.name(named(2))
+		p := newStartedProxy(c, 10*time.Second, func() {})
+		go p.Watch(t.Context())
+		p.Recall(peer.PreviousUpstream{Upstream: "a", Service: "s"})
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, p.Status().Serving)
+		assert.Equal(t, p.RateLimit(time.Now()).RateLimit, limitOf(2))
+	})
+}
+
 // Guards against a message to each other node with each answer of an upstream whose limit goes up and down.
 func TestUnsteadyLimitIsToldOnceASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/inbound/probe.go
+++ b/inbound/probe.go
@@ -54,6 +54,10 @@
 	report, err := p.checkHealth(addr, path)
 	if err == nil && report.Healthy && !report.Notice.Leaving && report.UpstreamID != "" {
 		p.adopt(time.Now(), observed, addr, report)
+		p.mu.Lock()
+		adopted := p.current
+		p.mu.Unlock()
+		p.recordHealthNotice(adopted, now, report)
 	}
 }
 
