Show what a rate limit leaves, log an unreadable one once, and close a gap around a leaving answer

Each answer with an unreadable limit wrote a line, at any rate of answers. Between the check of an answer that says its upstream leaves and the record of the departure, another incarnation with the same ID could take its place and be marked instead. What a limit leaves was in no log line and no metric, and an incarnation that follows one that was held back stayed held back. Change: the line is written when the value changes; the departure is recorded under the lock that checked the incarnation; entry nodes log rate_limit and rate_left, and the node beside the upstream writes two gauges; RateKnown with each new incarnation.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -287,6 +287,9 @@
 		"limit", c.lastTarget.Load.Limit, "pace", c.lastTarget.Load.ServiceTimePercent, "load_age_ms", c.lastTarget.LoadAge.Milliseconds(), "expected_ms", c.lastTarget.Cost.Milliseconds(),
 		"attempts", len(c.triedNodes), "took_ms", time.Since(c.startedAt).Milliseconds(), "left_ms", time.Until(c.req.Deadline).Milliseconds(),
 	}
+	if limit := c.lastTarget.Limit; limit.Named {
+		attributes = append(attributes, "rate_limit", limit.PerSecond, "rate_left", limit.Available)
+	}
 	if c.req.Behind > 0 {
 		attributes = append(attributes, "behind", c.req.Behind)
 	}
--- a/entry/limited_test.go
+++ b/entry/limited_test.go
@@ -13,10 +13,15 @@
 	"github.com/magnoliawharf/magnoliawharf/peer"
 )
 
+// addressOf returns the address of node i of rosterOf.
+func addressOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+}
+
 // limitNode lets the roster of the dispatcher know that the upstream of node i takes a request each ten seconds.
 func limitNode(r *peer.Roster, i int) {
 	limit, _ := caller.LimitOf(0.1)
-	r.HandleRateLimit(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), peer.RateLimitMessage{
+	r.HandleRateLimit(addressOf(i), peer.RateLimitMessage{
 		RateLimit: peer.RateLimit{Upstream: []string{"u0", "u1"}[i], RateLimit: limit}, Boot: uint64(i + 1),
 	})
 }
@@ -54,11 +59,14 @@
 				e := newEntry(f, 2)
 				earnRetries(t, e)
 				f.sent, f.outcomes = nil, []outcome{{status: 200, ran: true, after: 900 * time.Millisecond}}
-				if limited {
-					limitNode(e.Roster, 0)
-					limitNode(e.Roster, 1)
-					time.Sleep(20 * time.Second)
+				e.Roster.SetRouting(peer.Routing{FreshFor: time.Minute})
+				for i := range 2 {
+					if limited {
+						limitNode(e.Roster, i)
+					}
+					e.Roster.HandleLoad(addressOf(i), 0, peer.Load{Boot: uint64(i + 1), Revision: 1, Serving: true, Limit: 4, ServiceTimePercent: 100})
 				}
+				time.Sleep(20 * time.Second) // a limited upstream has room again
 				_, _ = dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
 				assert.Equal(t, len(f.sent) > 1, !limited, "%v", f.sent)
 			})
--- a/inbound/departures.go
+++ b/inbound/departures.go
@@ -26,16 +26,22 @@
 		}
 		return
 	}
-	born := p.current.latestBorn(now)
+	notify := p.departCurrent(now, "left")
+	p.mu.Unlock()
+	notify()
+}
+
+// departCurrent marks the current incarnation as departed. It is called with the lock held; the caller must call notify after releasing
+// it.
+func (p *Proxy) departCurrent(now time.Time, cause string) (notify func()) {
+	id, born := p.current.ID, p.current.latestBorn(now)
 	if p.superseded.ID == id {
 		born = max(born, p.superseded.Born)
 	}
 	p.recordDeparture(id, born)
 	p.lastDeparture = peer.Departure{Upstream: id, Born: born}
 	p.lastSeen = now
-	notify := p.setState(now, draining, "left")
-	p.mu.Unlock()
-	notify()
+	return p.setState(now, draining, cause)
 }
 
 // Departure implements peer.Self: the departure of the current incarnation or, while there is none, the last one known.
--- a/inbound/notice.go
+++ b/inbound/notice.go
@@ -53,10 +53,7 @@
 	if n.Leaving {
 		p.recordLeaving(now, n)
 	}
-	if n.Unreadable != "" {
-		unreadableLimitsTotal.Inc()
-		p.options.Log.Warn("rate limit unreadable", "upstream", n.target.ID, "value", n.Unreadable, "id", n.requestID)
-	}
+	p.recordUnreadable(n)
 	p.mu.Lock()
 	isCurrent := p.answeredByCurrent(n)
 	previous := p.limit
@@ -84,6 +81,20 @@
 	}
 }
 
+// recordUnreadable counts a rate limit that cannot be read, and logs it when the value is another one than before.
+func (p *Proxy) recordUnreadable(n answerNotice) {
+	p.mu.Lock()
+	isNew := n.Unreadable != "" && n.Unreadable != p.unreadableLimit
+	p.unreadableLimit = n.Unreadable
+	p.mu.Unlock()
+	if n.Unreadable != "" {
+		unreadableLimitsTotal.Inc()
+	}
+	if isNew {
+		p.options.Log.Warn("rate limit unreadable", "upstream", n.target.ID, "value", n.Unreadable, "id", n.requestID)
+	}
+}
+
 // answeredByCurrent reports whether the answer is of the current incarnation. The start of the one to which the request was sent may
 // have become known since. It is called with the lock held.
 func (p *Proxy) answeredByCurrent(n answerNotice) bool {
@@ -93,19 +104,18 @@
 
 // recordLeaving marks the incarnation that answered as departed, as its withdrawal would.
 func (p *Proxy) recordLeaving(now time.Time, n answerNotice) {
+	notify := func() {}
 	p.mu.Lock()
 	born, departed := p.departed[n.target.ID]
-	if departed && n.target.latestBorn(n.sentAt) <= born {
-		p.mu.Unlock()
-		return
-	}
-	if !p.answeredByCurrent(n) {
+	switch {
+	case departed && n.target.latestBorn(n.sentAt) <= born:
+		// known
+	case p.answeredByCurrent(n):
+		leavingTotal.Inc()
+		notify = p.departCurrent(now, "said in an answer that it leaves")
+	default:
 		p.recordDeparture(n.target.ID, n.target.latestBorn(n.sentAt))
-		p.mu.Unlock()
-		return
 	}
 	p.mu.Unlock()
-	leavingTotal.Inc()
-	p.options.Log.Info("upstream says that it leaves", "upstream", n.target.ID, "born", n.target.Born, "id", n.requestID)
-	p.Deregister(now, n.target.ID)
+	notify()
 }
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -101,6 +101,7 @@
 	finishBy         time.Time           // a request with a later deadline is refused; zero for none
 	limit            namedLimit          // of the current incarnation
 	limitToldAt      time.Time           // when the other nodes were last told a change of it at once
+	unreadableLimit  string              // value of the limit in the last answer, when it could not be read
 	recalledLimit    peer.RateLimit      // that another node knows from before a restart of this one
 	load             caller.UpstreamLoad // last one that the current incarnation reported
 	loadCheckedAt    time.Time           // last load report or health check, zero before the first of the incarnation
--- a/inbound/ratelimit.go
+++ b/inbound/ratelimit.go
@@ -128,7 +128,9 @@
 	p.recallLimit(now)
 	if previous.ID == "" && p.mayHaveNamedLimit(now) {
 		p.upstream.RateUnknown()
+		return
 	}
+	p.upstream.RateKnown()
 }
 
 // mayHaveNamedLimit reports whether the current incarnation, which this process has just found, may have named a limit to a process of
--- a/sidecar/notice_test.go
+++ b/sidecar/notice_test.go
@@ -1,7 +1,9 @@
 package sidecar_test
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -49,6 +51,17 @@
 	return most
 }
 
+// metrics returns what the node writes on its metrics address.
+func (m *machine) metrics(t *testing.T) string {
+	t.Helper()
+	response, err := http.Get("http://" + m.MetricsAddr() + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return "\n" + string(text)
+}
+
 // startFleet starts three nodes whose upstreams all serve.
 func startFleet(t *testing.T) []*machine {
 	t.Helper()
@@ -84,6 +97,7 @@
 	assert.Check(t, most <= allowed, "%d requests in %v, %v allowed", most, window, allowed)
 	assert.Check(t, most >= perSecond*4/2, "only %d requests in %v", most, window)
 	assert.Check(t, failed == 0, "%d requests failed although the others have room", failed)
+	assert.Check(t, strings.Contains(limited.metrics(t), "\nmagnoliawharf_sidecar_rate_limit 3\n"), "the limit is not among the metrics")
 	limited.states.Store(nil)
 	flood(machines, 50*time.Millisecond, time.Second)
 	before := limited.runs.Load()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -192,7 +193,17 @@
 	s.peers.Handle(routes)
 	s.registration.Handle(s.Platform.Registration(s.proxy))
 	s.ready.Handle(s.Platform.Readiness(s.isReady))
-	s.metricsServer.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.Write(w) }))
+	s.metricsServer.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.writeGauges(w)
+		metrics.Write(w)
+	}))
+}
+
+// writeGauges writes the rate limit of the upstream beside this node, while it names one.
+func (s *Sidecar) writeGauges(w io.Writer) {
+	if limit := s.proxy.RateLimit(time.Now()); limit.Named {
+		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_limit %g\nmagnoliawharf_sidecar_rate_left %g\n", limit.PerSecond, limit.Available)
+	}
 }
 
 // trackRequests counts the requests of callers in flight, and refuses those that arrive too late in a shutdown to be
