--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,10 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -24,7 +22,6 @@
 	"github.com/magnoliawharf/magnoliawharf/entry"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
-	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
 
@@ -93,38 +90,6 @@
 	return n
 }
 
-// discardSender drops all datagrams.
-type discardSender struct{}
-
-func (discardSender) QueryLoad(netip.AddrPort, uint32)                    {}
-func (discardSender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
-func (discardSender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
-func (discardSender) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
-
-// idleNode is a node without an upstream.
-type idleNode struct{}
-
-func (idleNode) Status() peer.Status                         { return peer.Status{} }
-func (idleNode) Load(time.Time) peer.Load                    { return peer.Load{} }
-func (idleNode) LearnPreviousUpstream(peer.PreviousUpstream) {}
-func (idleNode) Departure() peer.Departure                   { return peer.Departure{} }
-func (idleNode) LearnDeparture(peer.Departure)               {}
-func (idleNode) RateLimit(time.Time) peer.RateLimit          { return peer.RateLimit{} }
-func (idleNode) LearnRateLimit(peer.RateLimit)               {}
-
-// rosterOf returns a Roster of nodes that all serve the service "s".
-func rosterOf(nodes int) *peer.Roster {
-	r := peer.NewRoster(peer.Options{
-		Zone: "z", Address: netip.MustParseAddrPort("10.0.0.200:7000"), Sender: discardSender{}, Self: idleNode{}, Log: slog.New(slog.DiscardHandler),
-	})
-	for i := range nodes {
-		r.HandleStatus(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), peer.StatusMessage{Status: peer.Status{
-			Node: fmt.Sprintf("n%d", i), Boot: uint64(i + 1), Revision: 1, Service: "s", Upstream: fmt.Sprintf("u%d", i), Slots: 4, Serving: true,
-		}})
-	}
-	return r
-}
-
 func newEntry(f *cluster, nodes int) *entry.Dispatcher {
 	return entry.New(entry.Dispatcher{
 		Service: "self", Roster: rosterOf(nodes), Forward: f, Budgets: caller.NewEmptyRetryBudgets(func() float64 { return 2 }), RetryRatio: func() float64 { return 1 },
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -10,7 +10,6 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -117,12 +116,6 @@
 	return f.Store.Watch(ctx, prefix, after)
 }
 
-func (l *lockedLog) count(text string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), text)
-}
-
 // machine is a node with its upstream, as on one instance.
 type machine struct {
 	*sidecar.Sidecar
@@ -139,36 +132,6 @@
 	ranAt     []time.Time // when each request came to the upstream
 }
 
-type lockedLog struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *lockedLog) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *lockedLog) contains(text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.text.String(), text)
-}
-
-// lines returns the lines that contain one of the texts.
-func (l *lockedLog) lines(texts ...string) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var found strings.Builder
-	for line := range strings.Lines(l.text.String()) {
-		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
-			found.WriteString(line)
-		}
-	}
-	return found.String()
-}
-
 // startMachine starts a node of the service "s" with an upstream that answers with the node's name after ?work=DURATION.
 func startMachine(t *testing.T, name string, s store.Store) *machine {
 	t.Helper()
--- /dev/null
+++ b/soak/backends_test.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnoliawharf/magnoliawharf/platform/standin"
+)
+
+// startBackend starts a back end of the service beside the node.
+func (m *machine) startBackend(service string) {
+	m.started++
+	b, err := standin.StartBackend(standin.BackendOptions{
+		ID: fmt.Sprintf("m%d-%d", m.index, m.started), Service: service, Listen: m.address(backendPort), Advertised: m.address(backendProxyPort),
+		Registration: m.address(registrationPort), AnnounceEvery: announceEvery, Slots: slots, OnRequest: m.fleet.oracle.recordArrival,
+		OnCrash: func() { m.crashBackend(crashTime, service) },
+	})
+	if err != nil {
+		m.fleet.t.Errorf("back end on m%d: %v", m.index, err)
+		return
+	}
+	m.backend = b
+}
+
+// machineOf returns the machine index in the ID of a back end, -1 when the ID is invalid.
+func machineOf(instance string) int {
+	number, _, _ := strings.Cut(strings.TrimPrefix(instance, "m"), "-")
+	index, err := strconv.Atoi(number)
+	if err != nil {
+		return -1
+	}
+	return index
+}
+
+// crashBackend crashes the back end. After the down time, one of the service starts at the same address.
+func (m *machine) crashBackend(down time.Duration, service string) {
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	from := time.Now()
+	m.backend.Crash()
+	time.Sleep(down)
+	m.startBackend(service)
+	m.fleet.oracle.recordFailing(m.index, span{from, time.Now()})
+}
+
+// replaceBackend drains the back end, shuts it down and starts another one.
+func (m *machine) replaceBackend(service string) {
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if acked, ok := m.backend.Drain(ctx); ok {
+		m.fleet.oracle.recordWithdrawal(m.backend.ID(), acked)
+	}
+	time.Sleep(drainTime)
+	_ = m.backend.Shutdown(ctx) // requests that outlast the grace period are aborted, as on the platform
+	time.Sleep(reuseAfter)
+	m.startBackend(service)
+}
+
+// withdrawAroundKill withdraws the back end, which serves on for a while. Its node is killed and started again, with those of all
+// machines if all is set, and then the last report of the back end arrives late.
+func (m *machine) withdrawAroundKill(service string, down time.Duration, all bool) {
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	acked, ok, sendLate := m.backend.Withdraw(ctx)
+	if ok {
+		m.fleet.oracle.recordWithdrawal(m.backend.ID(), acked)
+	}
+	var kills sync.WaitGroup
+	for _, other := range m.fleet.machines {
+		if other == m || all {
+			kills.Go(func() { other.killNode(down) })
+		}
+	}
+	kills.Wait()
+	time.Sleep(reportDelay)
+	sendLate(ctx)
+	time.Sleep(withdrawnServes)
+	_ = m.backend.Shutdown(ctx) // as in replaceBackend
+	time.Sleep(reuseAfter)
+	m.startBackend(service)
+}
+
+// failBackend injects the faults into the back end for the duration.
+func (m *machine) failBackend(faults standin.BackendFaults, lasting time.Duration) {
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	from := time.Now()
+	m.backend.SetFaults(faults)
+	time.Sleep(lasting)
+	m.backend.SetFaults(standin.BackendFaults{})
+	m.fleet.oracle.recordFailing(m.index, span{from, time.Now()})
+}
