sidecar: write the two gauges of a rate limit one by one

Cause: the test that compares metrics.md with the code finds a name only behind a quote; it failed since the gauges came. Change: a line of code for each. Measured: ./docs passes.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -202,7 +202,8 @@
 // writeGauges writes the rate limit of the upstream beside this node, while it names one.
 func (s *Sidecar) writeGauges(w io.Writer) {
 	if limit := s.proxy.RateLimit(time.Now()); limit.Named {
-		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_limit %g\nmagnoliawharf_sidecar_rate_left %g\n", limit.PerSecond, limit.Available)
+		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_limit %g\n", limit.PerSecond)
+		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_left %g\n", limit.Available)
 	}
 }
 
