--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -44,7 +44,7 @@
 // Admit waits for a slot and returns the function that releases it; calls after the first have no
 // effect. It waits until the deadline of the request, the longest wait of its class or the end of ctx.
 // The error is a *caller.Refusal with Ran set to NotRun and the reason NotReady, Draining, ColdUpstream,
-// QueueFull, DeadlineUnmeetable, DeadlinePassed, Overload or Cancelled.
+// QueueFull, DeadlineUnmeetable, RateLimited, DeadlinePassed, Overload or Cancelled.
 func (u *Upstream) Admit(ctx context.Context, req AdmitRequest) (func(), error) {
 	w, refusal := u.admitOrQueue(time.Now(), req)
 	if refusal != nil {
