peer: remember the departure of a later incarnation with the same ID

What callers would see: requests at an upstream that leaves, if it had left once before under its ID, was started again, says in an answer that it leaves, and its node is killed before the report arrives. Cause: an entry node that passes such an answer on kept the departure it knew for that ID, whatever its start, and told the restarted node the earlier one only, which the running incarnation outlives. Change: the later start counts. One without a known start still adds nothing to a departure that is known. Evidence: TestLaterIncarnationThatLeavesIsRemembered failed before (told of the start 10, wanted 20), passes now.

--- a/peer/notice.go
+++ b/peer/notice.go
@@ -24,7 +24,8 @@
 // observeLeaving records that the upstream which the node had in the given status leaves. The caller holds the lock.
 func (p *Peer) observeLeaving(now time.Time, answered Status, born int64) {
 	p.leaving = leavingUpstream{answered.Upstream, answered.Boot, answered.Revision}
-	if p.departure.Upstream == answered.Upstream {
+	isKnown := p.departure.Upstream == answered.Upstream && born <= p.departure.Born
+	if isKnown {
 		return
 	}
 	if born == 0 {
--- a/peer/ratelimit_test.go
+++ b/peer/ratelimit_test.go
@@ -153,6 +153,29 @@
 	})
 }
 
+// Guards against a departure that is lost with the node beside the upstream, because an earlier incarnation with the same ID had left
+// before: the restarted node would be told the earlier one only.
+func TestLaterIncarnationThatLeavesIsRemembered(t *testing.T) {
+	for name, test := range map[string]struct {
+		said, told int64 // start of the incarnation that says so, 0 when not known, and of the one that the node is told of
+	}{
+		"a later incarnation":                    {20, 20},
+		"the one that is known":                  {10, 10},
+		"the start is not known, nothing is new": {0, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, r := rosterOf(t, 1)
+				r.HandleDeparture(address(1), peer.DepartureMessage{Departure: peer.Departure{Upstream: "u1", Born: 10}, Boot: 1})
+				choose(t, r).ObserveNotice(time.Now(), caller.Notice{Leaving: true, Born: test.said})
+				r.HandleStatus(address(1), peer.StatusMessage{Status: peer.Status{Node: "n1", Boot: 77, Address: "10.0.0.1:80", Zone: "z1"}})
+				want := peer.DepartureMessage{Departure: peer.Departure{Upstream: "u1", Born: test.told}, Boot: 99, OfReceiver: true}
+				assert.DeepEqual(t, n.departures[address(1)], []peer.DepartureMessage{want})
+			})
+		})
+	}
+}
+
 // Guards against a node that waits for the report of a limit which its own answer has told it.
 func TestLimitInAnAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
