--- a/caller/dialect.go
+++ b/caller/dialect.go
@@ -14,6 +14,8 @@
 	Origin     string // service of the machine from which the request originates
 	RateLimit  string // requests a second that the upstream takes from all nodes together, as a decimal number
 	Leaving    string // present in a response, and not 0, when the upstream leaves
+	Tenant     string // name of the tenant whose request it is, set by the entry node only
+	Cold       string // time for which the upstream stays cold, in whole milliseconds, in responses to health checks
 
 	// ParseLoad parses a value of the Load field. It returns false for a malformed value.
 	ParseLoad func(value string) (UpstreamLoad, bool)
@@ -33,6 +35,7 @@
 	Host      string        // host that the caller addressed
 	Origin    string        // service of the machine from which the request originates
 	Upstream  string        // ID of the upstream incarnation chosen for the request
+	Tenant    string        // tenant whose request it is, "" for none
 	Priority  int           // 0 is the highest
 	Objective time.Duration // latency objective, counted from the arrival of the request
 
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -64,6 +64,11 @@
 	Cancelled           Reason = "cancelled"
 	Overload            Reason = "overload"
 	RateLimited         Reason = "rate-limited"
+	Evacuated           Reason = "evacuated"
+	Unauthenticated     Reason = "unauthenticated"
+	ContractsStale      Reason = "contracts-stale"
+	QuotaExceeded       Reason = "quota-exceeded"
+	QuotaUnavailable    Reason = "quota-unavailable"
 	DepthExceeded       Reason = "depth-exceeded"
 	Quarantined         Reason = "quarantined"
 	KeyMissing          Reason = "key-missing"
@@ -88,7 +93,7 @@
 var Reasons = []Reason{
 	BadRequest, NoService, NoRoute, NoBundle, NoUpstream, Draining, ColdUpstream, NotReady,
 	StaleIncarnation, StaleBundle, QueueFull, DeadlineUnmeetable, DeadlinePassed, Cancelled,
-	Overload, RateLimited, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
+	Overload, RateLimited, Evacuated, Unauthenticated, ContractsStale, QuotaExceeded, QuotaUnavailable, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
 	KeyInProgress, KeyUnknown, KeyAlreadyRun, NoKeeper, PeerUnreachable, PeerLost,
 	UpstreamUnreachable, UpstreamLost, KeptConnectionLost, UpstreamRejected, AnswerMismatch, BodyCut, BodyTooLarge,
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -29,6 +29,8 @@
 	Depth         int        // number of ancestor calls
 	Behind        int        // unanswered requests before it on its connection when it was started
 	BundleVersion uint64     // version of the bundle from which Route and Class were taken
+	Tenant        string     // tenant whose key the caller presented, "" for none
+	Credential    Credential // digest of that key
 	Placement     *Placement // nil unless an entry node of package entry placed the request
 }
 
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
+	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
 // WeightedService is one of the services among which a route splits its requests.
@@ -30,6 +31,7 @@
 	Priority         int           // 0 is served first
 	MaxAttempts      int           // maximum number of upstreams tried for one request, the first included
 	Long             bool          // answers are large and occupy a slot until they are fully sent
+	Public           bool          // requests need no key of a tenant
 	Split            []WeightedService
 }
 
@@ -38,6 +40,8 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int // limit of connections to one upstream from all callers together
+	// ColdPerSecond is the rate of requests that a cold upstream tolerates, 0 for no limit.
+	ColdPerSecond float64
 }
 
 // Limits bounds the requests and connections of one caller.
@@ -53,10 +57,12 @@
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
+	Tenants  map[string]Tenant // by name; while there are any, requests on routes that are not public need a key
 	Limits   Limits
 	Source   []byte // the operator's document as received, served to nodes with an older version
 
-	byHost map[string][]*Route // longest prefix first
+	byHost       map[string][]*Route           // longest prefix first
+	byCredential map[caller.Credential]*Tenant // holders of the keys
 }
 
 // New validates c, indexes its routes by host and returns it. The error names the invalid route.
@@ -73,6 +79,9 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	if err := c.indexTenants(); err != nil {
+		return nil, fmt.Errorf("contracts version %d: %w", c.Version, err)
+	}
 	return &c, nil
 }
 
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -11,6 +11,8 @@
 	defaultFreshFor  = 20 * time.Millisecond
 	defaultSlotShare = 0.75
 	defaultGrace     = 10 * time.Second
+
+	defaultRevocationBound = 5 * time.Second
 )
 
 // Settings holds the settings of one sidecar node. The field comments are the settings reference; the toml tags are the
@@ -33,6 +35,8 @@
 	Retries Retries `toml:"retries"`
 	// Routing configures the choice of upstreams.
 	Routing Routing `toml:"routing"`
+	// Revocation bounds the time for which a withdrawn key is accepted.
+	Revocation Revocation `toml:"revocation"`
 	// Runtime holds the settings of the process.
 	Runtime Runtime `toml:"runtime"`
 }
@@ -91,6 +95,15 @@
 	ZoneCost settings.Duration `toml:"zone_cost" validate:"min=0,max=1000000000"`
 }
 
+// Revocation bounds the time for which a withdrawn key is accepted.
+type Revocation struct {
+	// Strict refuses requests with a key while the node cannot prove that its contracts were the newest ones within the bound.
+	// Default false.
+	Strict bool `toml:"strict"`
+	// Bound is the time after the withdrawal of a key from which no request with it may run, on any node. Default 5s.
+	Bound settings.Duration `toml:"bound" validate:"min=1000000000"`
+}
+
 // Runtime holds the settings of the process.
 type Runtime struct {
 	// Memory is the memory that the process may use, such as "284MiB". Default 256MiB.
@@ -106,10 +119,11 @@
 // DefaultSettings returns the settings with the defaults of the optional ones.
 func DefaultSettings() Settings {
 	return Settings{
-		Upstream: Upstream{AnnounceEvery: settings.Duration(1500 * time.Millisecond), SlotShare: defaultSlotShare},
-		Retries:  Retries{Ratio: 0.2, Allowance: 50},
-		Routing:  Routing{FreshFor: settings.Duration(defaultFreshFor)},
-		Runtime:  Runtime{Memory: 256 << 20, Descriptors: 4096, Grace: settings.Duration(defaultGrace), LogLevel: "info"},
+		Upstream:   Upstream{AnnounceEvery: settings.Duration(1500 * time.Millisecond), SlotShare: defaultSlotShare},
+		Retries:    Retries{Ratio: 0.2, Allowance: 50},
+		Routing:    Routing{FreshFor: settings.Duration(defaultFreshFor)},
+		Revocation: Revocation{Bound: settings.Duration(defaultRevocationBound)},
+		Runtime:    Runtime{Memory: 256 << 20, Descriptors: 4096, Grace: settings.Duration(defaultGrace), LogLevel: "info"},
 	}
 }
 
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -185,6 +185,12 @@
 		}
 	case caller.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case caller.Unauthenticated:
+		return http.StatusUnauthorized
+	case caller.QuotaExceeded:
+		if refusal.Ran == caller.NotRun {
+			return http.StatusTooManyRequests
+		}
 	}
 	switch {
 	case refusal.Ran == caller.NotRun:
@@ -208,7 +214,7 @@
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	status := statusOf(refusal)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := refusal.RetryAfter
 		if after <= 0 {
 			after = defaultRetryAfter
--- a/transport/refusal.go
+++ b/transport/refusal.go
@@ -31,6 +31,10 @@
 		return statusClientClosedRequest
 	case caller.DepthExceeded:
 		return http.StatusLoopDetected
+	case caller.Unauthenticated:
+		return http.StatusUnauthorized
+	case caller.QuotaExceeded:
+		return http.StatusTooManyRequests
 	}
 	if refusal.Ran == caller.NotRun {
 		return http.StatusServiceUnavailable
