--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -86,6 +86,7 @@
 	}
 	u.rules = req.Rules.withDefaults()
 	w := &waiter{request: req, queue: u.queues.forClass(req.Class), arrived: now, answerBy: req.answerBy(now), index: -1}
+	w.refuseBy = u.refuseBy(w)
 	if u.queues.waiting == 0 && u.canStart(now, req.Class) {
 		u.acquireSlot(now, w)
 		return w, nil
@@ -115,13 +116,38 @@
 	return r.Deadline
 }
 
+const (
+	// shortWorkShare is the largest service time of short work, as a share of the time that the work which holds the slots takes.
+	shortWorkShare = 0.5
+	// recentWorkWeight is the weight of one finished request in the mix of classes.
+	recentWorkWeight = 1.0 / 128
+)
+
+// refuseBy returns the time by which a waiting request has to start early enough to be answered, or it is refused. Short work among longer work may
+// miss its objective by as much as the longer work takes: it costs little, other work often waits for its answer while holding a slot
+// elsewhere, and a refusal would waste that work.
+func (u *Upstream) refuseBy(w *waiter) time.Time {
+	typical, occupying := u.typicalServiceTime(w.queue), u.queues.occupyingTime()
+	if typical == 0 || float64(typical) > shortWorkShare*float64(occupying) {
+		return w.answerBy
+	}
+	patient := w.arrived.Add(occupying)
+	if patient.After(w.request.Deadline) {
+		patient = w.request.Deadline
+	}
+	if patient.Before(w.answerBy) {
+		return w.answerBy
+	}
+	return patient
+}
+
 // refuseUnmeetable refuses a request whose expected wait exceeds its deadline or the longest wait of its class.
 func (u *Upstream) refuseUnmeetable(now time.Time, w *waiter) *caller.Refusal {
 	if u.canStart(now, w.request.Class) {
 		return nil
 	}
 	wait, byRate := u.expectedWait(now, w)
-	if now.Add(wait + u.typicalServiceTime(w.queue)).After(w.answerBy) {
+	if now.Add(wait + u.typicalServiceTime(w.queue)).After(w.refuseBy) {
 		return u.refuseUnmet(now, wait, byRate)
 	}
 	if maxWait := w.request.Class.MaxWait; maxWait > 0 && wait > maxWait {
@@ -185,11 +211,11 @@
 
 // waitLimit returns how long the request may wait, and the reason for refusing it after that.
 func (w *waiter) waitLimit() (time.Duration, caller.Reason) {
-	left := w.answerBy.Sub(w.arrived)
+	left := w.refuseBy.Sub(w.arrived)
 	if maxWait := w.request.Class.MaxWait; maxWait > 0 && maxWait < left {
 		return maxWait, caller.Overload
 	}
-	if w.answerBy.Before(w.request.Deadline) {
+	if w.refuseBy.Before(w.request.Deadline) {
 		return left, caller.DeadlineUnmeetable
 	}
 	return left, caller.DeadlinePassed
@@ -229,7 +255,7 @@
 			return
 		}
 		u.queues.remove(w)
-		if now.Add(u.typicalServiceTime(w.queue) / 2).After(w.answerBy) {
+		if now.Add(u.typicalServiceTime(w.queue) / 2).After(w.refuseBy) {
 			w.finish(refuseForLoad(caller.DeadlineUnmeetable, now.Sub(w.arrived)))
 			continue
 		}
@@ -269,6 +295,7 @@
 	l.queue.serviceTime.add(took)
 	if !l.class.Long {
 		u.serviceTime.add(took)
+		u.queues.countFinished(l.queue)
 	}
 }
 
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -16,6 +16,7 @@
 	arrived time.Time
 	// answerBy is the time by which the request is to be answered, at the latest its deadline. The queue is in this order.
 	answerBy time.Time
+	refuseBy time.Time     // at which the request is refused when it has not started; not before answerBy
 	index    int           // position in the heap of the queue, -1 when it no longer waits
 	done     chan struct{} // closed when granted or refused
 	refusal  *caller.Refusal
@@ -34,6 +35,7 @@
 	waiting     deadlineHeap
 	agingSince  time.Time // last grant, or arrival of the first request into the empty queue
 	serviceTime serviceTimeEstimate
+	recentShare float64 // share of the class in the recently finished requests that are not long
 }
 
 // agedPriority returns the priority number of the class, less the steps gained through waiting; the smaller
@@ -102,6 +104,29 @@
 	return true
 }
 
+// countFinished counts a finished request of the class in the mix of recent work.
+func (s *queueSet) countFinished(finished *classQueue) {
+	for _, q := range s.perClass {
+		q.recentShare -= q.recentShare * recentWorkWeight
+	}
+	finished.recentShare += recentWorkWeight
+}
+
+// occupyingTime returns the typical service time of the work that holds a slot at a random moment, 0 when unknown: the median service times
+// of the classes, weighted by the slots that each class holds. Long classes are left out.
+func (s *queueSet) occupyingTime() time.Duration {
+	held, weighted := 0.0, 0.0
+	for _, q := range s.perClass {
+		median := q.serviceTime.median.value
+		held += q.recentShare * median
+		weighted += q.recentShare * median * median
+	}
+	if held == 0 {
+		return 0
+	}
+	return time.Duration(weighted / held * float64(time.Second))
+}
+
 // anyWaiting returns an arbitrary waiting request, or nil.
 func (s *queueSet) anyWaiting() *waiter {
 	for _, q := range s.perClass {
