--- a/entry/entry.go
+++ b/entry/entry.go
@@ -297,7 +297,7 @@
 		attributes = append(attributes, "retried_after", c.retryReasons)
 	}
 	if refusal == nil {
-		c.Log.Info("request answered", append(attributes, "status", answer.Status)...)
+		c.Log.Info("request answered", append(attributes, "status", answer.Status, "waited_ms", answer.Waited.Milliseconds())...)
 		return nil
 	}
 	cause := ""
