contract: look keys up without an allocation, order by tenant priority

Cause: the digest of a key of over 32 bytes was made from a copy on the heap, and nothing ordered requests by the priority of a tenant. A tenant whose name is no value of a header field could not reach an upstream unchanged.

Change: the digest is made on the stack for keys of up to 128 bytes. Contracts.PriorityOffset is what a tenant adds to the priority of a route. The sums leave no gap, so one step of aging leads from one level to the next. Odd names of tenants make a document invalid.

--- a/caller/credential.go
+++ b/caller/credential.go
@@ -6,5 +6,11 @@
 // cannot reach a log line, a metric or an error.
 type Credential [sha256.Size]byte
 
+// stackKeyBytes is the length of the longest key whose digest is made without a heap allocation.
+const stackKeyBytes = 128
+
 // CredentialOf returns the digest of the key.
-func CredentialOf(key string) Credential { return sha256.Sum256([]byte(key)) }
+func CredentialOf(key string) Credential {
+	var buffer [stackKeyBytes]byte
+	return sha256.Sum256(append(buffer[:0], key...))
+}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -63,6 +63,8 @@
 
 	byHost       map[string][]*Route           // longest prefix first
 	byCredential map[caller.Credential]*Tenant // holders of the keys
+
+	priorityLevels int // number of priorities from 0 to the largest one of a route
 }
 
 // New validates c, indexes its routes by host and returns it. The error names the invalid route.
@@ -79,6 +81,10 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	c.priorityLevels = 1
+	for _, route := range c.Routes {
+		c.priorityLevels = max(c.priorityLevels, min(route.Priority, maxPriority)+1)
+	}
 	if err := c.indexTenants(); err != nil {
 		return nil, fmt.Errorf("contracts version %d: %w", c.Version, err)
 	}
--- a/contract/tenant_test.go
+++ b/contract/tenant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -47,3 +48,40 @@
 		assert.ErrorContains(t, err, "version 4", name)
 	}
 }
+
+// Guards against a tenant of lower priority that overtakes another by the priority of its route, and against requests without a tenant
+// whose priority changes.
+func TestTenantPriorityGoesBeforeThatOfTheRoute(t *testing.T) {
+	split := []contract.WeightedService{{Service: "s", Weight: 1}}
+	routes := func() (out []contract.Route) {
+		for i, priority := range []int{0, 3, 7} {
+			out = append(out, contract.Route{Name: string(rune('a' + i)), Host: "h", PathPrefix: "/", MaxAttempts: 1, Priority: priority, Split: split})
+		}
+		return out
+	}
+	c, err := contract.New(contract.Contracts{Routes: routes(), Services: map[string]contract.Service{"s": {}}})
+	assert.NilError(t, err)
+	last := -1
+	for _, tenantPriority := range []int{0, 1, 2, 70_000} {
+		for i := range c.Routes {
+			priority := c.Routes[i].Priority + c.PriorityOffset(&contract.Tenant{Priority: tenantPriority})
+			assert.Assert(t, priority > last, "tenant priority %d on route %s: %d after %d", tenantPriority, c.Routes[i].Name, priority, last)
+			assert.Assert(t, priority <= contract.MaxRequestPriority)
+			if tenantPriority == 0 {
+				assert.Equal(t, priority, c.Routes[i].Priority)
+			}
+			last = priority
+		}
+	}
+	assert.Equal(t, c.Routes[0].Priority+c.PriorityOffset(&contract.Tenant{Priority: 1}), c.Routes[2].Priority+1, "one step of aging does not lead from one tenant priority to the next")
+}
+
+// Guards against a tenant whose name cannot reach its upstreams unchanged: its requests would be refused, or be those of another.
+func TestTenantNamesThatCannotBeSentAreRefused(t *testing.T) {
+	for _, name := range []string{"", " a", "a ", "a\r\nX-Origin: b", "a\x00", strings.Repeat("a", 257)} {
+		_, err := contract.New(contract.Contracts{Tenants: map[string]contract.Tenant{name: tenant(name, "k1")}})
+		assert.ErrorContains(t, err, "name", "%q", name)
+	}
+	_, err := contract.New(contract.Contracts{Tenants: map[string]contract.Tenant{"a b&c=ü%": tenant("a b&c=ü%", "k1")}})
+	assert.NilError(t, err)
+}
