transport: tenants of requests from their keys to X-Tenant

Cause: keys went on to upstreams, and no request was attributed to a tenant.

Change: the entry node looks the key up, refuses requests without a known one on routes that need it (401 with WWW-Authenticate), and removes the key and any forged tenant. peerhttp carries the tenant as an eighth part of the placement, left out when empty. upstreamconn writes the field of the dialect from the placement only. A withdrawn key after an attempt that may have run is 502.

--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -98,6 +98,10 @@
 	if !ok {
 		return nil, nil, caller.Refuse(caller.NoRoute, acceptStep, "")
 	}
+	holder, refusal := h.authenticate(contracts, route, r)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
 	limit := contracts.Limits.MaxBodyBytes
 	if limit > 0 && r.ContentLength > limit {
 		return nil, nil, caller.Refuse(caller.BodyTooLarge, acceptStep, "")
@@ -114,8 +118,9 @@
 	path := r.URL.RequestURI()
 	req := &caller.Request{
 		ID: h.requestID(r), Service: h.Splits.Next(route), Route: route.Name, Class: route.Name, Method: r.Method, Path: path,
-		Header: h.header(r), Body: body, Deadline: deadline, Attempt: 1, BundleVersion: contracts.Version, Behind: arrival.Behind,
-		Placement:   &caller.Placement{Host: r.Host, Origin: h.Origin, Repeatable: route.Rule == bundle.Idempotent},
+		Header: h.header(r, contracts.Keyed()), Body: body, Deadline: deadline, Attempt: 1, BundleVersion: contracts.Version, Behind: arrival.Behind,
+		Tenant: holder.tenant, PriorityOffset: holder.offset, Credential: holder.credential, Public: route.Public,
+		Placement:   &caller.Placement{Host: r.Host, Origin: h.Origin, Tenant: holder.tenant, Repeatable: route.Rule == bundle.Idempotent},
 		Fingerprint: caller.Fingerprint(route.Name+" "+h.Origin, r.Method, path, fingerprinted),
 	}
 	return req, route, nil
@@ -129,12 +134,16 @@
 	return uuid.NewString()
 }
 
-// header returns the fields that are forwarded, without those that only the node may set.
-func (h *Handler) header(r *http.Request) http.Header {
+// header returns the fields that are forwarded, without those that only the node may set. Those of keyed contracts are for the node
+// alone.
+func (h *Handler) header(r *http.Request, keyed bool) http.Header {
 	out := transport.EndToEnd(r.Header)
-	for _, name := range []string{h.Dialect.Origin, h.Dialect.Expect, h.Dialect.TimeLimit} {
+	for _, name := range []string{h.Dialect.Origin, h.Dialect.Expect, h.Dialect.TimeLimit, h.Dialect.Tenant} {
 		out.Del(name)
 	}
+	if keyed {
+		out.Del(authorizationField)
+	}
 	return out
 }
 
@@ -186,7 +195,9 @@
 	case caller.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case caller.Unauthenticated:
-		return http.StatusUnauthorized
+		if refusal.Ran == caller.NotRun {
+			return http.StatusUnauthorized
+		}
 	case caller.QuotaExceeded:
 		if refusal.Ran == caller.NotRun {
 			return http.StatusTooManyRequests
@@ -214,6 +225,9 @@
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	status := statusOf(refusal)
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", bearerScheme)
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := refusal.RetryAfter
 		if after <= 0 {
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/contract"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/link"
 )
@@ -204,11 +205,10 @@
 	return caller.Notice{Leaving: leaving, Limit: limit, Born: born}
 }
 
+// placementFieldCount is the number of fields of a placement without a tenant. The tenant is one more, which is left out when empty:
+// nodes of an earlier version accept only the fields before it.
 const placementFieldCount = 7
 
-// maxPriority is the largest priority of a request that is accepted from another node.
-const maxPriority = 1 << 16
-
 // encodePlacement returns the value of headerPlacement: the fields joined by '&', as encodeCall does.
 func encodePlacement(p *caller.Placement) string {
 	out := make([]byte, 0, maxFieldLength)
@@ -217,7 +217,11 @@
 	}
 	out = strconv.AppendInt(out, int64(p.Priority), 10)
 	out = strconv.AppendInt(append(out, '&'), p.Objective.Microseconds(), 10)
-	return string(append(out, '&', encodeBool(p.Repeatable), '&', encodeBool(p.Long)))
+	out = append(out, '&', encodeBool(p.Repeatable), '&', encodeBool(p.Long))
+	if p.Tenant != "" {
+		out = append(append(out, '&'), url.QueryEscape(p.Tenant)...)
+	}
+	return string(out)
 }
 
 func encodeBool(set bool) byte {
@@ -233,15 +237,18 @@
 		return nil, nil
 	}
 	fields := strings.Split(text, "&")
-	if len(fields) != placementFieldCount {
-		return nil, fmt.Errorf("placement has %d fields, want %d", len(fields), placementFieldCount)
+	if len(fields) != placementFieldCount && len(fields) != placementFieldCount+1 {
+		return nil, fmt.Errorf("placement has %d fields, want %d or one more", len(fields), placementFieldCount)
 	}
 	var p fieldParser
 	placement := &caller.Placement{
 		Host: p.text(fields[0], 1), Origin: p.text(fields[1], 0), Upstream: p.text(fields[2], 1),
-		Priority: int(p.number(fields[3], 10, maxPriority)), Objective: p.microseconds(fields[4]),
+		Priority: int(p.number(fields[3], 10, contract.MaxRequestPriority)), Objective: p.microseconds(fields[4]),
 		Repeatable: p.number(fields[5], 10, 1) == 1, Long: p.number(fields[6], 10, 1) == 1,
 	}
+	if len(fields) > placementFieldCount {
+		placement.Tenant = p.text(fields[placementFieldCount], 1)
+	}
 	if p.err != nil {
 		return nil, fmt.Errorf("placement: %w", p.err)
 	}
--- a/transport/peerhttp/wire_fuzz_test.go
+++ b/transport/peerhttp/wire_fuzz_test.go
@@ -13,6 +13,7 @@
 // Guards against metadata of another node that ends the process, or is accepted with values out of bounds.
 func FuzzDecode(f *testing.F) {
 	f.Add(encodePlacement(&caller.Placement{Host: "a.example", Origin: "s", Upstream: "u-1", Priority: 3, Objective: time.Second, Repeatable: true}))
+	f.Add(encodePlacement(&caller.Placement{Host: "a.example", Upstream: "u-1", Tenant: "t 1"}))
 	f.Add(encodeReport(link.Report{Slots: 12, InUse: 3, ServiceTime: time.Millisecond}))
 	f.Add(encodeCall(&caller.Request{ID: "1", Service: "s", Route: "r", Class: "c", Key: "k", Attempt: 1, Deadline: time.Now().Add(time.Second)}, "n1", 7, time.Now()))
 	f.Add(encodeWaited(time.Second))
--- a/transport/peerhttp/wire_test.go
+++ b/transport/peerhttp/wire_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// Guards against a tenant that is lost between nodes, and against a tenant's part in the placement of a request without one: a node of an
+// earlier version refuses it.
+func TestTenantInPlacement(t *testing.T) {
+	placed := caller.Placement{Host: "h", Upstream: "u", Priority: 1 << 20, Tenant: "a b&c=ü%"}
+	got, err := decodePlacement(encodePlacement(&placed))
+	assert.NilError(t, err)
+	assert.Equal(t, *got, placed)
+	placed.Tenant = ""
+	assert.Equal(t, encodePlacement(&placed), "h&&u&1048576&0&0&0")
+	for name, text := range map[string]string{
+		"empty": "h&&u&1&0&0&0&", "two": "h&&u&1&0&0&0&a&b", "too long": "h&&u&1&0&0&0&" + strings.Repeat("a", 257), "bad escape": "h&&u&1&0&0&0&%zz",
+	} {
+		_, err := decodePlacement(text)
+		assert.Assert(t, err != nil, name)
+	}
+}
+
 // Guards against what an upstream states in an answer and another node does not learn, or learns wrongly from a malformed field.
 func TestNoticeBetweenNodes(t *testing.T) {
 	limit := caller.RateLimit{Named: true, PerSecond: 0.2}
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -151,10 +151,14 @@
 	outgoing.Header.Set(d.TimeLimit, strconv.FormatInt(left, 10))
 	delete(outgoing.Header, d.Origin)
 	delete(outgoing.Header, d.Expect)
+	delete(outgoing.Header, d.Tenant)
 	if p := req.Placement; p != nil {
 		outgoing.Host = p.Host
 		outgoing.Header.Set(d.Origin, p.Origin)
 		outgoing.Header.Set(d.Expect, p.Upstream)
+		if p.Tenant != "" {
+			outgoing.Header.Set(d.Tenant, p.Tenant)
+		}
 	}
 	if outgoing.ContentLength == 0 {
 		outgoing.Body, outgoing.TransferEncoding = http.NoBody, nil
--- a/transport/upstreamconn/client_test.go
+++ b/transport/upstreamconn/client_test.go
@@ -22,7 +22,7 @@
 )
 
 var dialect = caller.Dialect{
-	RequestID: "X-Id", TimeLimit: "X-Time", Expect: "X-Expect", UpstreamID: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Origin: "X-Origin",
+	RequestID: "X-Id", TimeLimit: "X-Time", Expect: "X-Expect", UpstreamID: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Origin: "X-Origin", Tenant: "X-Tenant",
 	ParseLoad: func(value string) (load caller.UpstreamLoad, ok bool) {
 		_, err := fmt.Sscanf(value, "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots)
 		return load, err == nil
@@ -137,6 +137,30 @@
 	assert.Assert(t, left > 1500 && left <= 2000, "time limit %d ms", left)
 }
 
+// Guards against a tenant's name that does not reach the upstream, or one that the caller has made up and that does.
+func TestTenantOfRequest(t *testing.T) {
+	got := make(chan []string, 1)
+	addr, _ := startUpstream(t, func(c *net.TCPConn, _ int, r *http.Request) bool {
+		got <- r.Header["X-Tenant"]
+		return reply(c, r.Header.Get("X-Id"), "ok")
+	})
+	for _, test := range map[string]struct {
+		placed *caller.Placement
+		want   []string
+	}{
+		"tenant":       {&caller.Placement{Host: "h", Upstream: "u-1", Tenant: "t1"}, []string{"t1"}},
+		"no tenant":    {&caller.Placement{Host: "h", Upstream: "u-1"}, nil},
+		"no placement": {nil, nil},
+	} {
+		req := requestOf("r1", true, "")
+		req.Header["X-Tenant"], req.Placement = []string{"forged", "t2"}, test.placed
+		_, refusal, err := send(t, newClient(t), addr, req)
+		assert.NilError(t, err)
+		assert.Assert(t, refusal == nil, "%v", refusal)
+		assert.DeepEqual(t, <-got, test.want)
+	}
+}
+
 // Guards against an answer to another request being returned, and against a truncated answer being accepted as complete.
 func TestAnswersOfFaultyUpstreams(t *testing.T) {
 	tests := []struct {
