inbound: one queue class per route and tenant priority

Cause: requests of all tenants on a route waited in one class, in the order of their deadlines.

Change: the class of a tenant's request bears its priority in its name. Since another node sends that number, classes without waiting requests are forgotten from 256 classes on.

--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
@@ -128,12 +129,21 @@
 	p.mu.Unlock()
 	return upstream.AdmitRequest{
 		ID:       req.ID,
-		Class:    bundle.Class{Name: req.Route, Priority: req.Placement.Priority, MaxQueue: maxQueuePerSlot * slots, Long: req.Placement.Long},
+		Class:    bundle.Class{Name: className(req), Priority: req.Placement.Priority, MaxQueue: maxQueuePerSlot * slots, Long: req.Placement.Long},
 		Rules:    upstream.Rules{Aging: aging, LongShare: longShare},
 		Deadline: req.Deadline, Objective: time.Now().Add(req.Placement.Objective),
 	}
 }
 
+// className returns the name of the queue class of the request: its route, and the priority for a request of a tenant, so that tenants of
+// equal priority share a queue.
+func className(req *caller.Request) string {
+	if req.Placement.Tenant == "" {
+		return req.Route
+	}
+	return req.Route + "#" + strconv.Itoa(req.Placement.Priority)
+}
+
 // recordFailure takes the upstream out of service when a request failed because the upstream is unreachable or its
 // address belongs to another incarnation. target is the announcement of the incarnation to which the request was sent.
 func (p *Proxy) recordFailure(target Announcement, err error) {
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -3,12 +3,17 @@
 import (
 	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
+// maxClasses is the number of classes from which on those without waiting requests are forgotten. The name of a class may hold a
+// priority that another node has sent, so that their number has no other bound.
+const maxClasses = 256
+
 // waiter is a request that waits for a slot. Exactly one of grant, refusal and cancellation ends the wait.
 type waiter struct {
 	request AdmitRequest
@@ -79,6 +84,9 @@
 			return q
 		}
 	}
+	if len(s.perClass) >= maxClasses {
+		s.perClass = slices.DeleteFunc(s.perClass, func(q *classQueue) bool { return len(q.waiting) == 0 })
+	}
 	q := &classQueue{class: class}
 	s.perClass = append(s.perClass, q)
 	return q
