entry: place every attempt for its tenant, and ask before each one

Cause: a retry or hedge may be sent seconds after a key was looked up.

Change: Dispatcher.Permit is asked before the first attempt, each retry and each hedge. A refused retry is not run if no attempt may have run; else the outcome so far stands. A refused hedge leaves the first attempt alone. Nothing is charged to the retry budget. Placements carry the tenant and its priority.

Result: TestAttemptsNeedAPermit, TestHedgeNeedsAPermit and TestEveryAttemptIsPlacedForTheTenant pass, ./entry passes with -race.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,7 +45,10 @@
 	Budgets    *caller.RetryBudgets
 	RetryRatio func() float64 // retries added to its service's budget by each request
 	Quarantine *quarantine.List
-	Log        *slog.Logger
+	// Permit returns the refusal of a request that may not be sent, nil for one that may. It is called before the first attempt and
+	// before each retry and hedge; nil permits all. A refusal states what holds if no attempt has run.
+	Permit func(req *caller.Request) *caller.Refusal
+	Log    *slog.Logger
 
 	estimates estimateTable
 }
@@ -62,9 +65,10 @@
 	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
 	ran          caller.RunState // Unknown once a failed attempt may have run
 	lastTarget   peer.Candidate
-	retryReasons []string       // reasons of the failed attempts that were retried, for the log
-	failedAnswer *caller.Answer // the last complete answer that reports a failure and was followed by another attempt
-	retryAfter   time.Duration  // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
+	retryReasons []string        // reasons of the failed attempts that were retried, for the log
+	failedAnswer *caller.Answer  // the last complete answer that reports a failure and was followed by another attempt
+	retryAfter   time.Duration   // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
+	denied       *caller.Refusal // of the retry that Permit refused, nil for none
 }
 
 // New returns a dispatcher with the exported fields of e and without estimates.
@@ -102,6 +106,9 @@
 
 // run sends attempts until an answer is accepted, no retry is allowed or no other node is left.
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
+	if refusal := c.permit(); refusal != nil {
+		return nil, refusal
+	}
 	chosen, err := c.choose(ctx)
 	if err != nil {
 		return nil, c.noUpstream(ctx, err)
@@ -136,10 +143,20 @@
 		return answer, nil
 	case c.failedAnswer != nil:
 		return c.failedAnswer, nil
+	case c.denied != nil && c.ran == caller.NotRun && refusal.Ran == caller.NotRun:
+		return nil, c.denied
 	}
 	return nil, c.finalRefusal(refusal)
 }
 
+// permit returns the refusal of a further attempt that may not be sent, nil for one that may.
+func (c *call) permit() *caller.Refusal {
+	if c.Permit == nil {
+		return nil
+	}
+	return c.Permit(c.req)
+}
+
 // try sends the request to the upstream of the node, hedged by a second attempt when the request qualifies for one.
 func (c *call) try(ctx context.Context, chosen peer.Candidate) (*caller.Answer, *caller.Refusal) {
 	if delay := c.hedgeDelay(); delay > 0 {
@@ -189,7 +206,7 @@
 	req := *c.req
 	req.Attempt = number
 	req.Placement = &caller.Placement{
-		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream, Priority: c.route.Priority,
+		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream, Tenant: c.req.Tenant, Priority: c.route.Priority + c.req.PriorityOffset,
 		Objective: c.objectiveLeft(), Repeatable: c.route.Rule == bundle.Idempotent, Long: c.route.Long,
 	}
 	sentAt := time.Now()
@@ -282,7 +299,7 @@
 func (c *call) log(answer *caller.Answer, refusal *caller.Refusal) error {
 	attributes := []any{
 		"id", c.req.ID, "route", c.route.Name, "service", c.req.Service, "contracts", c.req.BundleVersion,
-		"priority", c.route.Priority, "objective_ms", c.route.LatencyObjective.Milliseconds(),
+		"tenant", c.req.Tenant, "priority", c.route.Priority + c.req.PriorityOffset, "objective_ms", c.route.LatencyObjective.Milliseconds(),
 		"peer", c.lastTarget.Status.Node, "upstream", c.lastTarget.Status.Upstream, "running", c.lastTarget.Load.Running, "waiting", c.lastTarget.Load.Waiting,
 		"limit", c.lastTarget.Load.Limit, "pace", c.lastTarget.Load.ServiceTimePercent, "load_age_ms", c.lastTarget.LoadAge.Milliseconds(), "expected_ms", c.lastTarget.Cost.Milliseconds(),
 		"attempts", len(c.triedNodes), "took_ms", time.Since(c.startedAt).Milliseconds(), "left_ms", time.Until(c.req.Deadline).Milliseconds(),
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -159,7 +159,7 @@
 // hedgeTarget returns the node for a hedge, if there is one with spare capacity and the budget covers it. The requests that a rate limit
 // leaves are for first attempts and retries.
 func (c *call) hedgeTarget(ctx context.Context) (peer.Candidate, bool) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || c.permit() != nil {
 		return peer.Candidate{}, false
 	}
 	chosen, err := c.choose(ctx)
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -42,6 +42,9 @@
 	if !c.retryAllowed(ctx, answer, refusal) {
 		return peer.Candidate{}, false
 	}
+	if c.denied = c.permit(); c.denied != nil {
+		return peer.Candidate{}, false
+	}
 	charged := refusal == nil || budgetedRetryReasons[refusal.Reason]
 	if charged && !c.spendBudget() {
 		return peer.Candidate{}, false
