sidecar: use no withdrawn key for a retry or hedge

Cause: the key was checked when the request arrived, and never again.

Change: an attempt on a route that needs a key is permitted while the contracts in force give the key to the same tenant.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -180,7 +180,7 @@
 func (s *Sidecar) setHandlers() {
 	dispatcher := entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
-		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, Quarantine: s.suspects, Log: s.Log,
+		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, Quarantine: s.suspects, Permit: s.permit, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
 		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -40,6 +41,9 @@
 	Version uint64
 	Service string // of every request
 	Padding string
+	Tenants map[string][]string // keys by the name of the tenant
+	// Objective is the latency objective of the routes, 0 for 8 s.
+	Objective time.Duration
 }
 
 func decode(raw []byte) (*contract.Contracts, error) {
@@ -50,11 +54,21 @@
 	if d.Service == panickingService {
 		panic("the decoder of the platform has a fault")
 	}
+	tenants := make(map[string]contract.Tenant)
+	for name, keys := range d.Tenants {
+		tenant := contract.Tenant{Name: name}
+		for _, key := range keys {
+			tenant.Credentials = append(tenant.Credentials, caller.CredentialOf(key))
+		}
+		tenants[name] = tenant
+	}
+	objective := cmp.Or(d.Objective, 8*time.Second)
 	return contract.New(contract.Contracts{
-		Version: d.Version, Source: raw, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
+		Version: d.Version, Source: raw, Tenants: tenants, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
 		Routes: []contract.Route{
-			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
-			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
+			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: objective, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
+			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: objective, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
+			{Name: "open", Host: "shop.example", PathPrefix: "/open/", Rule: bundle.Idempotent, Public: true, Timeout: 10 * time.Second, LatencyObjective: objective, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 		},
 	})
 }
@@ -185,7 +199,7 @@
 			Store: s, ContractsKey: contractsKey, ContractsPrefix: "operator/", NodesPrefix: "nodes/", DecodeContracts: decode,
 			Dialect: caller.Dialect{
 				RequestID: "X-Id", TimeLimit: "X-Time", Expect: "X-Expect", UpstreamID: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Origin: "X-Origin",
-				RateLimit: "X-Limit", Leaving: "X-Leaving",
+				RateLimit: "X-Limit", Leaving: "X-Leaving", Tenant: "X-Tenant",
 				ParseLoad: func(value string) (load caller.UpstreamLoad, ok bool) {
 					_, err := fmt.Sscanf(value, "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots)
 					return load, err == nil
