transport: one check of the status line of every answer

Cause: net/http reads any three characters that parse as a number as a status, and any protocol version. The reader of upstreams' answers took statuses below 200 for interim answers and read their bodies as the next answer; 600, 999 and HTTP/2.0 went on to callers. The clients for other nodes and for the store used them too, and http.Transport skips interim answers with a length.

The request may have run. A trace that sees interim answers removes the limit that http.Transport has for them, so at most 32 are read. platform may import the new package: it imports nothing of the product.

--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -43,7 +43,7 @@
 	const module = "github.com/magnoliawharf/magnoliawharf/"
 	filled := map[string]bool{
 		"bundle": true, "caller": true, "contract": true, "inbound": true, "sidecar": true, "store": true,
-		"platform/wire": true, "sockopt": true,
+		"platform/wire": true, "sockopt": true, "transport/answerhead": true,
 	}
 	files, err := filepath.Glob("../*/*.go")
 	assert.NilError(t, err)
--- a/transport/control.go
+++ b/transport/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/sockopt"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 const (
@@ -37,7 +38,7 @@
 func NewSingleUseClient() *http.Client {
 	transport := newControlTransport()
 	transport.DisableKeepAlives = true
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: answerhead.Transport{Transport: transport}}
 }
 
 func newControlTransport() *http.Transport {
--- a/transport/control_test.go
+++ b/transport/control_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 // Guards against claims of keys, probes and bundles that wait for their timeout on a kept connection that has fallen silent.
@@ -32,6 +33,19 @@
 	}
 }
 
+// Guards against contracts that a node fetches from an answer without a valid status line.
+func TestSingleUseClientChecksTheStatusLine(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = conn.Write([]byte("HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			_ = conn.Close()
+		}
+	}))
+	t.Cleanup(server.Close)
+	assert.ErrorIs(t, get(t.Context(), t, transport.NewSingleUseClient(), server.URL), answerhead.ErrInvalid)
+}
+
 // get sends a request and returns its error.
 func get(ctx context.Context, t *testing.T, client *http.Client, url string) error {
 	t.Helper()
--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 // longBodyIdleTimeout is the longest idle time after which a connection is reused for a request whose data has no user timeout:
@@ -47,16 +48,21 @@
 	o.longBodies.CloseIdleConnections()
 }
 
-// RoundTrip sends the request. After an error, sent reports whether any byte of the request was
+// RoundTrip sends the request. An answer without a valid status line is an error. After an error, sent reports whether any byte of the request was
 // handed to a connection; when none was, the request certainly did not run.
 func (o *Client) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
 	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
-	tracker.trace.GotConn = tracker.gotConn
+	tracker.trace.GotConn, tracker.trace.Got1xxResponse = tracker.gotConn, tracker.interim.Check
 	response, err = o.poolFor(request).RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
 	if err != nil {
 		tracker.stopTimer()
 		return nil, tracker.sent(), err
 	}
+	if err := answerhead.CheckFinal(response); err != nil {
+		tracker.closeConn()
+		_ = response.Body.Close()
+		return nil, true, err
+	}
 	return response, true, nil // the timer goes on: the body of the response may pause as well
 }
 
@@ -72,6 +78,7 @@
 // after sent is called.
 type writeTracker struct {
 	trace        httptrace.ClientTrace
+	interim      answerhead.Interim
 	userTimeout  time.Duration // for the connection while it carries the request
 	acknowledged *time.Timer   // fires when the request has been acknowledged; nil before it has a connection
 	conn         *trackedConn  // connection that the request got last
@@ -98,6 +105,14 @@
 	}
 }
 
+// closeConn closes the connection of an invalid answer. One without a body has returned it to the pool already.
+func (w *writeTracker) closeConn() {
+	w.stopTimer()
+	if w.conn != nil {
+		_ = w.conn.Close()
+	}
+}
+
 func (w *writeTracker) sent() bool {
 	return w.wrote || (w.conn != nil && w.conn.writes.Load() != w.writesBefore)
 }
--- a/transport/peerhttp/client_test.go
+++ b/transport/peerhttp/client_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// Guards against an answer of another node without a valid status line that reaches the caller, or states that the request did not run.
+func TestInvalidAnswersOfNodes(t *testing.T) {
+	const fields = "\r\nMagnoliawharf-Request-Id: id-1\r\nContent-Length: 0\r\n\r\n"
+	const refusal = "\r\nMagnoliawharf-Refusal: draining\r\nMagnoliawharf-Ran: not-run" + fields
+	const good = "HTTP/1.1 200 OK" + fields
+	for name, answer := range map[string]string{
+		"000": "HTTP/1.1 000 X" + fields, "099": "HTTP/1.1 099 X" + fields, "+20": "HTTP/1.1 +20 X" + fields, "600": "HTTP/1.1 600 X" + fields,
+		"1000": "HTTP/1.1 1000 X" + fields, "-1": "HTTP/1.1 -1 X" + fields, "letters": "HTTP/1.1 abc X" + fields,
+		"HTTP/2.0": "HTTP/2.0 200 OK" + fields, "HTTP/0.9": "HTTP/0.9 200 OK" + fields, "101": "HTTP/1.1 101 X" + fields,
+		"interim with a length": "HTTP/1.1 103 X" + fields + good, "refusal with 999": "HTTP/1.1 999 X" + refusal, "refusal in HTTP/2.0": "HTTP/2.0 503 X" + refusal,
+		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 1" + fields, "endless interim": strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1000) + good,
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := rawPeer(t, func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, answer) })
+			_, _, err := peerhttp.NewClient("self", nil).Forward(t.Context(), newRequest(caller.NewBody(nil, 0)), instance.Record{ID: "peer", PeerAddr: addr})
+			var refusal *caller.Refusal
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Reason, caller.PeerLost)
+			assert.Equal(t, refusal.Ran, caller.Unknown)
+		})
+	}
+}
+
 // Guards against a malformed report that invalidates a good answer.
 func TestMalformedReportIsIgnored(t *testing.T) {
 	addr := rawPeer(t, answerWith("200 OK\nMagnoliawharf-Request-Id: id-1\nMagnoliawharf-Report: s=99&n=-1\nContent-Length: 2", "ok"))
--- a/transport/upstreamconn/answer_fuzz_test.go
+++ b/transport/upstreamconn/answer_fuzz_test.go
@@ -2,20 +2,26 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/transport/upstreamconn"
 )
 
-// Guards against bytes of an upstream that end the process, or that reach a caller as the whole answer to a request although the
-// upstream did not echo its ID.
+// validStatusLine matches the first line of whatever may lead to an answer.
+var validStatusLine = regexp.MustCompile(`^HTTP/1\.[01] +[1-5][0-9][0-9]( [^\n]*)?\r?(\n|$)`)
+
+// Guards against bytes of an upstream that end the process, that reach a caller as the whole answer to a request although the
+// upstream did not echo its ID, or that reach it although their status line is invalid.
 func FuzzAnswer(f *testing.F) {
 	listener, err := net.Listen("tcp", countedAddr)
 	assert.NilError(f, err)
@@ -41,6 +47,9 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: r2\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n"))
 	f.Add([]byte("\x00\xff"))
+	for _, head := range invalidHeads {
+		f.Add([]byte(head + hiddenAnswer))
+	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		answer.Store(&raw)
 		client := upstreamconn.NewClient(dialect)
@@ -49,8 +58,11 @@
 		req.Deadline = time.Now().Add(50 * time.Millisecond)
 		got, err := client.Send(t.Context(), req, listener.Addr().String())
 		if err != nil {
+			var refusal *caller.Refusal
+			assert.Check(t, errors.As(err, &refusal) && (refusal.Ran == caller.Unknown || validStatusLine.Match(raw)), "%v", err)
 			return
 		}
+		assert.Check(t, got.Status >= 200 && got.Status <= 599 && validStatusLine.Match(raw), "status %d", got.Status)
 		defer got.Body.Close()
 		notRun := http.Header(got.Header).Get("X-Not-Run") != "" || got.Status == http.StatusMisdirectedRequest
 		assert.Check(t, http.Header(got.Header).Get("X-Id") == "r1" || notRun)
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 // exchange is one request and its answer on a connection.
@@ -109,9 +111,13 @@
 		}
 		x.received = true
 		response, err := http.ReadResponse(x.conn.reader, x.request)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, headError(err)
+		}
+		if err := answerhead.Check(response); err != nil {
+			return nil, fmt.Errorf("%w: %w", invalidStatus, err)
+		}
+		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, protocolSwitched
 		case response.StatusCode >= http.StatusOK:
--- a/transport/upstreamconn/fault.go
+++ b/transport/upstreamconn/fault.go
@@ -19,6 +19,7 @@
 const (
 	headTooLong        fault = "head-too-long"
 	malformed          fault = "malformed"
+	invalidStatus      fault = "invalid-status-line"
 	protocolSwitched   fault = "protocol-switched"
 	noMatchingAnswer   fault = "no-matching-answer"
 	skippedBodyTooLong fault = "skipped-body-too-long"
@@ -27,6 +28,7 @@
 var faultTexts = map[fault]string{
 	headTooLong:        fmt.Sprintf("the head of the answer is longer than %d bytes", maxAnswerHead),
 	malformed:          "the upstream sent bytes that are no HTTP answer",
+	invalidStatus:      "the upstream sent an answer without a valid status line",
 	protocolSwitched:   "the upstream switched protocols without an Upgrade request",
 	noMatchingAnswer:   "the upstream sent only answers to other requests",
 	skippedBodyTooLong: fmt.Sprintf("the body of an answer to another request is longer than %d bytes", maxSkippedBody),
