sidecar: give the invalid answers of a test their whole body

Cause: with a length beyond its body an answer was lost as a truncated one, so two of six cases did not show an invalid status line.

Change: the length is that of the body.

Result: all six cases fail without the check, and pass with it (6 runs with -race).

--- a/sidecar/invalid_status_test.go
+++ b/sidecar/invalid_status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,7 +37,9 @@
 					assert.Assert(t, m.serves())
 				}
 			}
-			invalid := line + "\r\nX-Id: ID\r\nContent-Length: 200\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 6\r\n\r\nhidden"
+			const hidden = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 6\r\n\r\nhidden"
+			length := len(strings.ReplaceAll(hidden, "ID", "0123456789012345678")) // the IDs have 19 digits
+			invalid := fmt.Sprintf("%s\r\nX-Id: ID\r\nContent-Length: %d\r\n\r\n%s", line, length, hidden)
 			u.answer.Store(&invalid)
 			before := u.served.Load()
 			for i := range 40 { // the faulty upstream is left out after a few
