--- a/entry/entry.go
+++ b/entry/entry.go
@@ -299,7 +299,7 @@
 func (c *call) log(answer *caller.Answer, refusal *caller.Refusal) error {
 	attributes := []any{
 		"id", c.req.ID, "route", c.route.Name, "service", c.req.Service, "contracts", c.req.BundleVersion,
-		"tenant", c.req.Tenant, "priority", c.route.Priority + c.req.PriorityOffset, "objective_ms", c.route.LatencyObjective.Milliseconds(),
+		"priority", c.route.Priority + c.req.PriorityOffset, "objective_ms", c.route.LatencyObjective.Milliseconds(),
 		"peer", c.lastTarget.Status.Node, "upstream", c.lastTarget.Status.Upstream, "running", c.lastTarget.Load.Running, "waiting", c.lastTarget.Load.Waiting,
 		"limit", c.lastTarget.Load.Limit, "pace", c.lastTarget.Load.ServiceTimePercent, "load_age_ms", c.lastTarget.LoadAge.Milliseconds(), "expected_ms", c.lastTarget.Cost.Milliseconds(),
 		"attempts", len(c.triedNodes), "took_ms", time.Since(c.startedAt).Milliseconds(), "left_ms", time.Until(c.req.Deadline).Milliseconds(),
@@ -307,6 +307,9 @@
 	if limit := c.lastTarget.Limit; limit.Named {
 		attributes = append(attributes, "rate_limit", limit.PerSecond, "rate_left", limit.Available)
 	}
+	if c.req.Tenant != "" {
+		attributes = append(attributes, "tenant", c.req.Tenant)
+	}
 	if c.req.Behind > 0 {
 		attributes = append(attributes, "behind", c.req.Behind)
 	}
