store: compare the revision of a key without reading it

Cause: a proof of freshness by reading the whole document would cost the store up to a megabyte a second for each zone.

Change: Verifier is an optional interface beside StaleLister, with a fallback that reads the key. A comparison is limited in rate like other calls and bound to the era of its revision: ErrEraEnded also when its own answer shows a later one.

--- a/standin/kvstore/memory.go
+++ b/standin/kvstore/memory.go
@@ -35,7 +35,10 @@
 	expires time.Time
 }
 
-var _ store.Store = (*Memory)(nil)
+var (
+	_ store.Store    = (*Memory)(nil)
+	_ store.Verifier = (*Memory)(nil)
+)
 
 // firstEra is the era of a store that has never come back from a copy.
 const firstEra = 1
@@ -83,6 +86,17 @@
 	return found, nil
 }
 
+// Verify implements store.Verifier. It counts as a write, as a transaction does at the platform.
+func (m *Memory) Verify(ctx context.Context, key string, revision int64) (bool, error) {
+	if err := m.beginCall(ctx, func(c *Calls) { c.Writes++ }); err != nil {
+		return false, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expireLeases()
+	return m.entries[key].Revision == revision, nil
+}
+
 // Swap implements store.Store.
 func (m *Memory) Swap(ctx context.Context, key string, value []byte, revision int64, id store.LeaseID) (int64, error) {
 	if err := m.beginCall(ctx, func(c *Calls) { c.Writes++ }); err != nil {
--- a/standin/kvstore/process.go
+++ b/standin/kvstore/process.go
@@ -34,6 +34,13 @@
 	return found, err
 }
 
+// Verify implements store.Verifier.
+func (p *Process) Verify(ctx context.Context, key string, revision int64) (bool, error) {
+	unchanged, err := p.memory.Verify(ctx, key, revision)
+	p.observe(err)
+	return unchanged, err
+}
+
 // List implements store.Store.
 func (p *Process) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	found, err := p.memory.List(ctx, prefix)
--- a/store/client.go
+++ b/store/client.go
@@ -36,7 +36,10 @@
 	limiter *rate.Limiter
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store    = (*Client)(nil)
+	_ Verifier = (*Client)(nil)
+)
 
 // NewClient returns a client that makes at most perSecond calls per second on average, with bursts of
 // up to burst calls. Values of 0 mean DefaultRate and DefaultBurst.
@@ -82,6 +85,15 @@
 	return ListStale(ctx, c.adapter, prefix)
 }
 
+// Verify implements Verifier. It returns ErrEraEnded when the era changed before the call was answered.
+func (c *Client) Verify(ctx context.Context, key string, revision int64) (bool, error) {
+	bound := c.within(c.Era())
+	if err := c.waitRateLimit(ctx, "verify "+key); err != nil {
+		return false, err
+	}
+	return Verify(ctx, bound.adapter, key, revision)
+}
+
 // Swap implements Store. It determines the outcome of an uncertain swap by reading the key: when the key
 // holds value at a revision other than the expected one, the swap has succeeded, so concurrent writers must
 // write different values. It returns ErrUncertain when the key was overwritten in the meantime, the era of the
--- a/store/store.go
+++ b/store/store.go
@@ -73,6 +73,25 @@
 	return s.List(ctx, prefix)
 }
 
+// Verifier is a Store that can compare the revision of a key without reading its value.
+type Verifier interface {
+	// Verify reports whether the key has the revision, at a moment between the sending of the call and its answer. Revision 0
+	// means that the key does not exist. The call writes nothing.
+	Verify(ctx context.Context, key string, revision int64) (unchanged bool, err error)
+}
+
+// Verify compares by Verify when s is a Verifier, and by reading the key otherwise.
+func Verify(ctx context.Context, s Store, key string, revision int64) (unchanged bool, err error) {
+	if verifier, ok := s.(Verifier); ok {
+		return verifier.Verify(ctx, key, revision)
+	}
+	current, err := s.Get(ctx, key)
+	if err != nil && !Is(err, ErrNotFound) {
+		return false, err
+	}
+	return current.Revision == revision, nil
+}
+
 var namespace = errorx.NewNamespace("store")
 
 // Error types of a Store.
@@ -91,7 +110,8 @@
 	ErrRateLimited = ErrUnavailable.NewSubtype("rate_limited")
 	// ErrLeaseLapsed says that the lease no longer exists.
 	ErrLeaseLapsed = namespace.NewType("lease_lapsed")
-	// ErrEraEnded says that the revision or the lease of a call is of an earlier era of the store. The call was not sent.
+	// ErrEraEnded says that the revision or the lease of a call is of an earlier era of the store. The call was not sent, or it
+	// wrote nothing and its answer compared revisions of two eras.
 	ErrEraEnded = namespace.NewType("era_ended")
 )
 
--- a/store/within.go
+++ b/store/within.go
@@ -3,9 +3,9 @@
 import "context"
 
 // Within returns a view of s that is bound to an era, for calls that name a revision or a lease which was obtained after era
-// was read. Once the era has ended, Swap, Delete, RenewLease and RevokeLease return ErrEraEnded and are not sent. A write that is
-// confirmed after the end of the era returns ErrUncertain: its condition may have compared revisions of two eras, or the store
-// may have lost it. A view of a Client shares its rate limit, and a call checks the era after the wait for it.
+// was read. Once the era has ended, Swap, Delete, RenewLease, RevokeLease and Verify return ErrEraEnded and are not sent. A write that
+// is confirmed after the end of the era returns ErrUncertain: its condition may have compared revisions of two eras, or the store
+// may have lost it. A Verify that is answered after the end of the era returns ErrEraEnded too. A view of a Client shares its rate limit, and a call checks the era after the wait for it.
 func Within(s Store, era EraStatus) Store {
 	if client, ok := s.(*Client); ok {
 		return client.within(era)
@@ -82,3 +82,17 @@
 func (b eraBound) ListStale(ctx context.Context, prefix string) ([]Entry, error) {
 	return ListStale(ctx, b.Store, prefix)
 }
+
+// Verify implements Verifier.
+func (b eraBound) Verify(ctx context.Context, key string, revision int64) (bool, error) {
+	operation := "verify " + key
+	if err := b.checkBefore(operation); err != nil {
+		return false, err
+	}
+	unchanged, err := Verify(ctx, b.Store, key, revision)
+	if err == nil && b.era.Ended() {
+		return false, ErrEraEnded.New("%s: the store has returned from an older copy before the answer", operation).
+			WithProperty(PropertyOperation, operation)
+	}
+	return unchanged, err
+}
