transport/datagram, peer: queries for the age of a proof of freshness

Cause: one node of a zone that reaches the store is to prove the contracts of the others.

Change: message kinds f and F with defaults that ignore them; Roster.FirstInZone returns whom to ask. In the tests, listen and serve are split from startSocketWith, so that a test can set the functions of a socket before it serves.

--- a/peer/contact.go
+++ b/peer/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -61,6 +62,17 @@
 	return first
 }
 
+// FirstInZone returns the datagram addresses of up to count other responsive nodes of the zone, in the order of RankInZone.
+func (r *Roster) FirstInZone(count int) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, count)
+	for _, p := range r.firstInZone(count + 1) { // one of them may be this node
+		if !p.isSelf && len(addresses) < count {
+			addresses = append(addresses, p.addr)
+		}
+	}
+	return addresses
+}
+
 // query sends a load query to the peer that no request waits for.
 func (r *Roster) query(now time.Time, p *Peer) {
 	p.mu.Lock()
--- a/peer/contact_test.go
+++ b/peer/contact_test.go
@@ -1,10 +1,12 @@
 package peer_test
 
 import (
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 )
 
@@ -35,3 +37,16 @@
 		assert.Assert(t, isFirst, "n4 and this node are the first in the zone")
 	})
 }
+
+// Guards against proofs that are asked for at nodes of other zones, at this node itself, or at nodes that are down.
+func TestFirstNodesOfTheZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := rosterOf(t, 8) // n2, n4, n6 and n8 are in the zone of this node
+		go r.Run(t.Context())
+		assert.DeepEqual(t, r.FirstInZone(2), []netip.AddrPort{address(2), address(4)}, cmpopts.EquateComparable(netip.AddrPort{}))
+		n.change(2, func(other *node) { other.down = true })
+		time.Sleep(5 * time.Second)
+		first := r.FirstInZone(9)
+		assert.DeepEqual(t, first, []netip.AddrPort{address(4), address(6), address(8)}, cmpopts.EquateComparable(netip.AddrPort{}))
+	})
+}
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,6 +1,6 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, and notices of requests that crash upstreams. A message is one byte
-// for its kind, followed by a CBOR array.
+// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, the age of proofs of freshness, and notices of requests that crash
+// upstreams. A message is one byte for its kind, followed by a CBOR array.
 package datagram
 
 import (
@@ -14,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/magnoliawharf/magnoliawharf/freshness"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
@@ -66,6 +67,10 @@
 	OnSuspects func(records []quarantine.Record)
 	// OnStoreEra is called with the era of the store that another node reports, above 0. It must not block.
 	OnStoreEra func(era store.Era, from netip.AddrPort)
+	// OnFreshnessQuery is called with the number of each query for the age of this node's proof, and OnFreshnessReply with the replies
+	// to its own queries. They must not block. The defaults ignore the messages.
+	OnFreshnessQuery func(number uint64, from netip.AddrPort)
+	OnFreshnessReply func(r freshness.Reply, from netip.AddrPort)
 }
 
 // Listen binds the address. The function fields of the Socket are set before Serve and before the first message is sent.
@@ -78,7 +83,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Socket{conn: conn, log: log, answerSlots: make(chan struct{}, maxConcurrentAnswers)}, nil
+	return &Socket{
+		conn: conn, log: log, answerSlots: make(chan struct{}, maxConcurrentAnswers),
+		OnFreshnessQuery: func(uint64, netip.AddrPort) {}, OnFreshnessReply: func(freshness.Reply, netip.AddrPort) {},
+	}, nil
 }
 
 // Addr returns the bound address.
@@ -132,6 +140,10 @@
 		err = decodeMessage[departure](body, func(m peer.DepartureMessage) { receiver.HandleDeparture(from, m) })
 	case kindRateLimit:
 		err = decodeMessage[rateLimit](body, func(m peer.RateLimitMessage) { receiver.HandleRateLimit(from, m) })
+	case kindFreshnessQuery:
+		err = decodeMessage[freshnessQuery](body, func(number uint64) { s.OnFreshnessQuery(number, from) })
+	case kindFreshnessReply:
+		err = decodeMessage[freshnessReply](body, func(r freshness.Reply) { s.OnFreshnessReply(r, from) })
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -269,6 +281,18 @@
 	}
 }
 
+// SendFreshnessQuery asks each of the addresses for the age of its proof.
+func (s *Socket) SendFreshnessQuery(to []netip.AddrPort, number uint64) {
+	for _, addr := range to {
+		s.send(addr, kindFreshnessQuery, freshnessQuery{Number: number})
+	}
+}
+
+// SendFreshnessReply answers a query with the age of this node's proof.
+func (s *Socket) SendFreshnessReply(to netip.AddrPort, r freshness.Reply) {
+	s.send(to, kindFreshnessReply, newFreshnessReply(r))
+}
+
 // send sends a message. Any datagram may be lost, so a failure is logged and not returned.
 func (s *Socket) send(to netip.AddrPort, kind byte, message any) {
 	body, err := cbor.Marshal(message)
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/freshness"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 	"github.com/magnoliawharf/magnoliawharf/store"
@@ -59,21 +60,33 @@
 // startSocketWith starts a socket with the receiver that is made from a recorder.
 func startSocketWith(t *testing.T, version uint64, receiver func(*recorder) Receiver) (*Socket, *recorder) {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", slog.New(slog.DiscardHandler))
-	assert.NilError(t, err)
+	s := listen(t)
 	r := newRecorder()
 	s.Version = func() uint64 { return version }
 	s.OnVersion = func(v uint64, _ netip.AddrPort) { r.versions <- v }
 	s.OnNotice = func(n quarantine.Notice) { r.notices <- n }
 	s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { r.eras <- era }
 	s.OnSuspects = func(records []quarantine.Record) { r.suspects <- records }
+	serve(t, s, receiver(r))
+	return s, r
+}
+
+func listen(t *testing.T) *Socket {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	return s
+}
+
+// serve passes the messages of the socket to the receiver until the test ends.
+func serve(t *testing.T, s *Socket, receiver Receiver) {
+	t.Helper()
 	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(context.Background(), receiver(r)) }()
+	go func() { ended <- s.Serve(context.Background(), receiver) }()
 	t.Cleanup(func() {
 		assert.NilError(t, s.Close())
 		assert.NilError(t, <-ended)
 	})
-	return s, r
 }
 
 func awaitValue[T any](t *testing.T, from chan T) T {
@@ -131,6 +144,27 @@
 	assert.Equal(t, awaitValue(t, fromA.limits), limited)
 }
 
+// Guards against queries and replies about proofs that are changed on their way, against an age that is rounded down and makes a proof
+// younger, and against more than a few dozen bytes: each node sends a few a second.
+func TestFreshnessMessages(t *testing.T) {
+	a, b := listen(t), listen(t)
+	numbers, replies := make(chan uint64, 1), make(chan freshness.Reply, 1)
+	b.OnFreshnessQuery = func(number uint64, _ netip.AddrPort) { numbers <- number }
+	a.OnFreshnessReply = func(r freshness.Reply, _ netip.AddrPort) { replies <- r }
+	serve(t, a, newRecorder())
+	serve(t, b, newRecorder())
+	a.SendFreshnessQuery([]netip.AddrPort{b.Addr()}, math.MaxUint64)
+	assert.Equal(t, awaitValue(t, numbers), uint64(math.MaxUint64))
+	b.SendFreshnessReply(a.Addr(), freshness.Reply{Number: math.MaxUint64, Version: 9, Age: 1500*time.Millisecond + 1})
+	assert.Equal(t, awaitValue(t, replies), freshness.Reply{Number: math.MaxUint64, Version: 9, Age: 1501 * time.Millisecond})
+	raw, err := cbor.Marshal(newFreshnessReply(freshness.Reply{Number: math.MaxUint64, Version: 300, Age: time.Second}))
+	assert.NilError(t, err)
+	assert.Assert(t, len(raw) <= 16, "reply has %d bytes", len(raw))
+	raw, err = cbor.Marshal(freshnessQuery{Number: math.MaxUint64})
+	assert.NilError(t, err)
+	assert.Assert(t, len(raw) <= 10, "query has %d bytes", len(raw))
+}
+
 // Guards against a node that places a request at an upstream whose rate limit is used up, because the load arrives before the limit.
 func TestRateLimitArrivesBeforeTheLoad(t *testing.T) {
 	limit := peer.RateLimit{Upstream: "u", Born: 5, RateLimit: caller.RateLimit{Named: true, PerSecond: 7}, Available: 0.5}
@@ -191,9 +225,10 @@
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
 		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
-		kindSuspects:  suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
-		kindDeparture: departure{Boot: 1, Upstream: "u", Born: 1},
-		kindStatus:    newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
+		kindSuspects:       suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
+		kindDeparture:      departure{Boot: 1, Upstream: "u", Born: 1},
+		kindFreshnessQuery: freshnessQuery{Number: 1}, kindFreshnessReply: freshnessReply{Number: 1, ContractVersion: 1, AgeMs: 1},
+		kindStatus: newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
 		body, err := cbor.Marshal(message)
 		assert.NilError(f, err)
@@ -215,6 +250,9 @@
 				assert.Check(t, record.Valid())
 			}
 		}
+		s.OnFreshnessReply = func(reply freshness.Reply, _ netip.AddrPort) {
+			assert.Check(t, reply.Age >= 0 && reply.Age <= maxMilliseconds*time.Millisecond)
+		}
 		panics := panicsTotal.Get()
 		s.receive(r, s.Addr(), raw)
 		assert.Equal(t, panicsTotal.Get(), panics)
--- a/transport/datagram/odd_test.go
+++ b/transport/datagram/odd_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/freshness"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 )
 
@@ -31,7 +33,7 @@
 		"a float where a number is": {0x82, 0xfb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0, 0x00},
 		"trailing bytes":            {0x82, 0x01, 0x01, 0xff},
 	}
-	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, 0, 255} {
+	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, kindFreshnessQuery, kindFreshnessReply, 0, 255} {
 		for name, body := range bodies {
 			t.Run(fmt.Sprintf("%q %s", kind, name), func(t *testing.T) {
 				s, r := startSocket(t, 1, peer.Load{})
@@ -95,3 +97,16 @@
 		}
 	}
 }
+
+// Guards against the age of a proof that is out of range and is used: an age below 0 would make a proof younger than it is.
+func TestOddFreshnessRepliesAreDropped(t *testing.T) {
+	s, r := startSocket(t, 1, peer.Load{})
+	s.OnFreshnessReply = func(reply freshness.Reply, _ netip.AddrPort) { t.Errorf("accepted %+v", reply) }
+	for _, age := range []int64{-1, math.MinInt64, maxMilliseconds + 1, math.MaxInt64} {
+		body, err := cbor.Marshal(freshnessReply{Number: 1, AgeMs: age})
+		assert.NilError(t, err)
+		before := invalidTotal.Get()
+		s.receive(r, s.Addr(), append([]byte{kindFreshnessReply}, body...))
+		assert.Assert(t, invalidTotal.Get() > before, "age %d", age)
+	}
+}
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/freshness"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
@@ -24,6 +25,9 @@
 	kindDeparture byte = 'd'
 	kindSuspects  byte = 's'
 	kindRateLimit byte = 'r'
+
+	kindFreshnessQuery byte = 'f'
+	kindFreshnessReply byte = 'F'
 )
 
 const (
@@ -313,3 +317,33 @@
 	}
 	return out, nil
 }
+
+// freshnessQuery asks a node for the age of its proof that its contracts are the newest.
+type freshnessQuery struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64   // copied to the reply
+}
+
+// decode returns the number.
+func (q freshnessQuery) decode() (uint64, error) { return q.Number, nil }
+
+// freshnessReply answers a freshnessQuery.
+type freshnessReply struct {
+	_               struct{} `cbor:",toarray"`
+	Number          uint64
+	ContractVersion uint64
+	AgeMs           int64
+}
+
+// newFreshnessReply rounds the age up, so that the proof does not become younger on its way.
+func newFreshnessReply(r freshness.Reply) freshnessReply {
+	return freshnessReply{Number: r.Number, ContractVersion: r.Version, AgeMs: (r.Age + time.Millisecond - 1).Milliseconds()}
+}
+
+// decode validates the reply and converts it to a freshness.Reply.
+func (r freshnessReply) decode() (freshness.Reply, error) {
+	if r.AgeMs < 0 || r.AgeMs > maxMilliseconds {
+		return freshness.Reply{}, errors.New("age of a proof is out of range")
+	}
+	return freshness.Reply{Number: r.Number, Version: r.ContractVersion, Age: milliseconds(r.AgeMs)}, nil
+}
