entry: ask for permission before the first attempt

Cause: a request whose key was withdrawn must not reach an upstream.

Change: Dispatcher.Permit refuses a request before its first attempt; nil permits all. No check before retries and hedges yet.

Result: TestRequestWithoutPermitIsNotSent fails without the call and passes with it (go test -race ./entry).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,8 @@
 	RetryRatio func() float64 // retries added to its service's budget by each request
 	Quarantine *quarantine.List
 	Log        *slog.Logger
+	// Permit is called before a request is sent to an upstream and returns a refusal when it may not run any more. nil permits all.
+	Permit func(req *caller.Request) *caller.Refusal
 
 	estimates estimateTable
 }
@@ -102,6 +104,11 @@
 
 // run sends attempts until an answer is accepted, no retry is allowed or no other node is left.
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
+	if c.Permit != nil {
+		if refusal := c.Permit(c.req); refusal != nil {
+			return nil, refusal
+		}
+	}
 	chosen, err := c.choose(ctx)
 	if err != nil {
 		return nil, c.noUpstream(ctx, err)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -364,3 +364,21 @@
 	assert.Equal(t, refusal.Ran, caller.NotRun)
 	assert.Equal(t, len(f.sent), 0)
 }
+
+// Guards against a request that reaches an upstream although it may not run any more, because its key was withdrawn.
+func TestRequestWithoutPermitIsNotSent(t *testing.T) {
+	f := &cluster{outcomes: []outcome{{status: 200}}}
+	e := newEntry(f, 2)
+	e.Permit = func(req *caller.Request) *caller.Refusal {
+		assert.Equal(t, req.ID, "id")
+		return caller.Refuse(caller.ContractsStale, "permit", "")
+	}
+	_, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+	assert.Equal(t, refusal.Reason, caller.ContractsStale)
+	assert.Equal(t, refusal.Ran, caller.NotRun)
+	assert.Equal(t, len(f.sent), 0)
+	e.Permit = func(*caller.Request) *caller.Refusal { return nil }
+	answer, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, answer.Status, 200)
+}
