entry: fail the test of permits by its assertion

Cause: without the call of Permit, TestRequestWithoutPermitIsNotSent ended in a nil dereference. Change: it asserts first that there is a refusal. Result: with the call disabled on a scratch copy the test fails, with it it passes (go test ./entry -run TestRequestWithoutPermitIsNotSent).

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -374,6 +374,7 @@
 		return caller.Refuse(caller.ContractsStale, "permit", "")
 	}
 	_, refusal := dispatch(t.Context(), e, routeOf(bundle.Idempotent, 2))
+	assert.Assert(t, refusal != nil)
 	assert.Equal(t, refusal.Reason, caller.ContractsStale)
 	assert.Equal(t, refusal.Ran, caller.NotRun)
 	assert.Equal(t, len(f.sent), 0)
