sidecar: admit keys only with a proof that the contracts are the newest

Cause: a node that is cut off, was frozen or suspended goes on admitting a key that was withdrawn.

Change: with strict revocation and contracts that have keys, permit refuses requests with keys as not run (contracts-stale) while the proof is not fresh, and as unauthenticated when the contracts in force no longer have the key. keepProof renews the proof by other nodes and by the store, beside each other. A read of the document counts as of the moment before it. Its revision is kept with the era and passed on with /contracts, so that renewals compare it. A watch proves nothing. A store whose document is older or unreadable is believed by nodes that have missed nothing, and by others once they have heard of no newer version for a fifth of the bound.

A node cut off from all refuses a withdrawn key by the bound; one cut off from the store admits keys for twice the bound by the proofs of others.

--- a/sidecar/exchange.go
+++ b/sidecar/exchange.go
@@ -28,6 +28,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/gzip")
+	s.writeClaim(w.Header(), current.Version)
 	_, _ = w.Write(document) // after a failed write the peer fetches again
 }
 
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -119,7 +119,11 @@
 // delivers them first. A node without contracts fetches at once. A sender that has not reported its address is ignored: it may
 // be no node.
 func (s *Sidecar) handlePeerVersion(version uint64, from netip.AddrPort) {
-	if version > s.contracts.Version() && s.roster.ForwardAddress(from) != "" && s.reports.add(version, from) {
+	if version <= s.contracts.Version() || s.roster.ForwardAddress(from) == "" {
+		return
+	}
+	s.proofs.heardVersion(version)
+	if s.reports.add(version, from) {
 		go func() {
 			defer s.reports.end()
 			time.Sleep(s.fetchDelay(from))
@@ -245,6 +249,7 @@
 		return err
 	}
 	s.adopt(document, address, "")
+	s.learnClaim(response.Header)
 	return nil
 }
 
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -70,6 +70,7 @@
 	}()
 	go s.runDiscovery(ctx, client)
 	go s.pollContracts(ctx, client)
+	go s.keepProof(ctx)
 }
 
 func (s *Sidecar) newStoreClient() *store.Client {
@@ -164,11 +165,12 @@
 
 // readContracts reads the contracts from the store once, for a node that has no other source of them.
 func (s *Sidecar) readContracts(ctx context.Context) error {
+	reading := s.beginRead()
 	entries, err := s.storeClient.List(ctx, s.Platform.ContractsPrefix)
 	if err != nil {
 		return err
 	}
-	s.applyEntries(entries)
+	s.endRead(reading, s.applyEntries(entries))
 	return nil
 }
 
@@ -218,6 +220,7 @@
 	before := s.contracts.Version()
 	reading, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	begun := s.beginRead()
 	entries, err := client.List(reading, s.Platform.ContractsPrefix)
 	if err != nil {
 		s.Log.Warn("cannot poll contracts", "cause", err.Error())
@@ -227,29 +230,32 @@
 		return
 	}
 	s.setStoreReachable(true)
-	s.applyEntries(entries)
+	s.endRead(begun, s.applyEntries(entries))
 	if s.contracts.Version() != before {
 		s.Log.Warn("poll found a change of the contracts", "version", s.contracts.Version(), "before", before)
 		s.roster.BroadcastStatus()
 	}
 }
 
-// applyEntries adopts the contracts among the entries of the watched prefix.
-func (s *Sidecar) applyEntries(entries []store.Entry) {
+// applyEntries adopts the contracts among the entries of the watched prefix, and returns the last document among them.
+func (s *Sidecar) applyEntries(entries []store.Entry) (found storedDocument) {
 	for _, e := range entries {
 		if e.Key == s.Platform.ContractsKey {
-			s.adopt(e.Value, storeSource, fmt.Sprint(e.Revision))
+			found = storedDocument{revision: e.Revision}
+			found.version, found.valid = s.adopt(e.Value, storeSource, fmt.Sprint(e.Revision))
 		}
 	}
+	return found
 }
 
-// adopt replaces the current contracts by those of the document if it is valid and newer.
-func (s *Sidecar) adopt(document []byte, from, revision string) {
+// adopt replaces the current contracts by those of the document if it is valid and newer. It returns the version of the document, and
+// whether it is valid.
+func (s *Sidecar) adopt(document []byte, from, revision string) (version uint64, valid bool) {
 	decoded, err := s.decodeContracts(document)
 	if err != nil {
 		refusedTotal.Inc()
 		s.Log.Error("contracts rejected", "from", from, "revision", revision, "in_force", s.contracts.Version(), "cause", err.Error())
-		return
+		return 0, false
 	}
 	before := s.contracts.Version()
 	if s.contracts.Adopt(decoded) {
@@ -257,7 +263,9 @@
 		s.Log.Info("contracts adopted", "version", decoded.Version, "before", before, "routes", len(decoded.Routes),
 			"services", len(decoded.Services), "from", from, "revision", revision,
 			"reported_ms", s.reports.age().Milliseconds())
+		s.proofs.contractsAdopted()
 	}
+	return decoded.Version, true
 }
 
 // decodeContracts decodes a document of another writer. One at which the decoder panics is invalid, since each node gets it.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -93,6 +93,7 @@
 	upstream       *upstreamconn.Client
 	fetchClient    *http.Client // fetches contracts from other nodes
 	reports        versionReports
+	proofs         *proofKeeper // nil unless revocation is strict
 	compressed     compressedContracts
 	storeClient    *store.Client
 	storeReachable atomic.Bool   // whether this node reaches the store
@@ -147,6 +148,7 @@
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
 	s.socket.OnSuspects = s.mergeSuspects
 	s.socket.OnStoreEra = s.handlePeerEra
+	s.provisionProof()
 	s.setHandlers()
 	return nil
 }
@@ -181,6 +183,7 @@
 	dispatcher := entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
 		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, Quarantine: s.suspects, Log: s.Log,
+		Permit: s.permit,
 	})
 	s.entry = &entryhttp.Handler{
 		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
@@ -199,8 +202,9 @@
 	}))
 }
 
-// writeGauges writes the rate limit of the upstream beside this node, while it names one.
+// writeGauges writes the rate limit of the upstream beside this node, while it names one, and the age of the proof.
 func (s *Sidecar) writeGauges(w io.Writer) {
+	s.writeProofAge(w)
 	if limit := s.proxy.RateLimit(time.Now()); limit.Named {
 		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_limit %g\n", limit.PerSecond)
 		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_left %g\n", limit.Available)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -40,6 +40,19 @@
 	Version uint64
 	Service string // of every request
 	Padding string
+	Keys    []string // of the tenant "a", none for contracts without tenants
+}
+
+// tenants returns the tenants of the document.
+func (d document) tenants() map[string]contract.Tenant {
+	if len(d.Keys) == 0 {
+		return nil
+	}
+	holder := contract.Tenant{Name: "a"}
+	for _, key := range d.Keys {
+		holder.Credentials = append(holder.Credentials, caller.CredentialOf(key))
+	}
+	return map[string]contract.Tenant{holder.Name: holder}
 }
 
 func decode(raw []byte) (*contract.Contracts, error) {
@@ -51,7 +64,7 @@
 		panic("the decoder of the platform has a fault")
 	}
 	return contract.New(contract.Contracts{
-		Version: d.Version, Source: raw, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
+		Version: d.Version, Source: raw, Tenants: d.tenants(), Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
 		Routes: []contract.Route{
 			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
