freshness: hear another node before the first proof, and after a return of the store

Cause: a node that starts on a store restored from an older copy, or that lost its proof while the store returned from one, took the older document for the newest at once and admitted keys that a lost version had withdrawn, until it heard from the others.

Nodes without a proof answer queries too.

--- a/freshness/claim.go
+++ b/freshness/claim.go
@@ -35,6 +35,13 @@
 	c.known = false
 }
 
+// EraEnded reports whether the store has come back from an older copy since the latest claim.
+func (c *Claims) EraEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latest.Era.Ended()
+}
+
 // Of returns the claim for contracts of the version, if there is one whose era has not ended.
 func (c *Claims) Of(version uint64) (Claim, bool) {
 	c.mu.Lock()
--- a/freshness/doubt.go
+++ b/freshness/doubt.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Doubt decides whether a store without a document as new as the contracts in force is believed: it has come back from an older
-// copy, or holds a document that cannot be read. A node whose proof is fresh has missed nothing. Another one may lack a version that
-// the store has lost or that was overwritten, and listens for a while whether another node has it. It is safe for concurrent use.
+// Doubt decides whether a read of the store is believed when the store may have lost a version: it has come back from an older
+// copy, holds no document that can be read, or was read by a node that has just started. A node whose proof is fresh has missed
+// nothing. Another one may lack that version, and first listens whether another node has it. It is safe for concurrent use.
 type Doubt struct {
 	proof  *Proof
 	listen time.Duration
@@ -17,10 +17,13 @@
 	since   Instant
 	heardAt Instant // when a newer version was last heard of
 	heard   uint64
+	first   Instant // when the last read was sent that a node without any proof has made; never for none
 }
 
 // NewDoubt returns a doubt that a node without a fresh proof has for the time listen.
-func NewDoubt(proof *Proof, listen time.Duration) *Doubt { return &Doubt{proof: proof, listen: listen} }
+func NewDoubt(proof *Proof, listen time.Duration) *Doubt {
+	return &Doubt{proof: proof, listen: listen, first: never}
+}
 
 // Hear records that another node has the version, which is newer than that in force.
 func (d *Doubt) Hear(version uint64) {
@@ -39,21 +42,54 @@
 	d.active = false
 }
 
-// Believes reports whether a read of the store that found no document as new as the version in force proves that none is newer.
-func (d *Doubt) Believes(version uint64) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// hasNewer reports whether another node has a newer version. The caller holds the lock.
+func (d *Doubt) hasNewer(version uint64) bool {
+	return d.heard > version && d.proof.clock().Sub(d.heardAt) <= d.proof.bound
+}
+
+// listened reports whether the node has listened since the doubt began, and begins it. The caller holds the lock.
+func (d *Doubt) listened(version uint64) bool {
 	now := d.proof.clock()
 	switch {
-	case d.heard > version && now.Sub(d.heardAt) <= d.proof.bound:
+	case d.hasNewer(version):
 		d.active = false
 		return false
-	case d.proof.Fresh():
-		d.active = false
-		return true
 	case !d.active:
 		d.active, d.since = true, now
 		return false
 	}
 	return now.Sub(d.since) >= d.listen
 }
+
+// Believes reports whether a read of a store that may have lost a version proves that the version in force is the newest.
+func (d *Doubt) Believes(version uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.proof.Fresh() && !d.hasNewer(version) {
+		d.active = false
+		return true
+	}
+	return d.listened(version)
+}
+
+// BelievesFirst is Believes for a node without any proof so far, which cannot know whether the store lost a version before the node
+// started. The read was sent at the instant. Assure ends the doubt early.
+func (d *Doubt) BelievesFirst(version uint64, sentAt Instant) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listened(version) {
+		return true
+	}
+	d.first = sentAt
+	return false
+}
+
+// Assure records that another node has answered and has no newer version. The last read of a node without any proof then counts.
+func (d *Doubt) Assure(version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.first != never && !d.hasNewer(version) {
+		d.proof.Extend(d.first)
+		d.first, d.active = never, false
+	}
+}
--- a/freshness/proof_test.go
+++ b/freshness/proof_test.go
@@ -82,6 +82,7 @@
 		{"replier with a newer version", other, freshness.Reply{Number: 7, Version: 4, Age: time.Second}, 0, freshness.NewerVersion, 2 * time.Second},
 		{"3 s late", other, freshness.Reply{Number: 7, Version: 3, Age: time.Second}, 3 * time.Second, freshness.Renewed, 4 * time.Second},
 		{"replier with an older proof", other, freshness.Reply{Number: 7, Version: 3, Age: 4 * time.Second}, 0, freshness.NotYounger, 2 * time.Second},
+		{"replier without a proof", other, freshness.Reply{Number: 7, Version: 3, Age: freshness.NoProof}, 0, freshness.Unproven, 2 * time.Second},
 		{"other number", other, freshness.Reply{Number: 8, Version: 3}, 0, freshness.Unasked, 2 * time.Second},
 		{"other node", stranger, freshness.Reply{Number: 7, Version: 3}, 0, freshness.Unasked, 2 * time.Second},
 		{"age below 0", other, freshness.Reply{Number: 7, Version: 3, Age: -time.Second}, 0, freshness.Unasked, 2 * time.Second},
@@ -138,6 +139,36 @@
 	assert.Assert(t, !doubt.Believes(3), "the store held the contracts in force in between")
 }
 
+// Guards against a node that has just started and takes the document of a store which has lost a version for a proof before it has heard
+// from the others, and against one that waits longer than it must.
+func TestFirstReadOfANode(t *testing.T) {
+	const listen = time.Second
+	clock, proof := newProof()
+	doubt := freshness.NewDoubt(proof, listen)
+	assert.Assert(t, !doubt.BelievesFirst(3, clock.now))
+	doubt.Hear(4)
+	doubt.Assure(3)
+	clock.advance(2 * listen)
+	assert.Assert(t, !doubt.BelievesFirst(3, clock.now), "another node has a newer version")
+	assert.Assert(t, !proof.Fresh())
+
+	clock, proof = newProof()
+	doubt = freshness.NewDoubt(proof, listen)
+	doubt.Assure(3)
+	assert.Assert(t, !proof.Fresh(), "without a read of the store")
+	assert.Assert(t, !doubt.BelievesFirst(3, clock.now))
+	clock.advance(listen / 2)
+	doubt.Assure(3)
+	age, proven := proof.Age()
+	assert.Assert(t, proven && age == listen/2, "the instant is that of the read, not of the answer")
+
+	clock, proof = newProof()
+	doubt = freshness.NewDoubt(proof, listen)
+	assert.Assert(t, !doubt.BelievesFirst(3, clock.now))
+	clock.advance(listen)
+	assert.Assert(t, doubt.BelievesFirst(3, clock.now), "no other node has answered")
+}
+
 // Guards against a comparison with a revision of other contracts or of an earlier era of the store.
 func TestClaimsHoldForTheirVersionAndEra(t *testing.T) {
 	var tracker store.EraTracker
@@ -150,7 +181,9 @@
 	assert.Assert(t, known && claim.Revision == 70)
 	_, known = claims.Of(4)
 	assert.Assert(t, !known, "of newer contracts")
+	assert.Assert(t, !claims.EraEnded())
 	tracker.Observe(2)
+	assert.Assert(t, claims.EraEnded())
 	_, known = claims.Of(3)
 	assert.Assert(t, !known, "of an earlier era")
 	claims.Set(freshness.Claim{Version: 3, Revision: 71, Era: tracker.Era()})
--- a/freshness/queries.go
+++ b/freshness/queries.go
@@ -10,6 +10,9 @@
 // maxOpenQueries bounds the rounds of queries whose replies count. A reply to an earlier round would prove nothing of use.
 const maxOpenQueries = 32
 
+// NoProof is the age in the replies of a node without a proof.
+const NoProof = 1 << 30 * time.Millisecond
+
 // Reply is the answer of another node to a query.
 type Reply struct {
 	Number  uint64        // of the query
@@ -25,6 +28,7 @@
 	Renewed      Result = "renewed"       // the proof has become younger
 	NotYounger   Result = "not-younger"   // the proof of the other node is not younger
 	NewerVersion Result = "newer-version" // the other node has newer contracts, of which this node's proof would be none
+	Unproven     Result = "unproven"      // the other node has no proof
 	Unasked      Result = "unasked"       // no query with this number was sent to that node
 )
 
@@ -77,6 +81,8 @@
 		return Unasked
 	case r.Version > version:
 		return NewerVersion
+	case r.Age >= q.proof.bound:
+		return Unproven
 	case !q.proof.Extend(sentAt.Add(-r.Age)):
 		return NotYounger
 	}
--- a/sidecar/freshness.go
+++ b/sidecar/freshness.go
@@ -44,6 +44,7 @@
 		freshness.Renewed:      metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="renewed"}`),
 		freshness.NotYounger:   metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="not-younger"}`),
 		freshness.NewerVersion: metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="newer-version"}`),
+		freshness.Unproven:     metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="unproven"}`),
 		freshness.Unasked:      metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="unasked"}`),
 	}
 )
@@ -227,21 +228,25 @@
 	s.socket.SendFreshnessQuery(to, number)
 }
 
-// answerFreshnessQuery tells another node the age of this node's proof, while it is of use.
+// answerFreshnessQuery tells another node the age of this node's proof, and the version in force.
 func (s *Sidecar) answerFreshnessQuery(number uint64, from netip.AddrPort) {
-	if !s.proofs.proof.Fresh() {
-		return
+	age := time.Duration(freshness.NoProof)
+	if s.proofs.proof.Fresh() {
+		age, _ = s.proofs.proof.Age() // read before the version, for which it then holds
 	}
-	age, _ := s.proofs.proof.Age() // read before the version, for which it then holds
 	s.socket.SendFreshnessReply(from, freshness.Reply{Number: number, Version: s.contracts.Version(), Age: age})
 }
 
 // handleFreshnessReply renews the proof by that of another node.
 func (s *Sidecar) handleFreshnessReply(r freshness.Reply, from netip.AddrPort) {
-	result := s.proofs.queries.Handle(from, r, s.contracts.Version())
+	version := s.contracts.Version()
+	result := s.proofs.queries.Handle(from, r, version)
 	renewalsByReply[result].Inc()
-	if result == freshness.NewerVersion {
+	switch result {
+	case freshness.NewerVersion:
 		s.handlePeerVersion(r.Version, from)
+	case freshness.Renewed, freshness.NotYounger, freshness.Unproven:
+		s.proofs.doubt.Assure(version)
 	}
 }
 
@@ -329,21 +334,33 @@
 	if k == nil || inForce == nil {
 		return false
 	}
-	if found.valid && found.version >= r.inForce {
-		k.doubt.Clear()
-	} else if !k.doubt.Believes(inForce.Version) {
-		s.Log.Warn("the store holds no document as new as the contracts in force", "in_force", inForce.Version, "version", found.version, "revision", found.revision)
-		return false
-	}
 	era := s.storeClient.Era()
 	if r.era.Ended() {
 		return false
 	}
+	if !s.believes(r, found, inForce.Version) {
+		s.Log.Info("document of the store is no proof before other nodes were heard", "in_force", inForce.Version, "version", found.version, "revision", found.revision)
+		return false
+	}
 	k.claims.Set(freshness.Claim{Version: inForce.Version, Revision: found.revision, Era: era})
 	k.proof.Extend(r.sentAt)
 	return true
 }
 
+// believes reports whether what the store holds proves that the version in force is the newest.
+func (s *Sidecar) believes(r storeReading, found storedDocument, inForce uint64) bool {
+	k := s.proofs
+	_, proven := k.proof.Age()
+	switch {
+	case !found.valid || found.version < r.inForce || k.claims.EraEnded():
+		return k.doubt.Believes(inForce)
+	case !proven && s.roster.HeardPeers() > 0:
+		return k.doubt.BelievesFirst(inForce, r.sentAt)
+	}
+	k.doubt.Clear()
+	return true
+}
+
 // writeClaim adds the revision of the document with the contracts to the header of an answer, if it is known.
 func (s *Sidecar) writeClaim(header http.Header, version uint64) {
 	if s.proofs == nil {
--- a/sidecar/freshness_internal_test.go
+++ b/sidecar/freshness_internal_test.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/contract"
 	"github.com/magnoliawharf/magnoliawharf/freshness"
+	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
@@ -175,6 +176,56 @@
 	assert.Equal(t, memory.Calls().Reads, reads)
 }
 
+// Guards against a restarted node that admits a withdrawn key because it reads an older document from a restored store, before it hears
+// that the others have a newer one; and against nodes that start together and refuse keys for long.
+func TestRestartedNodeHearsOthersBeforeItsFirstProof(t *testing.T) {
+	other := netip.MustParseAddrPort("127.0.0.1:1")
+	for _, test := range []struct {
+		name    string
+		version uint64 // in the reply of the other node, 0 for no reply
+		want    caller.Reason
+	}{{"newer version", 2, caller.ContractsStale}, {"same version", 1, ""}, {"no answer", 0, ""}} {
+		t.Run(test.name, func(t *testing.T) {
+			memory := kvstore.NewMemory()
+			publishRaw(t, memory, documentOf(t, 1, "k"))
+			n := provisionStrict(t, memory)
+			n.roster.HandleStatus(other, peer.StatusMessage{Status: peer.Status{Node: "n2", Boot: 1, Address: "127.0.0.1:1", Zone: "z"}})
+			assert.Assert(t, !n.renewByStore(t.Context()))
+			assert.Equal(t, n.reasonOf("k"), caller.ContractsStale)
+			n.proofs.queries.Add(1, []netip.AddrPort{other})
+			if test.version > 0 {
+				n.handleFreshnessReply(freshness.Reply{Number: 1, Version: test.version, Age: freshness.NoProof}, other)
+				assert.Equal(t, n.reasonOf("k"), test.want)
+			}
+			n.advance(n.proofs.schedule.Doubt())
+			assert.Equal(t, n.renewByStore(t.Context()), test.want == "")
+			assert.Equal(t, n.reasonOf("k"), test.want)
+		})
+	}
+}
+
+// Guards against a node that lost its proof and takes a document of its own version in a restored store for a new one.
+func TestNodeThatMissedTheReturnOfTheStore(t *testing.T) {
+	memory := kvstore.NewMemory()
+	publishRaw(t, memory, documentOf(t, 1, "k"))
+	n := provisionStrict(t, memory)
+	assert.Assert(t, n.renewByStore(t.Context()))
+	older := memory.Copy()
+	publishRaw(t, memory, documentOf(t, 2, "k2")) // while the node is cut off
+	memory.Restore(older)
+	n.advance(testBound)
+	assert.Assert(t, !n.renewByStore(t.Context()))
+	assert.Equal(t, n.reasonOf("k"), caller.ContractsStale)
+	n.proofs.heardVersion(2)
+	n.advance(n.proofs.schedule.Doubt())
+	assert.Assert(t, !n.renewByStore(t.Context()))
+	n.adopt(documentOf(t, 2, "k2"), "another node", "")
+	assert.Assert(t, !n.renewByStore(t.Context()))
+	n.advance(n.proofs.schedule.Doubt())
+	assert.Assert(t, n.renewByStore(t.Context()))
+	assert.Equal(t, n.reasonOf("k"), caller.Unauthenticated)
+}
+
 // Guards against a node that takes the document of a restored store for a proof although it has missed versions, against one that
 // compares revisions of two eras, and against nodes that refuse all keys until the operator writes again.
 func TestRestoredStore(t *testing.T) {
