freshness: share the queries of a large zone among its first nodes

Cause: in a zone of 188 nodes the first two would send and receive 16 to 25 KB a second for the proofs of the others; a node may spend 6 KB/s on control.

Change: in zones of more than 48 nodes one node in 24 is asked; these ask the first two. The nodes of the simulated zone check at different times within a step and answer queries without a proof too, as the running ones do.

--- a/freshness/schedule_test.go
+++ b/freshness/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,8 @@
 
 const (
 	zoneNodes = 17
-	step      = 100 * time.Millisecond
+	step      = 100 * time.Millisecond // between two checks of a node
+	phases    = 5                      // the nodes check at so many different times within a step
 )
 
 // simNode is a node of a simulated zone. Its rank is its index.
@@ -23,6 +25,7 @@
 	queries  *freshness.Queries
 	calls    int // of the store
 	rounds   int
+	asked    int  // queries that other nodes sent to this one
 	refused  bool // the store rejects this node
 	alone    bool // no message reaches this node or leaves it
 }
@@ -31,12 +34,15 @@
 type zone struct {
 	fakeClock
 	nodes []*simNode
+	ticks int
 	down  bool // the store
 }
 
-func newZone() *zone {
+func newZone() *zone { return newZoneOf(zoneNodes) }
+
+func newZoneOf(nodes int) *zone {
 	z := &zone{fakeClock: fakeClock{now: freshness.Instant(time.Hour)}}
-	for i := range zoneNodes {
+	for i := range nodes {
 		proof := freshness.NewProof(z.read, bound)
 		z.nodes = append(z.nodes, &simNode{
 			addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), proof: proof,
@@ -48,9 +54,12 @@
 
 // run lets the zone renew its proofs for the time and returns the largest age of any proof that check selects.
 func (z *zone) run(d time.Duration, check func(*simNode) bool) (oldest time.Duration) {
-	for end := z.now.Add(d); z.now < end; z.advance(step) {
+	for end := z.now.Add(d); z.now < end; z.advance(step / phases) {
+		z.ticks++
 		for rank, n := range z.nodes {
-			z.renew(rank, n)
+			if (rank+z.ticks)%phases == 0 {
+				z.renew(rank, n)
+			}
 		}
 		for _, n := range z.nodes {
 			if age, proven := n.proof.Age(); check(n) && proven {
@@ -64,15 +73,7 @@
 func (z *zone) renew(rank int, n *simNode) {
 	if n.schedule.RoundDue() {
 		n.rounds++
-		number := uint64(n.rounds)
-		for _, other := range []*simNode{z.nodes[0], z.nodes[1], z.nodes[(rank+n.rounds)%zoneNodes]} {
-			if other == n || other.alone || n.alone || !other.proof.Fresh() {
-				continue
-			}
-			age, _ := other.proof.Age()
-			n.queries.Add(number, []netip.AddrPort{other.addr})
-			n.queries.Handle(other.addr, freshness.Reply{Number: number, Version: 1, Age: age}, 1)
-		}
+		z.query(rank, n)
 	}
 	if n.schedule.StoreDue(rank) {
 		n.calls++
@@ -84,6 +85,30 @@
 	}
 }
 
+// query sends one round of queries, to the sources of the node and to one more.
+func (z *zone) query(rank int, n *simNode) {
+	var others []netip.AddrPort
+	for _, other := range z.nodes {
+		if other != n {
+			others = append(others, other.addr)
+		}
+	}
+	number := uint64(n.rounds)
+	to := append(freshness.Sources(others, rank), z.nodes[(rank+n.rounds)%len(z.nodes)].addr)
+	n.queries.Add(number, to)
+	for _, other := range z.nodes {
+		if other == n || !slices.Contains(to, other.addr) || other.alone || n.alone {
+			continue
+		}
+		other.asked++
+		age := time.Duration(freshness.NoProof)
+		if other.proof.Fresh() {
+			age, _ = other.proof.Age()
+		}
+		n.queries.Handle(other.addr, freshness.Reply{Number: number, Version: 1, Age: age}, 1)
+	}
+}
+
 func (z *zone) calls() (total int) {
 	for _, n := range z.nodes {
 		total += n.calls
@@ -106,6 +131,33 @@
 	assert.Assert(t, oldest <= 2*time.Second, "a proof of age %v", oldest)
 }
 
+// Guards against a large zone whose nodes all ask the first two, which then spend more than 6 KB a second on replies, or one whose
+// proofs become old because they pass through more nodes.
+func TestNodesOfALargeZoneShareTheReplies(t *testing.T) {
+	const (
+		nodes         = 188
+		exchangeBytes = 39 + 45 // of a query and a reply, with headers
+		limit         = 6000    // bytes a second
+		seconds       = 60
+	)
+	z := newZoneOf(nodes)
+	z.run(5*time.Second, all)
+	z.calls()
+	for _, n := range z.nodes {
+		n.asked = 0
+	}
+	oldest := z.run(seconds*time.Second, all)
+	most := 0
+	for _, n := range z.nodes {
+		most = max(most, n.asked)
+	}
+	t.Logf("oldest proof %v, %d B/s at the node asked most often", oldest, most*exchangeBytes/seconds)
+	assert.Assert(t, most*exchangeBytes/seconds < limit, "%d queries in %d s", most, seconds)
+	assert.Assert(t, oldest < bound/2, "a proof of age %v", oldest)
+	first := z.nodes[0].calls
+	assert.Equal(t, z.calls(), first, "other nodes called the store")
+}
+
 // Guards against a start of all nodes at which each calls the store.
 func TestStartOfAllNodes(t *testing.T) {
 	z := newZone()
--- a/sidecar/freshness.go
+++ b/sidecar/freshness.go
@@ -20,9 +20,7 @@
 const (
 	// proofChecksPerBound is how often a node checks, within the bound, whether its proof is due for renewal.
 	proofChecksPerBound = 50
-	// firstNodesAsked and randomNodesAsked are the nodes asked in each round: the first ones of the zone, which renew their proofs by
-	// the store, and any others, in case those are cut off too.
-	firstNodesAsked  = 2
+	// randomNodesAsked is the number of nodes asked in each round beside the first ones of the zone, in case those are cut off too.
 	randomNodesAsked = 1
 	// minStaleRetryAfter is the shortest delay suggested to a caller whose request was refused without a proof. A random part of the
 	// same length spreads the callers over the time in which the next renewals are tried.
@@ -214,7 +212,7 @@
 
 // queryProofs asks other nodes for the age of their proofs.
 func (s *Sidecar) queryProofs() {
-	to := s.roster.FirstInZone(firstNodesAsked)
+	to := freshness.Sources(s.roster.FirstInZone(s.roster.Len()), s.roster.RankInZone())
 	for _, addr := range s.roster.Addresses(randomNodesAsked) {
 		if !slices.Contains(to, addr) {
 			to = append(to, addr)
