--- a/store/within_test.go
+++ b/store/within_test.go
@@ -33,6 +33,10 @@
 		{"revoke", func(ctx context.Context, s store.Store, _ int64, id store.LeaseID) error {
 			return s.RevokeLease(ctx, id)
 		}},
+		{"verify", func(ctx context.Context, s store.Store, revision int64, _ store.LeaseID) error {
+			_, err := store.Verify(ctx, s, "/k", revision)
+			return err
+		}},
 	}
 }
 
