--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -46,6 +46,14 @@
 	Objective time.Duration
 }
 
+// keysOf returns the keys of the tenant "a", no tenants without keys.
+func keysOf(keys ...string) map[string][]string {
+	if len(keys) == 0 {
+		return nil
+	}
+	return map[string][]string{"a": keys}
+}
+
 func decode(raw []byte) (*contract.Contracts, error) {
 	var d document
 	if err := json.Unmarshal(raw, &d); err != nil {
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -42,6 +42,9 @@
 	Dispatcher Dispatcher
 	Dialect    caller.Dialect
 	Origin     string // service of the upstream beside this node
+	// IsCurrent reports whether the contracts are known to be the newest; while they are not, an unknown key is not rejected for good.
+	// nil is taken for true.
+	IsCurrent func() bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/transport/entryhttp/key.go
+++ b/transport/entryhttp/key.go
@@ -34,6 +34,9 @@
 	if route.Public {
 		return holder{}, nil
 	}
+	if h.IsCurrent != nil && !h.IsCurrent() {
+		return holder{}, caller.Refuse(caller.ContractsStale, acceptStep, "") // the key may be a new one
+	}
 	return holder{}, caller.Refuse(caller.Unauthenticated, acceptStep, "")
 }
 
