--- a/store/follow.go
+++ b/store/follow.go
@@ -24,6 +24,11 @@
 // new era of the store starts over with jittered backoff. While the store is unreachable update is not called, and the
 // last entries stay valid.
 func (c *Client) Follow(ctx context.Context, prefix string, update func([]Entry)) error {
+	return c.FollowSnapshots(ctx, prefix, func(s Snapshot) { update(s.Entries) })
+}
+
+// FollowSnapshots is Follow with what is known of the moment to which the entries belong.
+func (c *Client) FollowSnapshots(ctx context.Context, prefix string, update func(Snapshot)) error {
 	f := follower{client: c, prefix: prefix, update: update, backoff: Backoff{MaxDelay: c.MaxRetryDelay}}
 	for ctx.Err() == nil {
 		f.watch(ctx)
@@ -38,7 +43,9 @@
 type follower struct {
 	client      *Client
 	prefix      string
-	update      func([]Entry)
+	update      func(Snapshot)
+	era         Era              // of current
+	readAt      time.Time        // when the last full read was sent
 	current     map[string]Entry // nil before the first read
 	backoff     Backoff
 	unreachable bool // the last attempt failed and was reported
@@ -99,21 +106,23 @@
 
 func nextResyncDelay() time.Duration { return ResyncInterval - rand.N(resyncJitter) }
 
-// read replaces the current entries by those in the store and reports whether they differed.
+// read replaces the current entries by those in the store and reports whether they, or the era of the store, differed.
 func (f *follower) read(ctx context.Context) (changed bool, err error) {
-	entries, err := f.client.List(ctx, f.prefix)
+	read, err := f.client.Read(ctx, f.prefix)
 	if err != nil {
 		return false, err
 	}
-	found := make(map[string]Entry, len(entries))
-	for _, entry := range entries {
+	found := make(map[string]Entry, len(read.Entries))
+	for _, entry := range read.Entries {
 		found[entry.Key] = entry
 	}
-	if f.current != nil && maps.EqualFunc(found, f.current, sameEntry) {
+	sameEra := f.era == read.Era
+	f.era, f.readAt = read.Era, read.ReadAt
+	if f.current != nil && sameEra && maps.EqualFunc(found, f.current, sameEntry) {
 		return false, nil
 	}
 	f.current = found
-	f.publish()
+	f.publish(nil)
 	return true, nil
 }
 
@@ -130,13 +139,14 @@
 		return
 	case event.Deleted:
 		delete(f.current, key)
+		f.publish([]Entry{event.Entry})
 	default:
 		f.current[key] = event.Entry
+		f.publish(nil)
 	}
-	f.publish()
 }
 
-func (f *follower) publish() {
+func (f *follower) publish(removed []Entry) {
 	entries := slices.SortedFunc(maps.Values(f.current), func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
-	f.update(entries)
+	f.update(Snapshot{Entries: entries, Removed: removed, Era: f.era, ReadAt: f.readAt})
 }
