upstream, inbound: limit the requests that start while an upstream is cold

A cold upstream crashes above its cold rate, and nothing limited its requests. Requests of the last second count when the limit begins. Waiting requests that the rate would keep for more than 100 ms are refused, so that their entry nodes choose another upstream. The cold time comes from health checks and announcements; while it is unknown the rate holds. An evacuated zone takes its upstreams out of service, with reason evacuated, and brings them back as unknown.

go test -race ./upstream ./inbound ./transport/upstreamconn: ok.

--- a/caller/notice_test.go
+++ b/caller/notice_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -50,3 +51,27 @@
 		assert.Assert(t, !ok, "%v", odd)
 	}
 }
+
+// Guards against a cold time that is no time and counts, and against one of several that is overlooked.
+func TestColdTimesOfOddHealthReports(t *testing.T) {
+	dialect := caller.Dialect{Cold: "X-Cold"}
+	cold := func(remaining time.Duration) caller.ColdTime {
+		return caller.ColdTime{Stated: true, Remaining: remaining}
+	}
+	unreadable := func(text string) caller.ColdTime { return caller.ColdTime{Unreadable: text} }
+	for name, test := range map[string]struct {
+		values []string
+		want   caller.ColdTime
+	}{
+		"none": {nil, caller.ColdTime{}}, "warm": {[]string{"0"}, cold(0)}, "cold": {[]string{" 1500 "}, cold(1500 * time.Millisecond)},
+		"a fraction": {[]string{"0.5"}, cold(500 * time.Microsecond)}, "the longest": {[]string{"7", "9"}, cold(9 * time.Millisecond)},
+		"negative": {[]string{"-1"}, unreadable("-1")}, "not a number": {[]string{"NaN"}, unreadable("NaN")}, "endless": {[]string{"+Inf"}, unreadable("+Inf")},
+		"more than a day": {[]string{"86400001"}, unreadable("86400001")}, "a day": {[]string{"86400000"}, cold(24 * time.Hour)},
+		"text": {[]string{"soon"}, unreadable("soon")}, "empty": {[]string{""}, unreadable("(empty)")}, "long text": {[]string{strings.Repeat("x", 5000)}, unreadable(strings.Repeat("x", 64))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, dialect.ColdTimeOf(map[string][]string{"X-Cold": test.values}), test.want)
+		})
+	}
+	assert.Equal(t, (&caller.Dialect{}).ColdTimeOf(map[string][]string{"": {"5"}}), caller.ColdTime{}, "a dialect without the field")
+}
--- a/inbound/announce.go
+++ b/inbound/announce.go
@@ -94,9 +94,7 @@
 	notify := p.apply(now, a)
 	p.mu.Unlock()
 	p.crashes.Detector.ProcessSeen(now, quarantine.ProcessInfo{Process: processName(a), Addr: a.Address})
-	if notify != nil {
-		notify()
-	}
+	notify()
 	return nil
 }
 
@@ -148,8 +146,7 @@
 // namedService reports whether the contracts name the service.
 func (p *Proxy) namedService(name string) bool { return p.options.HealthPath(name) != "" }
 
-// apply makes the announcement the current one. It is called with the lock held; the caller must call notify, unless it
-// is nil, after releasing the lock.
+// apply makes the announcement the current one. It is called with the lock held; the caller must call notify after releasing the lock.
 func (p *Proxy) apply(now time.Time, a Announcement) (notify func()) {
 	previous := p.current
 	replaced := !a.sameIncarnation(previous)
@@ -174,13 +171,17 @@
 	if replaced {
 		p.load, p.loadCheckedAt, p.pendingCheck = caller.UpstreamLoad{}, time.Time{}, nil
 		p.forgetLimit(now, previous)
+		p.forgetCold(now, previous)
 		p.options.Client.KeepOnly(a.Address)
 	}
+	p.cold.observeAnnouncement(now, a.ColdStartRemaining)
+	notifyCold := p.updateColdLimit(now, "an announcement") // before the state, so that no request starts by the limit from before
 	if !replaced && next == p.state && a.Slots == previous.Slots && a.Service == previous.Service && a.Address == previous.Address {
 		p.renewAnnouncement(now)
-		return nil
+		return notifyCold
 	}
-	return p.setState(now, next, announcementCauses[next])
+	notifyState := p.setState(now, next, announcementCauses[next])
+	return func() { notifyCold(); notifyState() }
 }
 
 // announcementCauses are the causes of the states that follow from an announcement.
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -28,6 +28,7 @@
 // Load implements peer.Self. It waits up to healthCheckWait for a health check when the last one is older than
 // Options.FreshFor.
 func (p *Proxy) Load(now time.Time) peer.Load {
+	p.applyColdRate(now)
 	if done := p.startHealthCheck(now); done != nil {
 		timer := time.NewTimer(healthCheckWait)
 		select {
@@ -67,17 +68,24 @@
 	if p.state != serving || path == "" || now.Sub(p.loadCheckedAt) < p.options.FreshFor {
 		return nil
 	}
+	return p.launchHealthCheck(now, path)
+}
+
+// launchHealthCheck starts a health check, unless one is in progress, and returns a channel that is closed when it has ended. It is called
+// with the lock held.
+func (p *Proxy) launchHealthCheck(now time.Time, path string) <-chan struct{} {
 	if p.pendingCheck != nil {
 		return p.pendingCheck
 	}
 	done := make(chan struct{})
-	p.pendingCheck = done
+	p.pendingCheck, p.checkStartedAt, p.startsUnchecked = done, now, 0
 	target := p.current
 	go func() {
 		report, err := p.checkHealth(target.Address, path)
 		p.finishHealthCheck(time.Now(), done, report, err)
 		if err == nil {
 			p.recordHealthNotice(target, now, report)
+			p.recordColdTime(target, now, report)
 		}
 		p.recordRefused(target, err)
 		close(done)
--- a/inbound/probe.go
+++ b/inbound/probe.go
@@ -30,6 +30,7 @@
 // probe checks the health of an upstream that is unknown or down, or that lost a connection. It marks a serving upstream as
 // unknown when there was no contact for Options.LivenessTimeout.
 func (p *Proxy) probe(now time.Time) {
+	p.applyColdRate(now)
 	p.mu.Lock()
 	observed, addr := p.state, p.current.Address
 	if observed == serving && now.Sub(p.lastSeen) > p.options.LivenessTimeout {
@@ -38,6 +39,7 @@
 		notify()
 		return
 	}
+	p.startColdCheck(now)
 	target, service, recalled := p.current, p.current.Service, len(p.recalledServices) > 0
 	p.mu.Unlock()
 	if observed == serving && p.crashes.Detector.NeedsEvidence(now) {
@@ -58,6 +60,7 @@
 		adopted := p.current
 		p.mu.Unlock()
 		p.recordHealthNotice(adopted, now, report)
+		p.recordColdTime(adopted, now, report)
 	}
 }
 
@@ -76,6 +79,7 @@
 		p.crashes.Detector.ProcessEnded(began) // another process has its address
 	default:
 		p.crashes.Detector.ProcessAnswered(began)
+		p.recordColdTime(target, began, report)
 	}
 }
 
@@ -125,7 +129,9 @@
 		p.load = report.Load
 	}
 	p.lastSeen, p.loadCheckedAt = now, now
+	notifyCold := p.updateColdLimit(now, "found by a health check")
 	notify := p.setState(now, serving, "answered a reading")
 	p.mu.Unlock()
+	notifyCold()
 	notify()
 }
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -45,6 +45,7 @@
 	Load       caller.UpstreamLoad
 	HasLoad    bool
 	Notice     caller.Notice
+	Cold       caller.ColdTime
 }
 
 // Rejection is the cause of the refusal of a request that the upstream answered without running it.
@@ -58,16 +59,19 @@
 
 // Options configure a Proxy.
 type Options struct {
-	Node            string
-	Boot            uint64 // identifies this run of the node process
-	Address         string // host:port at which this node accepts forwarded requests
-	Zone            string
-	Service         string                      // service of the upstream in the settings
-	Upstream        string                      // host:port of the upstream in the settings
-	HealthPath      func(service string) string // "" while no contracts are known
-	FreshFor        time.Duration               // age up to which a known load is used without a new health check
-	AnnounceEvery   time.Duration               // interval at which an upstream announces itself
-	LivenessTimeout time.Duration               // silence after which an upstream is taken for gone
+	Node       string
+	Boot       uint64 // identifies this run of the node process
+	Address    string // host:port at which this node accepts forwarded requests
+	Zone       string
+	Service    string                      // service of the upstream in the settings
+	Upstream   string                      // host:port of the upstream in the settings
+	HealthPath func(service string) string // "" while no contracts are known
+	// ColdRate returns the requests a second that a cold upstream of the service tolerates, 0 for no limit; known is false while no
+	// contracts are known. nil: no service has such a limit.
+	ColdRate        func(service string) (perSecond float64, known bool)
+	FreshFor        time.Duration // age up to which a known load is used without a new health check
+	AnnounceEvery   time.Duration // interval at which an upstream announces itself
+	LivenessTimeout time.Duration // silence after which an upstream is taken for gone
 	// ConfirmPeriod is the time after the start of the process in which the first announcement of an incarnation has to be
 	// confirmed before it gets requests, since it may have been sent before a departure that this process does not know of.
 	ConfirmPeriod  time.Duration
@@ -106,6 +110,13 @@
 	load             caller.UpstreamLoad // last one that the current incarnation reported
 	loadCheckedAt    time.Time           // last load report or health check, zero before the first of the incarnation
 	pendingCheck     chan struct{}       // closed when the health check in progress has ended, nil without one
+	cold             coldState           // of the current incarnation
+	coldLimit        upstream.ColdLimit  // in force
+	everColdLimited  bool                // coldLimit has been in force
+	unreadableCold   string              // cold time in the last health report, when it could not be read
+	checkStartedAt   time.Time           // start of the last health check of a serving upstream
+	startsUnchecked  int                 // requests that started since
+	evacuated        bool                // the zone is evacuated
 }
 
 // state is the state of the current incarnation.
@@ -147,7 +158,7 @@
 }
 
 // acceptsWork reports whether new requests are admitted. It is called with the lock held.
-func (p *Proxy) acceptsWork() bool { return p.state == serving && !p.stopping }
+func (p *Proxy) acceptsWork() bool { return p.state == serving && !p.stopping && !p.evacuated }
 
 // setState changes the state and announces it to the admission control, which has no state down or unknown: there, an
 // upstream that accepts no work is draining. It is called with the lock held; the caller must call notify after
@@ -156,17 +167,26 @@
 	previous := p.state
 	p.state = next
 	p.revision++
+	notifyCold := func() {}
+	if previous == serving && (next == down || next == unknown) {
+		p.cold.reset(now) // it may have been started again
+		notifyCold = p.updateColdLimit(now, "the upstream is "+next.String())
+	}
 	announced := upstream.Announcement{
 		Service: p.current.Service, Addr: p.current.Address, State: instance.Draining, Slots: p.current.Slots,
 		TimeToLive: p.options.LivenessTimeout, Process: p.current.ID,
 	}
-	if p.acceptsWork() {
+	switch {
+	case p.acceptsWork():
 		announced.State = instance.Ready
+	case p.evacuated:
+		announced.Refusal = caller.Evacuated
 	}
 	// Announced under the lock, so that the admission control never ends up with an older state than the proxy.
 	p.upstream.Announce(now, announced)
 	current := p.current
 	return func() {
+		notifyCold()
 		p.options.Log.Info("upstream updated", "upstream", current.ID, "service", current.Service, "address", current.Address,
 			"born", current.Born, "sequence", current.Sequence, "slots", current.Slots, "from", previous.String(), "to", next.String(), "cause", cause)
 		p.options.OnStatusChange()
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -46,6 +46,7 @@
 }
 
 func (p *Proxy) admitAndSend(ctx context.Context, req *caller.Request, boot uint64) (*caller.Answer, error) {
+	p.applyColdRate(time.Now())
 	if refusal := p.checkPlacement(req, boot); refusal != nil {
 		return nil, refusal
 	}
@@ -93,6 +94,8 @@
 		return caller.Refuse(caller.StaleIncarnation, serveStep, p.options.Node)
 	case req.Service != p.current.Service:
 		return caller.Refuse(caller.NotReady, serveStep, p.options.Node)
+	case p.evacuated:
+		return caller.Refuse(caller.Evacuated, serveStep, p.options.Node)
 	case p.state == draining || p.stopping || p.outlastsStop(req):
 		return caller.Refuse(caller.Draining, serveStep, p.options.Node)
 	case p.state != serving:
@@ -119,6 +122,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.countStart(time.Now())
 	return p.current, nil
 }
 
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -221,6 +221,7 @@
 	}
 	reading := inbound.HealthReport{
 		Healthy: response.StatusCode == http.StatusOK, UpstreamID: response.Header.Get(c.dialect.UpstreamID), Notice: c.dialect.NoticeOf(response.Header),
+		Cold: c.dialect.ColdTimeOf(response.Header),
 	}
 	reading.Load, reading.HasLoad = c.LoadOf(response.Header)
 	return reading, nil
--- a/transport/upstreamconn/notice_test.go
+++ b/transport/upstreamconn/notice_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,9 +20,9 @@
 // health report.
 func TestNoticesOfAnswers(t *testing.T) {
 	noticing := dialect
-	noticing.RateLimit, noticing.Leaving = "X-Limit", "X-Leaving"
+	noticing.RateLimit, noticing.Leaving, noticing.Cold = "X-Limit", "X-Leaving", "X-Cold"
 	want := caller.Notice{Leaving: true, Limit: caller.RateLimit{Named: true, PerSecond: 2.5}}
-	const fields = "X-Limit: 2.5\r\nX-Leaving: 1"
+	const fields = "X-Limit: 2.5\r\nX-Leaving: 1\r\nX-Cold: 1500"
 	addr, _ := startUpstream(t, func(c *net.TCPConn, _ int, r *http.Request) bool {
 		id := r.Header.Get("X-Id")
 		if id == "rejected" {
@@ -46,4 +47,5 @@
 	report, err := client.CheckHealth(context.Background(), addr, "/health")
 	assert.NilError(t, err)
 	assert.Equal(t, report.Notice, want)
+	assert.Equal(t, report.Cold, caller.ColdTime{Stated: true, Remaining: 1500 * time.Millisecond})
 }
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -44,7 +44,7 @@
 // Admit waits for a slot and returns the function that releases it; calls after the first have no
 // effect. It waits until the deadline of the request, the longest wait of its class or the end of ctx.
 // The error is a *caller.Refusal with Ran set to NotRun and the reason NotReady, Draining, ColdUpstream,
-// QueueFull, DeadlineUnmeetable, RateLimited, DeadlinePassed, Overload or Cancelled.
+// Evacuated, QueueFull, DeadlineUnmeetable, RateLimited, DeadlinePassed, Overload or Cancelled.
 func (u *Upstream) Admit(ctx context.Context, req AdmitRequest) (func(), error) {
 	w, refusal := u.admitOrQueue(time.Now(), req)
 	if refusal != nil {
@@ -99,6 +99,7 @@
 	w.done = make(chan struct{})
 	u.queues.add(w)
 	u.grantWaiting(now)
+	u.shedBeyondColdRate(now)
 	return w, nil
 }
 
@@ -242,6 +243,7 @@
 func (u *Upstream) acquireSlot(now time.Time, w *waiter) {
 	u.slots.acquire(now, w.request.Class)
 	u.rate.take(now)
+	u.starts.add(now)
 	w.lease = &lease{upstream: u, queue: w.queue, class: w.request.Class, started: now, slotSecondsAtStart: u.slots.slotSeconds}
 }
 
--- a/upstream/rate.go
+++ b/upstream/rate.go
@@ -21,23 +21,30 @@
 	unknownRateSlots = 3
 )
 
-// rateLimit limits the requests that start each second. The zero value is no limit. It is guarded by the lock of the Upstream.
+// rateLimit limits the requests that start each second, by the lower of the limit that the upstream names and the one while it is cold.
+// The zero value is no limit. It is guarded by the lock of the Upstream.
 type rateLimit struct {
 	named    caller.RateLimit
+	cold     ColdLimit
 	bucket   *rate.Limiter // nil without a limit
 	wake     *time.Timer   // grants a slot to a waiting request when the next token is due, nil before the first use
 	returnAt time.Time     // next moment at which a refused caller may return
 }
 
-// set replaces the limit. The bucket of a new limit is empty: the requests that were sent before it was named count too.
+// set replaces the named limit. The bucket of a new limit is empty: the requests that were sent before it was named count too.
 func (l *rateLimit) set(now time.Time, limit caller.RateLimit) {
-	l.named, l.returnAt = limit, time.Time{}
-	if !limit.Named {
+	l.named = limit
+	l.update(now)
+}
+
+// update adjusts the bucket to the limits in force.
+func (l *rateLimit) update(now time.Time) {
+	l.returnAt = time.Time{}
+	perSecond, burst := l.inForce()
+	if perSecond == 0 {
 		l.bucket = nil
 		return
 	}
-	perSecond := max(limit.PerSecond, minRate)
-	burst := max(1, int(perSecond*burstTime.Seconds()))
 	if l.bucket == nil {
 		l.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
 		l.bucket.AllowN(now, burst)
@@ -47,6 +54,22 @@
 	l.bucket.SetBurstAt(now, burst)
 }
 
+// inForce returns the rate and the burst that count, 0 without a limit.
+func (l *rateLimit) inForce() (perSecond float64, burst int) {
+	if l.named.Named {
+		perSecond = max(l.named.PerSecond, minRate)
+		burst = max(1, int(perSecond*burstTime.Seconds()))
+	}
+	if l.cold.PerSecond <= 0 {
+		return perSecond, burst
+	}
+	coldRate := max(l.cold.PerSecond, minRate)
+	if !l.named.Named {
+		return coldRate, max(1, l.cold.Burst)
+	}
+	return min(perSecond, coldRate), min(burst, max(1, l.cold.Burst))
+}
+
 // ready reports whether a request may start now.
 func (l *rateLimit) ready(now time.Time) bool { return l.bucket == nil || l.bucket.TokensAt(now) >= 1 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -4,6 +4,7 @@
 package upstream
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	Slots      int           // largest number of concurrent requests
 	TimeToLive time.Duration // validity of the announcement; Options.TimeToLive bounds it
 	Process    string        // identifies the process of the upstream, "" when not reported
+	// Refusal is the reason for which requests are refused in the state Draining; "" for Draining.
+	Refusal caller.Reason
 }
 
 // Upstream holds the announced state, the slots and the queues of the upstream beside this node. It is safe for
@@ -40,7 +43,8 @@
 	queues      queueSet
 	limit       adaptiveLimit
 	rate        rateLimit
-	rateUnknown bool                // see RateUnknown
+	rateUnknown bool // see RateUnknown
+	starts      recentStarts
 	serviceTime serviceTimeEstimate // over all classes that are not long
 	options     Options
 }
@@ -117,7 +121,7 @@
 	case !now.Before(u.expires):
 		return caller.NotReady, true
 	case u.announced.State == instance.Draining:
-		return caller.Draining, true
+		return cmp.Or(u.announced.Refusal, caller.Draining), true
 	case !u.announced.State.Serves():
 		return caller.NotReady, true
 	}
