Evacuate the zones that the operator names in the store

The keys below op/evacuate/ had no effect. peer.Evacuations now holds the state of each zone with the era and revision of the store that said so; the later one counts. Nodes that read the store send changes to all others (message kind z), and each status message is followed by the states. Nodes in an evacuated zone take no requests for their upstream, and no node chooses one there. A refusal with reason evacuated is retried at no cost. The contracts' cold rate now reaches the home node as well.

caller/retry_test.go: its table had no row for evacuated. The test still fails for the reasons of tenants, quotas and freshness, which have no row yet.

--- a/caller/retry.go
+++ b/caller/retry.go
@@ -31,7 +31,7 @@
 
 // retryCosts holds the reasons after which a retry may succeed. After any other reason there is no retry.
 var retryCosts = map[Reason]RetryCost{
-	Draining: FreeRetry, NotReady: FreeRetry, StaleIncarnation: FreeRetry, PeerUnreachable: FreeRetry,
+	Draining: FreeRetry, NotReady: FreeRetry, StaleIncarnation: FreeRetry, PeerUnreachable: FreeRetry, Evacuated: FreeRetry,
 	StaleBundle: PaidRetry, UpstreamUnreachable: PaidRetry, PeerLost: PaidRetry, UpstreamLost: PaidRetry, AnswerMismatch: PaidRetry,
 	UpstreamRejected: PaidRetry, KeptConnectionLost: PaidRetry,
 	ColdUpstream: DelayedRetry, QueueFull: DelayedRetry, DeadlineUnmeetable: DelayedRetry, Overload: DelayedRetry, RateLimited: DelayedRetry,
--- a/caller/retry_test.go
+++ b/caller/retry_test.go
@@ -20,7 +20,7 @@
 	caller.KeyMissing: "--", caller.KeyInvalid: "--", caller.KeyExpired: "--",
 	caller.KeyInProgress: "--", caller.KeyUnknown: "--", caller.KeyAlreadyRun: "--",
 	caller.NoKeeper: "--", caller.BodyCut: "--",
-	caller.Draining: "ff", caller.NotReady: "ff", caller.StaleIncarnation: "ff", caller.PeerUnreachable: "ff",
+	caller.Draining: "ff", caller.NotReady: "ff", caller.StaleIncarnation: "ff", caller.PeerUnreachable: "ff", caller.Evacuated: "ff",
 	caller.StaleBundle: "pp", caller.ColdUpstream: "pp", caller.QueueFull: "pp", caller.DeadlineUnmeetable: "pp",
 	caller.Overload: "pp", caller.RateLimited: "pp", caller.UpstreamUnreachable: "pp", caller.PeerLost: "pp", caller.UpstreamLost: "pp",
 	caller.KeptConnectionLost: "pp", caller.AnswerMismatch: "pp", caller.UpstreamRejected: "pp", caller.BodyTooLarge: "--",
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -27,7 +27,7 @@
 var freeRetryReasons = map[caller.Reason]bool{
 	caller.Draining: true, caller.NotReady: true, caller.StaleIncarnation: true, caller.PeerUnreachable: true,
 	caller.QueueFull: true, caller.DeadlineUnmeetable: true, caller.Overload: true, caller.ColdUpstream: true, caller.RateLimited: true,
-	caller.UpstreamUnreachable: true,
+	caller.UpstreamUnreachable: true, caller.Evacuated: true,
 }
 
 // budgetedRetryReasons are the reasons after which an upstream may have received the request. A retry then adds load to
--- a/peer/candidates.go
+++ b/peer/candidates.go
@@ -43,7 +43,7 @@
 // only when there are no others. The cost does not depend on the number of nodes unless most of them are unusable.
 func (r *Roster) candidates(now time.Time, need Criteria) []*Peer {
 	nodes, _ := r.services.Get(need.Service)
-	allowed := func(p *Peer) bool { return need.Exclude == nil || !need.Exclude(p) }
+	allowed := func(p *Peer) bool { return (need.Exclude == nil || !need.Exclude(p)) && !r.isEvacuated(p) }
 	usable := func(p *Peer) bool { return p.isServing(now) && allowed(p) && !p.isLimited(now, need) }
 	if sampled := r.sampleZones(nodes, usable); len(sampled) > 0 {
 		return sampled
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -84,7 +84,7 @@
 	for _, p := range candidates {
 		got := r.estimate(now, p, need)
 		switch {
-		case !got.Status.Serving:
+		case !got.Status.Serving || r.evacuations.IsActive(got.Status.Zone):
 		case got.limitTooLate:
 			limited = limited.with(got)
 		case got.Cost < best.Cost:
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -104,6 +104,7 @@
 	status := r.selfNode.Status()
 	for _, addr := range r.Addresses(maxNotified) {
 		r.sender.SendStatus(addr, StatusMessage{Status: status})
+		r.evacuations.SendTo(addr)
 		r.sendOwnDeparture(addr)
 		r.sendOwnRateLimit(addr)
 	}
@@ -123,6 +124,7 @@
 func (r *Roster) sendStatus(p *Peer, reply bool) {
 	r.sendRateLimits(p) // first, so that a node which has started again knows the limit when it takes its upstream into service
 	r.sender.SendStatus(p.addr, StatusMessage{Status: r.selfNode.Status(), Addresses: r.heardAddresses(), ReplyRequested: reply, Previous: p.previousUpstream()})
+	r.evacuations.SendTo(p.addr)
 	r.sendDepartures(p)
 }
 
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -54,7 +54,9 @@
 	// OnContact, when not nil, is called with each node that has started and with those that a round of gossip contacts, which are
 	// all of them by turns. No lock is held, and it must not block.
 	OnContact func(addr netip.AddrPort)
-	Log       *slog.Logger
+	// Evacuations are the evacuated zones, whose nodes are not chosen. nil: there are none.
+	Evacuations *Evacuations
+	Log         *slog.Logger
 }
 
 // Routing holds the settings by which a Roster chooses a node.
@@ -72,6 +74,7 @@
 	selfPeer     *Peer
 	storeReached func()
 	contacted    func(netip.AddrPort)
+	evacuations  *Evacuations
 	log          *slog.Logger
 	changes      *changeLog
 
@@ -85,7 +88,7 @@
 // NewRoster returns a roster that knows only this node.
 func NewRoster(o Options) *Roster {
 	r := &Roster{
-		zone: o.Zone, sender: o.Sender, selfNode: o.Self, storeReached: o.OnStoreReachable, contacted: o.OnContact, log: o.Log, changes: newChangeLog(o.Log),
+		zone: o.Zone, sender: o.Sender, selfNode: o.Self, storeReached: o.OnStoreReachable, contacted: o.OnContact, evacuations: o.Evacuations, log: o.Log, changes: newChangeLog(o.Log),
 		peers:       shard.NewString[string, *Peer](rosterShards),
 		services:    shard.NewString[string, serviceNodes](rosterShards),
 		rebroadcast: make(chan struct{}, 1),
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -95,7 +95,7 @@
 			for wait.For(watching, rankInterval) && s.roster.RankInZone() < watchersPerZone {
 			}
 		}()
-		_ = client.Follow(watching, s.Platform.ContractsPrefix, s.applyWatchUpdate) // returns when watching ends
+		_ = client.FollowSnapshots(watching, s.Platform.ContractsPrefix, s.applyWatchUpdate) // returns when watching ends
 		cancel()
 	}
 }
@@ -153,10 +153,10 @@
 	wait.For(ctx, initialCheckInterval)
 }
 
-// applyWatchUpdate applies the entries of a watch update and notifies the other nodes of a new version.
-func (s *Sidecar) applyWatchUpdate(entries []store.Entry) {
+// applyWatchUpdate applies a watch update and notifies the other nodes of a new version.
+func (s *Sidecar) applyWatchUpdate(found store.Snapshot) {
 	before := s.contracts.Version()
-	s.applyEntries(entries)
+	s.applyEntries(found)
 	if s.contracts.Version() != before {
 		s.roster.BroadcastStatus()
 	}
@@ -164,11 +164,11 @@
 
 // readContracts reads the contracts from the store once, for a node that has no other source of them.
 func (s *Sidecar) readContracts(ctx context.Context) error {
-	entries, err := s.storeClient.List(ctx, s.Platform.ContractsPrefix)
+	found, err := s.storeClient.Read(ctx, s.Platform.ContractsPrefix)
 	if err != nil {
 		return err
 	}
-	s.applyEntries(entries)
+	s.applyEntries(found)
 	return nil
 }
 
@@ -218,7 +218,7 @@
 	before := s.contracts.Version()
 	reading, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	entries, err := client.List(reading, s.Platform.ContractsPrefix)
+	found, err := client.Read(reading, s.Platform.ContractsPrefix)
 	if err != nil {
 		s.Log.Warn("cannot poll contracts", "cause", err.Error())
 		if !store.Is(err, store.ErrRateLimited) {
@@ -227,16 +227,17 @@
 		return
 	}
 	s.setStoreReachable(true)
-	s.applyEntries(entries)
+	s.applyEntries(found)
 	if s.contracts.Version() != before {
 		s.Log.Warn("poll found a change of the contracts", "version", s.contracts.Version(), "before", before)
 		s.roster.BroadcastStatus()
 	}
 }
 
-// applyEntries adopts the contracts among the entries of the watched prefix.
-func (s *Sidecar) applyEntries(entries []store.Entry) {
-	for _, e := range entries {
+// applyEntries adopts the contracts and the evacuations among the entries of the watched prefix.
+func (s *Sidecar) applyEntries(found store.Snapshot) {
+	s.applyEvacuations(found)
+	for _, e := range found.Entries {
 		if e.Key == s.Platform.ContractsKey {
 			s.adopt(e.Value, storeSource, fmt.Sprint(e.Revision))
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -38,14 +38,15 @@
 
 // Platform holds the platform-specific parts of a node.
 type Platform struct {
-	Store           store.Store
-	Dialect         caller.Dialect
-	ContractsKey    string // key of the operator's document
-	ContractsPrefix string // prefix of the keys to watch for changes of the document
-	NodesPrefix     string // prefix of the keys under which nodes publish their datagram addresses
-	DecodeContracts func(document []byte) (*contract.Contracts, error)
-	Registration    func(Registrar) http.Handler // takes the announcements of the upstream
-	Readiness       func(ready func() bool) http.Handler
+	Store            store.Store
+	Dialect          caller.Dialect
+	ContractsKey     string // key of the operator's document
+	ContractsPrefix  string // prefix of the keys to watch for changes of the document
+	EvacuationPrefix string // prefix of the keys that evacuate a zone, below ContractsPrefix; the zone follows. "" for none
+	NodesPrefix      string // prefix of the keys under which nodes publish their datagram addresses
+	DecodeContracts  func(document []byte) (*contract.Contracts, error)
+	Registration     func(Registrar) http.Handler // takes the announcements of the upstream
+	Readiness        func(ready func() bool) http.Handler
 }
 
 // Registrar receives the announcements of the upstream beside the node.
@@ -87,6 +88,8 @@
 	proxy          *inbound.Proxy
 	entry          *entryhttp.Handler
 	roster         *peer.Roster
+	evacuations    *peer.Evacuations
+	evacuating     sync.Mutex // held while a change is applied to the proxy
 	socket         *datagram.Socket
 	suspects       *quarantine.List
 	remote         *peerhttp.Client
@@ -131,7 +134,7 @@
 	s.suspects = quarantine.NewList(s)
 	s.proxy = inbound.New(inbound.Options{
 		Node: s.Settings.Node, Boot: s.boot, Address: cmp.Or(s.Settings.Listen.Advertised, s.peers.Addr()), Zone: s.Settings.Zone,
-		Service: s.Settings.Upstream.Service, Upstream: s.Settings.Upstream.Address, HealthPath: s.healthPath,
+		Service: s.Settings.Upstream.Service, Upstream: s.Settings.Upstream.Address, HealthPath: s.healthPath, ColdRate: s.coldRate,
 		FreshFor:        time.Duration(s.Settings.Routing.FreshFor),
 		AnnounceEvery:   time.Duration(s.Settings.Upstream.AnnounceEvery),
 		ConfirmPeriod:   confirmPeriod,
@@ -139,14 +142,18 @@
 		SlotShare:       s.Settings.Upstream.SlotShare, Client: s.upstream, Suspects: s.suspects,
 		OnStatusChange: func() { s.roster.UpdateOwnStatus() }, Log: s.Log,
 	})
+	s.evacuations = peer.NewEvacuations(peer.EvacuationOptions{
+		Zone: s.Settings.Zone, Send: s.socket.SendEvacuations, OnChange: s.applyOwnEvacuation, Log: s.Log,
+	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: peerRouting(s.Settings),
-		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.sendSuspects, Log: s.Log,
+		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.sendSuspects, Evacuations: s.evacuations, Log: s.Log,
 	})
 	s.socket.Version, s.socket.OnVersion = s.contracts.Version, s.handlePeerVersion
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
 	s.socket.OnSuspects = s.mergeSuspects
 	s.socket.OnStoreEra = s.handlePeerEra
+	s.socket.OnEvacuations = func(states []peer.Evacuation) { s.evacuations.Merge(time.Now(), states) }
 	s.setHandlers()
 	return nil
 }
@@ -199,8 +206,13 @@
 	}))
 }
 
-// writeGauges writes the rate limit of the upstream beside this node, while it names one.
+// writeGauges writes the number of evacuated zones, and the rate limit and the cold rate of the upstream beside this node while they are
+// in force.
 func (s *Sidecar) writeGauges(w io.Writer) {
+	fmt.Fprintf(w, "magnoliawharf_sidecar_zones_evacuated %d\n", s.evacuations.CountActive())
+	if perSecond := s.proxy.ColdRate(); perSecond > 0 {
+		fmt.Fprintf(w, "magnoliawharf_sidecar_cold_rate %g\n", perSecond)
+	}
 	if limit := s.proxy.RateLimit(time.Now()); limit.Named {
 		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_limit %g\n", limit.PerSecond)
 		fmt.Fprintf(w, "magnoliawharf_sidecar_rate_left %g\n", limit.Available)
@@ -267,6 +279,15 @@
 	return ""
 }
 
+// coldRate implements inbound.Options.ColdRate.
+func (s *Sidecar) coldRate(service string) (perSecond float64, known bool) {
+	c := s.contracts.Load()
+	if c == nil {
+		return 0, false
+	}
+	return c.Services[service].ColdPerSecond, true
+}
+
 func (s *Sidecar) servers() []*httpserver.Server {
 	return []*httpserver.Server{s.callers, s.peers, s.registration, s.ready, s.metricsServer}
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,10 @@
 	"github.com/magnoliawharf/magnoliawharf/wait"
 )
 
-const contractsKey = "operator/contracts"
+const (
+	contractsKey     = "operator/contracts"
+	evacuationPrefix = "operator/evacuate/"
+)
 
 // panickingService is the service of a document at which decode panics.
 const panickingService = "panics"
@@ -38,7 +42,8 @@
 // document is the encoding of contracts in these tests.
 type document struct {
 	Version uint64
-	Service string // of every request
+	Service string  // of every request
+	Cold    float64 // requests a second that a cold upstream tolerates
 	Padding string
 }
 
@@ -51,7 +56,7 @@
 		panic("the decoder of the platform has a fault")
 	}
 	return contract.New(contract.Contracts{
-		Version: d.Version, Source: raw, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
+		Version: d.Version, Source: raw, Services: map[string]contract.Service{d.Service: {HealthPath: "/health", ColdPerSecond: d.Cold}},
 		Routes: []contract.Route{
 			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
@@ -127,6 +132,7 @@
 	cancel    context.CancelFunc
 	ended     chan error
 	runs      atomic.Int64
+	coldUntil atomic.Pointer[time.Time]   // end of the cold time in health reports, nil for no report of it
 	states    atomic.Pointer[http.Header] // header fields in each answer of the upstream, nil for none
 	mu        sync.Mutex
 	ranAt     []time.Time // when each request came to the upstream
@@ -157,6 +163,9 @@
 		w.Header().Set("X-Upstream", "u-"+name)
 		w.Header().Set("X-Load", "0,0,4")
 		if r.URL.Path == "/health" {
+			if until := m.coldUntil.Load(); until != nil {
+				w.Header().Set("X-Cold", strconv.FormatInt(max(0, time.Until(*until).Milliseconds()), 10))
+			}
 			return
 		}
 		if states := m.states.Load(); states != nil {
@@ -182,10 +191,10 @@
 	m.Sidecar = &sidecar.Sidecar{
 		Settings: loaded, Log: slog.New(slog.NewTextHandler(m.log, &slog.HandlerOptions{Level: level})), LogLevel: level,
 		Platform: sidecar.Platform{
-			Store: s, ContractsKey: contractsKey, ContractsPrefix: "operator/", NodesPrefix: "nodes/", DecodeContracts: decode,
+			Store: s, ContractsKey: contractsKey, ContractsPrefix: "operator/", EvacuationPrefix: evacuationPrefix, NodesPrefix: "nodes/", DecodeContracts: decode,
 			Dialect: caller.Dialect{
 				RequestID: "X-Id", TimeLimit: "X-Time", Expect: "X-Expect", UpstreamID: "X-Upstream", NotRun: "X-Not-Run", Load: "X-Load", Origin: "X-Origin",
-				RateLimit: "X-Limit", Leaving: "X-Leaving",
+				RateLimit: "X-Limit", Leaving: "X-Leaving", Cold: "X-Cold",
 				ParseLoad: func(value string) (load caller.UpstreamLoad, ok bool) {
 					_, err := fmt.Sscanf(value, "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots)
 					return load, err == nil
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,5 +1,5 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, and notices of requests that crash upstreams. A message is one byte
+// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, evacuations of zones, and notices of requests that crash upstreams. A message is one byte
 // for its kind, followed by a CBOR array.
 package datagram
 
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -66,6 +67,8 @@
 	OnSuspects func(records []quarantine.Record)
 	// OnStoreEra is called with the era of the store that another node reports, above 0. It must not block.
 	OnStoreEra func(era store.Era, from netip.AddrPort)
+	// OnEvacuations is called with valid states of another node. It must not block.
+	OnEvacuations func(states []peer.Evacuation)
 }
 
 // Listen binds the address. The function fields of the Socket are set before Serve and before the first message is sent.
@@ -132,6 +135,8 @@
 		err = decodeMessage[departure](body, func(m peer.DepartureMessage) { receiver.HandleDeparture(from, m) })
 	case kindRateLimit:
 		err = decodeMessage[rateLimit](body, func(m peer.RateLimitMessage) { receiver.HandleRateLimit(from, m) })
+	case kindEvacuations:
+		err = decodeMessage[evacuations](body, s.OnEvacuations)
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -262,6 +267,13 @@
 	s.send(to, kindSuspects, newSuspects(records))
 }
 
+// SendEvacuations sends the states to another node, in as many messages as they need.
+func (s *Socket) SendEvacuations(to netip.AddrPort, states []peer.Evacuation) {
+	for part := range slices.Chunk(states, maxEvacuations) {
+		s.send(to, kindEvacuations, newEvacuations(part))
+	}
+}
+
 // SendStoreEra sends the era of the store to each of the addresses.
 func (s *Socket) SendStoreEra(to []netip.AddrPort, era store.Era) {
 	for _, addr := range to {
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -21,15 +21,16 @@
 
 // recorder is a Receiver that records the messages that a node received.
 type recorder struct {
-	heard    chan peer.StatusMessage
-	loads    chan peer.Load
-	notices  chan quarantine.Notice
-	versions chan uint64
-	eras     chan store.Era
-	departed chan peer.DepartureMessage
-	limits   chan peer.RateLimitMessage
-	suspects chan []quarantine.Record
-	load     peer.Load
+	heard     chan peer.StatusMessage
+	loads     chan peer.Load
+	notices   chan quarantine.Notice
+	versions  chan uint64
+	eras      chan store.Era
+	departed  chan peer.DepartureMessage
+	limits    chan peer.RateLimitMessage
+	suspects  chan []quarantine.Record
+	evacuated chan []peer.Evacuation
+	load      peer.Load
 }
 
 func newRecorder() *recorder {
@@ -37,7 +38,7 @@
 		heard: make(chan peer.StatusMessage, 9), loads: make(chan peer.Load, 9),
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
 		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9), limits: make(chan peer.RateLimitMessage, 9),
-		suspects: make(chan []quarantine.Record, 9),
+		suspects: make(chan []quarantine.Record, 9), evacuated: make(chan []peer.Evacuation, 9),
 	}
 }
 
@@ -67,6 +68,7 @@
 	s.OnNotice = func(n quarantine.Notice) { r.notices <- n }
 	s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { r.eras <- era }
 	s.OnSuspects = func(records []quarantine.Record) { r.suspects <- records }
+	s.OnEvacuations = func(states []peer.Evacuation) { r.evacuated <- states }
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(context.Background(), receiver(r)) }()
 	t.Cleanup(func() {
@@ -191,9 +193,10 @@
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
 		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
-		kindSuspects:  suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
-		kindDeparture: departure{Boot: 1, Upstream: "u", Born: 1},
-		kindStatus:    newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
+		kindSuspects:    suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
+		kindDeparture:   departure{Boot: 1, Upstream: "u", Born: 1},
+		kindEvacuations: evacuations{States: []evacuation{{Zone: "z", Active: true, Era: 1, Revision: 2}}},
+		kindStatus:      newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
 		body, err := cbor.Marshal(message)
 		assert.NilError(f, err)
@@ -215,6 +218,12 @@
 				assert.Check(t, record.Valid())
 			}
 		}
+		s.OnEvacuations = func(states []peer.Evacuation) {
+			assert.Check(t, len(states) <= maxEvacuations)
+			for _, state := range states {
+				assert.Check(t, state.Valid())
+			}
+		}
 		panics := panicsTotal.Get()
 		s.receive(r, s.Addr(), raw)
 		assert.Equal(t, panicsTotal.Get(), panics)
--- a/transport/datagram/odd_test.go
+++ b/transport/datagram/odd_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,7 +33,7 @@
 		"a float where a number is": {0x82, 0xfb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0, 0x00},
 		"trailing bytes":            {0x82, 0x01, 0x01, 0xff},
 	}
-	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, 0, 255} {
+	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, kindEvacuations, 0, 255} {
 		for name, body := range bodies {
 			t.Run(fmt.Sprintf("%q %s", kind, name), func(t *testing.T) {
 				s, r := startSocket(t, 1, peer.Load{})
@@ -72,6 +74,49 @@
 	}
 }
 
+// Guards against evacuations of another node that are out of range, or too many, and are used.
+func TestOddEvacuationsAreDropped(t *testing.T) {
+	s, r := startSocket(t, 1, peer.Load{})
+	good := evacuation{Zone: "z", Active: true, Era: 1, Revision: 7}
+	receive := func(message any) {
+		body, err := cbor.Marshal(message)
+		assert.NilError(t, err)
+		s.receive(r, s.Addr(), append([]byte{kindEvacuations}, body...))
+	}
+	receive(evacuations{States: []evacuation{good}})
+	assert.DeepEqual(t, awaitValue(t, r.evacuated), []peer.Evacuation{{Zone: "z", Active: true, Era: 1, Revision: 7}})
+	for name, change := range map[string]func(*evacuation){
+		"no zone": func(e *evacuation) { e.Zone = "" }, "long zone": func(e *evacuation) { e.Zone = string(make([]byte, maxTextLength+1)) },
+		"negative era": func(e *evacuation) { e.Era = -1 }, "no revision": func(e *evacuation) { e.Revision = 0 }, "no text": func(e *evacuation) { e.Zone = "\xff" },
+	} {
+		odd := good
+		change(&odd)
+		receive(evacuations{States: []evacuation{good, odd}})
+		assert.Equal(t, len(r.evacuated), 0, "%s: accepted", name)
+	}
+	receive(evacuations{})
+	receive(evacuations{States: slices.Repeat([]evacuation{good}, maxEvacuations+1)})
+	assert.Equal(t, len(r.evacuated), 0)
+}
+
+// Guards against states that do not fit into datagrams and are never sent.
+func TestAllEvacuationsAreSent(t *testing.T) {
+	a, _ := startSocket(t, 1, peer.Load{})
+	b, fromA := startSocket(t, 1, peer.Load{})
+	var sent []peer.Evacuation
+	for i := range 20 {
+		zone := strings.Repeat("x", maxTextLength-2) + fmt.Sprintf("%02d", i)
+		sent = append(sent, peer.Evacuation{Zone: zone, Active: true, Era: math.MaxInt64, Revision: math.MaxInt64})
+	}
+	a.SendEvacuations(b.Addr(), sent)
+	var got []peer.Evacuation
+	for len(got) < len(sent) {
+		got = append(got, awaitValue(t, fromA.evacuated)...)
+	}
+	slices.SortFunc(got, func(a, b peer.Evacuation) int { return strings.Compare(a.Zone, b.Zone) })
+	assert.DeepEqual(t, got, sent)
+}
+
 // Guards against a status with values out of range that is used.
 func TestOddStatusesAreDropped(t *testing.T) {
 	s, r := startSocket(t, 1, peer.Load{})
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -24,6 +24,8 @@
 	kindDeparture byte = 'd'
 	kindSuspects  byte = 's'
 	kindRateLimit byte = 'r'
+
+	kindEvacuations byte = 'z'
 )
 
 const (
@@ -214,6 +216,49 @@
 	return m, nil
 }
 
+// maxEvacuations is the largest number of states in one message, so that it fits into a datagram.
+const maxEvacuations = 8
+
+// evacuations holds what the sender knows of zones that are or were evacuated. Like storeEra, it is a message of its own for the sake of
+// nodes of earlier versions.
+type evacuations struct {
+	_      struct{} `cbor:",toarray"`
+	States []evacuation
+}
+
+// evacuation is the wire form of a peer.Evacuation.
+type evacuation struct {
+	_        struct{} `cbor:",toarray"`
+	Zone     string
+	Active   bool
+	Era      int64
+	Revision int64
+}
+
+func newEvacuations(states []peer.Evacuation) evacuations {
+	var out evacuations
+	for _, s := range states[:min(len(states), maxEvacuations)] {
+		out.States = append(out.States, evacuation{Zone: s.Zone, Active: s.Active, Era: s.Era, Revision: s.Revision})
+	}
+	return out
+}
+
+// decode validates the states and converts them.
+func (m evacuations) decode() ([]peer.Evacuation, error) {
+	if len(m.States) == 0 || len(m.States) > maxEvacuations {
+		return nil, errors.New("no evacuations, or too many")
+	}
+	states := make([]peer.Evacuation, 0, len(m.States))
+	for _, s := range m.States {
+		state := peer.Evacuation{Zone: s.Zone, Active: s.Active, Era: s.Era, Revision: s.Revision}
+		if !state.Valid() {
+			return nil, errors.New("evacuation is outside its bounds")
+		}
+		states = append(states, state)
+	}
+	return states, nil
+}
+
 // MaxSuspects is the largest number of records in one message, so that it fits into a datagram.
 const MaxSuspects = 8
 
