inbound: test the checks of a busy upstream whose answers carry its load

Without checks that requests cause, the test passed: the checks for the load hid the gap. The fake upstream now states its load in each answer.

--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -59,6 +59,11 @@
 	return report, err
 }
 
+// LoadOf returns the load in each answer, so that a busy upstream needs no health checks for its load.
+func (c *coldClient) LoadOf(map[string][]string) (caller.UpstreamLoad, bool) {
+	return caller.UpstreamLoad{Slots: 500, ServiceTimePercent: 100}, true
+}
+
 func (c *coldClient) mostColdWithin(window time.Duration) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
