upstream: let requests wait for the cold rate by the time that they have

A fixed 100 ms refused requests of small bursts when all upstreams were cold, although their objectives left seconds. The wait is now a quarter of the time to the answer, from 100 to 500 ms. peer: the line on ignored evacuations comes once a minute; two sources with different counts could repeat it at each read.

go test -race ./upstream ./peer ./inbound: ok; ./docs: ok.

--- a/peer/evacuation.go
+++ b/peer/evacuation.go
@@ -12,6 +12,8 @@
 	"time"
 	"unicode/utf8"
 
+	"golang.org/x/time/rate"
+
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 )
 
@@ -23,6 +25,8 @@
 	// restoredGrace is the time after the first read of a store that has returned from an older copy in which a missing key does not end an
 	// evacuation: the copy may lack it, and the operator writes it again.
 	restoredGrace = 30 * time.Second
+	// ignoredLogInterval is the least time between two log lines on ignored evacuations, which each read shows again.
+	ignoredLogInterval = time.Minute
 )
 
 var (
@@ -78,7 +82,7 @@
 	byZone     map[string]learnedEvacuation
 	latestEra  int64
 	eraSince   time.Time // first read of the store in latestEra
-	wasIgnored int       // zones that the last update with any had to ignore
+	ignoredLog rate.Sometimes
 }
 
 // learnedEvacuation is an evacuation and when this node learned of it.
@@ -89,7 +93,7 @@
 
 // NewEvacuations returns Evacuations without any.
 func NewEvacuations(o EvacuationOptions) *Evacuations {
-	e := &Evacuations{options: o, byZone: make(map[string]learnedEvacuation)}
+	e := &Evacuations{options: o, byZone: make(map[string]learnedEvacuation), ignoredLog: rate.Sometimes{Interval: ignoredLogInterval}}
 	e.active.Store(&map[string]struct{}{})
 	e.states.Store(new([]Evacuation))
 	return e
@@ -170,20 +174,18 @@
 		e.publish()
 	}
 	isActive := e.IsActive(e.options.Zone)
-	reportIgnored := len(u.ignored) > 0 && len(u.ignored) != e.wasIgnored
-	if reportIgnored {
-		e.wasIgnored = len(u.ignored)
-	}
 	e.mu.Unlock()
 	for _, c := range u.changes {
 		evacuationChangesTotal.Inc()
 		e.options.Log.Warn("evacuation changed", "zone", c.Zone, "evacuated", c.Active, "era", c.Era, "revision", c.Revision, "from", source)
 	}
-	evacuationsIgnoredTotal.Add(len(u.ignored))
-	if reportIgnored {
+	if len(u.ignored) > 0 {
+		evacuationsIgnoredTotal.Add(len(u.ignored))
 		first := u.ignored[0]
-		e.options.Log.Error("evacuations ignored: too many, or names out of bounds", "count", len(u.ignored),
-			"first", fmt.Sprintf("%q", first[:min(len(first), maxZoneLength)]), "from", source)
+		e.ignoredLog.Do(func() {
+			e.options.Log.Error("evacuations ignored: too many, or names out of bounds", "count", len(u.ignored),
+				"first", fmt.Sprintf("%q", first[:min(len(first), maxZoneLength)]), "from", source)
+		})
 	}
 	if isActive != wasActive && e.options.OnChange != nil {
 		e.options.OnChange()
--- a/upstream/cold.go
+++ b/upstream/cold.go
@@ -14,9 +14,12 @@
 	// coldBurstShare is the share of the requests beyond the rate that may start at once. With one half, the bound also holds in a
 	// second that begins before a restart of the node and ends after it, in which two full buckets are used.
 	coldBurstShare = 0.5
-	// maxColdWait is the longest expected wait for the cold rate. The entry node of a request that would wait longer is told at once:
-	// another upstream may have room, and the rate is used up either way.
-	maxColdWait = 100 * time.Millisecond
+	// coldWaitShare is the share of the time to the answer that a request may be expected to wait for the cold rate, within minColdWait
+	// and maxColdWait. The entry node of one that would wait longer is told at once: another upstream may have room, and the rate is used
+	// up either way.
+	coldWaitShare = 0.25
+	minColdWait   = 100 * time.Millisecond
+	maxColdWait   = 500 * time.Millisecond
 )
 
 // ColdLimit limits the requests that start while the upstream is cold, or may be. The zero value is no limit.
@@ -40,7 +43,7 @@
 }
 
 // SetColdLimit sets the limit for the time in which the upstream is cold, and ends it with the zero value. The requests that started in
-// the last second count against a new or lower limit. Waiting requests that the limit would keep for longer than maxColdWait are refused.
+// the last second count against a new or lower limit. Waiting requests that the limit would keep for too long are refused.
 func (u *Upstream) SetColdLimit(now time.Time, limit ColdLimit) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -69,21 +72,28 @@
 	}
 }
 
-// shedBeyondColdRate refuses the least valuable waiting requests, until the cold rate lets the others start within maxColdWait. It is
-// called with the lock held.
+// shedBeyondColdRate refuses the least valuable waiting request while the cold rate would keep it for too long. It is called with the
+// lock held.
 func (u *Upstream) shedBeyondColdRate(now time.Time) {
-	if u.rate.cold.PerSecond <= 0 || u.rate.bucket == nil {
+	if u.rate.cold.PerSecond <= 0 {
 		return
 	}
-	allowed := u.rate.bucket.TokensAt(now) + float64(u.rate.bucket.Limit())*maxColdWait.Seconds()
-	for u.queues.waiting > 0 && float64(u.queues.waiting) > allowed {
-		w := u.queues.leastValuable()
+	for w := u.queues.leastValuable(); w != nil; w = u.queues.leastValuable() {
 		wait := u.rate.wait(now, u.queues.waiting-1)
+		if wait <= w.maxColdWait() {
+			return
+		}
 		u.queues.remove(w)
 		w.finish(u.refuseUnmet(now, wait, true))
 	}
 }
 
+// maxColdWait returns the longest time that the request may be expected to wait for the cold rate.
+func (w *waiter) maxColdWait() time.Duration {
+	share := time.Duration(coldWaitShare * float64(w.answerBy.Sub(w.arrived)))
+	return min(max(share, minColdWait), maxColdWait)
+}
+
 const (
 	// startsSlot is the resolution with which starts of requests are counted, and startsSlots the number of slots that cover any second.
 	startsSlot  = 10 * time.Millisecond
