--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -96,7 +96,7 @@
 			for wait.For(watching, rankInterval) && s.roster.RankInZone() < watchersPerZone {
 			}
 		}()
-		_ = client.Follow(watching, s.Platform.ContractsPrefix, s.applyWatchUpdate) // returns when watching ends
+		_ = client.FollowSnapshots(watching, s.Platform.ContractsPrefix, s.applyWatchUpdate) // returns when watching ends
 		cancel()
 	}
 }
@@ -154,10 +154,10 @@
 	wait.For(ctx, initialCheckInterval)
 }
 
-// applyWatchUpdate applies the entries of a watch update and notifies the other nodes of a new version.
-func (s *Sidecar) applyWatchUpdate(entries []store.Entry) {
+// applyWatchUpdate applies a watch update and notifies the other nodes of a new version.
+func (s *Sidecar) applyWatchUpdate(found store.Snapshot) {
 	before := s.contracts.Version()
-	s.applyEntries(entries)
+	s.applyEntries(found)
 	if s.contracts.Version() != before {
 		s.roster.BroadcastStatus()
 	}
@@ -166,11 +166,11 @@
 // readContracts reads the contracts from the store once, for a node that has no other source of them.
 func (s *Sidecar) readContracts(ctx context.Context) error {
 	reading := s.beginRead()
-	entries, err := s.storeClient.List(ctx, s.Platform.ContractsPrefix)
+	found, err := s.storeClient.Read(ctx, s.Platform.ContractsPrefix)
 	if err != nil {
 		return err
 	}
-	s.endRead(reading, s.applyEntries(entries))
+	s.endRead(reading, s.applyEntries(found))
 	return nil
 }
 
@@ -221,7 +221,7 @@
 	reading, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	begun := s.beginRead()
-	entries, err := client.List(reading, s.Platform.ContractsPrefix)
+	found, err := client.Read(reading, s.Platform.ContractsPrefix)
 	if err != nil {
 		s.Log.Warn("cannot poll contracts", "cause", err.Error())
 		if !store.Is(err, store.ErrRateLimited) {
@@ -230,22 +230,28 @@
 		return
 	}
 	s.setStoreReachable(true)
-	s.endRead(begun, s.applyEntries(entries))
+	s.endRead(begun, s.applyEntries(found))
 	if s.contracts.Version() != before {
 		s.Log.Warn("poll found a change of the contracts", "version", s.contracts.Version(), "before", before)
 		s.roster.BroadcastStatus()
 	}
 }
 
-// applyEntries adopts the contracts among the entries of the watched prefix, and returns the last document among them.
-func (s *Sidecar) applyEntries(entries []store.Entry) (found storedDocument) {
+// applyEntries adopts the contracts and the evacuations among the entries of the watched prefix, and returns the document of the contracts.
+func (s *Sidecar) applyEntries(found store.Snapshot) storedDocument {
+	s.applyEvacuations(found)
+	return s.applyContracts(found.Entries)
+}
+
+// applyContracts adopts the contracts among the entries, and returns their document.
+func (s *Sidecar) applyContracts(entries []store.Entry) (document storedDocument) {
 	for _, e := range entries {
 		if e.Key == s.Platform.ContractsKey {
-			found = storedDocument{revision: e.Revision}
-			found.version, found.valid = s.adopt(e.Value, storeSource, fmt.Sprint(e.Revision))
+			document = storedDocument{revision: e.Revision}
+			document.version, document.valid = s.adopt(e.Value, storeSource, fmt.Sprint(e.Revision))
 		}
 	}
-	return found
+	return document
 }
 
 // adopt replaces the current contracts by those of the document if it is valid and newer. It returns the version of the document, and
--- a/sidecar/freshness.go
+++ b/sidecar/freshness.go
@@ -258,7 +258,7 @@
 	}
 	var found storedDocument
 	if err == nil {
-		found = s.applyEntries([]store.Entry{entry})
+		found = s.applyContracts([]store.Entry{entry})
 	}
 	renewed := s.endRead(reading, found)
 	if s.contracts.Version() != before {
--- a/sidecar/freshness_internal_test.go
+++ b/sidecar/freshness_internal_test.go
@@ -114,7 +114,7 @@
 	n := provisionStrict(t, memory)
 	n.adopt(documentOf(t, 1, "k0"), "another node", "")
 	assert.Equal(t, n.reasonOf("k0"), caller.ContractsStale)
-	n.applyWatchUpdate([]store.Entry{{Key: keyedDocument, Value: documentOf(t, 1, "k"), Revision: 1}})
+	n.applyWatchUpdate(store.Snapshot{Entries: []store.Entry{{Key: keyedDocument, Value: documentOf(t, 1, "k"), Revision: 1}}})
 	assert.Equal(t, n.reasonOf("k"), caller.ContractsStale)
 	other := netip.MustParseAddrPort("10.0.0.1:1")
 	n.proofs.queries.Add(1, []netip.AddrPort{other})
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,6 +1,6 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, the age of proofs of freshness, and notices of requests that crash
-// upstreams. A message is one byte for its kind, followed by a CBOR array.
+// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, evacuations of zones, the age of proofs of
+// freshness, and notices of requests that crash upstreams. A message is one byte for its kind, followed by a CBOR array.
 package datagram
 
 import (
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -71,6 +72,8 @@
 	// to its own queries. They must not block. The defaults ignore the messages.
 	OnFreshnessQuery func(number uint64, from netip.AddrPort)
 	OnFreshnessReply func(r freshness.Reply, from netip.AddrPort)
+	// OnEvacuations is called with valid states of another node. It must not block.
+	OnEvacuations func(states []peer.Evacuation)
 }
 
 // Listen binds the address. The function fields of the Socket are set before Serve and before the first message is sent.
@@ -144,6 +147,8 @@
 		err = decodeMessage[freshnessQuery](body, func(number uint64) { s.OnFreshnessQuery(number, from) })
 	case kindFreshnessReply:
 		err = decodeMessage[freshnessReply](body, func(r freshness.Reply) { s.OnFreshnessReply(r, from) })
+	case kindEvacuations:
+		err = decodeMessage[evacuations](body, s.OnEvacuations)
 	default:
 		err = errors.New("unknown message kind")
 	}
@@ -274,6 +279,13 @@
 	s.send(to, kindSuspects, newSuspects(records))
 }
 
+// SendEvacuations sends the states to another node, in as many messages as they need.
+func (s *Socket) SendEvacuations(to netip.AddrPort, states []peer.Evacuation) {
+	for part := range slices.Chunk(states, maxEvacuations) {
+		s.send(to, kindEvacuations, newEvacuations(part))
+	}
+}
+
 // SendStoreEra sends the era of the store to each of the addresses.
 func (s *Socket) SendStoreEra(to []netip.AddrPort, era store.Era) {
 	for _, addr := range to {
