sidecar: test that the dispatcher of a node asks permit

Cause: no test failed when the node was built without Permit. Change: the tests of proofs dispatch their requests as callers' requests are.

--- a/sidecar/freshness_internal_test.go
+++ b/sidecar/freshness_internal_test.go
@@ -64,12 +64,20 @@
 
 func (n *strictNode) advance(d time.Duration) { n.now = n.now.Add(d) }
 
-// reasonOf returns the reason for which the node refuses a request of the tenant with the key, "" when it does not.
+// reasonOf returns the reason for which the node refuses a request of the tenant with the key, "" when it would send it to an upstream.
 func (n *strictNode) reasonOf(key string) caller.Reason {
-	if refusal := n.permit(&caller.Request{Route: "keyed", Tenant: "a", Credential: caller.CredentialOf(key)}); refusal != nil {
-		return refusal.Reason
+	contracts := n.contracts.Load()
+	if contracts == nil {
+		contracts = &contract.Contracts{Routes: []contract.Route{{Name: "keyed"}}}
 	}
-	return ""
+	_, err := n.entry.Dispatcher.Dispatch(context.Background(), &caller.Request{
+		Route: "keyed", Service: "s", Tenant: "a", Credential: caller.CredentialOf(key), Body: caller.NewBody(nil, 0), Placement: &caller.Placement{},
+	}, &contracts.Routes[0])
+	refusal := caller.AsRefusal(err, caller.PeerLost, "")
+	if refusal.Reason == caller.NoUpstream { // the node knows none
+		return ""
+	}
+	return refusal.Reason
 }
 
 func documentOf(t *testing.T, version uint64, key string) []byte {
