freshness: a proof between two doubts ends the first one

Cause: a node that doubted a store, got a proof from another node and lost it hours later believed an older document at once, as if it had listened since. Change: a doubt begins anew when a proof came after its start. Result: the added lines of TestStoreWithoutADocumentAsNew fail before and pass after.

--- a/freshness/doubt.go
+++ b/freshness/doubt.go
@@ -48,14 +48,15 @@
 	return d.heard > version && d.proof.clock().Sub(d.heardAt) <= d.proof.bound
 }
 
-// listened reports whether the node has listened since the doubt began, and begins it. The caller holds the lock.
+// listened reports whether the node has listened since the doubt began, and begins it. A proof in between ends an earlier doubt. The
+// caller holds the lock.
 func (d *Doubt) listened(version uint64) bool {
 	now := d.proof.clock()
 	switch {
 	case d.hasNewer(version):
 		d.active = false
 		return false
-	case !d.active:
+	case !d.active || Instant(d.proof.provenAt.Load()) > d.since:
 		d.active, d.since = true, now
 		return false
 	}
--- a/freshness/proof_test.go
+++ b/freshness/proof_test.go
@@ -129,6 +129,10 @@
 	doubt.Clear()
 	clock.advance(listen)
 	assert.Assert(t, !doubt.Believes(3), "the store held the contracts in force in between")
+	clock.advance(listen / 2)
+	proof.Extend(clock.now)
+	clock.advance(bound)
+	assert.Assert(t, !doubt.Believes(3), "another node proved them in between")
 }
 
 // Guards against a node that has just started and takes the document of a store which has lost a version for a proof before it has heard
