entry: bound hedges by a share of the requests, and delay them by measured times

Cause: hedges were bounded only by the retry budget, were sent at a delay that the objective gave, whatever the times of the route, and went on where they never won. Change: [hedging] ratio, reloaded on SIGHUP, is the largest share of a service's requests that are hedged: a token bucket per service and node, empty at the start and after a minute without requests, with a capacity of one second of its gains. The delay is the 95th percentile of the times of the route's first attempts, between a tenth and 0.7 of the objective and at least 1.5 times the median; before 100 samples the former rule holds. Cancelled first attempts count with the time that they had taken. Hedges are withheld where the median is too long for them, where the best candidate is full, slow or rate-limited, and where fewer than one in twenty wins. A hedge that is not sent gives back its tokens, and an answer no longer waits for the choice of its node. Counters for won and withheld hedges and wasted seconds; the log line names the hedge. TestReload checks other values, since the default of the new ratio equals the old one. Tests without a hedge ratio get one of 1, by which their hedges are sent as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,10 +44,12 @@
 	Forward    Forwarder
 	Budgets    *caller.RetryBudgets
 	RetryRatio func() float64 // retries added to its service's budget by each request
+	HedgeRatio func() float64 // largest share of a service's requests that are hedged; nil or 0 for no hedges
 	Quarantine *quarantine.List
 	Log        *slog.Logger
 
-	estimates estimateTable
+	estimates    estimateTable
+	hedgeBudgets hedgeBudgetTable
 }
 
 // call is the state of one request while it is dispatched. Only the dispatching goroutine changes its fields.
@@ -58,6 +60,7 @@
 	startedAt    time.Time
 	estimate     *routeEstimate
 	budget       *caller.RetryBudget
+	hedges       *hedgeBudget
 	triedNodes   []string        // nodes to which an attempt was sent, in order
 	reachedNodes []string        // nodes whose upstream received an attempt or may have received one
 	ran          caller.RunState // Unknown once a failed attempt may have run
@@ -65,11 +68,12 @@
 	retryReasons []string       // reasons of the failed attempts that were retried, for the log
 	failedAnswer *caller.Answer // the last complete answer that reports a failure and was followed by another attempt
 	retryAfter   time.Duration  // shortest delay that the refusals which allow a retry suggested for a resend, 0 for none
+	hedge        hedgeResult
 }
 
 // New returns a dispatcher with the exported fields of e and without estimates.
 func New(e Dispatcher) *Dispatcher {
-	e.estimates = newEstimateTable()
+	e.estimates, e.hedgeBudgets = newEstimateTable(), newHedgeBudgetTable()
 	return &e
 }
 
@@ -77,7 +81,8 @@
 // only when that holds for every attempt.
 func (e *Dispatcher) Dispatch(ctx context.Context, req *caller.Request, route *contract.Route) (*caller.Answer, error) {
 	c := &call{
-		Dispatcher: e, req: req, route: route, startedAt: time.Now(), estimate: e.estimates.forRoute(route), budget: e.Budgets.Of(req.Service), ran: caller.NotRun,
+		Dispatcher: e, req: req, route: route, startedAt: time.Now(), estimate: e.estimates.forRoute(route), budget: e.Budgets.Of(req.Service), hedges: e.hedgeBudgets.of(req.Service),
+		ran: caller.NotRun,
 	}
 	if ratio := e.RetryRatio(); ratio > 0 { // Deposit takes 0 for its default
 		c.budget.Deposit(ratio)
@@ -106,6 +111,7 @@
 	if err != nil {
 		return nil, c.noUpstream(ctx, err)
 	}
+	c.hedges.deposit(c.startedAt, c.hedgeRatio())
 	for {
 		answer, refusal := c.try(ctx, chosen)
 		next, retry := c.retryTarget(ctx, answer, refusal)
@@ -162,6 +168,7 @@
 	answer  *caller.Answer
 	refusal *caller.Refusal
 	took    time.Duration
+	attempt int // 1 for the first attempt of the request
 }
 
 // countAttempt records that an attempt is sent to the node.
@@ -200,7 +207,7 @@
 		chosen.ObserveNotice(time.Now(), answer.Notice)
 		err = bufferAnswer(ctx, answer)
 	}
-	o := outcome{chosen: chosen, took: time.Since(sentAt)}
+	o := outcome{chosen: chosen, took: time.Since(sentAt), attempt: number}
 	if err != nil {
 		o.refusal = asRefusal(ctx, err)
 		return o
@@ -229,6 +236,9 @@
 	c.lastTarget = o.chosen
 	switch {
 	case o.refusal != nil:
+		if o.attempt == 1 && o.refusal.Reason == caller.DeadlinePassed && o.refusal.Ran == caller.Unknown {
+			c.recordLatency(o.took) // it would have taken longer
+		}
 		c.observeFailure(o, expected)
 		return nil, o.refusal
 	case o.answer.Failed():
@@ -239,6 +249,9 @@
 		serviceTime := o.took - o.answer.Waited
 		o.chosen.Observe(time.Now(), peer.Served, serviceTime, expected)
 		c.estimate.add(serviceTime, o.answer.Length)
+		if o.attempt == 1 {
+			c.recordLatency(o.took)
+		}
 	}
 	return o.answer, nil
 }
@@ -296,6 +309,9 @@
 	if len(c.retryReasons) > 0 {
 		attributes = append(attributes, "retried_after", c.retryReasons)
 	}
+	if c.hedge.node != "" {
+		attributes = append(attributes, "hedge_peer", c.hedge.node, "hedge_after_ms", c.hedge.after.Milliseconds(), "hedge_won", c.hedge.won)
+	}
 	if refusal == nil {
 		c.Log.Info("request answered", append(attributes, "status", answer.Status)...)
 		return nil
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -93,6 +93,7 @@
 func newEntry(f *cluster, nodes int) *entry.Dispatcher {
 	return entry.New(entry.Dispatcher{
 		Service: "self", Roster: rosterOf(nodes), Forward: f, Budgets: caller.NewEmptyRetryBudgets(func() float64 { return 2 }), RetryRatio: func() float64 { return 1 },
+		HedgeRatio: func() float64 { return 1 },
 		Quarantine: quarantine.NewList(nil), Log: slog.New(slog.DiscardHandler),
 	})
 }
--- a/entry/estimate.go
+++ b/entry/estimate.go
@@ -41,8 +41,10 @@
 	})
 }
 
-// routeEstimate holds moving averages over the answered requests of one route.
+// routeEstimate holds moving averages over the answered requests of one route, and the recent times of its first attempts.
 type routeEstimate struct {
+	latencies latencyWindow
+
 	mu          sync.Mutex
 	serviceTime float64 // seconds from sending to the answer, without the wait for a slot
 	bytes       float64 // length of the answer
--- a/entry/failed_answer_test.go
+++ b/entry/failed_answer_test.go
@@ -28,6 +28,7 @@
 	budget.Deposit(budgetTokens)
 	return entry.New(entry.Dispatcher{
 		Service: "self", Roster: rosterOf(nodes), Forward: f, Budgets: budgets, RetryRatio: func() float64 { return 0.1 },
+		HedgeRatio: func() float64 { return 1 },
 		Quarantine: quarantine.NewList(nil), Log: slog.New(slog.DiscardHandler),
 	}), budget
 }
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -10,38 +10,98 @@
 	"github.com/magnoliawharf/magnoliawharf/bundle"
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/inflight"
-	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 )
 
 const (
-	// hedgeReserve is the time reserved for the hedge before the objective, in multiples of the expected service time.
-	hedgeReserve = 1.6
+	// hedgeReserve is the time reserved for the hedge before the objective, in multiples of the expected service time. It
+	// and minInitialDelayShare, the shortest delay as a share of the objective, apply while too few times of the route are
+	// known for a quantile.
+	hedgeReserve         = 1.6
+	minInitialDelayShare = 0.35
 	// minHedgeDelayShare and maxHedgeDelayShare bound the delay before a hedge, as shares of the objective. An earlier
-	// hedge would be sent for requests that are not late; a later one could not meet the objective.
-	minHedgeDelayShare = 0.35
+	// hedge would be sent for requests that are far from late; a later one could not meet the objective.
+	minHedgeDelayShare = 0.1
 	maxHedgeDelayShare = 0.7
-	// hedgeMaxUtilization is the share of an upstream's slots up to which hedges are sent to it. Hedges at a service with
-	// little spare capacity would slow down all its requests.
-	hedgeMaxUtilization = 0.6
+	// minDelayPerMedian is the shortest delay in multiples of the median. At a route whose times are all alike, the tail
+	// percentile is no sign of a late request; at a slow one, most requests would be hedged.
+	minDelayPerMedian = 1.5
+	// maxHedgeSlotShare and maxHedgeLimitShare are the shares of an upstream's slots, and of what its node admits at this
+	// moment, up to which hedges are sent to it. Hedges at a service with little spare capacity would slow down all its
+	// requests.
+	maxHedgeSlotShare  = 0.6
+	maxHedgeLimitShare = 0.8
+	// maxHedgePace is the service time, in per cent of the usual one, up to which an upstream gets hedges.
+	maxHedgePace = 200
 )
 
 var errPanicked = errors.New("the attempt panicked")
 
-var hedgesTotal = metrics.Counter("magnoliawharf_entry_hedges_total")
+// hedgeableRoute reports whether requests of the route may be hedged.
+func (c *call) hedgeableRoute() bool {
+	return c.route.Rule == bundle.Idempotent && c.route.MaxAttempts >= 2 && c.route.LatencyObjective > 0
+}
+
+// hedgeRatio returns the share of a service's requests that may be hedged.
+func (e *Dispatcher) hedgeRatio() float64 {
+	if e.HedgeRatio == nil {
+		return 0
+	}
+	return e.HedgeRatio()
+}
 
 // hedgeDelay returns the time from now after which a hedge, a concurrent second attempt, is sent; 0 for none.
 func (c *call) hedgeDelay() time.Duration {
-	if c.route.Rule != bundle.Idempotent || c.route.MaxAttempts-len(c.reachedNodes) < 2 || c.route.LatencyObjective <= 0 || !c.req.Body.Shareable() || len(c.triedNodes) > 0 {
+	if !c.hedgeableRoute() || !c.req.Body.Shareable() || len(c.triedNodes) > 0 || c.hedgeRatio() <= 0 {
 		return 0
 	}
-	serviceTime, _ := c.estimate.get()
-	objective := c.route.LatencyObjective
-	delay := objective - time.Duration(hedgeReserve*float64(serviceTime))
-	if delay < time.Duration(minHedgeDelayShare*float64(objective)) {
+	now := time.Now()
+	objective, elapsed := c.route.LatencyObjective, now.Sub(c.startedAt)
+	var delay time.Duration
+	var ok bool
+	if median, tail, measured := c.estimate.latencies.quantiles(now); measured {
+		delay, ok = measuredDelay(objective, elapsed, median, tail)
+	} else {
+		serviceTime, _ := c.estimate.get()
+		delay, ok = initialDelay(objective, elapsed, serviceTime)
+	}
+	if !ok {
+		hedgesWithheld[routeSlow].Inc()
 		return 0
 	}
-	return max(0, min(delay, time.Duration(maxHedgeDelayShare*float64(objective)))-time.Since(c.startedAt))
+	return max(0, delay)
+}
+
+// measuredDelay returns the delay before a hedge by the times of the route. ok is false when most requests are too slow for a
+// hedge in time to be an exception. elapsed is the time since the call began.
+func measuredDelay(objective, elapsed, median, tail time.Duration) (delay time.Duration, ok bool) {
+	shortest := max(multiple(minDelayPerMedian, median), multiple(minHedgeDelayShare, objective)-elapsed)
+	longest := multiple(maxHedgeDelayShare, objective) - elapsed
+	return min(max(tail, shortest), longest), shortest <= longest
+}
+
+// initialDelay is measuredDelay while too few times of the route are known.
+func initialDelay(objective, elapsed, serviceTime time.Duration) (delay time.Duration, ok bool) {
+	delay = objective - multiple(hedgeReserve, serviceTime)
+	return min(delay, multiple(maxHedgeDelayShare, objective)) - elapsed, delay >= multiple(minInitialDelayShare, objective)
+}
+
+func multiple(factor float64, d time.Duration) time.Duration {
+	return time.Duration(factor * float64(d))
+}
+
+// recordLatency records the time of a first attempt, from which the delay before hedges follows.
+func (c *call) recordLatency(took time.Duration) {
+	if c.hedgeableRoute() {
+		c.estimate.latencies.record(time.Now(), took)
+	}
+}
+
+// hedgeResult describes the hedge of a request for its log line.
+type hedgeResult struct {
+	node  string // "" when the request was not hedged
+	after time.Duration
+	won   bool
 }
 
 // hedgedCall is a call with up to two concurrent attempts.
@@ -52,8 +112,13 @@
 	sent     []time.Time
 	targets  []peer.Candidate
 	running  int
+	// endChoice ends the wait for the choice of a node for the hedge when the first attempt has ended.
+	endChoice context.CancelFunc
 }
 
+// hedgeNumber is the index of the hedge in the hedgedCall; the first attempt has 0.
+const hedgeNumber = 1
+
 // numberedOutcome is an outcome with the index of its attempt in the hedgedCall.
 type numberedOutcome struct {
 	outcome
@@ -63,17 +128,23 @@
 // sendHedged sends the request to the first node, and to a second one when there is no outcome after the delay. The first
 // successful answer is accepted and the other attempt is cancelled.
 func (c *call) sendHedged(ctx context.Context, first peer.Candidate, delay time.Duration) (*caller.Answer, *caller.Refusal) {
-	h := &hedgedCall{call: c, outcomes: make(chan numberedOutcome, 2)}
+	answered, endChoice := context.WithCancel(ctx)
+	defer endChoice()
+	h := &hedgedCall{call: c, outcomes: make(chan numberedOutcome, 2), endChoice: endChoice}
 	h.launch(ctx, first)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	for {
 		select {
 		case <-timer.C:
-			if second, ok := c.hedgeTarget(ctx); ok {
-				hedgesTotal.Inc()
-				h.launch(ctx, second)
+			second, reason := c.hedgeTarget(answered)
+			if reason != "" {
+				hedgesWithheld[reason].Inc()
+				continue
 			}
+			hedgesTotal.Inc()
+			c.hedge = hedgeResult{node: second.Status.Node, after: time.Since(h.sent[0])}
+			h.launch(ctx, second)
 		case o := <-h.outcomes:
 			h.running--
 			failed := o.refusal != nil || o.answer.Failed()
@@ -94,7 +165,10 @@
 	h.running++
 	h.countAttempt(chosen)
 	attempt := len(h.triedNodes)
-	go func() { h.outcomes <- numberedOutcome{h.sendRecovered(ctx, chosen, attempt), number} }()
+	go func() {
+		h.outcomes <- numberedOutcome{h.sendRecovered(ctx, chosen, attempt), number}
+		h.endChoice()
+	}()
 }
 
 // sendRecovered is send for a goroutine of its own, in which no HTTP server recovers a panic.
@@ -112,6 +186,9 @@
 // ends when the body of the answer has been read ahead or is closed.
 func (h *hedgedCall) accept(o numberedOutcome) (*caller.Answer, *caller.Refusal) {
 	h.cancelOthers(o.number)
+	if h.hedge.node != "" {
+		h.recordHedge(o.number == hedgeNumber && o.refusal == nil && !o.answer.Failed())
+	}
 	answer, refusal := h.recordOutcome(o.outcome)
 	if answer == nil || isComplete(answer) {
 		h.cancels[o.number]()
@@ -121,6 +198,15 @@
 	return answer, nil
 }
 
+// recordHedge records whether the hedge has won.
+func (h *hedgedCall) recordHedge(won bool) {
+	h.hedge.won = won
+	h.hedges.record(won)
+	if won {
+		hedgesWonTotal.Inc()
+	}
+}
+
 // discard records a failed outcome while the other attempt is still running.
 func (h *hedgedCall) discard(o numberedOutcome) {
 	answer, refusal := h.recordOutcome(o.outcome)
@@ -132,7 +218,8 @@
 }
 
 // cancelOthers cancels the attempts other than the winner and closes their answers when they arrive. The time that they
-// had taken so far counts in the statistics of their upstreams.
+// had taken so far counts in the statistics of their upstreams and of the route, which would otherwise know only the times
+// of requests that were not late.
 func (h *hedgedCall) cancelOthers(winner int) {
 	expected, _ := h.estimate.get()
 	for number, cancel := range h.cancels {
@@ -140,35 +227,77 @@
 			continue
 		}
 		h.countReached(h.targets[number])
-		h.targets[number].Observe(time.Now(), peer.Served, time.Since(h.sent[number]), expected)
+		took := time.Since(h.sent[number])
+		h.targets[number].Observe(time.Now(), peer.Served, took, expected)
+		if number == 0 {
+			h.recordLatency(took)
+		}
 		cancel()
 	}
 	if h.running == 0 {
 		return
 	}
-	outcomes, running := h.outcomes, h.running
+	outcomes, running, sent := h.outcomes, h.running, h.sent
 	go func() {
 		for range running {
-			if other := <-outcomes; other.answer != nil {
+			other := <-outcomes
+			wastedSeconds.Add(time.Since(sent[other.number]).Seconds())
+			if other.answer != nil {
 				_ = other.answer.Body.Close()
 			}
 		}
 	}()
 }
 
-// hedgeTarget returns the node for a hedge, if there is one with spare capacity and the budget covers it. The requests that a rate limit
-// leaves are for first attempts and retries.
-func (c *call) hedgeTarget(ctx context.Context) (peer.Candidate, bool) {
-	if ctx.Err() != nil {
-		return peer.Candidate{}, false
+// hedgeTarget returns the node for a hedge, or the reason why none is sent. ctx ends when the first attempt has ended. Only a
+// hedge that is sent is charged to the budgets and counts as load of its node.
+func (c *call) hedgeTarget(ctx context.Context) (peer.Candidate, withheldReason) {
+	if reason := c.hedges.withdraw(time.Now()); reason != "" {
+		return peer.Candidate{}, reason
+	}
+	if !c.budget.TryWithdraw() {
+		c.hedges.refund()
+		return peer.Candidate{}, retryBudgetUsed
 	}
-	chosen, err := c.choose(ctx)
+	target, reason := c.chooseForHedge(ctx)
+	if reason != "" {
+		c.budget.Refund()
+		c.hedges.refund()
+	}
+	return target, reason
+}
+
+// chooseForHedge chooses a node that may get a hedge, or returns the reason why there is none.
+func (c *call) chooseForHedge(ctx context.Context) (peer.Candidate, withheldReason) {
+	target, err := c.choose(ctx)
 	if err != nil {
-		return peer.Candidate{}, false
+		return peer.Candidate{}, noCandidate
+	}
+	reason := reasonAgainst(target)
+	if ctx.Err() != nil {
+		reason = answeredMeanwhile
+	}
+	if reason != "" {
+		target.CancelPlacement()
+	}
+	return target, reason
+}
+
+// reasonAgainst returns the reason why the node must not get a hedge, "" for none. The node is the best of a sample of the
+// service: when it has little room or is slow, so are the others. The requests that a rate limit leaves are for first
+// attempts and retries.
+func reasonAgainst(target peer.Candidate) withheldReason {
+	room := maxHedgeSlotShare * float64(target.Status.Slots)
+	if target.LoadAge >= 0 {
+		room = min(room, maxHedgeLimitShare*float64(target.Load.Limit))
 	}
-	if chosen.Limit.Named || float64(chosen.Load.Running+chosen.Load.Waiting+1) > hedgeMaxUtilization*float64(chosen.Status.Slots) || !c.spendBudget() {
-		chosen.CancelPlacement()
-		return peer.Candidate{}, false
+	switch {
+	case target.Limit.Named:
+		return candidateLimited
+	case float64(target.Load.Running+target.Load.Waiting+1) > room:
+		return candidateFull
+	case target.Load.ServiceTimePercent > maxHedgePace:
+		return routeSlow
 	}
-	return chosen, true
+	return ""
 }
--- /dev/null
+++ b/entry/latency.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// latencyUnit is the resolution of the recorded times, maxLatency the longest one; longer times count as that.
+	latencyUnit   = 100 * time.Microsecond
+	maxLatency    = time.Minute
+	latencyDigits = 2 // significant decimal digits
+	// minLatencySamples is the number of samples from which the quantiles are used.
+	minLatencySamples = 100
+	// latencyPeriod is the shortest time between two rotations, maxLatencyAge the time without a rotation after which all
+	// samples are dropped as out of date.
+	latencyPeriod = 15 * time.Second
+	maxLatencyAge = 5 * time.Minute
+	// samplesPerRefresh is the number of samples after which the quantiles are computed again. Computing them takes much
+	// longer than recording a sample.
+	samplesPerRefresh = 50
+	tailPercentile    = 95
+)
+
+// latencyWindow holds the times in which recent first attempts of one route were answered. Each time is recorded in two
+// histograms that are emptied in turn, so that the older one always covers between one and two periods.
+type latencyWindow struct {
+	mu             sync.Mutex
+	older, younger *hdrhistogram.Histogram // nil before the first sample
+	rotatedAt      time.Time
+	unread         int // samples since the quantiles were computed
+	median, tail   time.Duration
+}
+
+// record adds the time of one first attempt.
+func (w *latencyWindow) record(now time.Time, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.older == nil {
+		w.older, w.younger, w.rotatedAt = newLatencies(), newLatencies(), now
+	}
+	w.rotate(now)
+	value := int64(min(max(took, 0), maxLatency) / latencyUnit)
+	_ = w.older.RecordValue(value) // the range was checked
+	_ = w.younger.RecordValue(value)
+	if w.unread++; w.unread >= samplesPerRefresh {
+		w.refresh()
+	}
+}
+
+func newLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(maxLatency/latencyUnit), latencyDigits)
+}
+
+// quantiles returns the median and the tail percentile of the recent times; ok is false while there are too few.
+func (w *latencyWindow) quantiles(now time.Time) (median, tail time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.older == nil {
+		return 0, 0, false
+	}
+	w.rotate(now)
+	return w.median, w.tail, w.tail > 0
+}
+
+// rotate empties the older histogram at the end of a period when the younger one can take its place, and both when they
+// are out of date. The caller holds the lock.
+func (w *latencyWindow) rotate(now time.Time) {
+	switch age := now.Sub(w.rotatedAt); {
+	case age >= maxLatencyAge:
+		w.younger.Reset()
+	case age < latencyPeriod || w.younger.TotalCount() < minLatencySamples:
+		return
+	}
+	w.older.Reset()
+	w.older, w.younger, w.rotatedAt = w.younger, w.older, now
+	w.refresh()
+}
+
+// refresh computes the quantiles. The caller holds the lock.
+func (w *latencyWindow) refresh() {
+	w.unread, w.median, w.tail = 0, 0, 0
+	if w.older.TotalCount() < minLatencySamples {
+		return
+	}
+	w.median = time.Duration(w.older.ValueAtPercentile(50)) * latencyUnit
+	w.tail = max(time.Duration(w.older.ValueAtPercentile(tailPercentile))*latencyUnit, latencyUnit)
+}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -131,7 +131,7 @@
 	return time.Until(c.req.Deadline) > time.Duration(minTimeLeftShare*float64(serviceTime))
 }
 
-// spendBudget charges one retry or hedge to the service's budget and reports whether the budget covered it.
+// spendBudget charges one retry to the service's budget and reports whether the budget covered it.
 func (c *call) spendBudget() bool {
 	if c.budget.TryWithdraw() {
 		return true
--- a/entry/roster_test.go
+++ b/entry/roster_test.go
@@ -28,14 +28,17 @@
 func (idleNode) RateLimit(time.Time) peer.RateLimit          { return peer.RateLimit{} }
 func (idleNode) LearnRateLimit(peer.RateLimit)               {}
 
-// rosterOf returns a Roster of nodes that all serve the service "s".
-func rosterOf(nodes int) *peer.Roster {
+// rosterOf returns a Roster of nodes that all serve the service "s" and answer no load queries.
+func rosterOf(nodes int) *peer.Roster { return rosterWith(discardSender{}, nodes, 4) }
+
+// rosterWith returns a Roster of nodes that all serve the service "s", each with the given number of slots.
+func rosterWith(sender peer.Sender, nodes, slots int) *peer.Roster {
 	r := peer.NewRoster(peer.Options{
-		Zone: "z", Address: netip.MustParseAddrPort("10.0.0.200:7000"), Sender: discardSender{}, Self: idleNode{}, Log: slog.New(slog.DiscardHandler),
+		Zone: "z", Address: netip.MustParseAddrPort("10.0.0.200:7000"), Sender: sender, Self: idleNode{}, Log: slog.New(slog.DiscardHandler),
 	})
 	for i := range nodes {
 		r.HandleStatus(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), peer.StatusMessage{Status: peer.Status{
-			Node: fmt.Sprintf("n%d", i), Boot: uint64(i + 1), Revision: 1, Service: "s", Upstream: fmt.Sprintf("u%d", i), Slots: 4, Serving: true,
+			Node: fmt.Sprintf("n%d", i), Boot: uint64(i + 1), Revision: 1, Service: "s", Upstream: fmt.Sprintf("u%d", i), Slots: slots, Serving: true,
 		}})
 	}
 	return r
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -44,6 +44,9 @@
 // Counter returns the counter with the name and creates it if needed. Labels are part of the name.
 func Counter(name string) *vm.Counter { return set.GetOrCreateCounter(name) }
 
+// FloatCounter returns the counter of a sum, such as seconds, with the name and creates it if needed.
+func FloatCounter(name string) *vm.FloatCounter { return set.GetOrCreateFloatCounter(name) }
+
 // Write writes all metrics, including those of the Go process, in the Prometheus text format.
 func Write(w io.Writer) {
 	set.WritePrometheus(w)
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -2,7 +2,7 @@
 
 import "log/slog"
 
-// reload loads the settings and applies those that can change at run time: retries, routing and the log level. Changes of
+// reload loads the settings and applies those that can change at run time: retries and hedges, routing and the log level. Changes of
 // all others take effect at the next start.
 func (s *Sidecar) reload(load func() (Settings, error)) {
 	next, err := load()
@@ -11,8 +11,9 @@
 		return
 	}
 	s.retries.Store(&next.Retries)
+	s.hedging.Store(&next.Hedging)
 	s.roster.SetRouting(peerRouting(next))
-	s.Log.Info("settings reloaded", "retries", next.Retries, "routing", next.Routing, "log_level", next.Runtime.LogLevel)
+	s.Log.Info("settings reloaded", "retries", next.Retries, "hedging", next.Hedging, "routing", next.Routing, "log_level", next.Runtime.LogLevel)
 	var level slog.Level
 	if s.LogLevel == nil {
 		return
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -12,6 +12,8 @@
 	defaultSlotShare = 0.75
 	defaultGrace     = 10 * time.Second
 
+	defaultHedgeRatio = 0.05
+
 	defaultRevocationBound = 5 * time.Second
 )
 
@@ -33,6 +35,8 @@
 	Store Store `toml:"store"`
 	// Retries bounds the retries of all nodes together.
 	Retries Retries `toml:"retries"`
+	// Hedging bounds the second attempts sent beside late first ones.
+	Hedging Hedging `toml:"hedging"`
 	// Routing configures the choice of upstreams.
 	Routing Routing `toml:"routing"`
 	// Revocation bounds the time for which a withdrawn key is accepted.
@@ -87,6 +91,14 @@
 	Allowance float64 `toml:"allowance" validate:"gte=0"`
 }
 
+// Hedging bounds the second attempts that are sent beside late first attempts of repeatable requests. They count as retries
+// too: together, retries and hedges stay within the limits of Retries.
+type Hedging struct {
+	// Ratio is the largest share of a service's requests that are hedged, of each node and so of all nodes together. 0 turns
+	// hedges off. Default 0.05, half of the retries that a request earns by the default of retries.ratio.
+	Ratio float64 `toml:"ratio" validate:"gte=0,lte=1"`
+}
+
 // Routing configures the choice of upstreams.
 type Routing struct {
 	// FreshFor is the age up to which a known load is used without querying it again. Default 20ms.
@@ -121,6 +133,7 @@
 	return Settings{
 		Upstream:   Upstream{AnnounceEvery: settings.Duration(1500 * time.Millisecond), SlotShare: defaultSlotShare},
 		Retries:    Retries{Ratio: 0.2, Allowance: 50},
+		Hedging:    Hedging{Ratio: defaultHedgeRatio},
 		Routing:    Routing{FreshFor: settings.Duration(defaultFreshFor)},
 		Revocation: Revocation{Bound: settings.Duration(defaultRevocationBound)},
 		Runtime:    Runtime{Memory: 256 << 20, Descriptors: 4096, Grace: settings.Duration(defaultGrace), LogLevel: "info"},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -80,6 +80,7 @@
 	LogLevel *slog.LevelVar // changed by a reload; nil leaves the level of Log as it is
 
 	retries         atomic.Pointer[Retries]
+	hedging         atomic.Pointer[Hedging]
 	stopRequestedAt atomic.Pointer[time.Time] // nil while the node is not to stop
 
 	boot           uint64 // identifies this run of the process to other nodes
@@ -121,6 +122,7 @@
 	s.eraReports = newEraReports()
 	s.contracts = contract.NewCurrent()
 	s.retries.Store(&s.Settings.Retries)
+	s.hedging.Store(&s.Settings.Hedging)
 	s.remote = peerhttp.NewClient(instance.ID(s.Settings.Node), nil)
 	s.upstream = upstreamconn.NewClient(s.Platform.Dialect)
 	s.storeClient = s.newStoreClient()
@@ -180,7 +182,8 @@
 func (s *Sidecar) setHandlers() {
 	dispatcher := entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
-		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, Quarantine: s.suspects, Log: s.Log,
+		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, HedgeRatio: s.hedgeRatio,
+		Quarantine: s.suspects, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
 		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
@@ -230,6 +233,9 @@
 // retryRatio returns the number of retries that each request adds to the budget of its service.
 func (s *Sidecar) retryRatio() float64 { return s.retries.Load().Ratio * retryBudgetShare }
 
+// hedgeRatio returns the largest share of a service's requests that are hedged.
+func (s *Sidecar) hedgeRatio() float64 { return s.hedging.Load().Ratio }
+
 func peerRouting(s Settings) peer.Routing {
 	return peer.Routing{FreshFor: time.Duration(s.Routing.FreshFor), ZoneCost: time.Duration(s.Routing.ZoneCost)}
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -203,7 +203,7 @@
 	}
 	m.load = func() (sidecar.Settings, error) {
 		next := loaded
-		next.Runtime.LogLevel, next.Retries.Ratio = "error", 0.05
+		next.Runtime.LogLevel, next.Retries.Ratio, next.Hedging.Ratio = "error", 0.07, 0.03
 		return next, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -360,7 +360,7 @@
 	}()
 	time.Sleep(100 * time.Millisecond)
 	m.reload <- struct{}{}
-	eventually(t, "reload", time.Second, func() bool { return m.log.contains("settings reloaded") && m.log.contains("Ratio:0.05") })
+	eventually(t, "reload", time.Second, func() bool { return m.log.contains("settings reloaded") && m.log.contains("Ratio:0.07") && m.log.contains("Ratio:0.03") })
 	assert.Equal(t, <-result, 200)
 	before := m.log.count("request answered")
 	assert.Assert(t, m.serves())
