peerhttp: drop a cancelled request with a body that still waits for a slot

Cause: net/http notices the end of a connection only after the body of the request was read to its end, and the home node reads it when the request has its slot. A cancelled hedge, or the attempt that it had overtaken, stayed in the queue and reached the upstream. Change: the body of a repeatable request that fits the replay buffer is read while the request waits. Its length is known; others are not hedged.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -360,7 +360,9 @@
 	}()
 	time.Sleep(100 * time.Millisecond)
 	m.reload <- struct{}{}
-	eventually(t, "reload", time.Second, func() bool { return m.log.contains("settings reloaded") && m.log.contains("Ratio:0.07") && m.log.contains("Ratio:0.03") })
+	eventually(t, "reload", time.Second, func() bool {
+		return m.log.contains("settings reloaded") && m.log.contains("Ratio:0.07") && m.log.contains("Ratio:0.03")
+	})
 	assert.Equal(t, <-result, 200)
 	before := m.log.count("request answered")
 	assert.Assert(t, m.serves())
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -54,6 +55,9 @@
 	defer cancel()
 	req := requestOf(r, call, deadline)
 	req.Placement = placement
+	if placement != nil && placement.Repeatable {
+		readAhead(req.Body)
+	}
 	answer, err := s.Proxy.Serve(ctx, req, call.incarnation)
 	if err != nil {
 		s.addReport(w, received)
@@ -100,6 +104,17 @@
 	return caller.NewBody(r.Body, r.ContentLength)
 }
 
+// readAhead reads a body that can be buffered while the request waits for a slot. Until a body is read to its end, net/http
+// does not notice that the other node has closed the connection, and a cancelled hedge would still run.
+func readAhead(body *caller.Body) {
+	if body.Length() == 0 || !body.Shareable() {
+		return
+	}
+	if reader, err := body.Attempt(); err == nil {
+		go func() { _, _ = io.Copy(io.Discard, reader) }() // ends with the body, which net/http closes after the request
+	}
+}
+
 // addReport sets headerReport, unless the last report was sent too recently. The report includes the time that
 // the request spent at this node, from which the entry node derives the network time. Most answers of a busy upstream
 // carry no report, so the entry node derives the network time from a few of them only.
