docs: check the metrics page against the packages of the users' platform too

Cause: TestMetricsPageListsEveryLabelValue saw only packages that node imports, so that label values of entry, upstreamconn and sidecar could be missing from the page. Change: the test imports sidecar as well. Result: it passes, and fails when the row of a reason of withheld hedges is renamed.

--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -14,7 +14,8 @@
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
-	_ "github.com/magnoliawharf/magnoliawharf/node" // registers the counters of all packages
+	_ "github.com/magnoliawharf/magnoliawharf/node"    // registers the counters of its packages
+	_ "github.com/magnoliawharf/magnoliawharf/sidecar" // and of those on the users' platform
 )
 
 // Guards against a metric that the page leaves out, and against one on the page that no code has.
