--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -55,6 +55,7 @@
 		Routes: []contract.Route{
 			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
+			{Name: "late", Host: "shop.example", PathPrefix: "/late/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 		},
 	})
 }
