--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -82,6 +82,7 @@
 			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: objective, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: objective, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 			{Name: "open", Host: "shop.example", PathPrefix: "/open/", Rule: bundle.Idempotent, Public: true, Timeout: 10 * time.Second, LatencyObjective: objective, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
+			{Name: "late", Host: "shop.example", PathPrefix: "/late/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 		},
 	})
 }
@@ -234,7 +235,7 @@
 	}
 	m.load = func() (sidecar.Settings, error) {
 		next := loaded
-		next.Runtime.LogLevel, next.Retries.Ratio = "error", 0.05
+		next.Runtime.LogLevel, next.Retries.Ratio, next.Hedging.Ratio = "error", 0.07, 0.03
 		return next, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -391,7 +392,9 @@
 	}()
 	time.Sleep(100 * time.Millisecond)
 	m.reload <- struct{}{}
-	eventually(t, "reload", time.Second, func() bool { return m.log.contains("settings reloaded") && m.log.contains("Ratio:0.05") })
+	eventually(t, "reload", time.Second, func() bool {
+		return m.log.contains("settings reloaded") && m.log.contains("Ratio:0.07") && m.log.contains("Ratio:0.03")
+	})
 	assert.Equal(t, <-result, 200)
 	before := m.log.count("request answered")
 	assert.Assert(t, m.serves())
