entry: name the attempts of a hedged call by their numbers

Cause: the outcomes of a hedged call had an index beside the number of the attempt, which the outcome has had since the times of first attempts are recorded. Change: the type numberedOutcome is gone; a panic keeps the number too.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -104,10 +104,13 @@
 	won   bool
 }
 
-// hedgedCall is a call with up to two concurrent attempts.
+// hedgeAttempt is the number of the hedge among the attempts of a request, which count from 1.
+const hedgeAttempt = 2
+
+// hedgedCall is a call with up to two concurrent attempts, in the order of their numbers.
 type hedgedCall struct {
 	*call
-	outcomes chan numberedOutcome // buffered, so that no attempt blocks on sending its outcome
+	outcomes chan outcome // buffered, so that no attempt blocks on sending its outcome
 	cancels  []context.CancelFunc
 	sent     []time.Time
 	targets  []peer.Candidate
@@ -116,21 +119,12 @@
 	endChoice context.CancelFunc
 }
 
-// hedgeNumber is the index of the hedge in the hedgedCall; the first attempt has 0.
-const hedgeNumber = 1
-
-// numberedOutcome is an outcome with the index of its attempt in the hedgedCall.
-type numberedOutcome struct {
-	outcome
-	number int
-}
-
 // sendHedged sends the request to the first node, and to a second one when there is no outcome after the delay. The first
 // successful answer is accepted and the other attempt is cancelled.
 func (c *call) sendHedged(ctx context.Context, first peer.Candidate, delay time.Duration) (*caller.Answer, *caller.Refusal) {
 	answered, endChoice := context.WithCancel(ctx)
 	defer endChoice()
-	h := &hedgedCall{call: c, outcomes: make(chan numberedOutcome, 2), endChoice: endChoice}
+	h := &hedgedCall{call: c, outcomes: make(chan outcome, hedgeAttempt), endChoice: endChoice}
 	h.launch(ctx, first)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -160,13 +154,12 @@
 // launch starts an attempt in its own goroutine.
 func (h *hedgedCall) launch(ctx context.Context, chosen peer.Candidate) {
 	ctx, cancel := context.WithCancel(ctx)
-	number := len(h.cancels)
 	h.cancels, h.sent, h.targets = append(h.cancels, cancel), append(h.sent, time.Now()), append(h.targets, chosen)
 	h.running++
 	h.countAttempt(chosen)
 	attempt := len(h.triedNodes)
 	go func() {
-		h.outcomes <- numberedOutcome{h.sendRecovered(ctx, chosen, attempt), number}
+		h.outcomes <- h.sendRecovered(ctx, chosen, attempt)
 		h.endChoice()
 	}()
 }
@@ -176,7 +169,7 @@
 	defer func() {
 		if failure := recover(); failure != nil {
 			c.Log.Error("an attempt panicked", "id", c.req.ID, "peer", chosen.Status.Node, "cause", fmt.Sprint(failure), "stack", string(debug.Stack()))
-			o = outcome{chosen: chosen, refusal: caller.RefuseUncertain(caller.PeerLost, dispatchStep, chosen.Status.Node, errPanicked)}
+			o = outcome{chosen: chosen, attempt: number, refusal: caller.RefuseUncertain(caller.PeerLost, dispatchStep, chosen.Status.Node, errPanicked)}
 		}
 	}()
 	return c.send(ctx, chosen, number)
@@ -184,17 +177,17 @@
 
 // accept returns the outcome as the result of the call and cancels the other attempt. The context of the accepted attempt
 // ends when the body of the answer has been read ahead or is closed.
-func (h *hedgedCall) accept(o numberedOutcome) (*caller.Answer, *caller.Refusal) {
-	h.cancelOthers(o.number)
+func (h *hedgedCall) accept(o outcome) (*caller.Answer, *caller.Refusal) {
+	h.cancelOthers(o.attempt)
 	if h.hedge.node != "" {
-		h.recordHedge(o.number == hedgeNumber && o.refusal == nil && !o.answer.Failed())
+		h.recordHedge(o.attempt == hedgeAttempt && o.refusal == nil && !o.answer.Failed())
 	}
-	answer, refusal := h.recordOutcome(o.outcome)
+	answer, refusal := h.recordOutcome(o)
 	if answer == nil || isComplete(answer) {
-		h.cancels[o.number]()
+		h.cancels[o.attempt-1]()
 		return answer, refusal
 	}
-	answer.Body = inflight.OnClose(answer.Body, h.cancels[o.number])
+	answer.Body = inflight.OnClose(answer.Body, h.cancels[o.attempt-1])
 	return answer, nil
 }
 
@@ -208,13 +201,13 @@
 }
 
 // discard records a failed outcome while the other attempt is still running.
-func (h *hedgedCall) discard(o numberedOutcome) {
-	answer, refusal := h.recordOutcome(o.outcome)
+func (h *hedgedCall) discard(o outcome) {
+	answer, refusal := h.recordOutcome(o)
 	h.keepFailed(answer)
 	if refusal == nil || refusal.Ran == caller.Unknown {
 		h.ran = caller.Unknown
 	}
-	h.cancels[o.number]()
+	h.cancels[o.attempt-1]()
 }
 
 // cancelOthers cancels the attempts other than the winner and closes their answers when they arrive. The time that they
@@ -222,14 +215,14 @@
 // of requests that were not late.
 func (h *hedgedCall) cancelOthers(winner int) {
 	expected, _ := h.estimate.get()
-	for number, cancel := range h.cancels {
-		if number == winner || h.running == 0 {
+	for i, cancel := range h.cancels {
+		if i+1 == winner || h.running == 0 {
 			continue
 		}
-		h.countReached(h.targets[number])
-		took := time.Since(h.sent[number])
-		h.targets[number].Observe(time.Now(), peer.Served, took, expected)
-		if number == 0 {
+		h.countReached(h.targets[i])
+		took := time.Since(h.sent[i])
+		h.targets[i].Observe(time.Now(), peer.Served, took, expected)
+		if i == 0 {
 			h.recordLatency(took)
 		}
 		cancel()
@@ -241,7 +234,7 @@
 	go func() {
 		for range running {
 			other := <-outcomes
-			wastedSeconds.Add(time.Since(sent[other.number]).Seconds())
+			wastedSeconds.Add(time.Since(sent[other.attempt-1]).Seconds())
 			if other.answer != nil {
 				_ = other.answer.Body.Close()
 			}
