sidecar: tests of tenants do not depend on the speed of the machine

Cause: on a slow machine a first attempt could be hedged, or a key withdrawn after the hedge.

Change: objectives are so long that nothing is hedged but the request meant to be, whose first attempt waits for the second.

--- a/sidecar/tenant_test.go
+++ b/sidecar/tenant_test.go
@@ -23,6 +23,8 @@
 const (
 	tenantKey    = "key-of-t1-WxYz0123456789"
 	forgedTenant = "forged-tenant"
+	// unhedged is a latency objective so long that no request of a test is hedged, however slow the machine.
+	unhedged = 9 * time.Second
 )
 
 // keyedFleet is two nodes with upstreams, and an entry node without one, under contracts with the tenant t1.
@@ -110,18 +112,12 @@
 // Guards against a key that reaches an upstream or a log, and against an upstream that learns no tenant, or one that the caller has made
 // up, on any of the paths that lead to it.
 func TestUpstreamsGetTheTenantAndNeverTheKey(t *testing.T) {
-	const objective = time.Second // a hedge is sent after 0.7 s at most
-	f := startKeyedFleet(t, objective)
+	f := startKeyedFleet(t, unhedged)
 	fail := func(w http.ResponseWriter, attempt int) {
 		if attempt == 1 {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
 	}
-	stall := func(_ http.ResponseWriter, attempt int) {
-		if attempt == 1 {
-			time.Sleep(2 * objective)
-		}
-	}
 	for name, test := range map[string]struct {
 		answer   func(http.ResponseWriter, int)
 		at       *machine
@@ -134,7 +130,6 @@
 		"at the home node":          {func(http.ResponseWriter, int) {}, f.machines[0], "/any/", tenantKey, 1, []string{"t1"}},
 		"not repeatable":            {func(http.ResponseWriter, int) {}, f.entry, "/once/", tenantKey, 1, []string{"t1"}},
 		"retry":                     {fail, f.entry, "/any/", tenantKey, 2, []string{"t1"}},
-		"hedge":                     {stall, f.entry, "/any/", tenantKey, 2, []string{"t1"}},
 		"public with a key":         {fail, f.entry, "/open/", tenantKey, 2, []string{"t1"}},
 		"public without a key":      {fail, f.entry, "/open/", "", 2, nil},
 		"public with a foreign key": {fail, f.entry, "/open/", "key-of-nobody-0123456789", 2, nil},
@@ -166,6 +161,30 @@
 	}
 }
 
+// Guards against a hedge that reaches an upstream with the key, or without the tenant.
+func TestHedgeHasTheTenantAndNotTheKey(t *testing.T) {
+	f := startKeyedFleet(t, time.Second)
+	hedged := make(chan struct{})
+	f.setAnswer(func(_ http.ResponseWriter, attempt int) {
+		if attempt > 1 {
+			close(hedged)
+			return
+		}
+		select {
+		case <-hedged:
+		case <-time.After(8 * time.Second): // within the time limit of the route
+		}
+	})
+	status, body := f.send(t, f.entry, "/any/", "hedge", tenantKey)
+	assert.Equal(t, status, 200, body)
+	attempts := f.attemptsOf("hedge")
+	assert.Equal(t, len(attempts), 2)
+	for _, header := range attempts {
+		assert.DeepEqual(t, header["X-Tenant"], []string{"t1"})
+		assert.Assert(t, !strings.Contains(fmt.Sprint(header), tenantKey))
+	}
+}
+
 // sendAhead sends requests on one connection before their answers, and checks the tenant of each.
 func sendAhead(t *testing.T, f *keyedFleet) {
 	t.Helper()
@@ -204,21 +223,22 @@
 // Guards against a retry or hedge with a key that was withdrawn after the first attempt, and against a refusal of it that states not-run
 // when the first attempt ran.
 func TestWithdrawnKeyIsNotUsedAgain(t *testing.T) {
-	const objective = time.Second
+	const hedgedObjective = 4 * time.Second // the hedge would be sent after 2.8 s, long after the withdrawal
 	for name, test := range map[string]struct {
-		first  func(http.ResponseWriter) // answers the first attempt once the key is withdrawn
-		status int
+		first     func(http.ResponseWriter) // answers the first attempt once the key is withdrawn
+		status    int
+		objective time.Duration
 	}{
 		"retry after a refusal": {func(w http.ResponseWriter) {
 			w.Header().Set("X-Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, http.StatusUnauthorized},
-		"retry after a failed answer": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, http.StatusInternalServerError},
-		"retry after a loss":          {func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
-		"hedge":                       {func(http.ResponseWriter) { time.Sleep(2 * objective) }, http.StatusOK},
+		}, http.StatusUnauthorized, unhedged},
+		"retry after a failed answer": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, http.StatusInternalServerError, unhedged},
+		"retry after a loss":          {func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, http.StatusBadGateway, unhedged},
+		"hedge":                       {func(http.ResponseWriter) { time.Sleep(hedgedObjective) }, http.StatusOK, hedgedObjective},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := startKeyedFleet(t, objective)
+			f := startKeyedFleet(t, test.objective)
 			started := make(chan struct{})
 			withdrawn := make(chan struct{})
 			f.setAnswer(func(w http.ResponseWriter, attempt int) {
@@ -231,7 +251,7 @@
 			go func() {
 				defer close(withdrawn)
 				<-started
-				publish(t, f.store, document{Version: 2, Service: "s", Objective: objective, Tenants: map[string][]string{"t1": {"another"}}})
+				publish(t, f.store, document{Version: 2, Service: "s", Objective: test.objective, Tenants: map[string][]string{"t1": {"another"}}})
 				for deadline := time.Now().Add(5 * time.Second); !f.entry.log.contains("version=2") && time.Now().Before(deadline); {
 					time.Sleep(5 * time.Millisecond)
 				}
