--- a/caller/retry_test.go
+++ b/caller/retry_test.go
@@ -23,7 +23,7 @@
 	caller.Draining: "ff", caller.NotReady: "ff", caller.StaleIncarnation: "ff", caller.PeerUnreachable: "ff", caller.Evacuated: "ff",
 	caller.StaleBundle: "pp", caller.ColdUpstream: "pp", caller.QueueFull: "pp", caller.DeadlineUnmeetable: "pp",
 	caller.Overload: "pp", caller.RateLimited: "pp", caller.UpstreamUnreachable: "pp", caller.PeerLost: "pp", caller.UpstreamLost: "pp",
-	caller.Unauthenticated:    "--",
+	caller.Unauthenticated: "--", caller.ContractsStale: "--", caller.QuotaExceeded: "--", caller.QuotaUnavailable: "--",
 	caller.KeptConnectionLost: "pp", caller.AnswerMismatch: "pp", caller.UpstreamRejected: "pp", caller.BodyTooLarge: "--",
 }
 
