quota: allocate the requests of tenants over all nodes

Contracts may limit the requests of a tenant over all nodes together, and nothing enforced it. The new package holds the decisions: a token bucket at one allocator per tenant, chosen by rendezvous hash, tokens that nodes ask for and spend, shares of the quota for the sides of a partition, and a fallback without an allocator. Clock, timers and sender are injected.

--- /dev/null
+++ b/quota/ask.go
@@ -0,0 +1,297 @@
+package quota
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/magnoliawharf/magnoliawharf/caller"
+)
+
+const (
+	// repeatAfter is the time without a reply after which a request for tokens is repeated.
+	repeatAfter = 15 * time.Millisecond
+	// askTimeout is the time without a reply after which the fallback decides.
+	askTimeout = 40 * time.Millisecond
+	// silentFor is the time for which a node that did not reply is not asked again.
+	silentFor = 100 * time.Millisecond
+	// minHold and maxHold bound the time for which a node refuses without asking after the allocator had too few tokens.
+	minHold = 2 * time.Millisecond
+	maxHold = 100 * time.Millisecond
+)
+
+// ask is the request for tokens that a node has open for a tenant, and what it knows from the last one.
+type ask struct {
+	open        bool
+	number      uint32 // of the last request, also once it is closed
+	sentAt      time.Time
+	to          netip.AddrPort
+	first       netip.AddrPort // allocator in this node's view, to which the first request went
+	asked       int            // waiters that the request counts
+	wanted      int
+	redirected  bool
+	credited    bool // the reply to the last request has come
+	waiters     []func(Outcome)
+	holdUntil   time.Time // the allocator had too few tokens; until then requests are refused
+	silent      netip.AddrPort
+	silentUntil time.Time
+}
+
+// effects are what is to be done once the lock of the tenant is released.
+type effects struct {
+	node    *Node
+	done    []func(Outcome)
+	outcome []Outcome
+	request *Request
+	to      netip.AddrPort
+	silent  netip.AddrPort
+	tenant  *tenant
+	begins  *view
+}
+
+func (e *effects) decide(done func(Outcome), o Outcome) {
+	e.done, e.outcome = append(e.done, done), append(e.outcome, o)
+}
+
+func (e effects) run() {
+	if e.request != nil {
+		requestsTotal.Inc()
+		number := e.request.Number
+		e.node.AfterFunc(repeatAfter, func() { e.tenant.repeat(number) })
+		e.node.Sender.SendQuotaRequest(e.to, *e.request)
+	}
+	if e.silent.IsValid() {
+		e.node.OnSilent(e.silent)
+	}
+	if e.begins != nil {
+		e.node.logAllocation(e.tenant.name, e.begins)
+	}
+	for i, done := range e.done {
+		done(e.outcome[i])
+	}
+}
+
+// decide decides on a request for which no unused token is at hand.
+func (n *Node) decide(t *tenant, done func(Outcome)) {
+	now := n.Now()
+	t.mu.Lock()
+	t.demand.observe(now, 1)
+	e := t.decideLocked(now, done)
+	t.mu.Unlock()
+	e.run()
+}
+
+func (t *tenant) decideLocked(now time.Time, done func(Outcome)) effects {
+	e := effects{node: t.node, tenant: t}
+	first := t.allocator(now)
+	switch {
+	case first.isSelf():
+		b, begins := t.ownBucket(now, first.in)
+		if begins {
+			e.begins = first.in
+		}
+		granted, retryAfter := b.grant(now, 1, 1)
+		if granted == 0 {
+			e.decide(done, t.exceeded(now, retryAfter))
+			break
+		}
+		e.decide(done, t.spend(now))
+	case t.ask.open:
+		t.ask.waiters = append(t.ask.waiters, done)
+	case now.Before(t.ask.holdUntil):
+		e.decide(done, t.exceeded(now, t.ask.holdUntil.Sub(now)))
+	case first.none, first.member.addr == t.ask.silent && now.Before(t.ask.silentUntil):
+		e.decide(done, t.fallBack(now))
+	default:
+		t.ask.waiters = append(t.ask.waiters, done)
+		return t.openAsk(now)
+	}
+	return e
+}
+
+// spend returns a token that was granted just now.
+func (t *tenant) spend(now time.Time) Outcome {
+	grantedTotal.Inc()
+	t.income.observe(now, 1)
+	return Outcome{Token: Token{tenant: t, expires: expiry(now.Sub(t.node.start) + validity)}}
+}
+
+// openAsk asks the allocator for the tokens of the waiting requests and of the expected demand. It is called with the lock held,
+// while no request is open.
+func (t *tenant) openAsk(now time.Time) effects {
+	first := t.allocator(now)
+	if first.none || first.isSelf() {
+		return effects{node: t.node, tenant: t} // an allocator takes tokens one by one, from its own bucket
+	}
+	t.ask.redirected, t.ask.first = false, first.member.addr
+	return t.sendAsk(now, first.member.addr)
+}
+
+func (t *tenant) sendAsk(now time.Time, to netip.AddrPort) effects {
+	waiting := min(len(t.ask.waiters), MaxTokens)
+	ahead := t.demand.expected(now) - float64(t.tokens.count(now.Sub(t.node.start)))
+	wanted := min(waiting+int(max(0, math.Ceil(ahead))), MaxTokens)
+	a := &t.ask
+	a.open, a.credited, a.number, a.sentAt, a.to, a.asked, a.wanted = true, false, t.node.lastNumber.Add(1), now, to, waiting, wanted
+	request := t.request()
+	return effects{node: t.node, tenant: t, to: to, request: &request}
+}
+
+func (t *tenant) request() Request {
+	return Request{Number: t.ask.number, Tenant: t.name, Version: t.node.version.Load(), Waiting: t.ask.asked, Wanted: t.ask.wanted}
+}
+
+// repeat sends the request once more when it has no reply.
+func (t *tenant) repeat(number uint32) {
+	t.mu.Lock()
+	if !t.ask.open || t.ask.number != number {
+		t.mu.Unlock()
+		return
+	}
+	request, to := t.request(), t.ask.to
+	t.mu.Unlock()
+	t.node.AfterFunc(askTimeout-repeatAfter, func() { t.timeOut(number) })
+	t.node.Sender.SendQuotaRequest(to, request)
+}
+
+// timeOut lets the fallback decide on the waiting requests when there is no reply.
+func (t *tenant) timeOut(number uint32) {
+	t.mu.Lock()
+	if !t.ask.open || t.ask.number != number {
+		t.mu.Unlock()
+		return
+	}
+	e := t.giveUp(t.node.Now())
+	e.silent = t.ask.to
+	t.mu.Unlock()
+	e.run()
+}
+
+// giveUp closes the request and lets the fallback decide on all waiting requests.
+func (t *tenant) giveUp(now time.Time) effects {
+	e := effects{node: t.node, tenant: t}
+	t.ask.open, t.ask.silent, t.ask.silentUntil = false, t.ask.first, now.Add(silentFor)
+	for _, done := range t.ask.waiters {
+		e.decide(done, t.fallBack(now))
+	}
+	t.ask.waiters = nil
+	return e
+}
+
+// HandleReply handles the reply of another node to a request for tokens.
+func (n *Node) HandleReply(from netip.AddrPort, r Reply) {
+	t, limited := n.tenants.Get(r.Tenant)
+	if !limited {
+		return
+	}
+	t.mu.Lock()
+	e := t.handleReply(n.Now(), from, r)
+	t.mu.Unlock()
+	e.run()
+}
+
+func (t *tenant) handleReply(now time.Time, from netip.AddrPort, r Reply) effects {
+	a := &t.ask
+	e := effects{node: t.node, tenant: t}
+	if a.credited || a.number != r.Number || from != a.to {
+		return e // a datagram that was repeated, or is late
+	}
+	if !r.Allocator {
+		return t.redirect(now)
+	}
+	a.credited, a.silentUntil, t.reserve = true, time.Time{}, fallback{}
+	elapsed := now.Sub(t.node.start)
+	t.income.observe(now, r.Granted)
+	t.tokens.add(elapsed, expiry(a.sentAt.Sub(t.node.start)+min(r.Valid, validity)), r.Granted)
+	if !a.open {
+		return e // the reply came late; its tokens are for the next requests
+	}
+	a.open = false
+	served := 0
+	for served < len(a.waiters) {
+		expires, ok := t.tokens.take(elapsed)
+		if !ok {
+			break
+		}
+		grantedTotal.Inc()
+		e.decide(a.waiters[served], Outcome{Token: Token{tenant: t, expires: expires}})
+		served++
+	}
+	left := a.waiters[served:]
+	a.waiters = nil
+	if r.Granted < a.asked {
+		hold := min(max(r.RetryAfter, minHold), maxHold)
+		a.holdUntil = now.Add(hold)
+		for _, done := range left {
+			e.decide(done, t.exceeded(now, max(hold, r.RetryAfter)))
+		}
+		return e
+	}
+	if len(left) > 0 { // they came after the request was sent, and share the next one
+		a.waiters = left
+		next := t.openAsk(now)
+		e.request, e.to = next.request, next.to
+		if next.request == nil { // this node has become the allocator
+			a.waiters = nil
+			for _, done := range left {
+				e.decide(done, t.fallBack(now))
+			}
+		}
+	}
+	return e
+}
+
+// redirect asks the member that ranks first whether or not this node takes it as reachable, after another has replied that it is not
+// the allocator. It gives up when that is the one that replied.
+func (t *tenant) redirect(now time.Time) effects {
+	if !t.ask.open {
+		return effects{node: t.node, tenant: t}
+	}
+	v := t.node.view.Load()
+	first := firstOf(v.all, t.hash)
+	if t.ask.redirected || first.addr == t.ask.to || first == v.self {
+		return t.giveUp(now)
+	}
+	t.ask.redirected = true
+	return t.sendAsk(now, first.addr)
+}
+
+// fallback is the bucket that a node uses while it reaches no allocator. It starts empty: until the allocator finds that this node is
+// out of reach it allocates the whole quota.
+type fallback struct {
+	limiter *rate.Limiter // nil while it is not in use
+	known   int           // members among which the quota is divided
+	holder  bool          // see mayHoldToken
+}
+
+// open divides the quota by the number of known members.
+func (f *fallback) open(now time.Time, t *tenant, v *view) {
+	known, level := float64(v.known), 0.0
+	if f.limiter != nil {
+		level = f.limiter.TokensAt(now)
+	}
+	f.known, f.holder = v.known, v.mayHoldToken(t)
+	f.limiter = newLimiter(now, t.quota.PerSecond/known, int(min(MaxTokens, max(1, t.quota.Burst/known))), level)
+}
+
+// fallBack decides by the fallback.
+func (t *tenant) fallBack(now time.Time) Outcome {
+	v := t.node.view.Load()
+	if t.node.eligible(now) {
+		if t.reserve.limiter == nil || t.reserve.known != v.known {
+			t.reserve.open(now, t, v)
+		}
+		if t.reserve.holder && t.reserve.limiter.AllowN(now, 1) {
+			fallbackTotal.Inc()
+			return t.spend(now)
+		}
+	}
+	unavailableTotal.Inc()
+	t.countRefusal(now, caller.QuotaUnavailable)
+	refusal := caller.Refuse(caller.QuotaUnavailable, step, "")
+	refusal.RetryAfter = unavailableRetryAfter + rand.N(unavailableRetryAfter)
+	return Outcome{Refusal: refusal}
+}
