--- a/peer/roster.go
+++ b/peer/roster.go
@@ -74,6 +74,7 @@
 	contacted    func(netip.AddrPort)
 	log          *slog.Logger
 	changes      *changeLog
+	members      memberCache
 
 	peers        *shard.Map[string, *Peer]        // by datagram address
 	services     *shard.Map[string, serviceNodes] // by service
