datagram: requests for tokens, replies and stops

The kinds k, K and b carry the messages of quotas. Values out of bounds are dropped; nodes of earlier versions drop the kinds.

--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,5 +1,6 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
-// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, and notices of requests that crash upstreams. A message is one byte
+// replies, the status of nodes, departures and rate limits of upstreams, the era of the store, notices of requests that crash upstreams, and
+// requests for tokens of quotas with their replies. A message is one byte
 // for its kind, followed by a CBOR array.
 package datagram
 
@@ -17,6 +18,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/quota"
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
@@ -66,6 +68,10 @@
 	OnSuspects func(records []quarantine.Record)
 	// OnStoreEra is called with the era of the store that another node reports, above 0. It must not block.
 	OnStoreEra func(era store.Era, from netip.AddrPort)
+	// OnQuotaRequest, OnQuotaReply and OnStop are called with valid messages of another node. They must not block.
+	OnQuotaRequest func(from netip.AddrPort, r quota.Request)
+	OnQuotaReply   func(from netip.AddrPort, r quota.Reply)
+	OnStop         func(run peer.StoppedRun)
 }
 
 // Listen binds the address. The function fields of the Socket are set before Serve and before the first message is sent.
@@ -132,6 +138,12 @@
 		err = decodeMessage[departure](body, func(m peer.DepartureMessage) { receiver.HandleDeparture(from, m) })
 	case kindRateLimit:
 		err = decodeMessage[rateLimit](body, func(m peer.RateLimitMessage) { receiver.HandleRateLimit(from, m) })
+	case kindQuotaAsk:
+		err = decodeMessage[quotaRequest](body, func(r quota.Request) { s.OnVersion(r.Version, from); s.OnQuotaRequest(from, r) })
+	case kindQuotaTell:
+		err = decodeMessage[quotaReply](body, func(r quota.Reply) { s.OnQuotaReply(from, r) })
+	case kindStop:
+		err = decodeMessage[stop](body, func(run peer.StoppedRun) { s.handleStop(from, run) })
 	default:
 		err = errors.New("unknown message kind")
 	}
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/quota"
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
@@ -29,6 +30,9 @@
 	departed chan peer.DepartureMessage
 	limits   chan peer.RateLimitMessage
 	suspects chan []quarantine.Record
+	asked    chan quota.Request
+	told     chan quota.Reply
+	stopped  chan peer.StoppedRun
 	load     peer.Load
 }
 
@@ -38,6 +42,7 @@
 		notices: make(chan quarantine.Notice, 9), versions: make(chan uint64, 9),
 		eras: make(chan store.Era, 9), departed: make(chan peer.DepartureMessage, 9), limits: make(chan peer.RateLimitMessage, 9),
 		suspects: make(chan []quarantine.Record, 9),
+		asked:    make(chan quota.Request, 9), told: make(chan quota.Reply, 9), stopped: make(chan peer.StoppedRun, 9),
 	}
 }
 
@@ -67,6 +72,9 @@
 	s.OnNotice = func(n quarantine.Notice) { r.notices <- n }
 	s.OnStoreEra = func(era store.Era, _ netip.AddrPort) { r.eras <- era }
 	s.OnSuspects = func(records []quarantine.Record) { r.suspects <- records }
+	s.OnQuotaRequest = func(_ netip.AddrPort, q quota.Request) { r.asked <- q }
+	s.OnQuotaReply = func(_ netip.AddrPort, q quota.Reply) { r.told <- q }
+	s.OnStop = func(run peer.StoppedRun) { r.stopped <- run }
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(context.Background(), receiver(r)) }()
 	t.Cleanup(func() {
@@ -193,6 +201,9 @@
 		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
 		kindSuspects:  suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
 		kindDeparture: departure{Boot: 1, Upstream: "u", Born: 1},
+		kindQuotaAsk:  quotaRequest{Number: 1, Tenant: "t", Waiting: 1, Wanted: 2},
+		kindQuotaTell: quotaReply{Number: 1, Tenant: "t", Granted: 1, ValidMs: 500, Allocator: true},
+		kindStop:      stop{Boot: 1, Address: make([]byte, addressSize)},
 		kindStatus:    newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
 		body, err := cbor.Marshal(message)
@@ -215,6 +226,13 @@
 				assert.Check(t, record.Valid())
 			}
 		}
+		s.OnQuotaRequest = func(_ netip.AddrPort, q quota.Request) {
+			assert.Check(t, q.Tenant != "" && q.Waiting >= 0 && q.Waiting <= q.Wanted && q.Wanted <= quota.MaxTokens)
+		}
+		s.OnQuotaReply = func(_ netip.AddrPort, q quota.Reply) {
+			assert.Check(t, q.Tenant != "" && q.Granted >= 0 && q.Granted <= quota.MaxTokens && q.Valid >= 0 && q.RetryAfter >= 0 && q.RetryAfter <= maxQuotaMs*time.Millisecond)
+		}
+		s.OnStop = func(run peer.StoppedRun) { assert.Check(t, run.Boot != 0 && run.Addr.IsValid()) }
 		panics := panicsTotal.Get()
 		s.receive(r, s.Addr(), raw)
 		assert.Equal(t, panicsTotal.Get(), panics)
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -24,6 +24,9 @@
 	kindDeparture byte = 'd'
 	kindSuspects  byte = 's'
 	kindRateLimit byte = 'r'
+	kindQuotaAsk  byte = 'k'
+	kindQuotaTell byte = 'K'
+	kindStop      byte = 'b'
 )
 
 const (
