entry: requests of a tenant need a token of its quota

A dispatcher with a Quota acquires one token before the first choice of an upstream. All attempts share it, and it goes back when the request ends refused without having run.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/quota"
 	"github.com/magnoliawharf/magnoliawharf/upstream"
 )
 
@@ -37,6 +38,12 @@
 	Forward(ctx context.Context, req *caller.Request, target instance.Record) (*caller.Answer, *link.Report, error)
 }
 
+// Quota limits the requests of tenants.
+type Quota interface {
+	// Acquire waits for a token of the tenant and returns it, or the refusal of the request.
+	Acquire(ctx context.Context, tenant string) (quota.Token, *caller.Refusal)
+}
+
 // Dispatcher dispatches requests to upstreams. Its exported fields are set before the first request.
 type Dispatcher struct {
 	Service    string // service of this machine, reported to upstreams as the origin of requests
@@ -45,6 +52,7 @@
 	Budgets    *caller.RetryBudgets
 	RetryRatio func() float64 // retries added to its service's budget by each request
 	Quarantine *quarantine.List
+	Quota      Quota // nil for none
 	Log        *slog.Logger
 
 	estimates estimateTable
@@ -89,7 +97,7 @@
 		refusal.RetryAfter = retryAfter
 		return nil, c.log(nil, refusal)
 	}
-	answer, refusal := c.run(ctx)
+	answer, refusal := c.runWithinQuota(ctx)
 	if refusal != nil && refusal.Ran == caller.NotRun && decision == quarantine.Trial {
 		e.Quarantine.CancelTrial(fingerprint)
 	}
@@ -100,6 +108,22 @@
 	return answer, nil
 }
 
+// runWithinQuota runs the request with a token of its tenant, which all attempts share. The token of a request that has not run goes back.
+func (c *call) runWithinQuota(ctx context.Context) (*caller.Answer, *caller.Refusal) {
+	if c.Quota == nil || c.req.Tenant == "" {
+		return c.run(ctx)
+	}
+	token, refusal := c.Quota.Acquire(ctx, c.req.Tenant)
+	if refusal != nil {
+		return nil, refusal
+	}
+	answer, refusal := c.run(ctx)
+	if refusal != nil && refusal.Ran == caller.NotRun {
+		token.GiveBack()
+	}
+	return answer, refusal
+}
+
 // run sends attempts until an answer is accepted, no retry is allowed or no other node is left.
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
 	chosen, err := c.choose(ctx)
