sidecar: connect quotas to contracts, members and messages

The node adopts quotas with each version, updates the members and probes them every 100 ms, allocates once it knows them for a second, and reports its stop.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/quota"
 	"github.com/magnoliawharf/magnoliawharf/store"
 	"github.com/magnoliawharf/magnoliawharf/transport"
 	"github.com/magnoliawharf/magnoliawharf/transport/datagram"
@@ -89,6 +90,7 @@
 	roster         *peer.Roster
 	socket         *datagram.Socket
 	suspects       *quarantine.List
+	quota          *quota.Node
 	remote         *peerhttp.Client
 	upstream       *upstreamconn.Client
 	fetchClient    *http.Client // fetches contracts from other nodes
@@ -141,12 +143,13 @@
 	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: peerRouting(s.Settings),
-		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.sendSuspects, Log: s.Log,
+		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.handleContact, Log: s.Log,
 	})
 	s.socket.Version, s.socket.OnVersion = s.contracts.Version, s.handlePeerVersion
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
 	s.socket.OnSuspects = s.mergeSuspects
 	s.socket.OnStoreEra = s.handlePeerEra
+	s.newQuota()
 	s.setHandlers()
 	return nil
 }
@@ -180,7 +183,7 @@
 func (s *Sidecar) setHandlers() {
 	dispatcher := entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
-		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, Quarantine: s.suspects, Log: s.Log,
+		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, Quarantine: s.suspects, Quota: s.quota, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
 		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
@@ -195,6 +198,7 @@
 	s.ready.Handle(s.Platform.Readiness(s.isReady))
 	s.metricsServer.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.writeGauges(w)
+		s.writeQuotaGauges(w)
 		metrics.Write(w)
 	}))
 }
@@ -291,6 +295,7 @@
 		}
 	}()
 	go s.roster.Run(background)
+	go s.runQuota(background)
 	go s.proxy.Watch(background)
 	s.startStoreSync(background)
 	s.Log.Info("node started", "node", s.Settings.Node, "boot", s.boot, "zone", s.Settings.Zone, "service", s.Settings.Upstream.Service)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -40,6 +40,8 @@
 	Version uint64
 	Service string // of every request
 	Padding string
+
+	TenantPerSecond float64 // quota of the tenant "acme", 0 for no tenants
 }
 
 func decode(raw []byte) (*contract.Contracts, error) {
@@ -50,8 +52,12 @@
 	if d.Service == panickingService {
 		panic("the decoder of the platform has a fault")
 	}
+	var tenants map[string]contract.Tenant
+	if d.TenantPerSecond > 0 {
+		tenants = map[string]contract.Tenant{"acme": {Name: "acme", Quota: contract.Quota{PerSecond: d.TenantPerSecond}}}
+	}
 	return contract.New(contract.Contracts{
-		Version: d.Version, Source: raw, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
+		Version: d.Version, Source: raw, Tenants: tenants, Services: map[string]contract.Service{d.Service: {HealthPath: "/health"}},
 		Routes: []contract.Route{
 			{Name: "once", Host: "shop.example", PathPrefix: "/once/", Rule: bundle.NotIdempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
 			{Name: "any", Host: "shop.example", PathPrefix: "/any/", Rule: bundle.Idempotent, Timeout: 10 * time.Second, LatencyObjective: 8 * time.Second, MaxAttempts: 2, Split: []contract.WeightedService{{Service: d.Service, Weight: 1}}},
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -84,6 +84,7 @@
 	s.Log.Info("stopping node", "grace_ms", time.Duration(s.Settings.Runtime.Grace).Milliseconds(), "requested_ms_ago", start.Sub(requested).Milliseconds(),
 		"requests", s.requests.Len(), "at_upstream", s.proxy.InFlight().Len())
 	s.stopping.Store(true)
+	go s.leaveQuota()
 	s.callers.Drain()
 	if hasCallers := s.wasReady.Load() || s.arrived.Load() > 0; hasCallers {
 		s.drainCallers(finishing, schedule)
