--- a/peer/roster.go
+++ b/peer/roster.go
@@ -77,6 +77,7 @@
 	evacuations  *Evacuations
 	log          *slog.Logger
 	changes      *changeLog
+	members      memberCache
 
 	peers        *shard.Map[string, *Peer]        // by datagram address
 	services     *shard.Map[string, serviceNodes] // by service
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/quota"
 	"github.com/magnoliawharf/magnoliawharf/store"
 	"github.com/magnoliawharf/magnoliawharf/transport"
 	"github.com/magnoliawharf/magnoliawharf/transport/datagram"
@@ -93,6 +94,7 @@
 	evacuating     sync.Mutex // held while a change is applied to the proxy
 	socket         *datagram.Socket
 	suspects       *quarantine.List
+	quota          *quota.Node
 	remote         *peerhttp.Client
 	upstream       *upstreamconn.Client
 	fetchClient    *http.Client // fetches contracts from other nodes
@@ -150,7 +152,7 @@
 	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: peerRouting(s.Settings),
-		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.sendSuspects, Evacuations: s.evacuations, Log: s.Log,
+		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.handleContact, Evacuations: s.evacuations, Log: s.Log,
 	})
 	s.socket.Version, s.socket.OnVersion = s.contracts.Version, s.handlePeerVersion
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
@@ -158,6 +160,7 @@
 	s.socket.OnStoreEra = s.handlePeerEra
 	s.provisionProof()
 	s.socket.OnEvacuations = func(states []peer.Evacuation) { s.evacuations.Merge(time.Now(), states) }
+	s.newQuota()
 	s.setHandlers()
 	return nil
 }
@@ -192,7 +195,7 @@
 	dispatcher := entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
 		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, HedgeRatio: s.hedgeRatio,
-		Quarantine: s.suspects, Permit: s.permit, Log: s.Log,
+		Quarantine: s.suspects, Permit: s.permit, Quota: s.quota, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
 		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
@@ -207,6 +210,7 @@
 	s.ready.Handle(s.Platform.Readiness(s.isReady))
 	s.metricsServer.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.writeGauges(w)
+		s.writeQuotaGauges(w)
 		metrics.Write(w)
 	}))
 }
@@ -321,6 +325,7 @@
 		}
 	}()
 	go s.roster.Run(background)
+	go s.runQuota(background)
 	go s.proxy.Watch(background)
 	s.startStoreSync(background)
 	s.Log.Info("node started", "node", s.Settings.Node, "boot", s.boot, "zone", s.Settings.Zone, "service", s.Settings.Upstream.Service)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -42,11 +42,12 @@
 
 // document is the encoding of contracts in these tests.
 type document struct {
-	Version uint64
-	Service string  // of every request
-	Cold    float64 // requests a second that a cold upstream tolerates
-	Padding string
-	Tenants map[string][]string // keys by the name of the tenant
+	Version         uint64
+	Service         string  // of every request
+	Cold            float64 // requests a second that a cold upstream tolerates
+	Padding         string
+	Tenants         map[string][]string // keys by the name of the tenant
+	TenantPerSecond float64             // quota of the tenant "acme", 0 for no such tenant
 	// Objective is the latency objective of the routes, 0 for 8 s.
 	Objective time.Duration
 }
@@ -75,6 +76,9 @@
 		}
 		tenants[name] = tenant
 	}
+	if d.TenantPerSecond > 0 {
+		tenants["acme"] = contract.Tenant{Name: "acme", Quota: contract.Quota{PerSecond: d.TenantPerSecond}}
+	}
 	objective := cmp.Or(d.Objective, 8*time.Second)
 	return contract.New(contract.Contracts{
 		Version: d.Version, Source: raw, Tenants: tenants, Services: map[string]contract.Service{d.Service: {HealthPath: "/health", ColdPerSecond: d.Cold}},
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -1,6 +1,7 @@
 // Package datagram exchanges short messages between nodes over UDP: queries for the load of an upstream and their
 // replies, the status of nodes, departures and rate limits of upstreams, the era of the store, evacuations of zones, the age of proofs of
-// freshness, and notices of requests that crash upstreams. A message is one byte for its kind, followed by a CBOR array.
+// freshness, notices of requests that crash upstreams, and requests for tokens of quotas with their replies. A message is one byte for its
+// kind, followed by a CBOR array.
 package datagram
 
 import (
@@ -19,6 +20,7 @@
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/peer"
 	"github.com/magnoliawharf/magnoliawharf/quarantine"
+	"github.com/magnoliawharf/magnoliawharf/quota"
 	"github.com/magnoliawharf/magnoliawharf/store"
 )
 
@@ -74,6 +76,10 @@
 	OnFreshnessReply func(r freshness.Reply, from netip.AddrPort)
 	// OnEvacuations is called with valid states of another node. It must not block.
 	OnEvacuations func(states []peer.Evacuation)
+	// OnQuotaRequest, OnQuotaReply and OnStop are called with valid messages of another node. They must not block.
+	OnQuotaRequest func(from netip.AddrPort, r quota.Request)
+	OnQuotaReply   func(from netip.AddrPort, r quota.Reply)
+	OnStop         func(run peer.StoppedRun)
 }
 
 // Listen binds the address. The function fields of the Socket are set before Serve and before the first message is sent.
@@ -149,6 +155,12 @@
 		err = decodeMessage[freshnessReply](body, func(r freshness.Reply) { s.OnFreshnessReply(r, from) })
 	case kindEvacuations:
 		err = decodeMessage[evacuations](body, s.OnEvacuations)
+	case kindQuotaAsk:
+		err = decodeMessage[quotaRequest](body, func(r quota.Request) { s.OnVersion(r.Version, from); s.OnQuotaRequest(from, r) })
+	case kindQuotaTell:
+		err = decodeMessage[quotaReply](body, func(r quota.Reply) { s.OnQuotaReply(from, r) })
+	case kindStop:
+		err = decodeMessage[stop](body, func(run peer.StoppedRun) { s.handleStop(from, run) })
 	default:
 		err = errors.New("unknown message kind")
 	}
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -29,6 +29,9 @@
 	kindFreshnessQuery byte = 'f'
 	kindFreshnessReply byte = 'F'
 	kindEvacuations    byte = 'z'
+	kindQuotaAsk       byte = 'k'
+	kindQuotaTell      byte = 'K'
+	kindStop           byte = 'b'
 )
 
 const (
