--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -20,6 +20,8 @@
 	// warmAnnouncements is the number of successive announcements without a cold time that show that the upstream is warm. The first
 	// may have been sent before the state became unknown, or before the report that the upstream is cold.
 	warmAnnouncements = 2
+	// unreadableLogInterval is the least time between two log lines on cold times that cannot be read, which each check may show again.
+	unreadableLogInterval = time.Minute
 )
 
 var (
@@ -160,8 +162,6 @@
 func (p *Proxy) recordColdTime(target Announcement, sentAt time.Time, report HealthReport) {
 	now := time.Now()
 	p.mu.Lock()
-	isNew := report.Cold.Unreadable != "" && report.Cold.Unreadable != p.unreadableCold
-	p.unreadableCold = report.Cold.Unreadable
 	notify := func() {}
 	if p.isCurrent(report.UpstreamID) && p.answeredByCurrent(answerNotice{target: target, sentAt: sentAt}) {
 		p.cold.observeHealth(sentAt, now, report.Cold)
@@ -170,9 +170,9 @@
 	p.mu.Unlock()
 	if report.Cold.Unreadable != "" {
 		unreadableColdTotal.Inc()
-	}
-	if isNew {
-		p.options.Log.Warn("cold time unreadable", "upstream", target.ID, "value", report.Cold.Unreadable)
+		p.unreadableCold.Do(func() {
+			p.options.Log.Warn("cold time unreadable", "upstream", target.ID, "value", report.Cold.Unreadable)
+		})
 	}
 	notify()
 }
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -52,6 +52,9 @@
 func (c *coldClient) CheckHealth(ctx context.Context, addr, path string) (inbound.HealthReport, error) {
 	c.mu.Lock()
 	cold := caller.ColdTime{Stated: !c.silent && c.odd == "", Remaining: max(0, time.Until(c.until)), Unreadable: c.odd}
+	if c.odd != "" {
+		c.odd += "!" // another value in each report
+	}
 	c.mu.Unlock()
 	time.Sleep(2 * time.Millisecond)
 	report, err := c.noticingClient.CheckHealth(ctx, addr, path)
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/inflight"
 	"github.com/magnoliawharf/magnoliawharf/instance"
@@ -113,7 +115,7 @@
 	cold             coldState           // of the current incarnation
 	coldLimit        upstream.ColdLimit  // in force
 	everColdLimited  bool                // coldLimit has been in force
-	unreadableCold   string              // cold time in the last health report, when it could not be read
+	unreadableCold   rate.Sometimes      // limits the log lines on cold times that cannot be read
 	checkStartedAt   time.Time           // start of the last health check of a serving upstream
 	startsUnchecked  int                 // requests that started since
 	evacuated        bool                // the zone is evacuated
@@ -144,6 +146,7 @@
 		crashes:          &quarantine.CrashMonitor{Suspects: o.Suspects, Detector: quarantine.NewCrashDetector(o.Suspects, run)},
 		departed:         make(map[string]int64),
 		recalledServices: make(map[string]string),
+		unreadableCold:   rate.Sometimes{Interval: unreadableLogInterval},
 	}
 }
 
