inbound: check whether an upstream is cold as soon as it comes into service

The first check came with the next round, up to 200 ms later, in which a warm upstream got its cold rate only, for example after an evacuation.

go test -race ./inbound: ok.

--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -338,6 +338,11 @@
 		assert.Check(t, most > 0 && most <= coldBound, "%d requests in a second, %d allowed", most, coldBound)
 		time.Sleep(time.Second)
 		assert.Equal(t, p.ColdRate(), 0.0)
+		p.SetEvacuated(time.Now(), true)
+		time.Sleep(time.Second)
+		p.SetEvacuated(time.Now(), false)
+		time.Sleep(5 * time.Millisecond)
+		assert.Equal(t, p.ColdRate(), 0.0, "a warm upstream was not checked at once")
 	})
 }
 
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -187,6 +187,7 @@
 	}
 	// Announced under the lock, so that the admission control never ends up with an older state than the proxy.
 	p.upstream.Announce(now, announced)
+	p.startColdCheck(now)
 	current := p.current
 	return func() {
 		notifyCold()
