--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -52,6 +52,9 @@
 func (c *coldClient) CheckHealth(ctx context.Context, addr, path string) (inbound.HealthReport, error) {
 	c.mu.Lock()
 	cold := caller.ColdTime{Stated: !c.silent && c.odd == "", Remaining: max(0, time.Until(c.until)), Unreadable: c.odd}
+	if c.odd != "" {
+		c.odd += "!" // another value in each report
+	}
 	c.mu.Unlock()
 	time.Sleep(2 * time.Millisecond)
 	report, err := c.noticingClient.CheckHealth(ctx, addr, path)
@@ -335,6 +338,11 @@
 		assert.Check(t, most > 0 && most <= coldBound, "%d requests in a second, %d allowed", most, coldBound)
 		time.Sleep(time.Second)
 		assert.Equal(t, p.ColdRate(), 0.0)
+		p.SetEvacuated(time.Now(), true)
+		time.Sleep(time.Second)
+		p.SetEvacuated(time.Now(), false)
+		time.Sleep(5 * time.Millisecond)
+		assert.Equal(t, p.ColdRate(), 0.0, "a warm upstream was not checked at once")
 	})
 }
 
