peer: probes for quotas cause no health checks, and a quarter as many

Probes are messages of their own now, answered with the last known load, 20 a second. When one is unanswered all others are probed at once as before, so a partition of a third of the nodes is still noticed within half a second.

--- a/entry/roster_test.go
+++ b/entry/roster_test.go
@@ -13,6 +13,7 @@
 type discardSender struct{}
 
 func (discardSender) QueryLoad(netip.AddrPort, uint32)                    {}
+func (discardSender) Probe(netip.AddrPort, uint32)                        {}
 func (discardSender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
 func (discardSender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 func (discardSender) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
@@ -26,6 +27,7 @@
 func (idleNode) Departure() peer.Departure                   { return peer.Departure{} }
 func (idleNode) LearnDeparture(peer.Departure)               {}
 func (idleNode) RateLimit(time.Time) peer.RateLimit          { return peer.RateLimit{} }
+func (n idleNode) LastLoad(now time.Time) peer.Load          { return n.Load(now) }
 func (idleNode) LearnRateLimit(peer.RateLimit)               {}
 
 // rosterOf returns a Roster of nodes that all serve the service "s" and answer no load queries.
--- a/inbound/load.go
+++ b/inbound/load.go
@@ -37,6 +37,11 @@
 		}
 		timer.Stop()
 	}
+	return p.LastLoad(now)
+}
+
+// LastLoad implements peer.Self.
+func (p *Proxy) LastLoad(now time.Time) peer.Load {
 	report := p.upstream.Report()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/peer/candidates_test.go
+++ b/peer/candidates_test.go
@@ -19,6 +19,7 @@
 	n.roster.HandleLoad(to, sequence, peer.Load{Boot: 1, Revision: 1, Serving: true, Limit: 8, ServiceTimePercent: 100})
 }
 
+func (n *idleNodes) Probe(to netip.AddrPort, sequence uint32)          { n.QueryLoad(to, sequence) }
 func (*idleNodes) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
 func (*idleNodes) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 func (*idleNodes) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
--- a/peer/contact.go
+++ b/peer/contact.go
@@ -75,12 +75,17 @@
 
 // query sends a load query to the peer that no request waits for.
 func (r *Roster) query(now time.Time, p *Peer) {
+	r.sender.QueryLoad(p.addr, r.beginQuery(now, p))
+}
+
+// beginQuery records a query that is about to be sent, and returns its sequence number.
+func (r *Roster) beginQuery(now time.Time, p *Peer) uint32 {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	sequence := r.lastSequence.Add(1)
 	p.expireQuery(now)
 	p.openQuery(now, sequence)
-	p.mu.Unlock()
-	r.sender.QueryLoad(p.addr, sequence)
+	return sequence
 }
 
 // IsStoreReader reports whether this node reads the store on behalf of all: it is the first by name of the responsive nodes
--- a/peer/late_test.go
+++ b/peer/late_test.go
@@ -19,6 +19,7 @@
 	s.sequences = append(s.sequences, sequence)
 }
 
+func (s *querySender) Probe(to netip.AddrPort, sequence uint32)            { s.QueryLoad(to, sequence) }
 func (s *querySender) SendStatus(netip.AddrPort, peer.StatusMessage)       {}
 func (s *querySender) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 func (s *querySender) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
--- a/peer/members.go
+++ b/peer/members.go
@@ -116,7 +116,7 @@
 const (
 	// probeAfter is the silence after which a member is probed, and maxProbes the number of members probed at once while all answer.
 	probeAfter = 200 * time.Millisecond
-	maxProbes  = 8
+	maxProbes  = 2
 	// maxDoubtProbes is the number probed at once while some do not answer: a link or a zone may have failed.
 	maxDoubtProbes = 256
 )
@@ -165,6 +165,6 @@
 	waiting := p.query.open && now.Sub(p.query.sentAt) <= queryTimeout
 	p.mu.Unlock()
 	if !waiting {
-		r.query(now, p)
+		r.sender.Probe(p.addr, r.beginQuery(now, p))
 	}
 }
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -56,6 +56,8 @@
 	})
 }
 
+func (n *network) Probe(to netip.AddrPort, number uint32) { n.QueryLoad(to, number) }
+
 func (n *network) SendStatus(to netip.AddrPort, i peer.StatusMessage) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -115,6 +117,7 @@
 func (o *own) Departure() peer.Departure                     { return o.departure }
 func (o *own) LearnDeparture(d peer.Departure)               { o.learned = append(o.learned, d) }
 func (o *own) RateLimit(time.Time) peer.RateLimit            { return o.limit }
+func (o *own) LastLoad(now time.Time) peer.Load              { return o.Load(now) }
 func (o *own) LearnRateLimit(l peer.RateLimit)               { o.told = append(o.told, l) }
 
 // rosterOf returns a Roster that knows count nodes. Node i is at address(i), in zone "z<i%2>".
--- a/peer/odd_address_test.go
+++ b/peer/odd_address_test.go
@@ -27,6 +27,7 @@
 	r.queried[to]++
 }
 
+func (r *recorder) Probe(to netip.AddrPort, sequence uint32)            { r.QueryLoad(to, sequence) }
 func (r *recorder) SendDeparture(netip.AddrPort, peer.DepartureMessage) {}
 func (r *recorder) SendRateLimit(netip.AddrPort, peer.RateLimitMessage) {}
 
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -17,6 +17,8 @@
 type Sender interface {
 	// QueryLoad queries the load of a node. The answer carries the same sequence number.
 	QueryLoad(to netip.AddrPort, sequence uint32)
+	// Probe queries the last known load of a node, without a health check of its upstream. The answer is as to QueryLoad.
+	Probe(to netip.AddrPort, sequence uint32)
 	// SendStatus sends this node's status to another.
 	SendStatus(to netip.AddrPort, i StatusMessage)
 	// SendRateLimit reports a rate limit to another node.
@@ -29,6 +31,8 @@
 type Self interface {
 	Status() Status
 	Load(now time.Time) Load
+	// LastLoad is Load without a health check of the upstream.
+	LastLoad(now time.Time) Load
 	// LearnPreviousUpstream receives what another node knows of the upstream that this node had before its restart.
 	LearnPreviousUpstream(PreviousUpstream)
 	// Departure returns the departure of the upstream beside this node, the zero value while it has not departed.
@@ -213,6 +217,12 @@
 	return r.selfNode.Load(time.Now())
 }
 
+// AnswerProbe returns the last known load of this node in answer to a probe.
+func (r *Roster) AnswerProbe(from netip.AddrPort) Load {
+	r.AddNode(from)
+	return r.selfNode.LastLoad(time.Now())
+}
+
 // UpdateOwnStatus applies a change of this node's status and broadcasts it.
 func (r *Roster) UpdateOwnStatus() {
 	status := r.selfNode.Status()
--- a/sidecar/isolation_test.go
+++ b/sidecar/isolation_test.go
@@ -66,6 +66,9 @@
 // AnswerLoadQuery implements datagram.Receiver.
 func (p *fakePeer) AnswerLoadQuery(netip.AddrPort) peer.Load { return peer.Load{Boot: 1, Revision: 1} }
 
+// AnswerProbe implements datagram.Receiver.
+func (p *fakePeer) AnswerProbe(from netip.AddrPort) peer.Load { return p.AnswerLoadQuery(from) }
+
 // Guards against a node that keeps old contracts although it reaches the store, because it is cut off from all other nodes of
 // a large zone and takes seconds to find out that each of them is unresponsive.
 func TestNodeCutOffFromItsPeersReadsTheStore(t *testing.T) {
--- a/sidecar/local_node.go
+++ b/sidecar/local_node.go
@@ -19,6 +19,9 @@
 // Load implements peer.Self.
 func (s localNode) Load(now time.Time) peer.Load { return s.proxy.Load(now) }
 
+// LastLoad implements peer.Self.
+func (s localNode) LastLoad(now time.Time) peer.Load { return s.proxy.LastLoad(now) }
+
 // LearnPreviousUpstream implements peer.Self.
 func (s localNode) LearnPreviousUpstream(former peer.PreviousUpstream) { s.proxy.Recall(former) }
 
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -52,6 +52,8 @@
 	HandleRateLimit(from netip.AddrPort, m peer.RateLimitMessage)
 	// The load of this node, in reply to a load query.
 	AnswerLoadQuery(from netip.AddrPort) peer.Load
+	// The last known load of this node, in reply to a probe. It does not block.
+	AnswerProbe(from netip.AddrPort) peer.Load
 }
 
 // Socket sends and receives datagrams. It is safe for concurrent use.
@@ -135,6 +137,8 @@
 	switch kind, body := raw[0], raw[1:]; kind {
 	case kindLoadQuery:
 		err = s.handleLoadQuery(receiver, from, body)
+	case kindProbe:
+		err = s.handleProbe(receiver, from, body)
 	case kindLoadReply:
 		err = s.handleLoadReply(receiver, from, body)
 	case kindStatus:
@@ -198,6 +202,16 @@
 	return nil
 }
 
+func (s *Socket) handleProbe(receiver Receiver, from netip.AddrPort, body []byte) error {
+	var q loadQuery
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return err
+	}
+	s.OnVersion(q.ContractVersion, from)
+	s.sendLoad(from, q.Number, receiver.AnswerProbe(from))
+	return nil
+}
+
 // sendLoad replies to a load query. A rate limit goes first, so that it is known when the load arrives.
 func (s *Socket) sendLoad(to netip.AddrPort, number uint32, load peer.Load) {
 	if load.RateLimit.Named {
@@ -264,6 +278,11 @@
 	s.send(to, kindLoadQuery, loadQuery{Number: number, ContractVersion: s.Version()})
 }
 
+// Probe implements peer.Sender.
+func (s *Socket) Probe(to netip.AddrPort, number uint32) {
+	s.send(to, kindProbe, loadQuery{Number: number, ContractVersion: s.Version()})
+}
+
 // SendStatus implements peer.Sender.
 func (s *Socket) SendStatus(to netip.AddrPort, i peer.StatusMessage) {
 	s.send(to, kindStatus, newStatusMessage(s.Version(), i))
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -54,6 +54,7 @@
 func (r *recorder) HandleDeparture(_ netip.AddrPort, m peer.DepartureMessage) { r.departed <- m }
 func (r *recorder) HandleRateLimit(_ netip.AddrPort, m peer.RateLimitMessage) { r.limits <- m }
 func (r *recorder) AnswerLoadQuery(netip.AddrPort) peer.Load                  { return r.load }
+func (r *recorder) AnswerProbe(netip.AddrPort) peer.Load                      { return r.load }
 
 func startSocket(t *testing.T, version uint64, load peer.Load) (*Socket, *recorder) {
 	t.Helper()
@@ -234,7 +235,7 @@
 // process.
 func FuzzReceive(f *testing.F) {
 	for kind, message := range map[byte]any{
-		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
+		kindStoreEra: storeEra{Era: 1}, kindLoadQuery: loadQuery{Number: 1}, kindProbe: loadQuery{Number: 1}, kindLoadReply: loadReply{Boot: 3}, kindNotice: notice{Kind: 1, Fingerprints: []uint64{1}, Crashes: []uint64{2}},
 		kindSuspects:       suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
 		kindDeparture:      departure{Boot: 1, Upstream: "u", Born: 1},
 		kindFreshnessQuery: freshnessQuery{Number: 1}, kindFreshnessReply: freshnessReply{Number: 1, ContractVersion: 1, AgeMs: 1},
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -32,6 +32,7 @@
 	kindQuotaAsk       byte = 'k'
 	kindQuotaTell      byte = 'K'
 	kindStop           byte = 'b'
+	kindProbe          byte = 'p' // a loadQuery
 )
 
 const (
