quota: notice a suspension, and name the time of the next token

The monotonic clock stands still while a machine is suspended, so an allocator that was suspended did not notice it and had its whole burst once more. The node compares the time of day with the monotonic clock at each tick. A node that refuses without asking suggests the time of the next token that the allocator named, not the end of its hold.

--- a/quota/ask.go
+++ b/quota/ask.go
@@ -36,6 +36,7 @@
 	credited    bool // the reply to the last request has come
 	waiters     []func(Outcome)
 	holdUntil   time.Time // the allocator had too few tokens; until then requests are refused
+	availableAt time.Time // when it is to have the next one
 	silent      netip.AddrPort
 	silentUntil time.Time
 }
@@ -102,7 +103,7 @@
 	case t.ask.open:
 		t.ask.waiters = append(t.ask.waiters, done)
 	case now.Before(t.ask.holdUntil):
-		e.decide(done, t.exceeded(now, t.ask.holdUntil.Sub(now)))
+		e.decide(done, t.exceeded(now, t.ask.availableAt.Sub(now)))
 	case first.none, first.member.addr == t.ask.silent && now.Before(t.ask.silentUntil):
 		e.decide(done, t.fallBack(now))
 	default:
@@ -224,7 +225,7 @@
 	a.waiters = nil
 	if r.Granted < a.asked {
 		hold := min(max(r.RetryAfter, minHold), maxHold)
-		a.holdUntil = now.Add(hold)
+		a.holdUntil, a.availableAt = now.Add(hold), now.Add(max(hold, r.RetryAfter))
 		for _, done := range left {
 			e.decide(done, t.exceeded(now, max(hold, r.RetryAfter)))
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -170,9 +170,8 @@
 	n.viewMu.Lock()
 	elapsed := int64(now.Sub(n.start))
 	before := n.lastTick.Swap(elapsed)
-	if paused := elapsed-before > int64(maxTickDelay); paused && n.eligibleAt.Load() != notEligible {
-		n.eligibleAt.Store(elapsed + int64(resumeDelay))
-		n.loseAll(n.start.Add(time.Duration(before)))
+	if elapsed-before > int64(maxTickDelay) {
+		n.resume(elapsed, before)
 	}
 	if changed {
 		n.setView(now, others)
@@ -181,6 +180,22 @@
 	n.endRefusals(now)
 }
 
+// Resume is called after a pause that Now does not show: a monotonic clock may stand still while a machine is suspended.
+func (n *Node) Resume() {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	n.resume(int64(n.Now().Sub(n.start)), n.lastTick.Load())
+}
+
+// resume ends the allocation at the time of the last tick before a pause. The node may allocate again after resumeDelay.
+func (n *Node) resume(elapsed, before int64) {
+	if n.eligibleAt.Load() == notEligible {
+		return
+	}
+	n.eligibleAt.Store(elapsed + int64(resumeDelay))
+	n.loseAll(n.start.Add(time.Duration(before)))
+}
+
 // setView replaces the view. The buckets of tenants for which an added member ranks before this node are lost.
 func (n *Node) setView(now time.Time, others []Member) {
 	before := n.view.Load()
--- a/sidecar/quota.go
+++ b/sidecar/quota.go
@@ -50,7 +50,13 @@
 func (s *Sidecar) runQuota(ctx context.Context) {
 	var members []peer.Member
 	settling := settling{known: s.nodesFound}
+	last := time.Now()
 	for started := false; wait.For(ctx, quota.TickInterval); {
+		now := time.Now()
+		if suspended(now.Round(0).Sub(last.Round(0)), now.Sub(last)) {
+			s.quota.Resume()
+		}
+		last = now
 		next := s.roster.Members()
 		if changed := len(next) != len(members) || len(next) > 0 && &next[0] != &members[0]; changed {
 			members = next
@@ -58,7 +64,7 @@
 		} else {
 			s.quota.Tick(nil, false)
 		}
-		if !started && settling.done(time.Now(), len(members), s.roster.HeardPeers()) {
+		if !started && settling.done(now, len(members), s.roster.HeardPeers()) {
 			started = true
 			s.quota.Start()
 		}
@@ -68,6 +74,16 @@
 	}
 }
 
+// maxClockDifference is the largest difference between the time of day and the monotonic clock, from one tick to the next, that counts
+// as a correction of the time of day.
+const maxClockDifference = 300 * time.Millisecond
+
+// suspended reports whether the monotonic clock stood still while the time of day went on, as while a machine is suspended. A time of
+// day that was set forward looks the same, and costs a second without allocation at this node.
+func suspended(timeOfDay, monotonic time.Duration) bool {
+	return timeOfDay-monotonic > maxClockDifference
+}
+
 func quotaMembers(members []peer.Member) []quota.Member {
 	converted := make([]quota.Member, len(members))
 	for i, m := range members {
--- a/sidecar/quota_internal_test.go
+++ b/sidecar/quota_internal_test.go
@@ -45,3 +45,12 @@
 	}
 	assert.Assert(t, growing.done(at(3000), 3000, 1))
 }
+
+// Guards against a suspension that goes unnoticed, and against one that is seen where only time has passed.
+func TestSuspensionIsNoticed(t *testing.T) {
+	assert.Assert(t, !suspended(100*time.Millisecond, 100*time.Millisecond))
+	assert.Assert(t, !suspended(time.Hour, time.Hour), "frozen, with a clock that went on")
+	assert.Assert(t, !suspended(-time.Hour, 100*time.Millisecond), "time of day set back")
+	assert.Assert(t, !suspended(150*time.Millisecond, 100*time.Millisecond), "time of day corrected")
+	assert.Assert(t, suspended(3*time.Second, 100*time.Millisecond))
+}
