quota: an allocator by default of a better one asks a witness

A node that ranks second and loses only its link to the first allocated to its own callers beside it: 726 requests in 5 s of an allowed 680 among ten nodes. It now needs another node that takes it as the allocator; replies name the allocator in the sender's view, and a node that asked the wrong one follows that name instead of guessing.

--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -69,7 +69,8 @@
 	member   ranked
 	none     bool // no member that may allocate is known
 	in       *view
-	eligible bool // this node may allocate
+	eligible bool   // this node may allocate
+	witness  ranked // is to confirm that this node is the allocator; the zero value when that needs no confirmation
 }
 
 // isSelf reports whether this node is the allocator.
@@ -86,6 +87,9 @@
 	switch {
 	case eligible:
 		t.first.member = firstOf(v.settled, t.hash)
+		if t.first.isSelf() && len(v.settled) > 1 && firstOf(v.all, t.hash) != v.self {
+			t.first.witness = firstOf(v.settled[1:], t.hash) // settled[0] is this node
+		}
 	case len(v.reachable) > 0:
 		t.first.member = firstOf(v.reachable, t.hash)
 	default:
@@ -94,6 +98,23 @@
 	return &t.first
 }
 
+// confirmedFor is the time after which an allocator asks again whether others take it as the allocator too.
+const confirmedFor = 2 * time.Second
+
+// mayAllocate reports whether this node is the allocator, also in the view of another when a member that ranks before it is out of its
+// reach: only the link between the two may have failed. It is called with the lock held.
+func (t *tenant) mayAllocate(now time.Time, c *choice) bool {
+	return c.isSelf() && (c.witness == ranked{} || now.Before(t.confirmedUntil))
+}
+
+// asks returns the member that is asked for tokens, or for the confirmation that this node is the allocator.
+func (c *choice) asks() netip.AddrPort {
+	if c.isSelf() {
+		return c.witness.addr
+	}
+	return c.member.addr
+}
+
 // ownBucket returns the bucket at this node, which is the allocator, and reports whether the allocation begins. It is called with the
 // lock held.
 func (t *tenant) ownBucket(now time.Time, v *view) (*bucket, bool) {
@@ -178,10 +199,12 @@
 	if !first.isSelf() {
 		t.mu.Unlock()
 		if !first.none {
-			n.OnSilent(first.member.addr) // the sender may not reach it
+			reply.Other = first.member.addr
+			n.OnSilent(reply.Other) // the sender may not reach it
 		}
 		return reply
 	}
+	t.confirmedUntil = now.Add(confirmedFor) // the sender takes this node as the allocator
 	v := first.in
 	b, begins := t.ownBucket(now, v)
 	reply.Allocator = true
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -89,7 +90,7 @@
 	e := effects{node: t.node, tenant: t}
 	first := t.allocator(now)
 	switch {
-	case first.isSelf():
+	case t.mayAllocate(now, first):
 		b, begins := t.ownBucket(now, first.in)
 		if begins {
 			e.begins = first.in
@@ -104,7 +105,7 @@
 		t.ask.waiters = append(t.ask.waiters, done)
 	case now.Before(t.ask.holdUntil):
 		e.decide(done, t.exceeded(now, t.ask.availableAt.Sub(now)))
-	case first.none, first.member.addr == t.ask.silent && now.Before(t.ask.silentUntil):
+	case first.none, first.asks() == t.ask.silent && now.Before(t.ask.silentUntil):
 		e.decide(done, t.fallBack(now))
 	default:
 		t.ask.waiters = append(t.ask.waiters, done)
@@ -124,11 +125,11 @@
 // while no request is open.
 func (t *tenant) openAsk(now time.Time) effects {
 	first := t.allocator(now)
-	if first.none || first.isSelf() {
+	if first.none || t.mayAllocate(now, first) {
 		return effects{node: t.node, tenant: t} // an allocator takes tokens one by one, from its own bucket
 	}
-	t.ask.redirected, t.ask.first = false, first.member.addr
-	return t.sendAsk(now, first.member.addr)
+	t.ask.redirected, t.ask.first = false, first.asks()
+	return t.sendAsk(now, t.ask.first)
 }
 
 func (t *tenant) sendAsk(now time.Time, to netip.AddrPort) effects {
@@ -201,7 +202,7 @@
 		return e // a datagram that was repeated, or is late
 	}
 	if !r.Allocator {
-		return t.redirect(now)
+		return t.redirect(now, r.Other)
 	}
 	a.credited, a.silentUntil, t.reserve = true, time.Time{}, fallback{}
 	elapsed := now.Sub(t.node.start)
@@ -245,19 +246,40 @@
 	return e
 }
 
-// redirect asks the member that ranks first whether or not this node takes it as reachable, after another has replied that it is not
-// the allocator. It gives up when that is the one that replied.
-func (t *tenant) redirect(now time.Time) effects {
+// redirect follows a reply of a node that is not the allocator. If that is this node, it decides on the waiting requests. Else it asks
+// the member that the reply names, whether or not it takes that one as reachable, and gives up after a second such reply.
+func (t *tenant) redirect(now time.Time, other netip.AddrPort) effects {
 	if !t.ask.open {
 		return effects{node: t.node, tenant: t}
 	}
-	v := t.node.view.Load()
-	first := firstOf(v.all, t.hash)
-	if t.ask.redirected || first.addr == t.ask.to || first == v.self {
+	if first := t.allocator(now); other == t.node.Addr && first.isSelf() {
+		t.confirmedUntil = now.Add(confirmedFor)
+		return t.decideWaiting(now, first.in)
+	}
+	isOther := func(m ranked) bool { return m.addr == other }
+	if t.ask.redirected || other == t.ask.to || other == t.node.Addr || !slices.ContainsFunc(t.node.view.Load().all, isOther) {
 		return t.giveUp(now)
 	}
 	t.ask.redirected = true
-	return t.sendAsk(now, first.addr)
+	return t.sendAsk(now, other)
+}
+
+// decideWaiting decides on all waiting requests by the bucket of this node, the allocator.
+func (t *tenant) decideWaiting(now time.Time, v *view) effects {
+	e := effects{node: t.node, tenant: t}
+	b, begins := t.ownBucket(now, v)
+	if begins {
+		e.begins = v
+	}
+	for _, done := range t.ask.waiters {
+		if granted, retryAfter := b.grant(now, 1, 1); granted == 0 {
+			e.decide(done, t.exceeded(now, retryAfter))
+			continue
+		}
+		e.decide(done, t.spend(now))
+	}
+	t.ask.open, t.ask.waiters = false, nil
+	return e
 }
 
 // fallback is the bucket that a node uses while it reaches no allocator. It starts empty: until the allocator finds that this node is
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -65,9 +65,10 @@
 	Number     uint32
 	Tenant     string
 	Granted    int
-	Valid      time.Duration // from the moment at which the request was sent
-	RetryAfter time.Duration // time until the next token, when fewer were granted than requests wait
-	Allocator  bool          // whether the sender is the allocator, in its own view
+	Valid      time.Duration  // from the moment at which the request was sent
+	RetryAfter time.Duration  // time until the next token, when fewer were granted than requests wait
+	Allocator  bool           // whether the sender is the allocator, in its own view
+	Other      netip.AddrPort // the allocator in that view when it is another node, invalid for none
 }
 
 // MaxTokens bounds the numbers in a Request and a Reply.
@@ -128,18 +129,20 @@
 	name string
 	hash uint64
 
-	mu      sync.Mutex
-	node    *Node
-	quota   contract.Quota
-	since   time.Time // when the tenant got a quota, as far as this node knows
-	tokens  unusedTokens
-	demand  demand
-	income  demand // of tokens
-	ask     ask
-	first   choice
-	bucket  *bucket // nil until this node is the allocator for the first time
-	refusal refusals
-	reserve fallback
+	mu     sync.Mutex
+	node   *Node
+	quota  contract.Quota
+	since  time.Time // when the tenant got a quota, as far as this node knows
+	tokens unusedTokens
+	demand demand
+	income demand // of tokens
+	ask    ask
+	first  choice
+
+	confirmedUntil time.Time // another node has confirmed that this one is the allocator
+	bucket         *bucket   // nil until this node is the allocator for the first time
+	refusal        refusals
+	reserve        fallback
 }
 
 // Start lets the node allocate and use its fallback: it knows the other nodes.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -273,6 +273,24 @@
 	}
 }
 
+// Guards against a second allocator at a node that does not reach the first, while all others reach both.
+func TestOneLinkFails(t *testing.T) {
+	q := contract.Quota{PerSecond: 100, Burst: 100}
+	f := newFleet(t, 10, q)
+	f.load(q.PerSecond/1.6, time.Second)
+	allocator := f.allocatorOf()
+	for cut := range 10 {
+		f.granted = nil
+		f.links = func(a, b int) bool { return !(a == cut && b == allocator || a == allocator && b == cut) }
+		f.load(3.75/1.6*q.PerSecond, 8*time.Second, cut)
+		f.load(3.75/1.6*q.PerSecond, 8*time.Second)
+		f.run(9 * time.Second)
+		f.checkBound(q)
+		f.links = nil
+		f.run(5 * time.Second)
+	}
+}
+
 // Guards against tokens that are granted twice, or lost, because a datagram was repeated or lost.
 func TestLostAndRepeatedDatagrams(t *testing.T) {
 	q := contract.Quota{PerSecond: 100, Burst: 50}
--- a/transport/datagram/quota.go
+++ b/transport/datagram/quota.go
@@ -30,6 +30,7 @@
 	ValidMs      uint32
 	RetryAfterMs uint32
 	Allocator    bool
+	Other        []byte // address of the allocator in the sender's view, addressSize bytes, or none
 }
 
 // stop says that the run with the boot stops, of the sender or of the node at the address.
@@ -64,22 +65,44 @@
 	if q.Granted > quota.MaxTokens || q.ValidMs > maxQuotaMs || q.RetryAfterMs > maxQuotaMs {
 		return quota.Reply{}, errors.New("reply to a request for tokens is out of bounds")
 	}
+	other, err := decodeAddress(q.Other)
+	if err != nil {
+		return quota.Reply{}, err
+	}
 	return quota.Reply{
 		Number: q.Number, Tenant: q.Tenant, Granted: int(q.Granted), Valid: time.Duration(q.ValidMs) * time.Millisecond,
-		RetryAfter: time.Duration(q.RetryAfterMs) * time.Millisecond, Allocator: q.Allocator,
+		RetryAfter: time.Duration(q.RetryAfterMs) * time.Millisecond, Allocator: q.Allocator, Other: other,
 	}, nil
 }
 
 // decode leaves the address of the run invalid when it is that of the sender.
 func (s stop) decode() (peer.StoppedRun, error) {
-	if s.Boot == 0 || len(s.Address) > addressSize {
-		return peer.StoppedRun{}, errors.New("stop names no run, or several nodes")
+	if s.Boot == 0 {
+		return peer.StoppedRun{}, errors.New("stop names no run")
+	}
+	addr, err := decodeAddress(s.Address)
+	return peer.StoppedRun{Addr: addr, Boot: s.Boot}, err
+}
+
+// decodeAddress returns the address, the invalid one when there is none.
+func decodeAddress(raw []byte) (netip.AddrPort, error) {
+	if len(raw) > addressSize {
+		return netip.AddrPort{}, errors.New("several addresses in place of one")
 	}
-	addresses, err := decodeAddresses(s.Address)
-	if err != nil || len(addresses) == 0 {
-		return peer.StoppedRun{Boot: s.Boot}, err
+	list, err := decodeAddresses(raw)
+	if err != nil || len(list) == 0 {
+		return netip.AddrPort{}, err
+	}
+	return list[0], nil
+}
+
+// encodeAddress returns the bytes of an IPv4 address and port, none for any other.
+func encodeAddress(addr netip.AddrPort) []byte {
+	if !addr.Addr().Is4() {
+		return nil
 	}
-	return peer.StoppedRun{Addr: addresses[0], Boot: s.Boot}, nil
+	ip := addr.Addr().As4()
+	return binary.BigEndian.AppendUint16(ip[:], addr.Port())
 }
 
 func (s *Socket) handleStop(from netip.AddrPort, run peer.StoppedRun) {
@@ -100,6 +123,7 @@
 func (s *Socket) SendQuotaReply(to netip.AddrPort, r quota.Reply) {
 	s.send(to, kindQuotaTell, quotaReply{
 		Number: r.Number, Tenant: r.Tenant, Granted: clampTokens(r.Granted), ValidMs: clampMs(r.Valid), RetryAfterMs: clampMs(r.RetryAfter), Allocator: r.Allocator,
+		Other: encodeAddress(r.Other),
 	})
 }
 
@@ -113,9 +137,8 @@
 // SendStops tells a node of runs of other nodes that have stopped.
 func (s *Socket) SendStops(to netip.AddrPort, runs []peer.StoppedRun) {
 	for _, run := range runs {
-		if run.Addr.Addr().Is4() {
-			ip := run.Addr.Addr().As4()
-			s.send(to, kindStop, stop{Boot: run.Boot, Address: binary.BigEndian.AppendUint16(ip[:], run.Addr.Port())})
+		if address := encodeAddress(run.Addr); address != nil {
+			s.send(to, kindStop, stop{Boot: run.Boot, Address: address})
 		}
 	}
 }
--- a/transport/datagram/quota_test.go
+++ b/transport/datagram/quota_test.go
@@ -26,6 +26,9 @@
 	reply := quota.Reply{Number: 1 << 31, Tenant: "acme", Granted: 8, Valid: 500 * time.Millisecond, RetryAfter: 10 * time.Second, Allocator: true}
 	a.SendQuotaReply(b.Addr(), reply)
 	assert.Equal(t, awaitValue(t, fromA.told), reply)
+	reply.Allocator, reply.Other = false, netip.MustParseAddrPort("10.9.8.7:65535")
+	a.SendQuotaReply(b.Addr(), reply)
+	assert.Equal(t, awaitValue(t, fromA.told), reply)
 
 	a.SendOwnStop([]netip.AddrPort{b.Addr()}, 1<<62)
 	assert.Equal(t, awaitValue(t, fromA.stopped), peer.StoppedRun{Addr: a.Addr(), Boot: 1 << 62})
@@ -59,6 +62,7 @@
 		"reply with too many":        {kindQuotaTell, quotaReply{Granted: quota.MaxTokens + 1, Tenant: "t"}},
 		"reply valid for too long":   {kindQuotaTell, quotaReply{ValidMs: maxQuotaMs + 1, Tenant: "t"}},
 		"reply that delays too long": {kindQuotaTell, quotaReply{RetryAfterMs: maxQuotaMs + 1, Tenant: "t"}},
+		"reply of two others":        {kindQuotaTell, quotaReply{Tenant: "t", Other: make([]byte, 2*addressSize)}},
 		"stop of no run":             {kindStop, stop{}},
 		"stop of half an address":    {kindStop, stop{Boot: 1, Address: []byte{10, 0, 0}}},
 		"stop of two nodes":          {kindStop, stop{Boot: 1, Address: make([]byte, 2*addressSize)}},
