--- a/quota/quota.go
+++ b/quota/quota.go
@@ -65,9 +65,10 @@
 	Number     uint32
 	Tenant     string
 	Granted    int
-	Valid      time.Duration // from the moment at which the request was sent
-	RetryAfter time.Duration // time until the next token, when fewer were granted than requests wait
-	Allocator  bool          // whether the sender is the allocator, in its own view
+	Valid      time.Duration  // from the moment at which the request was sent
+	RetryAfter time.Duration  // time until the next token, when fewer were granted than requests wait
+	Allocator  bool           // whether the sender is the allocator, in its own view
+	Other      netip.AddrPort // the allocator in that view when it is another node, invalid for none
 }
 
 // MaxTokens bounds the numbers in a Request and a Reply.
@@ -104,7 +105,8 @@
 	lastNumber atomic.Uint32
 	answered   answers
 	adoptMu    sync.Mutex // serializes Adopt
-	viewMu     sync.Mutex // serializes changes of view and eligibleAt
+	viewMu     sync.Mutex // serializes changes of view and eligibleAt, and guards stopped
+	stopped    bool
 	refusing   *shard.Map[string, *tenant]
 }
 
@@ -127,25 +129,27 @@
 	name string
 	hash uint64
 
-	mu      sync.Mutex
-	node    *Node
-	quota   contract.Quota
-	since   time.Time // when the tenant got a quota, as far as this node knows
-	tokens  unusedTokens
-	demand  demand
-	income  demand // of tokens
-	ask     ask
-	first   choice
-	bucket  *bucket // nil until this node is the allocator for the first time
-	refusal refusals
-	reserve fallback
+	mu     sync.Mutex
+	node   *Node
+	quota  contract.Quota
+	since  time.Time // when the tenant got a quota, as far as this node knows
+	tokens unusedTokens
+	demand demand
+	income demand // of tokens
+	ask    ask
+	first  choice
+
+	confirmedUntil time.Time // another node has confirmed that this one is the allocator
+	bucket         *bucket   // nil until this node is the allocator for the first time
+	refusal        refusals
+	reserve        fallback
 }
 
 // Start lets the node allocate and use its fallback: it knows the other nodes.
 func (n *Node) Start() {
 	n.viewMu.Lock()
 	defer n.viewMu.Unlock()
-	if n.eligibleAt.Load() == notEligible {
+	if !n.stopped && n.eligibleAt.Load() == notEligible {
 		n.eligibleAt.Store(int64(n.Now().Sub(n.start)))
 	}
 }
@@ -154,6 +158,7 @@
 func (n *Node) Stop() {
 	n.viewMu.Lock()
 	defer n.viewMu.Unlock()
+	n.stopped = true
 	n.eligibleAt.Store(notEligible)
 	n.loseAll(n.Now())
 }
@@ -170,9 +175,8 @@
 	n.viewMu.Lock()
 	elapsed := int64(now.Sub(n.start))
 	before := n.lastTick.Swap(elapsed)
-	if paused := elapsed-before > int64(maxTickDelay); paused && n.eligibleAt.Load() != notEligible {
-		n.eligibleAt.Store(elapsed + int64(resumeDelay))
-		n.loseAll(n.start.Add(time.Duration(before)))
+	if elapsed-before > int64(maxTickDelay) {
+		n.resume(elapsed, before)
 	}
 	if changed {
 		n.setView(now, others)
@@ -181,6 +185,22 @@
 	n.endRefusals(now)
 }
 
+// Resume is called after a pause that Now does not show: a monotonic clock may stand still while a machine is suspended.
+func (n *Node) Resume() {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	n.resume(int64(n.Now().Sub(n.start)), n.lastTick.Load())
+}
+
+// resume ends the allocation at the time of the last tick before a pause. The node may allocate again after resumeDelay.
+func (n *Node) resume(elapsed, before int64) {
+	if n.eligibleAt.Load() == notEligible {
+		return
+	}
+	n.eligibleAt.Store(elapsed + int64(resumeDelay))
+	n.loseAll(n.start.Add(time.Duration(before)))
+}
+
 // setView replaces the view. The buckets of tenants for which an added member ranks before this node are lost.
 func (n *Node) setView(now time.Time, others []Member) {
 	before := n.view.Load()
