entry, peer, quarantine: a preview of a dispatch by the code that dispatches

A user's question where a request would go now could only be answered by sending it: choosing a node counts a placement, budgets are charged, and an averaged value is aged when it is read.

The deciding steps are functions of their own now: what speaks against a node (peer.Standing), the comparison (choice), the decision on a fingerprint in quarantine, and the plan of a hedge. The cost factor of a peer is computed on a copy of its averages, which decay exponentially, so that it does not matter how often they are read.

go test -race of entry, peer, quarantine and caller passes without a changed test.

--- a/caller/budget.go
+++ b/caller/budget.go
@@ -37,6 +37,17 @@
 	return b.budgets.GetOrCreate(service, func() *RetryBudget { return &RetryBudget{capacity: b.capacity, tokens: b.initialTokens} })
 }
 
+// CopyOf returns a copy of the budget of a service, whose use has no effect on it.
+func (b *RetryBudgets) CopyOf(service string) *RetryBudget {
+	budget, ok := b.budgets.Get(service)
+	if !ok {
+		return &RetryBudget{capacity: b.capacity, tokens: b.initialTokens}
+	}
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	return &RetryBudget{capacity: budget.capacity, tokens: budget.tokens}
+}
+
 // RetryBudget is a token bucket that limits the retries and hedges of one service. Each first attempt adds
 // a fraction of a token and each retry takes a whole one, so that retries stay a fixed share of the
 // traffic even when every request fails.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,7 +49,9 @@
 	// Permit returns the refusal of a request that may not be sent, nil for one that may. It is called before the first attempt and
 	// before each retry and hedge; nil permits all. A refusal states what holds if no attempt has run.
 	Permit func(req *caller.Request) *caller.Refusal
-	Log    *slog.Logger
+	// PreviewPermit is Permit without an effect on counters, for Explain; nil stands for Permit.
+	PreviewPermit func(req *caller.Request) *caller.Refusal
+	Log           *slog.Logger
 
 	estimates    estimateTable
 	hedgeBudgets hedgeBudgetTable
@@ -88,14 +90,10 @@
 		Dispatcher: e, req: req, route: route, startedAt: time.Now(), estimate: e.estimates.forRoute(route), budget: e.Budgets.Of(req.Service), hedges: e.hedgeBudgets.of(req.Service),
 		ran: caller.NotRun,
 	}
-	if ratio := e.RetryRatio(); ratio > 0 { // Deposit takes 0 for its default
-		c.budget.Deposit(ratio)
-	}
+	c.depositRetries()
 	fingerprint := quarantine.Fingerprint(req.Fingerprint)
 	decision, retryAfter := e.Quarantine.Admit(time.Now(), fingerprint)
-	if decision == quarantine.Refuse {
-		refusal := caller.Refuse(caller.Quarantined, dispatchStep, "")
-		refusal.RetryAfter = retryAfter
+	if refusal := quarantineRefusal(decision, retryAfter); refusal != nil {
 		return nil, c.log(nil, refusal)
 	}
 	answer, refusal := c.run(ctx)
@@ -109,6 +107,23 @@
 	return answer, nil
 }
 
+// depositRetries adds what the request earns to the retry budget of its service.
+func (c *call) depositRetries() {
+	if ratio := c.RetryRatio(); ratio > 0 { // Deposit takes 0 for its default
+		c.budget.Deposit(ratio)
+	}
+}
+
+// quarantineRefusal returns the refusal of a request that is in quarantine, nil for one that is not.
+func quarantineRefusal(decision quarantine.Decision, retryAfter time.Duration) *caller.Refusal {
+	if decision != quarantine.Refuse {
+		return nil
+	}
+	refusal := caller.Refuse(caller.Quarantined, dispatchStep, "")
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
 // run sends attempts until an answer is accepted, no retry is allowed or no other node is left.
 func (c *call) run(ctx context.Context) (*caller.Answer, *caller.Refusal) {
 	if refusal := c.permit(); refusal != nil {
@@ -173,10 +188,15 @@
 
 // choose picks a node that was not tried before.
 func (c *call) choose(ctx context.Context) (peer.Candidate, error) {
+	return c.Roster.Choose(ctx, c.criteria())
+}
+
+// criteria returns what the next node of the request is chosen by.
+func (c *call) criteria() peer.Criteria {
 	serviceTime, bytes := c.estimate.get()
-	return c.Roster.Choose(ctx, peer.Criteria{
+	return peer.Criteria{
 		Service: c.req.Service, ServiceTime: serviceTime, Bytes: bytes, AnswerWithin: c.answerWithin(), Exclude: c.hasTried,
-	})
+	}
 }
 
 // outcome is the result of one attempt.
--- a/entry/estimate.go
+++ b/entry/estimate.go
@@ -32,13 +32,23 @@
 
 // forRoute returns the estimate of the route and creates it when it is new.
 func (t estimateTable) forRoute(route *contract.Route) *routeEstimate {
-	return t.routes.GetOrCreate(route.Name, func() *routeEstimate {
-		initial := defaultServiceTime
-		if route.LatencyObjective > 0 {
-			initial = time.Duration(initialObjectiveShare * float64(route.LatencyObjective))
-		}
-		return &routeEstimate{serviceTime: initial.Seconds(), bytes: defaultBytes}
-	})
+	return t.routes.GetOrCreate(route.Name, func() *routeEstimate { return newRouteEstimate(route) })
+}
+
+// find returns the estimate of the route. It does not keep a new one.
+func (t estimateTable) find(route *contract.Route) *routeEstimate {
+	if e, ok := t.routes.Get(route.Name); ok {
+		return e
+	}
+	return newRouteEstimate(route)
+}
+
+func newRouteEstimate(route *contract.Route) *routeEstimate {
+	initial := defaultServiceTime
+	if route.LatencyObjective > 0 {
+		initial = time.Duration(initialObjectiveShare * float64(route.LatencyObjective))
+	}
+	return &routeEstimate{serviceTime: initial.Seconds(), bytes: defaultBytes}
 }
 
 // routeEstimate holds moving averages over the answered requests of one route, and the recent times of its first attempts.
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -52,24 +52,41 @@
 
 // hedgeDelay returns the time from now after which a hedge, a concurrent second attempt, is sent; 0 for none.
 func (c *call) hedgeDelay() time.Duration {
-	if !c.hedgeableRoute() || !c.req.Body.Shareable() || len(c.triedNodes) > 0 || c.hedgeRatio() <= 0 {
-		return 0
+	delay, reason := c.planHedge(time.Now(), c.estimate.latencies.quantiles)
+	if reason == routeSlow {
+		hedgesWithheld[routeSlow].Inc()
+	}
+	return delay
+}
+
+// planHedge returns the delay before a hedge, 0 for none, and the reason why none is planned. quantiles reads the times of the route.
+func (c *call) planHedge(now time.Time, quantiles func(time.Time) (median, tail time.Duration, ok bool)) (time.Duration, withheldReason) {
+	switch {
+	case !c.hedgeableRoute():
+		return 0, routeUnhedged
+	case !c.req.Body.Shareable():
+		return 0, bodyUnhedged
+	case len(c.triedNodes) > 0:
+		return 0, alreadyAtRetry
+	case c.hedgeRatio() <= 0:
+		return 0, hedgesOff
 	}
-	now := time.Now()
 	objective, elapsed := c.route.LatencyObjective, now.Sub(c.startedAt)
 	var delay time.Duration
 	var ok bool
-	if median, tail, measured := c.estimate.latencies.quantiles(now); measured {
+	if median, tail, measured := quantiles(now); measured {
 		delay, ok = measuredDelay(objective, elapsed, median, tail)
 	} else {
 		serviceTime, _ := c.estimate.get()
 		delay, ok = initialDelay(objective, elapsed, serviceTime)
 	}
-	if !ok {
-		hedgesWithheld[routeSlow].Inc()
-		return 0
+	switch {
+	case !ok:
+		return 0, routeSlow
+	case delay <= 0:
+		return 0, hedgeTooLate
 	}
-	return max(0, delay)
+	return delay, ""
 }
 
 // measuredDelay returns the delay before a hedge by the times of the route. ok is false when most requests are too slow for a
@@ -248,13 +265,9 @@
 	if c.permit() != nil {
 		return peer.Candidate{}, notPermitted
 	}
-	if reason := c.hedges.withdraw(time.Now()); reason != "" {
+	if reason := c.withdrawHedge(time.Now()); reason != "" {
 		return peer.Candidate{}, reason
 	}
-	if !c.budget.TryWithdraw() {
-		c.hedges.refund()
-		return peer.Candidate{}, retryBudgetUsed
-	}
 	target, reason := c.chooseForHedge(ctx)
 	if reason != "" {
 		c.budget.Refund()
@@ -263,6 +276,18 @@
 	return target, reason
 }
 
+// withdrawHedge takes the tokens of a hedge, or returns the reason why none may be sent.
+func (c *call) withdrawHedge(now time.Time) withheldReason {
+	if reason := c.hedges.withdraw(now); reason != "" {
+		return reason
+	}
+	if !c.budget.TryWithdraw() {
+		c.hedges.refund()
+		return retryBudgetUsed
+	}
+	return ""
+}
+
 // chooseForHedge chooses a node that may get a hedge, or returns the reason why there is none.
 func (c *call) chooseForHedge(ctx context.Context) (peer.Candidate, withheldReason) {
 	target, err := c.choose(ctx)
--- a/entry/hedgebudget.go
+++ b/entry/hedgebudget.go
@@ -34,9 +34,18 @@
 	hedgeTrialInterval = 10 * time.Second
 )
 
-// withheldReason says why a late request was not hedged, "" when it was. It is the label of a counter.
+// withheldReason says why a late request was not hedged, "" when it was. It is the label of a counter, except for the reasons that
+// are known before the request is sent.
 type withheldReason string
 
+const (
+	hedgesOff      withheldReason = "off"             // the share of requests that may be hedged is 0
+	routeUnhedged  withheldReason = "route"           // requests of the route may not run twice, or it has no objective
+	bodyUnhedged   withheldReason = "body"            // the body does not fit into the replay buffer
+	alreadyAtRetry withheldReason = "earlier-attempt" // only first attempts are hedged
+	hedgeTooLate   withheldReason = "too-late"        // a hedge could no longer meet the objective
+)
+
 const (
 	hedgeBudgetUsed   withheldReason = "hedge-budget"  // the share of requests that may be hedged is used up
 	retryBudgetUsed   withheldReason = "retry-budget"  // the retry budget of the service is used up
@@ -76,9 +85,24 @@
 
 // of returns the budget of the service and creates an empty one when it is new.
 func (t hedgeBudgetTable) of(service string) *hedgeBudget {
-	return t.services.GetOrCreate(service, func() *hedgeBudget { return &hedgeBudget{winShare: initialWinShare} })
+	return t.services.GetOrCreate(service, newHedgeBudget)
+}
+
+// copyOf returns a copy of the budget of the service, whose use has no effect on it.
+func (t hedgeBudgetTable) copyOf(service string) *hedgeBudget {
+	b, ok := t.services.Get(service)
+	if !ok {
+		return newHedgeBudget()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &hedgeBudget{
+		tokens: b.tokens, capacity: b.capacity, perSecond: b.perSecond, lastRequest: b.lastRequest, winShare: b.winShare, lastHedge: b.lastHedge,
+	}
 }
 
+func newHedgeBudget() *hedgeBudget { return &hedgeBudget{winShare: initialWinShare} }
+
 // hedgeBudget limits the hedges of one service at this node to a share of its requests, and withholds them while they do
 // not help. It is a token bucket that starts empty.
 type hedgeBudget struct {
--- a/entry/latency.go
+++ b/entry/latency.go
@@ -65,15 +65,40 @@
 	return w.median, w.tail, w.tail > 0
 }
 
+// preview returns what quantiles returns, without a rotation.
+func (w *latencyWindow) preview(now time.Time) (median, tail time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.older == nil {
+		return 0, 0, false
+	}
+	median, tail = w.median, w.tail
+	switch expired, due := w.rotationAt(now); {
+	case expired:
+		median, tail = 0, 0
+	case due:
+		median, tail = quantilesOf(w.younger)
+	}
+	return median, tail, tail > 0
+}
+
+// rotationAt reports whether the samples are out of date, and whether the histograms are to be rotated. The caller holds the lock.
+func (w *latencyWindow) rotationAt(now time.Time) (expired, due bool) {
+	age := now.Sub(w.rotatedAt)
+	expired = age >= maxLatencyAge
+	return expired, expired || age >= latencyPeriod && w.younger.TotalCount() >= minLatencySamples
+}
+
 // rotate empties the older histogram at the end of a period when the younger one can take its place, and both when they
 // are out of date. The caller holds the lock.
 func (w *latencyWindow) rotate(now time.Time) {
-	switch age := now.Sub(w.rotatedAt); {
-	case age >= maxLatencyAge:
-		w.younger.Reset()
-	case age < latencyPeriod || w.younger.TotalCount() < minLatencySamples:
+	expired, due := w.rotationAt(now)
+	if !due {
 		return
 	}
+	if expired {
+		w.younger.Reset()
+	}
 	w.older.Reset()
 	w.older, w.younger, w.rotatedAt = w.younger, w.older, now
 	w.refresh()
@@ -81,10 +106,15 @@
 
 // refresh computes the quantiles. The caller holds the lock.
 func (w *latencyWindow) refresh() {
-	w.unread, w.median, w.tail = 0, 0, 0
-	if w.older.TotalCount() < minLatencySamples {
-		return
+	w.unread = 0
+	w.median, w.tail = quantilesOf(w.older)
+}
+
+// quantilesOf returns the median and the tail percentile of the times, 0 while there are too few.
+func quantilesOf(times *hdrhistogram.Histogram) (median, tail time.Duration) {
+	if times.TotalCount() < minLatencySamples {
+		return 0, 0
 	}
-	w.median = time.Duration(w.older.ValueAtPercentile(50)) * latencyUnit
-	w.tail = max(time.Duration(w.older.ValueAtPercentile(tailPercentile))*latencyUnit, latencyUnit)
+	median = time.Duration(times.ValueAtPercentile(50)) * latencyUnit
+	return median, max(time.Duration(times.ValueAtPercentile(tailPercentile))*latencyUnit, latencyUnit)
 }
--- a/peer/candidates.go
+++ b/peer/candidates.go
@@ -42,17 +42,58 @@
 // candidates returns a random sample of the nodes to compare, those of the own zone first. Unresponsive nodes are used
 // only when there are no others. The cost does not depend on the number of nodes unless most of them are unusable.
 func (r *Roster) candidates(now time.Time, need Criteria) []*Peer {
+	return r.sampleBy(need, func(p *Peer) Standing { return r.expiredStanding(now, p, need) })
+}
+
+// sampleBy is candidates with the standing of each node.
+func (r *Roster) sampleBy(need Criteria, standing func(*Peer) Standing) []*Peer {
 	nodes, _ := r.services.Get(need.Service)
-	allowed := func(p *Peer) bool { return (need.Exclude == nil || !need.Exclude(p)) && !r.isEvacuated(p) }
-	usable := func(p *Peer) bool { return p.isServing(now) && allowed(p) && !p.isLimited(now, need) }
-	if sampled := r.sampleZones(nodes, usable); len(sampled) > 0 {
-		return sampled
+	for _, accepts := range []func(Standing) bool{Standing.usable, Standing.usableBeyondLimit} {
+		if sampled := r.sampleZones(nodes, func(p *Peer) bool { return accepts(standing(p)) }); len(sampled) > 0 {
+			return sampled
+		}
 	}
-	// The limits of all may be known from reports that are out of date.
-	if sampled := r.sampleZones(nodes, func(p *Peer) bool { return p.isServing(now) && allowed(p) }); len(sampled) > 0 {
-		return sampled
+	return pick(nodes.all(), maxCandidates, func(p *Peer) bool { return standing(p).usableAtLast() })
+}
+
+// Standing holds the reasons that speak against a node for a request.
+type Standing struct {
+	NotServing   bool // the status of the node says that its upstream accepts no work
+	Left         bool // the upstream has left, although the status of its node says otherwise
+	Unresponsive bool
+	Evacuated    bool // its zone is evacuated
+	Limited      bool // its rate limit makes the answer too late
+	Excluded     bool // by Criteria.Exclude
+}
+
+// usable reports whether nothing speaks against the node.
+func (s Standing) usable() bool { return s == Standing{} }
+
+// usableBeyondLimit is usable for the case that the limits of all nodes are known from reports that are out of date.
+func (s Standing) usableBeyondLimit() bool {
+	s.Limited = false
+	return s.usable()
+}
+
+// usableAtLast is usable for the case that no node responds.
+func (s Standing) usableAtLast() bool { return !s.NotServing && !s.Evacuated && !s.Excluded }
+
+// standing returns what speaks against the node for the request. It modifies nothing.
+func (r *Roster) standing(now time.Time, p *Peer, need Criteria) Standing {
+	excluded := need.Exclude != nil && need.Exclude(p)
+	evacuated := r.isEvacuated(p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Standing{
+		NotServing: !p.status.Serving, Left: p.hasLeft(), Unresponsive: p.isUnresponsive(now),
+		Evacuated: evacuated, Limited: p.limitTooLate(now, need), Excluded: excluded,
 	}
-	return pick(nodes.all(), maxCandidates, func(p *Peer) bool { return p.Status().Serving && allowed(p) })
+}
+
+// expiredStanding is standing after an open query of the peer that was not answered in time has been counted as unanswered.
+func (r *Roster) expiredStanding(now time.Time, p *Peer, need Criteria) Standing {
+	_ = p.unresponsive(now)
+	return r.standing(now, p, need)
 }
 
 // sampleZones returns a random sample of the usable nodes, those of the own zone first.
@@ -62,13 +103,6 @@
 	return append(sameZone, otherZones[:min(len(otherZones), maxCandidates-len(sameZone))]...)
 }
 
-// isServing reports whether the upstream of the peer accepts work and the peer responds.
-func (p *Peer) isServing(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.status.Serving && !p.hasLeft() && !p.isUnresponsive(now)
-}
-
 // pick returns up to limit random usable elements of peers. Each set of usable elements is equally likely.
 func pick(peers []*Peer, limit int, usable func(*Peer) bool) []*Peer {
 	if len(peers) > drawsPerPick*limit {
--- a/peer/choose.go
+++ b/peer/choose.go
@@ -79,29 +79,48 @@
 	// A single candidate is queried too: it may have restarted or stopped serving.
 	r.refreshLoads(ctx, now, candidates)
 	now = time.Now()
-	best := Candidate{Cost: math.MaxInt64}
-	var limited *LimitedError
+	choice := newChoice()
 	for _, p := range candidates {
-		got := r.estimate(now, p, need)
-		switch {
-		case !got.Status.Serving || r.evacuations.IsActive(got.Status.Zone):
-		case got.limitTooLate:
-			limited = limited.with(got)
-		case got.Cost < best.Cost:
-			best = got
-		}
+		choice.consider(r, r.estimate(now, p, need))
 	}
-	switch {
-	case best.Peer != nil:
-	case limited != nil:
-		return Candidate{}, limited
-	default:
-		return Candidate{}, ErrNoUpstream
+	best, err := choice.result()
+	if err != nil {
+		return Candidate{}, err
 	}
 	best.countedAt = best.countPlacement()
 	return best, nil
 }
 
+// choice is the comparison of candidates whose load has been queried.
+type choice struct {
+	best    Candidate
+	limited *LimitedError // of the candidates whose rate limit makes the answer too late
+}
+
+func newChoice() choice { return choice{best: Candidate{Cost: math.MaxInt64}} }
+
+// consider compares one more candidate with the best one.
+func (c *choice) consider(r *Roster, got Candidate) {
+	switch {
+	case !got.Status.Serving || r.evacuations.IsActive(got.Status.Zone):
+	case got.limitTooLate:
+		c.limited = c.limited.with(got)
+	case got.Cost < c.best.Cost:
+		c.best = got
+	}
+}
+
+// result returns the candidate with the lowest cost. The errors are those of Roster.Choose.
+func (c *choice) result() (Candidate, error) {
+	switch {
+	case c.best.Peer != nil:
+		return c.best, nil
+	case c.limited != nil:
+		return Candidate{}, c.limited
+	}
+	return Candidate{}, ErrNoUpstream
+}
+
 // with returns the error with one more candidate. The receiver may be nil.
 func (e *LimitedError) with(c Candidate) *LimitedError {
 	if e == nil {
@@ -207,12 +226,15 @@
 	if share := float64(occupied+1) / float64(max(1, slots)); share > saturationShare {
 		seconds *= 1 + saturationSlowdown*min(1, (share-saturationShare)/(1-saturationShare))
 	}
-	if excess := occupied + 1 - limit; excess > 0 {
+	if excess := load.excess(); excess > 0 {
 		seconds += seconds * float64(excess) / float64(limit)
 	}
 	return seconds
 }
 
+// excess returns the number of requests that wait for a slot once one more has been sent, 0 or less when it gets a slot at once.
+func (l Load) excess() int { return l.Running + l.Waiting + 1 - max(1, l.Limit) }
+
 // usualServiceTimePercent is the service time, in per cent of the usual one, of an upstream that is neither slowed down
 // nor sped up by its neighbours.
 const usualServiceTimePercent = 100
--- a/peer/outcomes.go
+++ b/peer/outcomes.go
@@ -70,7 +70,7 @@
 }
 
 // costFactor returns the factor by which the outcomes raise the cost of the upstream.
-func (s *outcomeStats) costFactor(now time.Time) float64 {
+func (s outcomeStats) costFactor(now time.Time) float64 {
 	s.decay(now)
 	return max(1, (1+s.slowdown)/toleratedRatio) * (1 + failureCost*s.failureRate)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -200,23 +200,29 @@
 
 // expireQuery counts an open query that was not answered in time. The caller holds the lock.
 func (p *Peer) expireQuery(now time.Time) {
-	if p.query.open && now.Sub(p.query.sentAt) > queryTimeout {
-		p.query.open = false
-		p.query.unanswered++
+	p.query = p.query.expiredAt(now)
+}
+
+// expiredAt returns the query as it is at the time, when it may have timed out.
+func (q loadQuery) expiredAt(now time.Time) loadQuery {
+	if q.open && now.Sub(q.sentAt) > queryTimeout {
+		q.open = false
+		q.unanswered++
 	}
+	return q
 }
 
 // unresponsive reports whether the peer has stopped answering. This node itself is never unresponsive.
 func (p *Peer) unresponsive(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.expireQuery(now)
 	return p.isUnresponsive(now)
 }
 
-// isUnresponsive is unresponsive for a caller that holds the lock.
+// isUnresponsive is unresponsive for a caller that holds the lock. It modifies nothing.
 func (p *Peer) isUnresponsive(now time.Time) bool {
-	p.expireQuery(now)
-	return !p.isSelf && p.query.unanswered >= unresponsiveQueries && now.Sub(p.lastHeard) > unresponsiveTime
+	return !p.isSelf && p.query.expiredAt(now).unanswered >= unresponsiveQueries && now.Sub(p.lastHeard) > unresponsiveTime
 }
 
 // countPlacement adds a request to the known load of the peer, so that the requests placed before the next answer do not all
--- a/peer/ratelimit.go
+++ b/peer/ratelimit.go
@@ -89,13 +89,6 @@
 	return min(wait, maxLimitWait)
 }
 
-// isLimited is limitTooLate for a caller that does not hold the lock.
-func (p *Peer) isLimited(now time.Time, need Criteria) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.limitTooLate(now, need)
-}
-
 // limitTooLate reports whether the wait for the rate limit makes the answer to the request too late. The caller holds the lock.
 func (p *Peer) limitTooLate(now time.Time, need Criteria) bool {
 	wait := p.limitWait(now)
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -152,14 +152,8 @@
 		if !found || !s.removeExpired(now) {
 			return s, false
 		}
-		switch {
-		case s.unclearedCrashes() == 0 || s.until.IsZero():
-		case now.Before(s.until):
-			decision, after = Refuse, s.until.Sub(now)
-		case now.Before(s.trial):
-			decision, after = Refuse, s.trial.Sub(now)
-		default:
-			decision, s.trial = Trial, now.Add(trialTimeout)
+		if decision, after = s.decide(now); decision == Trial {
+			s.trial = now.Add(trialTimeout)
 		}
 		return s, true
 	})
@@ -169,6 +163,29 @@
 	return decision, after
 }
 
+// Preview returns what Admit would decide. It starts no trial.
+func (l *List) Preview(now time.Time, f Fingerprint) (Decision, time.Duration) {
+	s, found := l.suspects.Get(f)
+	s.crashes = slices.Clone(s.crashes) // removeExpired modifies them
+	if !found || !s.removeExpired(now) {
+		return Pass, 0
+	}
+	return s.decide(now)
+}
+
+// decide decides on a request with the fingerprint. With Refuse it returns the delay after which a retry may succeed.
+func (s *suspect) decide(now time.Time) (Decision, time.Duration) {
+	switch {
+	case s.unclearedCrashes() == 0 || s.until.IsZero():
+		return Pass, 0
+	case now.Before(s.until):
+		return Refuse, s.until.Sub(now)
+	case now.Before(s.trial):
+		return Refuse, s.trial.Sub(now)
+	}
+	return Trial, 0
+}
+
 // Quarantined reports whether the fingerprint is in quarantine. The node beside an upstream checks it
 // just before sending, since it may have received notices that the entry node has not.
 func (l *List) Quarantined(now time.Time, f Fingerprint) bool {
