sidecar explain: ask a node where it would send a request

The command asks a running node at the new listener [listen] operator, which is off by default. The node matches route and key by the code of the callers' listener (entryhttp.Handler.match), decides for each part of the split by entry.Dispatcher.Explain, and returns a report. The key is read from a file or standard input and is part of the question only; no error or log line repeats a question.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -24,7 +24,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	if err := root.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(stderr, "magnoliawharf:", oneLine(err))
+		printError(stderr, err)
 		return exitCode(err)
 	}
 	return ExitOK
@@ -40,7 +40,8 @@
   0  success
   1  the command failed
   2  wrong usage: unknown command, flag or argument
-  3  a settings file was refused`,
+  3  a settings file was refused
+  4 to 9  see the help of the command`,
 		Example:       "  magnoliawharf demo\n  magnoliawharf node run --settings node.toml",
 		SilenceErrors: true,
 		SilenceUsage:  true,
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -39,6 +41,25 @@
 	}
 }
 
+// jsonError is an error that is printed as JSON.
+type jsonError struct{ error }
+
+// Unwrap returns the error itself.
+func (e *jsonError) Unwrap() error { return e.error }
+
+// printError writes the error as one line, in the form that it asks for.
+func printError(stderr io.Writer, err error) {
+	var asJSON *jsonError
+	if !errors.As(err, &asJSON) {
+		fmt.Fprintln(stderr, "magnoliawharf:", oneLine(err))
+		return
+	}
+	_ = json.NewEncoder(stderr).Encode(struct {
+		Error string `json:"error"`
+		Code  int    `json:"code"`
+	}{oneLine(err), exitCode(err)})
+}
+
 // oneLine returns the message of err on one line, so that each line on standard error is one error.
 func oneLine(err error) string {
 	return strings.Join(strings.FieldsFunc(err.Error(), func(r rune) bool { return r == '\n' }), "; ")
--- a/cli/sidecar.go
+++ b/cli/sidecar.go
@@ -31,7 +31,7 @@
 
 func newSidecar() *cobra.Command {
 	return newGroup("sidecar", "Run the node on a platform with a key-value store", "  magnoliawharf sidecar run --settings node.toml",
-		newSidecarRun(), newSidecarCheck())
+		newSidecarRun(), newSidecarCheck(), newSidecarExplain())
 }
 
 func newSidecarRun() *cobra.Command {
--- a/peer/survey.go
+++ b/peer/survey.go
@@ -53,5 +53,23 @@
 // Queues reports whether a request sent to the candidate is expected to wait there, for a slot or for the rate limit.
 func (c Candidate) Queues() bool { return c.LoadAge >= 0 && c.Load.excess() > 0 || c.LimitWait > 0 }
 
-// LimitTooLate reports whether the wait for the rate limit makes the answer too late.
-func (c Candidate) LimitTooLate() bool { return c.limitTooLate }
+// Reasons returns why the node is left out, by its state before the queries or by their answers, nil for a node that may be chosen.
+func (s Surveyed) Reasons() []string {
+	var reasons []string
+	for _, against := range []struct {
+		holds bool
+		name  string
+	}{
+		{s.Standing.NotServing || !s.Status.Serving && !s.Standing.Left, "not serving"},
+		{s.Standing.Left, "left"},
+		{s.Standing.Unresponsive, "unresponsive"},
+		{s.Standing.Evacuated, "evacuated"},
+		{s.Standing.Limited || s.limitTooLate, "rate-limited"},
+		{s.Standing.Excluded, "tried before"},
+	} {
+		if against.holds {
+			reasons = append(reasons, against.name)
+		}
+	}
+	return reasons
+}
--- a/sidecar/freshness.go
+++ b/sidecar/freshness.go
@@ -97,7 +97,6 @@
 
 // refuseStale returns the refusal of a request with a key while the node cannot prove that its contracts are the newest.
 func refuseStale() *caller.Refusal {
-	staleRefusedTotal.Inc()
 	refusal := caller.Refuse(caller.ContractsStale, permitStep, "")
 	refusal.RetryAfter = minStaleRetryAfter + rand.N(minStaleRetryAfter)
 	return refusal
--- a/sidecar/permit.go
+++ b/sidecar/permit.go
@@ -9,6 +9,15 @@
 // are the newest, or they no longer give the key to the tenant of the request. Retries and hedges may be sent seconds after the key was
 // looked up. Requests on public routes need no key.
 func (s *Sidecar) permit(req *caller.Request) *caller.Refusal {
+	refusal := s.previewPermit(req)
+	if refusal != nil && refusal.Reason == caller.ContractsStale {
+		staleRefusedTotal.Inc()
+	}
+	return refusal
+}
+
+// previewPermit is permit without an effect on counters.
+func (s *Sidecar) previewPermit(req *caller.Request) *caller.Refusal {
 	if req.Tenant == "" || req.Public {
 		return nil
 	}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -74,6 +74,9 @@
 	Ready string `toml:"ready" validate:"required,hostport"`
 	// Metrics serves /metrics. Required.
 	Metrics string `toml:"metrics" validate:"required,hostport"`
+	// Operator answers the command "sidecar explain". Whoever reaches it can try keys and learns the state of the fleet: use a loopback
+	// address. Default: empty, for no such listener.
+	Operator string `toml:"operator" validate:"omitempty,hostport"`
 }
 
 // Store locates the platform's key-value store.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -112,7 +112,11 @@
 	requests       inflight.Counter // requests of callers
 	arrived        atomic.Uint64    // requests of callers so far, with those that were refused
 
+	quotas     QuotaReporter // nil while quotas are not kept
+	dispatcher *entry.Dispatcher
+
 	callers, peers, registration, ready, metricsServer *httpserver.Server
+	operator                                           *httpserver.Server // nil without an address
 }
 
 // Provision builds the node and binds its listeners, without serving requests yet. Cleanup must be called afterwards, also
@@ -178,9 +182,15 @@
 		{&s.peers, httpserver.Options{Name: "peers", Addr: s.Settings.Listen.Peers, MaxHeaderBytes: httpserver.PeerHeaderBytes}},
 		{&s.registration, httpserver.Options{Name: "registration", Addr: s.Settings.Listen.Registration, MaxHeaderBytes: httpserver.CallerHeaderBytes, ControlTimeouts: true}},
 		{&s.ready, httpserver.Options{Name: "ready", Addr: s.Settings.Listen.Ready, MaxHeaderBytes: httpserver.CallerHeaderBytes, ControlTimeouts: true}},
+		{&s.operator, httpserver.Options{
+			Name: "operator", Addr: s.Settings.Listen.Operator, MaxHeaderBytes: httpserver.CallerHeaderBytes, MaxConnections: maxOperatorConnections, ControlTimeouts: true,
+		}},
 		{&s.metricsServer, httpserver.Options{Name: "metrics", Addr: s.Settings.Listen.Metrics, MaxHeaderBytes: httpserver.CallerHeaderBytes, ControlTimeouts: true}},
 	} {
 		l.options.Log = s.Log
+		if l.options.Addr == "" {
+			continue // of the operator
+		}
 		if *l.server, err = httpserver.Listen(l.options); err != nil {
 			return fmt.Errorf("listener %s: %w", l.options.Name, err)
 		}
@@ -189,13 +199,13 @@
 }
 
 func (s *Sidecar) setHandlers() {
-	dispatcher := entry.New(entry.Dispatcher{
+	s.dispatcher = entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
 		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, HedgeRatio: s.hedgeRatio,
-		Quarantine: s.suspects, Permit: s.permit, Log: s.Log,
+		Quarantine: s.suspects, Permit: s.permit, PreviewPermit: s.previewPermit, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
-		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: dispatcher, Dialect: s.Platform.Dialect,
+		Contracts: s.contracts, Splits: contract.NewSplitter(), Dispatcher: s.dispatcher, Dialect: s.Platform.Dialect,
 		Origin: s.Settings.Upstream.Service, IsCurrent: s.isCurrent,
 	}
 	s.callers.Handle(s.trackRequests(s.entry))
@@ -205,6 +215,9 @@
 	s.peers.Handle(routes)
 	s.registration.Handle(s.Platform.Registration(s.proxy))
 	s.ready.Handle(s.Platform.Readiness(s.isReady))
+	if s.operator != nil {
+		s.operator.Handle(http.HandlerFunc(s.serveExplain))
+	}
 	s.metricsServer.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.writeGauges(w)
 		metrics.Write(w)
@@ -230,8 +243,8 @@
 func (s *Sidecar) trackRequests(next *entryhttp.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.arrived.Add(1)
-		if s.rejecting.Load() {
-			next.Refuse(w, r, caller.Refuse(caller.Draining, "accept", s.Settings.Node))
+		if refusal := s.refuseArrival(); refusal != nil {
+			next.Refuse(w, r, refusal)
 			return
 		}
 		defer s.requests.Begin()()
@@ -239,6 +252,14 @@
 	})
 }
 
+// refuseArrival returns the refusal of a request that arrives too late in a shutdown, nil before.
+func (s *Sidecar) refuseArrival() *caller.Refusal {
+	if !s.rejecting.Load() {
+		return nil
+	}
+	return caller.Refuse(caller.Draining, "accept", s.Settings.Node)
+}
+
 // retryBurst returns the burst of a service's retry budget at this node: an equal share, among the known nodes, of
 // retryBudgetShare of the allowance.
 func (s *Sidecar) retryBurst() float64 {
@@ -298,7 +319,11 @@
 }
 
 func (s *Sidecar) servers() []*httpserver.Server {
-	return []*httpserver.Server{s.callers, s.peers, s.registration, s.ready, s.metricsServer}
+	servers := []*httpserver.Server{s.callers, s.peers, s.registration, s.ready, s.metricsServer}
+	if s.operator != nil {
+		servers = append(servers, s.operator)
+	}
+	return servers
 }
 
 // Run serves until ctx ends and then shuts down gracefully. It returns nil after a graceful shutdown, else the error of a
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -91,42 +91,85 @@
 
 // accept converts the HTTP request to a request for its route. It reads the body when it is short enough to be replayed.
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request, arrival transport.Arrival) (*caller.Request, *contract.Route, *caller.Refusal) {
-	contracts := h.Contracts.Load()
-	if contracts == nil {
-		refusal := caller.Refuse(caller.NoBundle, acceptStep, "")
-		refusal.RetryAfter = startupRetryAfter
-		return nil, nil, refusal
+	found := h.match(h.Contracts.Load(), r)
+	if found.Refusal != nil {
+		return nil, nil, found.Refusal
 	}
-	route, ok := contracts.Match(r.Host, r.URL.EscapedPath())
-	if !ok {
-		return nil, nil, caller.Refuse(caller.NoRoute, acceptStep, "")
+	contracts, route := found.Contracts, found.Route
+	if limit := contracts.Limits.MaxBodyBytes; limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	holder, refusal := h.authenticate(contracts, route, r)
+	deadline := arrival.At.Add(h.TimeLimit(r, route))
+	transport.SetConnDeadlines(w, deadline)
+	body, fingerprinted, refusal := bufferBody(r)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	limit := contracts.Limits.MaxBodyBytes
-	if limit > 0 && r.ContentLength > limit {
-		return nil, nil, caller.Refuse(caller.BodyTooLarge, acceptStep, "")
+	req := h.newRequest(r, found, body, fingerprinted, deadline)
+	req.Service, req.Behind = h.Splits.Next(route), arrival.Behind
+	return req, route, nil
+}
+
+// Match is what the contracts say of a request before its body is read. Route is nil when Refusal says that there is none.
+type Match struct {
+	Contracts *contract.Contracts // nil before the first ones were read
+	Route     *contract.Route
+	Tenant    string // whose key the request bears, "" for none
+	Refusal   *caller.Refusal
+
+	holder holder
+}
+
+// PriorityOffset returns what the tenant adds to the priority of the route.
+func (m Match) PriorityOffset() int { return m.holder.offset }
+
+// match finds the route and the tenant of the request, or refuses it.
+func (h *Handler) match(contracts *contract.Contracts, r *http.Request) Match {
+	found := Match{Contracts: contracts}
+	if contracts == nil {
+		found.Refusal = caller.Refuse(caller.NoBundle, acceptStep, "")
+		found.Refusal.RetryAfter = startupRetryAfter
+		return found
 	}
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	var ok bool
+	if found.Route, ok = contracts.Match(r.Host, r.URL.EscapedPath()); !ok {
+		found.Refusal = caller.Refuse(caller.NoRoute, acceptStep, "")
+		return found
+	}
+	if found.holder, found.Refusal = h.authenticate(contracts, found.Route, r); found.Refusal != nil {
+		return found
+	}
+	found.Tenant = found.holder.tenant
+	if limit := contracts.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
+		found.Refusal = caller.Refuse(caller.BodyTooLarge, acceptStep, "")
+	}
+	return found
+}
+
+// Preview returns what the contracts say of the request, and the request as it would be dispatched, without its service. The request is
+// nil when it would be refused. No split is advanced.
+func (h *Handler) Preview(r *http.Request) (Match, *caller.Request) {
+	found := h.match(h.Contracts.Load(), r)
+	if found.Refusal != nil {
+		return found, nil
 	}
-	deadline := arrival.At.Add(h.timeLimit(r, route))
-	transport.SetConnDeadlines(w, deadline)
 	body, fingerprinted, refusal := bufferBody(r)
-	if refusal != nil {
-		return nil, nil, refusal
+	if found.Refusal = refusal; refusal != nil {
+		return found, nil
 	}
-	path := r.URL.RequestURI()
-	req := &caller.Request{
-		ID: h.requestID(r), Service: h.Splits.Next(route), Route: route.Name, Class: route.Name, Method: r.Method, Path: path,
-		Header: h.header(r, contracts.Keyed()), Body: body, Deadline: deadline, Attempt: 1, BundleVersion: contracts.Version, Behind: arrival.Behind,
+	return found, h.newRequest(r, found, body, fingerprinted, time.Now().Add(h.TimeLimit(r, found.Route)))
+}
+
+// newRequest returns the request without its service.
+func (h *Handler) newRequest(r *http.Request, found Match, body *caller.Body, fingerprinted []byte, deadline time.Time) *caller.Request {
+	contracts, route, holder, path := found.Contracts, found.Route, found.holder, r.URL.RequestURI()
+	return &caller.Request{
+		ID: h.requestID(r), Route: route.Name, Class: route.Name, Method: r.Method, Path: path,
+		Header: h.header(r, contracts.Keyed()), Body: body, Deadline: deadline, Attempt: 1, BundleVersion: contracts.Version,
 		Tenant: holder.tenant, PriorityOffset: holder.offset, Credential: holder.credential, Public: route.Public,
 		Placement:   &caller.Placement{Host: r.Host, Origin: h.Origin, Tenant: holder.tenant, Repeatable: route.Rule == bundle.Idempotent},
 		Fingerprint: caller.Fingerprint(route.Name+" "+h.Origin, r.Method, path, fingerprinted),
 	}
-	return req, route, nil
 }
 
 // requestID returns the request ID that the caller sets. A request without one gets a random ID, for the logs only.
@@ -150,8 +193,8 @@
 	return out
 }
 
-// timeLimit returns the shorter of the time limits of the caller and of the route.
-func (h *Handler) timeLimit(r *http.Request, route *contract.Route) time.Duration {
+// TimeLimit returns the shorter of the time limits of the caller and of the route.
+func (h *Handler) TimeLimit(r *http.Request, route *contract.Route) time.Duration {
 	limit := defaultTimeout
 	if route.Timeout > 0 {
 		limit = route.Timeout
@@ -215,6 +258,18 @@
 	return http.StatusBadGateway
 }
 
+// Response returns the HTTP status of a refusal and the delay that Retry-After suggests, 0 for none.
+func Response(refusal *caller.Refusal) (status int, retryAfter time.Duration) {
+	status = statusOf(refusal)
+	switch {
+	case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+		return status, 0
+	case refusal.RetryAfter <= 0:
+		return status, defaultRetryAfter
+	}
+	return status, refusal.RetryAfter
+}
+
 // Refuse refuses a request whose body has not been read.
 func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request, refusal *caller.Refusal) {
 	refuse(w, transport.TrackBody(r), refusal)
@@ -227,15 +282,11 @@
 	header := w.Header()
 	header.Set(transport.HeaderRefusal, string(refusal.Reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	status := statusOf(refusal)
+	status, after := Response(refusal)
 	if status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", bearerScheme)
 	}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		after := refusal.RetryAfter
-		if after <= 0 {
-			after = defaultRetryAfter
-		}
+	if after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(status)
