--- a/explain/explain.go
+++ b/explain/explain.go
@@ -10,8 +10,6 @@
 	"log/slog"
 	"net/url"
 	"strings"
-
-	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -51,20 +49,24 @@
 func (q Question) Validate() error {
 	parsed, err := url.ParseRequestURI(q.Path)
 	switch {
-	case !httpguts.ValidHeaderFieldName(q.Method): // both are tokens
-		return errors.New("the method is not a token such as GET")
-	case q.Host == "" || !httpguts.ValidHostHeader(q.Host) || strings.ContainsAny(q.Host, "/?#@"):
+	case q.Method == "" || strings.ContainsFunc(q.Method, notInMethod):
+		return errors.New("the method is not a word such as GET")
+	case q.Host == "" || strings.ContainsFunc(q.Host, isControl) || strings.ContainsAny(q.Host, " /?#@"):
 		return errors.New("the host is not a name such as shop.example")
 	case err != nil || !strings.HasPrefix(q.Path, "/") || parsed.Host != "":
 		return errors.New("the path does not begin with a slash, or is not valid")
 	case q.Size < 0:
 		return errors.New("the size is negative")
-	case len(q.Key) > MaxKeyBytes || !httpguts.ValidHeaderFieldValue(string(q.Key)):
+	case len(q.Key) > MaxKeyBytes || strings.ContainsFunc(string(q.Key), isControl):
 		return errors.New("the key is too long or contains control characters")
 	}
 	return nil
 }
 
+func notInMethod(r rune) bool { return r != '-' && (r < 'A' || r > 'Z') && (r < 'a' || r > 'z') }
+
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
+
 // Values of Service.Placement.
 const (
 	Send   = "send"   // sent, and expected to run at once
--- a/explain/text.go
+++ b/explain/text.go
@@ -31,7 +31,13 @@
 	if r.Refusal != nil {
 		fmt.Fprintf(t, "outcome\t%s\n", r.Refusal.text())
 	}
+	if len(r.Services) > 1 {
+		fmt.Fprintf(t, "split\tone of %d services is drawn for each request, by weight\n", len(r.Services))
+	}
 	for i := range r.Services {
+		if i > 0 {
+			fmt.Fprintln(t)
+		}
 		r.Services[i].write(t)
 	}
 	return t.Flush()
@@ -83,7 +89,7 @@
 		fmt.Fprintf(w, "hedge\t%s\n", hedge)
 	}
 	if len(s.Nodes) > 0 {
-		fmt.Fprint(w, "\n  NODE\tZONE\tUPSTREAM\tRUN\tWAIT\tLIMIT\tPACE\tLOAD AGE\tRATE\tLEFT\tEXPECTED\tSTATE\n")
+		fmt.Fprint(w, "\n  NODE\tZONE\tUPSTREAM\tRUN\tWAIT\tLIMIT\tPACE\tLOAD AGE\tRATE\tRATE LEFT\tEXPECTED\tSTATE\n")
 	}
 	for _, n := range s.Nodes {
 		fmt.Fprintf(w, "  %s\t%s\t%s\t%d\t%d\t%d\t%d%%\t%s\t%s\t%s\t%s\t%s\n", n.Name, n.Zone, n.Upstream, n.Running, n.Waiting, n.Limit, n.Pace,
@@ -111,6 +117,8 @@
 // state says whether the node would be chosen, and else why not.
 func (s *Service) state(n Node) string {
 	switch {
+	case n.Name == s.Chosen && n.Compared && len(n.LeftOut) > 0: // no node is better
+		return "chosen although " + strings.Join(n.LeftOut, ", ")
 	case n.Name == s.Chosen && n.Compared:
 		return "chosen"
 	case len(n.LeftOut) > 0:
