--- a/explain/explain.go
+++ b/explain/explain.go
@@ -98,7 +98,8 @@
 type Route struct {
 	Name      string  `json:"name"`
 	Rule      string  `json:"rule"`
-	Priority  int     `json:"priority"` // of the request, with that of the tenant
+	Priority  int     `json:"priority"`
+	Rank      int     `json:"rank"` // by which requests are queued: the priority with that of the tenant before it
 	Objective float64 `json:"objective_ms"`
 	TimeLimit float64 `json:"time_limit_ms"`
 	Public    bool    `json:"public"`
--- a/explain/text.go
+++ b/explain/text.go
@@ -22,8 +22,12 @@
 		if route.Public {
 			access = ", public"
 		}
-		fmt.Fprintf(t, "route\t%s, %s, priority %d, objective %s, time limit %s%s\n",
-			route.Name, route.Rule, route.Priority, duration(route.Objective), duration(route.TimeLimit), access)
+		rank := ""
+		if route.Rank != route.Priority {
+			rank = fmt.Sprintf(" (rank %d with the tenant's)", route.Rank)
+		}
+		fmt.Fprintf(t, "route\t%s, %s, priority %d%s, objective %s, time limit %s%s\n",
+			route.Name, route.Rule, route.Priority, rank, duration(route.Objective), duration(route.TimeLimit), access)
 	}
 	if tenant := r.Tenant; tenant != nil {
 		fmt.Fprintf(t, "tenant\t%s, priority %d, %s\n", tenant.Name, tenant.Priority, tenant.Quota.text())
--- a/explain/text_test.go
+++ b/explain/text_test.go
@@ -14,7 +14,7 @@
 func TestText(t *testing.T) {
 	r := explain.Report{
 		Node: "n1", Zone: "z", Contracts: explain.Contracts{Version: 3, Strict: true, ProofAge: new(float64(4700))},
-		Route:  &explain.Route{Name: "r", Rule: "idempotent", Priority: 2, Objective: 300, TimeLimit: 2000, Public: true},
+		Route:  &explain.Route{Name: "r", Rule: "idempotent", Priority: 2, Rank: 14, Objective: 300, TimeLimit: 2000, Public: true},
 		Tenant: &explain.Tenant{Name: "t", Quota: explain.Quota{PerSecond: 10, Burst: 5}},
 		Services: []explain.Service{
 			{Name: "a", Share: 0.75, ServiceTime: 52.4, AnswerWithin: 210, Placement: explain.Queue, Chosen: "n2", Late: true, HedgeAfter: 120, HedgeNode: "n10", Nodes: []explain.Node{
@@ -29,7 +29,7 @@
 	assert.NilError(t, r.WriteText(&text))
 	assert.Equal(t, text.String(), `node       n1 in zone z
 contracts  version 3, proven to be the newest 4.7s ago: too old, keys are refused
-route      r, idempotent, priority 2, objective 300ms, time limit 2s, public
+route      r, idempotent, priority 2 (rank 14 with the tenant's), objective 300ms, time limit 2s, public
 tenant     t, priority 0, quota 10/s, burst 5, use not known here
 split      one of 2 services is drawn for each request, by weight
 service    a, 75% of the route, expected 52ms, answer within 210ms
--- a/sidecar/explain.go
+++ b/sidecar/explain.go
@@ -154,7 +154,7 @@
 func (s *Sidecar) explainRoute(found entryhttp.Match, r *http.Request) *explain.Route {
 	route := found.Route
 	return &explain.Route{
-		Name: route.Name, Rule: string(route.Rule), Priority: route.Priority + found.PriorityOffset(),
+		Name: route.Name, Rule: string(route.Rule), Priority: route.Priority, Rank: route.Priority + found.PriorityOffset(),
 		Objective: milliseconds(route.LatencyObjective), TimeLimit: milliseconds(s.entry.TimeLimit(r, route)), Public: route.Public,
 	}
 }
