--- a/peer/candidates.go
+++ b/peer/candidates.go
@@ -80,20 +80,26 @@
 
 // standing returns what speaks against the node for the request. It modifies nothing.
 func (r *Roster) standing(now time.Time, p *Peer, need Criteria) Standing {
-	excluded := need.Exclude != nil && need.Exclude(p)
-	evacuated := r.isEvacuated(p)
+	standing := Standing{Excluded: need.Exclude != nil && need.Exclude(p), Evacuated: r.isEvacuated(p)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Standing{
-		NotServing: !p.status.Serving, Left: p.hasLeft(), Unresponsive: p.isUnresponsive(now),
-		Evacuated: evacuated, Limited: p.limitTooLate(now, need), Excluded: excluded,
-	}
+	p.addStanding(&standing, now, need)
+	return standing
+}
+
+// addStanding sets what depends on the state of the peer. The caller holds the lock.
+func (p *Peer) addStanding(s *Standing, now time.Time, need Criteria) {
+	s.NotServing, s.Left, s.Unresponsive, s.Limited = !p.status.Serving, p.hasLeft(), p.isUnresponsive(now), p.limitTooLate(now, need)
 }
 
 // expiredStanding is standing after an open query of the peer that was not answered in time has been counted as unanswered.
 func (r *Roster) expiredStanding(now time.Time, p *Peer, need Criteria) Standing {
-	_ = p.unresponsive(now)
-	return r.standing(now, p, need)
+	standing := Standing{Excluded: need.Exclude != nil && need.Exclude(p), Evacuated: r.isEvacuated(p)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expireQuery(now)
+	p.addStanding(&standing, now, need)
+	return standing
 }
 
 // sampleZones returns a random sample of the usable nodes, those of the own zone first.
