--- a/peer/members.go
+++ b/peer/members.go
@@ -134,6 +134,7 @@
 	r.peers.Range(func(_ string, p *Peer) bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		p.expireQuery(now)
 		if p.isSelf || p.status.Boot == 0 || p.stopped == p.status.Boot || p.isUnresponsive(now) {
 			return true // rounds of gossip try the unresponsive ones
 		}
