soak: tenants, cold back ends, evacuations and invalid answers

The faults covered none of the parts of the hard-load design.

Each run draws by its seed whether it has tenants with strict revocation, a cold rate, evacuations, and invalid answers. New signs: TENANT, REVOKED, COLD, EVACUATED, INVALID and QUOTA, the last one off until the code for quotas is there. ROUTE and CONFIG ask also whether a version admits the key.

--- a/soak/ahead_test.go
+++ b/soak/ahead_test.go
@@ -53,8 +53,12 @@
 	for i := range requests {
 		r := c.draw()
 		requests[i] = r
-		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n",
+		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
 			r.uri, host, wire.RequestIDField, r.id, wire.TimeLimitField, r.limit.Milliseconds())
+		for _, field := range r.identity() {
+			fmt.Fprintf(&text, "%s: %s\r\n", field[0], field[1])
+		}
+		text.WriteString("\r\n")
 		c.fleet.oracle.recordSent(r)
 	}
 	_ = conn.SetDeadline(time.Now().Add(requestLimit + responseWait))
@@ -85,6 +89,7 @@
 		id: fmt.Sprintf("%d-ahead-%d", c.target.index, c.sent), route: "browse", kind: wire.KindIdempotent, machine: c.target.index,
 		method: http.MethodGet, limit: requestLimit, bodySum: xxhash.Sum64(nil),
 	}
+	r.key, r.forged = c.fleet.operator.drawKey(c.random)
 	r.uri = fmt.Sprintf("/%s/%s?work=%s&size=0", r.route, r.id, time.Duration(c.random.Int64N(int64(maxWork))))
 	return r
 }
--- a/soak/backends_test.go
+++ b/soak/backends_test.go
@@ -14,9 +14,11 @@
 // startBackend starts a back end of the service beside the node.
 func (m *machine) startBackend(service string) {
 	m.started++
+	from := time.Now()
+	cold := m.fleet.parts.coldTime()
 	b, err := standin.StartBackend(standin.BackendOptions{
 		ID: fmt.Sprintf("m%d-%d", m.index, m.started), Service: service, Listen: m.address(backendPort), Advertised: m.address(backendProxyPort),
-		Registration: m.address(registrationPort), AnnounceEvery: announceEvery, Slots: slots, OnRequest: m.fleet.oracle.recordArrival,
+		Registration: m.address(registrationPort), AnnounceEvery: announceEvery, Slots: slots, Cold: cold, OnRequest: m.fleet.oracle.recordArrival,
 		OnCrash: func() { m.crashBackend(crashTime, service) },
 	})
 	if err != nil {
@@ -24,6 +26,7 @@
 		return
 	}
 	m.backend = b
+	m.fleet.recordCold(b.ID(), from, from.Add(cold))
 }
 
 // machineOf returns the machine index in the ID of a back end, -1 when the ID is invalid.
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -86,6 +86,7 @@
 	if chosen.kind == wire.KindDownload {
 		r.size = manualSize
 	}
+	r.key, r.forged = c.fleet.operator.drawKey(c.random)
 	r.uri = fmt.Sprintf("/%s/%s?work=%s&size=%d", chosen.route, r.id, time.Duration(c.random.Int64N(int64(maxWork))), r.size)
 	return r
 }
@@ -103,6 +104,7 @@
 	c.deliver(&request{
 		id: fmt.Sprintf("%s-%d", name, c.index), route: "reserve", kind: wire.KindNotIdempotent, machine: c.target.index,
 		method: http.MethodPost, limit: requestLimit, uri: "/reserve/" + name + "?crash=1", crashes: name,
+		key: c.fleet.operator.lastKey(),
 	}, []byte(name), false)
 }
 
@@ -119,6 +121,9 @@
 	out.Host = host
 	out.Header.Set(wire.RequestIDField, r.id)
 	out.Header.Set(wire.TimeLimitField, strconv.FormatInt(r.limit.Milliseconds(), 10))
+	for _, field := range r.identity() {
+		out.Header.Set(field[0], field[1])
+	}
 	timeout := r.limit + responseWait
 	if abandons {
 		timeout = time.Duration(c.random.Int64N(int64(maxWork)))
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -109,22 +110,25 @@
 		}
 	}
 	var allowed []string
-	routed := true
+	routed, admitted := true, true
 	for _, v := range o.versions[oldest:] {
 		if v.sent.After(r.ended) {
 			break
 		}
 		route, ok := v.document.Routes[r.route]
-		routed = routed && ok
-		if ok {
+		routed, admitted = routed && ok, admitted && admits(v.document, r)
+		if ok && admits(v.document, r) {
 			allowed = append(allowed, route.Service)
 		}
 	}
 	for _, a := range r.arrivals {
 		if a.Ran && !slices.Contains(allowed, a.Service) {
-			o.violationf("ROUTE: %s on route %s ran at service %s, want one of %v", r.id, r.route, a.Service, allowed)
+			o.violationf("ROUTE: %s on route %s ran at service %s, want one of %v, tenant %q", r.id, r.route, a.Service, allowed, tenantOf(r.key))
 		}
 	}
+	if routed && admitted && r.status == http.StatusUnauthorized {
+		o.violationf("CONFIG: %s got 401 although every version that may be in force admits it", r.id)
+	}
 	if routed && r.status == 404 {
 		o.violationf("CONFIG: %s got 404 although every version that may be in force has route %s", r.id, r.route)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -223,6 +223,7 @@
 			lasting: minFaultTime + time.Duration(separate.Int64N(int64(maxFaultTime-minFaultTime))), draw: separate.Uint64(),
 		})
 	}
+	schedule = append(schedule, drawPartFaults(seed, length)...)
 	slices.SortFunc(schedule, func(a, b plannedFault) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -70,6 +70,7 @@
 	t        testing.TB
 	folder   string
 	oracle   *oracle
+	parts    parts
 	store    *standin.Store
 	server   *storeServer
 	machines []*machine
@@ -94,9 +95,9 @@
 	started   int // number of back ends started so far
 }
 
-func newFleet(t testing.TB, folder string, o *oracle) *fleet {
+func newFleet(t testing.TB, folder string, o *oracle, drawn parts) *fleet {
 	t.Helper()
-	f := &fleet{t: t, folder: folder, oracle: o, store: standin.NewStore()}
+	f := &fleet{t: t, folder: folder, oracle: o, parts: drawn, store: standin.NewStore()}
 	network := uint32(os.Getpid())<<3 + networks.Add(1)
 	prefix := fmt.Sprintf("127.%d.%d.", 16+network>>8%200, network%256)
 	var err error
@@ -167,6 +168,9 @@
 `, m.index, m.index%zoneCount, serviceOf(m.index), m.address(backendProxyPort), announceEvery, m.address(callersPort), m.address(peersPort),
 		m.address(peersProxyPort), m.address(datagramsPort), m.address(registrationPort), m.address(readyPort), m.address(metricsPort),
 		m.address(storeProxyPort), ratio, retryAllowance, nodeMemory, grace)
+	if m.fleet.parts.tenants > 0 {
+		text += fmt.Sprintf("[revocation]\nstrict = true\nbound = %q\n", revocationBound)
+	}
 	if err := os.WriteFile(m.path("toml"), []byte(text), 0o600); err != nil {
 		m.fleet.t.Errorf("settings of m%d: %v", m.index, err)
 	}
@@ -277,6 +281,9 @@
 	m.links[link].set(b)
 	time.Sleep(lasting)
 	m.links[link].set(behaviour{})
+	if link == "backend" {
+		m.fleet.oracle.recordHeld(m.index, span{from, time.Now()})
+	}
 	m.fleet.oracle.recordDisturbance(m.index, span{from, time.Now()})
 }
 
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -83,6 +83,7 @@
 // answered records the response to the request.
 func (r *request) answered(response *http.Response, body []byte) {
 	r.status, r.seal, r.body = response.StatusCode, response.Header.Get(wire.SealField), body
+	r.invalid = r.status < http.StatusOK || r.status >= 600
 	r.limited, r.leaving = response.Header.Get(wire.RateLimitField) != "", response.Header.Get(wire.LeavingField) == "1"
 }
 
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/platform/standin"
@@ -24,6 +25,9 @@
 
 	mu       sync.Mutex
 	document wire.Document
+	zones    map[string]bool // zones that were ever evacuated, and whether they are now
+	issued   int             // number of keys issued so far
+	keys     atomic.Pointer[keyring]
 }
 
 func newOperator(f *fleet) *operator {
@@ -45,8 +49,10 @@
 		Limits:   wire.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}}
 	for _, name := range services {
-		o.document.Services[name] = wire.Service{HealthPath: standin.HealthPath, MaxConnections: 200}
+		o.document.Services[name] = wire.Service{HealthPath: standin.HealthPath, MaxConnections: 200, ColdPerS: f.parts.coldPerS()}
 	}
+	o.zones = make(map[string]bool)
+	o.addTenants(f.parts)
 	return o
 }
 
@@ -77,15 +83,17 @@
 
 // rewriteAfter writes the last version again after a return of the store from an older copy. Other versions wait
 // meanwhile: the copy would lack them after they were acknowledged.
-func (o *operator) rewriteAfter(restore func()) {
+func (o *operator) rewriteAfter(copied time.Time, bringBack func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	from := time.Now()
-	restore()
+	bringBack()
 	for o.write(o.document) != nil {
 		time.Sleep(rewritePause)
 	}
+	o.rewriteEvacuations()
 	o.fleet.oracle.recordStoreDisturbance(span{from, time.Now()})
+	o.fleet.oracle.recordRestore(restore{copied: copied, span: span{from, time.Now()}})
 }
 
 // moveRoute switches the route "moved" to the other service.
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +44,9 @@
 	body                   []byte
 	limited, leaving       bool // the back end named a rate limit in the answer, or that it leaves
 	err                    error
+	key                    string // API key, "" for none
+	forged                 string // tenant that the caller names itself
+	invalid                bool   // the answer has a status that no final answer has
 	crashes                string // name of the request that crashes back ends, "" for all others
 	arrivals               []standin.ReceivedRequest
 }
@@ -73,13 +78,17 @@
 	starts      map[int][]time.Time  // of the nodes' processes, by machine
 	store       []span               // while the store was disturbed
 	limits      []namedLimit
+	cold        []coldSpan
+	held        map[int][]span // while the link from a node to its back end was degraded, by machine
+	restores    []restore
+	evacuations []evacuation
 	violations  []string // messages of violated guarantees
 }
 
 func newOracle(service func(int) string, stall *stallDetector) *oracle {
 	return &oracle{
 		service: service, stall: stall, waits: &threadWaits{last: make(map[string]schedStat)}, requests: make(map[string]*request), withdrawals: make(map[string]time.Time), disturbed: make(map[int][]span), stops: make(map[int][]span), failing: make(map[int][]span),
-		starts: make(map[int][]time.Time),
+		starts: make(map[int][]time.Time), held: make(map[int][]span),
 	}
 }
 
@@ -121,6 +130,7 @@
 		return
 	}
 	r.arrivals = append(r.arrivals, a)
+	o.checkIdentity(r, a)
 	if !a.Ran {
 		return
 	}
@@ -158,6 +168,9 @@
 
 // checkAnswer checks a complete response against the request.
 func (o *oracle) checkAnswer(r *request) {
+	if r.invalid || r.err != nil && strings.Contains(r.err.Error(), "malformed HTTP") {
+		o.violationf("INVALID: %s got status %d, error %v", r.id, r.status, r.err)
+	}
 	switch {
 	case r.status == 0:
 	case r.status < 300:
@@ -237,23 +250,31 @@
 	for _, r := range o.requests {
 		o.checkRequest(r)
 		o.checkContracts(r)
+		o.checkKey(r)
 	}
 	o.checkRollbacks()
 	o.checkRetries()
 	o.checkCrashes()
 	o.checkLimits()
 	o.checkLeaving()
+	o.checkCold()
+	o.checkEvacuations()
+	o.checkQuota()
 	return o.violations
 }
 
-// servedShare returns the share of the requests sent in the span that were answered with success, and their number.
-func (o *oracle) servedShare(s span) (share float64, count int) {
+// servedShare returns the share of the requests sent in the span that were answered with success, and their number. It counts only
+// requests that the last version admits; with keyed, only those with a key.
+func (o *oracle) servedShare(s span, keyed bool) (share float64, count int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	served := 0
-	inForce := o.versions[len(o.versions)-1].document.Routes
+	inForce := o.versions[len(o.versions)-1].document
 	for _, r := range o.requests {
-		if _, ok := inForce[r.route]; !ok || r.crashes != "" || r.sent.Before(s.from) || r.sent.After(s.to) || !r.abandoned.IsZero() {
+		if !admits(inForce, r) || keyed && r.key == "" || r.status == http.StatusTooManyRequests && limited(inForce, r) {
+			continue
+		}
+		if _, ok := inForce.Routes[r.route]; !ok || r.crashes != "" || r.sent.Before(s.from) || r.sent.After(s.to) || !r.abandoned.IsZero() {
 			continue
 		}
 		count++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,7 +122,7 @@
 	schedule := drawFaults(seed, *faultTime)
 
 	o := newOracle(serviceOf, startStallDetector(t))
-	f := newFleet(t, folder, o)
+	f := newFleet(t, folder, o, drawParts(seed))
 	defer f.close()
 	f.recordWaits()
 	assert.Assert(t, f.awaitReady(), "not all nodes are ready before the first fault; logs in %s", folder)
@@ -146,7 +146,7 @@
 	callers.Wait()
 	f.checkRecovery(observed)
 	violations := o.finish()
-	t.Logf("seed %d: %v", seed, o.summary())
+	t.Logf("seed %d, %v: %v", seed, f.parts, o.summary())
 	if len(violations) == 0 && !t.Failed() && !*keepLogs {
 		assert.NilError(t, os.RemoveAll(folder))
 		return
@@ -180,10 +180,13 @@
 
 // checkRecovery checks the served share within the span after all faults, and the memory of each node.
 func (f *fleet) checkRecovery(observed span) {
-	share, count := f.oracle.servedShare(observed)
+	share, count := f.oracle.servedShare(observed, false)
 	if share < minServedShare {
 		f.oracle.report("RECOVER: %.3f of %d requests were served %v after the last fault", share, count, recoveryTime)
 	}
+	if keyedShare, keyed := f.oracle.servedShare(observed, true); keyed > 0 && keyedShare < minServedShare {
+		f.oracle.report("RECOVER: %.3f of %d requests with valid keys were served %v after the last fault", keyedShare, keyed, recoveryTime)
+	}
 	for _, m := range f.machines {
 		if peak := m.peakMemory(); peak > nodeMemory {
 			f.oracle.report("MEMORY: node m%d used %d MiB, its limit is %d MiB", m.index, peak, nodeMemory)
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -78,9 +78,10 @@
 
 // restoreStore copies the store, and later restores that copy.
 func (f *fleet) restoreStore(r restoredStore) {
+	copied := time.Now()
 	older := f.store.Memory.Copy()
 	time.Sleep(r.age)
-	f.operator.rewriteAfter(func() { f.returnFrom(older, r) })
+	f.operator.rewriteAfter(copied, func() { f.returnFrom(older, r) })
 	if r.thenChange {
 		f.operator.publish(moveRoute)
 	}
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -33,10 +34,13 @@
 		if a.Ran {
 			out = append(out, &decision{request: r, from: r.sent, to: a.At, allows: func(d wire.Document) bool {
 				route, ok := d.Routes[r.route]
-				return ok && route.Service == a.Service
+				return ok && route.Service == a.Service && admits(d, r)
 			}})
 		}
 	}
+	if r.status == http.StatusUnauthorized {
+		out = append(out, &decision{request: r, from: r.sent, to: r.ended, allows: func(d wire.Document) bool { return !admits(d, r) }})
+	}
 	if r.status == 404 {
 		out = append(out, &decision{request: r, from: r.sent, to: r.ended, allows: func(d wire.Document) bool {
 			_, ok := d.Routes[r.route]
