--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,8 @@
 	maxObservations     = 4
 	// minServedShare is the least share of requests served within observationTime. The load is below half of the slots.
 	minServedShare = 0.95
+	// maxListed is the number of violations of each sign that a run lists.
+	maxListed = 10
 	// maxParallelRuns limits the concurrent runs: each has six processes and eighteen callers.
 	maxParallelRuns = 3
 )
@@ -122,7 +125,7 @@
 	schedule := drawFaults(seed, *faultTime)
 
 	o := newOracle(serviceOf, startStallDetector(t))
-	f := newFleet(t, folder, o)
+	f := newFleet(t, folder, o, drawParts(seed))
 	defer f.close()
 	f.recordWaits()
 	assert.Assert(t, f.awaitReady(), "not all nodes are ready before the first fault; logs in %s", folder)
@@ -146,18 +149,19 @@
 	callers.Wait()
 	f.checkRecovery(observed)
 	violations := o.finish()
-	t.Logf("seed %d: %v", seed, o.summary())
+	t.Logf("seed %d, %v: %v", seed, f.parts, o.summary())
 	if len(violations) == 0 && !t.Failed() && !*keepLogs {
 		assert.NilError(t, os.RemoveAll(folder))
 		return
 	}
-	for i, violation := range violations {
-		if i == 10 {
-			t.Logf("and %d more", len(violations)-i)
-			break
+	signs := make(map[string]int)
+	for _, violation := range violations {
+		sign, _, _ := strings.Cut(violation, ":")
+		if signs[sign]++; signs[sign] <= maxListed {
+			t.Error(violation)
 		}
-		t.Error(violation)
 	}
+	t.Logf("violations by sign: %v", signs)
 	t.Logf("logs are kept in %s; faults of seed %d:\n%s", folder, seed, describe(schedule))
 	t.Logf("stalls of the test: %v; longest waits of threads for a processor:\n%s", o.stall, o.waits.longest())
 }
@@ -180,10 +184,13 @@
 
 // checkRecovery checks the served share within the span after all faults, and the memory of each node.
 func (f *fleet) checkRecovery(observed span) {
-	share, count := f.oracle.servedShare(observed)
+	share, count := f.oracle.servedShare(observed, false)
 	if share < minServedShare {
 		f.oracle.report("RECOVER: %.3f of %d requests were served %v after the last fault", share, count, recoveryTime)
 	}
+	if keyedShare, keyed := f.oracle.servedShare(observed, true); keyed > 0 && keyedShare < minServedShare {
+		f.oracle.report("RECOVER: %.3f of %d requests with valid keys were served %v after the last fault", keyedShare, keyed, recoveryTime)
+	}
 	for _, m := range f.machines {
 		if peak := m.peakMemory(); peak > nodeMemory {
 			f.oracle.report("MEMORY: node m%d used %d MiB, its limit is %d MiB", m.index, peak, nodeMemory)
