--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,7 +52,11 @@
 	Budgets    *caller.RetryBudgets
 	RetryRatio func() float64 // retries added to its service's budget by each request
 	HedgeRatio func() float64 // largest share of a service's requests that are hedged; nil or 0 for no hedges
-	Quarantine *quarantine.List
+	// HedgeByObjective reports whether the delay before a hedge follows from the objective of the route alone, and only the budgets, a rate
+	// limit and a full candidate withhold hedges. nil is taken for false: the delay then follows from measured times, and hedges fade out
+	// where they do not help.
+	HedgeByObjective func() bool
+	Quarantine       *quarantine.List
 	// Permit returns the refusal of a request that may not be sent, nil for one that may. It is called before the first attempt and
 	// before each retry and hedge; nil permits all. A refusal states what holds if no attempt has run.
 	Permit func(req *caller.Request) *caller.Refusal
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -66,7 +66,7 @@
 	if second.Err != nil {
 		return 0, "", string(noCandidate)
 	}
-	if reason = reasonAgainst(second.Chosen); reason != "" {
+	if reason = c.reasonAgainst(second.Chosen); reason != "" {
 		return 0, "", string(reason)
 	}
 	return after, second.Chosen.Status.Node, ""
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -15,8 +15,8 @@
 
 const (
 	// hedgeReserve is the time reserved for the hedge before the objective, in multiples of the expected service time. It
-	// and minInitialDelayShare, the shortest delay as a share of the objective, apply while too few times of the route are
-	// known for a quantile.
+	// and minInitialDelayShare, the shortest delay as a share of the objective, apply when hedges follow from the objective, and
+	// while too few times of the route are known for a quantile.
 	hedgeReserve         = 1.6
 	minInitialDelayShare = 0.35
 	// minHedgeDelayShare and maxHedgeDelayShare bound the delay before a hedge, as shares of the objective. An earlier
@@ -50,6 +50,11 @@
 	return e.HedgeRatio()
 }
 
+// hedgeByObjective reports whether hedges follow from the objective alone.
+func (e *Dispatcher) hedgeByObjective() bool {
+	return e.HedgeByObjective != nil && e.HedgeByObjective()
+}
+
 // hedgeDelay returns the time from now after which a hedge, a concurrent second attempt, is sent; 0 for none.
 func (c *call) hedgeDelay() time.Duration {
 	delay, reason := c.planHedge(time.Now(), c.estimate.latencies.quantiles)
@@ -74,7 +79,7 @@
 	objective, elapsed := c.route.LatencyObjective, now.Sub(c.startedAt)
 	var delay time.Duration
 	var ok bool
-	if median, tail, measured := quantiles(now); measured {
+	if median, tail, measured := quantiles(now); measured && !c.hedgeByObjective() {
 		delay, ok = measuredDelay(objective, elapsed, median, tail)
 	} else {
 		serviceTime, _ := c.estimate.get()
@@ -97,7 +102,7 @@
 	return min(max(tail, shortest), longest), shortest <= longest
 }
 
-// initialDelay is measuredDelay while too few times of the route are known.
+// initialDelay is measuredDelay by the objective and the expected service time alone.
 func initialDelay(objective, elapsed, serviceTime time.Duration) (delay time.Duration, ok bool) {
 	delay = objective - multiple(hedgeReserve, serviceTime)
 	return min(delay, multiple(maxHedgeDelayShare, objective)) - elapsed, delay >= multiple(minInitialDelayShare, objective)
@@ -278,7 +283,7 @@
 
 // withdrawHedge takes the tokens of a hedge, or returns the reason why none may be sent.
 func (c *call) withdrawHedge(now time.Time) withheldReason {
-	if reason := c.hedges.withdraw(now); reason != "" {
+	if reason := c.hedges.withdraw(now, !c.hedgeByObjective()); reason != "" {
 		return reason
 	}
 	if !c.budget.TryWithdraw() {
@@ -294,7 +299,7 @@
 	if err != nil {
 		return peer.Candidate{}, noCandidate
 	}
-	reason := reasonAgainst(target)
+	reason := c.reasonAgainst(target)
 	if ctx.Err() != nil {
 		reason = answeredMeanwhile
 	}
@@ -307,9 +312,10 @@
 // reasonAgainst returns the reason why the node must not get a hedge, "" for none. The node is the best of a sample of the
 // service: when it has little room or is slow, so are the others. The requests that a rate limit leaves are for first
 // attempts and retries.
-func reasonAgainst(target peer.Candidate) withheldReason {
+func (e *Dispatcher) reasonAgainst(target peer.Candidate) withheldReason {
 	room := maxHedgeSlotShare * float64(target.Status.Slots)
-	if target.LoadAge >= 0 {
+	byObjective := e.hedgeByObjective()
+	if target.LoadAge >= 0 && !byObjective {
 		room = min(room, maxHedgeLimitShare*float64(target.Load.Limit))
 	}
 	switch {
@@ -317,7 +323,7 @@
 		return candidateLimited
 	case float64(target.Load.Running+target.Load.Waiting+1) > room:
 		return candidateFull
-	case target.Load.ServiceTimePercent > maxHedgePace:
+	case target.Load.ServiceTimePercent > maxHedgePace && !byObjective:
 		return routeSlow
 	}
 	return ""
--- a/entry/hedge_test.go
+++ b/entry/hedge_test.go
@@ -196,3 +196,26 @@
 		assert.Assert(t, hedged > len(times)*35/1000 && hedged < len(times)*65/1000, "%d hedges of %d requests", hedged, len(times))
 	})
 }
+
+// Guards against measured times that decide on hedges of a deployment whose settings do not ask for it: where all upstreams are slow,
+// hedges by the objective are sent for as long as the budgets allow.
+func TestHedgesByObjectiveIgnoreMeasuredTimes(t *testing.T) {
+	const perSecond = 100
+	slow := func(node, request, attempt int) time.Duration {
+		return between(40*time.Millisecond, 60*time.Millisecond, node, request, attempt) + time.Duration(request%4/3)*800*time.Millisecond
+	}
+	run := func(byObjective bool) int {
+		var f *fleet
+		synctest.Test(t, func(t *testing.T) {
+			f = newFleet(10, slow)
+			e := entryOf(f, 1)
+			e.HedgeByObjective = func() bool { return byObjective }
+			load(t.Context(), e, perSecond, time.Minute)
+			synctest.Wait()
+		})
+		return f.hedged
+	}
+	byObjective, measured := run(true), run(false)
+	t.Logf("%d hedges by the objective, %d by measured times", byObjective, measured)
+	assert.Assert(t, byObjective > 2*measured)
+}
--- a/entry/hedgebudget.go
+++ b/entry/hedgebudget.go
@@ -129,12 +129,12 @@
 	b.lastRequest = now
 }
 
-// withdraw takes the token for a hedge, or returns the reason why none may be sent.
-func (b *hedgeBudget) withdraw(now time.Time) withheldReason {
+// withdraw takes the token for a hedge, or returns the reason why none may be sent. mustWin withholds hedges while they do not win.
+func (b *hedgeBudget) withdraw(now time.Time, mustWin bool) withheldReason {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case b.winShare < minWinShare && now.Sub(b.lastHedge) < hedgeTrialInterval:
+	case mustWin && b.winShare < minWinShare && now.Sub(b.lastHedge) < hedgeTrialInterval:
 		return hedgesNotWinning
 	case b.tokens < 1:
 		return hedgeBudgetUsed
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -12,8 +12,6 @@
 	defaultSlotShare = 0.75
 	defaultGrace     = 10 * time.Second
 
-	defaultHedgeRatio = 0.05
-
 	defaultRevocationBound = 5 * time.Second
 )
 
@@ -94,12 +92,18 @@
 	Allowance float64 `toml:"allowance" validate:"gte=0"`
 }
 
+// delayByObjective is the value of Hedging.Delay by which the delay before a hedge follows from the objective.
+const delayByObjective = "objective"
+
 // Hedging bounds the second attempts that are sent beside late first attempts of repeatable requests. They count as retries
 // too: together, retries and hedges stay within the limits of Retries.
 type Hedging struct {
 	// Ratio is the largest share of a service's requests that are hedged, of each node and so of all nodes together. 0 turns
-	// hedges off. Default 0.05, half of the retries that a request earns by the default of retries.ratio.
+	// hedges off. Default 1: the limits of Retries alone bound hedges.
 	Ratio float64 `toml:"ratio" validate:"gte=0,lte=1"`
+	// Delay says what the time before a hedge follows from: "objective", the latency objective of the route and its usual time, or
+	// "measured", the 95th percentile of its recent times; hedges then also fade out where they do not help. Default objective.
+	Delay string `toml:"delay" validate:"oneof=objective measured"`
 }
 
 // Routing configures the choice of upstreams.
@@ -136,7 +140,7 @@
 	return Settings{
 		Upstream:   Upstream{AnnounceEvery: settings.Duration(1500 * time.Millisecond), SlotShare: defaultSlotShare},
 		Retries:    Retries{Ratio: 0.2, Allowance: 50},
-		Hedging:    Hedging{Ratio: defaultHedgeRatio},
+		Hedging:    Hedging{Ratio: 1, Delay: delayByObjective},
 		Routing:    Routing{FreshFor: settings.Duration(defaultFreshFor)},
 		Revocation: Revocation{Bound: settings.Duration(defaultRevocationBound)},
 		Runtime:    Runtime{Memory: 256 << 20, Descriptors: 4096, Grace: settings.Duration(defaultGrace), LogLevel: "info"},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -203,7 +203,7 @@
 func (s *Sidecar) setHandlers() {
 	s.dispatcher = entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
-		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, HedgeRatio: s.hedgeRatio,
+		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, HedgeRatio: s.hedgeRatio, HedgeByObjective: s.hedgeByObjective,
 		Quarantine: s.suspects, Permit: s.permit, PreviewPermit: s.previewPermit, Quota: s.quota, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
@@ -275,6 +275,9 @@
 // hedgeRatio returns the largest share of a service's requests that are hedged.
 func (s *Sidecar) hedgeRatio() float64 { return s.hedging.Load().Ratio }
 
+// hedgeByObjective reports whether the delay before a hedge follows from the objective.
+func (s *Sidecar) hedgeByObjective() bool { return s.hedging.Load().Delay == delayByObjective }
+
 func peerRouting(s Settings) peer.Routing {
 	return peer.Routing{FreshFor: time.Duration(s.Routing.FreshFor), ZoneCost: time.Duration(s.Routing.ZoneCost)}
 }
