upstream: short work waits beyond its objective only after another upstream has refused it

The first attempt is refused at the objective again, and the entry node goes on to another upstream.

--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -135,7 +135,7 @@
 		ID:       req.ID,
 		Class:    bundle.Class{Name: className(req), Priority: req.Placement.Priority, MaxQueue: maxQueuePerSlot * slots, Long: req.Placement.Long},
 		Rules:    upstream.Rules{Aging: aging, LongShare: longShare},
-		Deadline: req.Deadline, Objective: time.Now().Add(req.Placement.Objective),
+		Deadline: req.Deadline, Objective: time.Now().Add(req.Placement.Objective), Retried: req.Attempt > 1,
 	}
 }
 
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -29,6 +29,8 @@
 	// Objective is the time by which the answer has its full value; zero for none. A request that would have to wait for a slot is
 	// refused when it probably misses its objective, since another upstream may have room.
 	Objective time.Time
+	// Retried says that another upstream, or this one before, has refused the request, so that a further refusal is likely to be final.
+	Retried bool
 }
 
 // lease is a slot held by a running request.
@@ -124,12 +126,12 @@
 	recentWorkWeight = 1.0 / 128
 )
 
-// refuseBy returns the time by which a waiting request has to start early enough to be answered, or it is refused. Short work among longer work may
-// miss its objective by as much as the longer work takes: it costs little, other work often waits for its answer while holding a slot
-// elsewhere, and a refusal would waste that work.
+// refuseBy returns the time by which a waiting request has to start early enough to be answered, or it is refused. Short work among longer
+// work may miss its objective by as much as the longer work takes: it costs little, other work often waits for its answer while holding a
+// slot elsewhere, and a refusal would waste that work. At the first attempt it is refused at its objective: another upstream may have room.
 func (u *Upstream) refuseBy(w *waiter) time.Time {
 	typical, occupying := u.typicalServiceTime(w.queue), u.queues.occupyingTime()
-	if typical == 0 || float64(typical) > shortWorkShare*float64(occupying) {
+	if !w.request.Retried || typical == 0 || float64(typical) > shortWorkShare*float64(occupying) {
 		return w.answerBy
 	}
 	patient := w.arrived.Add(occupying)
--- a/upstream/short_work_test.go
+++ b/upstream/short_work_test.go
@@ -21,6 +21,7 @@
 	mean      time.Duration
 	objective time.Duration
 	timeout   time.Duration
+	retried   bool
 }
 
 // playClasses sends the loads to one upstream for the duration, in virtual time, and returns the outcomes by class.
@@ -34,7 +35,7 @@
 		var work sync.WaitGroup
 		send := func(l classLoad, took time.Duration) {
 			arrived := time.Now()
-			release, err := u.Admit(t.Context(), upstream.AdmitRequest{Class: l.class, Deadline: arrived.Add(l.timeout), Objective: arrived.Add(l.objective)})
+			release, err := u.Admit(t.Context(), upstream.AdmitRequest{Class: l.class, Deadline: arrived.Add(l.timeout), Objective: arrived.Add(l.objective), Retried: l.retried})
 			if err == nil {
 				time.Sleep(took)
 				release()
@@ -79,7 +80,7 @@
 	)
 	short := classLoad{
 		class: bundle.Class{Name: "look-up", MaxQueue: 2 * slots, Priority: 1}, perSecond: 12, mean: 60 * time.Millisecond,
-		objective: 150 * time.Millisecond, timeout: 600 * time.Millisecond,
+		objective: 150 * time.Millisecond, timeout: 600 * time.Millisecond, retried: true,
 	}
 	long := classLoad{
 		class: bundle.Class{Name: "order", MaxQueue: 2 * slots, Priority: 1}, perSecond: 26, mean: 340 * time.Millisecond,
@@ -90,6 +91,10 @@
 		lookups, orders := outcomes["look-up"], outcomes["order"]
 		t.Logf("look-ups %+v, orders %+v", lookups, orders)
 		assert.Check(t, float64(lookups.refused) <= maxRefusedShare*float64(lookups.total), "%d of %d look-ups refused", lookups.refused, lookups.total)
+		first := short
+		first.retried = false
+		refusedFirst := playClasses(t, seed, slots, duration, first, long)["look-up"].refused
+		assert.Check(t, refusedFirst > lookups.refused, "%d refused at the first attempt, when another upstream may have room", refusedFirst)
 		left := duration.Seconds() * (slots - short.perSecond*short.mean.Seconds()) / long.mean.Seconds()
 		assert.Check(t, float64(orders.onTime) >= minOnTimeShare*left, "%d orders in time, %.0f fit", orders.onTime, left)
 	}
@@ -100,7 +105,7 @@
 	const slots = 7
 	load := func(name string, mean time.Duration) classLoad {
 		return classLoad{
-			class: bundle.Class{Name: name, MaxQueue: 2 * slots}, perSecond: 18, mean: mean, objective: 600 * time.Millisecond, timeout: 1500 * time.Millisecond,
+			class: bundle.Class{Name: name, MaxQueue: 2 * slots}, perSecond: 18, mean: mean, objective: 600 * time.Millisecond, timeout: 1500 * time.Millisecond, retried: true,
 		}
 	}
 	outcomes := playClasses(t, 1, slots, time.Minute, load("view", 250*time.Millisecond), load("edit", 340*time.Millisecond))
