soak: one count of windows and one way to record periods

The check of rate limits uses the same count of windows as those of cold rates and quotas: same window, factor, slack and widening as before. New periods are recorded by one function.

--- a/soak/backends_test.go
+++ b/soak/backends_test.go
@@ -15,7 +15,7 @@
 func (m *machine) startBackend(service string) {
 	m.started++
 	from := time.Now()
-	cold := m.fleet.parts.coldTime()
+	cold := m.fleet.parts.coldTime
 	b, err := standin.StartBackend(standin.BackendOptions{
 		ID: fmt.Sprintf("m%d-%d", m.index, m.started), Service: service, Listen: m.address(backendPort), Advertised: m.address(backendProxyPort),
 		Registration: m.address(registrationPort), AnnounceEvery: announceEvery, Slots: slots, Cold: cold, OnRequest: m.fleet.oracle.recordArrival,
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -282,7 +282,8 @@
 	time.Sleep(lasting)
 	m.links[link].set(behaviour{})
 	if link == "backend" {
-		m.fleet.oracle.recordHeld(m.index, span{from, time.Now()})
+		held := span{from, time.Now()}
+		m.fleet.oracle.record(func() { m.fleet.oracle.held[m.index] = append(m.fleet.oracle.held[m.index], held) })
 	}
 	m.fleet.oracle.recordDisturbance(m.index, span{from, time.Now()})
 }
--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -20,56 +20,35 @@
 	quotasEnforced = false
 )
 
-// coldSpan is a period in which a back end was cold.
-type coldSpan struct {
-	backend string
-	span    span
-}
-
-// evacuation is a period from the acknowledgement of an evacuation until its end is sent.
-type evacuation struct {
-	zone string
+// namedSpan is a period in the life of a back end or a zone.
+type namedSpan struct {
+	name string
 	span span
 }
 
 // recordCold records that a back end is cold in the period, when its service has a cold rate.
 func (f *fleet) recordCold(backend string, from, until time.Time) {
-	f.oracle.mu.Lock()
-	defer f.oracle.mu.Unlock()
-	if f.parts.cold {
-		f.oracle.cold = append(f.oracle.cold, coldSpan{backend, span{from, until}})
+	if f.parts.coldPerS > 0 {
+		f.oracle.record(func() { f.oracle.cold = append(f.oracle.cold, namedSpan{backend, span{from, until}}) })
 	}
 }
 
-// recordHeld records a period in which the link from a node to its back end was degraded.
-func (o *oracle) recordHeld(machine int, s span) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.held[machine] = append(o.held[machine], s)
-}
-
-func (o *oracle) recordEvacuation(e evacuation) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.evacuations = append(o.evacuations, e)
-}
-
 // checkCold checks that no cold back end gets more requests than it bears. Those behind a degraded link arrive in bursts that its node
 // does not cause.
 func (o *oracle) checkCold() {
 	for _, c := range o.cold {
-		home := machineOf(c.backend)
+		home := machineOf(c.name)
 		var arrivals []time.Time
 		for _, r := range o.requests {
 			for _, a := range r.arrivals {
-				if a.Instance == c.backend && !a.At.Before(c.span.from) && a.At.Before(c.span.to) && undisturbedIn(o.held[home], r.sent, a.At) {
+				if a.Instance == c.name && !a.At.Before(c.span.from) && a.At.Before(c.span.to) && undisturbedIn(o.held[home], r.sent, a.At) {
 					arrivals = append(arrivals, a.At)
 				}
 			}
 		}
 		if at, n, allowed := o.densest(arrivals, coldWindow, coldFactor*coldPerS, coldSlack); float64(n) > allowed {
 			o.violationf("COLD: %s got %d requests in %v from %s on, %.0f allowed; cold from %s to %s",
-				c.backend, n, coldWindow, clock(at), allowed, clock(c.span.from), clock(c.span.to))
+				c.name, n, coldWindow, clock(at), allowed, clock(c.span.from), clock(c.span.to))
 		}
 	}
 }
@@ -120,7 +99,7 @@
 			for _, a := range r.arrivals {
 				home := machineOf(a.Instance)
 				inForce := e.span.from.Add(evacuationBound + o.stall.within(e.span.from, a.At))
-				if zoneOf(home) != e.zone || a.At.Before(inForce) || a.At.After(e.span.to) || !undisturbedIn(o.held[home], r.sent, a.At) {
+				if zoneOf(home) != e.name || a.At.Before(inForce) || a.At.After(e.span.to) || !undisturbedIn(o.held[home], r.sent, a.At) {
 					continue
 				}
 				since := earlier(r.sent, a.At.Add(stabilityTime-evacuationBound)) // undisturbed for evacuationBound
@@ -129,7 +108,7 @@
 				informed := o.stable(home, e.span.from, a.At) && undisturbedIn(o.store, e.span.from, inForce)
 				if inTouch || informed {
 					o.violationf("EVACUATED: %s arrived at %s %v after the evacuation of %s was acknowledged; sent %s to m%d",
-						r.id, a.Instance, a.At.Sub(e.span.from), e.zone, clock(r.sent), r.machine)
+						r.id, a.Instance, a.At.Sub(e.span.from), e.name, clock(r.sent), r.machine)
 				}
 			}
 		}
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -137,25 +137,8 @@
 				}
 			}
 		}
-		slices.SortFunc(arrivals, time.Time.Compare)
-		o.checkWindows(l, arrivals)
-	}
-}
-
-// checkWindows checks each window of the arrivals, which are in order of time, against the limit.
-func (o *oracle) checkWindows(l namedLimit, arrivals []time.Time) {
-	for i, from := range arrivals {
-		to := from.Add(limitWindow)
-		n := 0
-		for _, at := range arrivals[i:] {
-			if at.Before(to) {
-				n++
-			}
-		}
-		seconds := (limitWindow + o.stall.within(from.Add(-limitWindow), to)).Seconds()
-		if allowed := limitFactor*l.perSecond*seconds + limitSlack; float64(n) > allowed {
+		if from, n, allowed := o.densest(arrivals, limitWindow, limitFactor*l.perSecond, limitSlack); float64(n) > allowed {
 			o.violationf("LIMIT: %s named %g a second and got %d requests in %v from %s on, %.0f allowed", l.backend, l.perSecond, n, limitWindow, clock(from), allowed)
-			return
 		}
 	}
 }
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -49,7 +49,7 @@
 		Limits:   wire.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}}
 	for _, name := range services {
-		o.document.Services[name] = wire.Service{HealthPath: standin.HealthPath, MaxConnections: 200, ColdPerS: f.parts.coldPerS()}
+		o.document.Services[name] = wire.Service{HealthPath: standin.HealthPath, MaxConnections: 200, ColdPerS: f.parts.coldPerS}
 	}
 	o.zones = make(map[string]bool)
 	o.addTenants(f.parts)
@@ -93,7 +93,8 @@
 	}
 	o.rewriteEvacuations()
 	o.fleet.oracle.recordStoreDisturbance(span{from, time.Now()})
-	o.fleet.oracle.recordRestore(restore{copied: copied, span: span{from, time.Now()}})
+	returned := restore{copied, span{from, time.Now()}}
+	o.fleet.oracle.record(func() { o.fleet.oracle.restores = append(o.fleet.oracle.restores, returned) })
 }
 
 // moveRoute switches the route "moved" to the other service.
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -78,11 +78,11 @@
 	starts      map[int][]time.Time  // of the nodes' processes, by machine
 	store       []span               // while the store was disturbed
 	limits      []namedLimit
-	cold        []coldSpan
+	cold        []namedSpan    // while a back end was cold
 	held        map[int][]span // while the link from a node to its back end was degraded, by machine
 	restores    []restore
-	evacuations []evacuation
-	violations  []string // messages of violated guarantees
+	evacuations []namedSpan // from the acknowledgement of the evacuation of a zone until its end is sent
+	violations  []string    // messages of violated guarantees
 }
 
 func newOracle(service func(int) string, stall *stallDetector) *oracle {
@@ -103,6 +103,13 @@
 	o.violationf(format, args...)
 }
 
+// record applies a change to the records.
+func (o *oracle) record(apply func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	apply()
+}
+
 // recordSent records a request right before it is sent.
 func (o *oracle) recordSent(r *request) {
 	o.mu.Lock()
--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -43,15 +43,14 @@
 
 // parts are the optional parts of a deployment.
 type parts struct {
-	tenants     int     // 0 for none
-	quota       float64 // of one tenant
-	cold        bool    // services have a cold rate
-	evacuations bool
-	invalid     bool
+	tenants  int     // 0 for none
+	quota    float64 // of one tenant
+	coldPerS float64 // of both services, 0 for none
+	coldTime time.Duration
 }
 
 func (p parts) String() string {
-	return fmt.Sprintf("tenants %d, quota %g, cold %t, evacuations %t, invalid answers %t", p.tenants, p.quota, p.cold, p.evacuations, p.invalid)
+	return fmt.Sprintf("tenants %d, quota %g, cold rate %g", p.tenants, p.quota, p.coldPerS)
 }
 
 // drawPart returns the rest of the stream when the run has the part, else nil.
@@ -62,9 +61,9 @@
 	return nil
 }
 
-func drawParts(seed uint64) parts {
-	p := parts{
-		cold: drawPart(seed, coldStream) != nil, evacuations: drawPart(seed, evacuationStream) != nil, invalid: drawPart(seed, invalidStream) != nil,
+func drawParts(seed uint64) (p parts) {
+	if drawPart(seed, coldStream) != nil {
+		p.coldPerS, p.coldTime = coldPerS, coldTime
 	}
 	if random := drawPart(seed, tenantsStream); random != nil {
 		p.tenants, p.quota = 2+random.IntN(2), quotas[random.IntN(len(quotas))]
@@ -72,20 +71,6 @@
 	return p
 }
 
-func (p parts) coldPerS() float64 {
-	if p.cold {
-		return coldPerS
-	}
-	return 0
-}
-
-func (p parts) coldTime() time.Duration {
-	if p.cold {
-		return coldTime
-	}
-	return 0
-}
-
 // drawPartFaults returns the faults of the parts that the run has.
 func drawPartFaults(seed uint64, length time.Duration) []plannedFault {
 	var schedule []plannedFault
@@ -147,7 +132,8 @@
 		return
 	}
 	time.Sleep(evacuationTime + lasting)
-	f.oracle.recordEvacuation(evacuation{zone, span{acked, time.Now()}})
+	ended := time.Now()
+	f.oracle.record(func() { f.oracle.evacuations = append(f.oracle.evacuations, namedSpan{zone, span{acked, ended}}) })
 	f.operator.endEvacuation(zone)
 }}
 
--- a/soak/signs_test.go
+++ b/soak/signs_test.go
@@ -68,8 +68,8 @@
 			o := newOracle(serviceOf, &stallDetector{})
 			o.recordVersion(publishedVersion{document: document(1, withdrawnKey), sent: start, acked: start})
 			o.recordVersion(publishedVersion{document: document(2), sent: at(10), acked: at(10)})
-			o.recordEvacuation(evacuation{"z1", span{at(10), at(20)}})
-			o.cold = []coldSpan{{"m0-1", span{at(29), at(32)}}}
+			o.evacuations = []namedSpan{{"z1", span{at(10), at(20)}}}
+			o.cold = []namedSpan{{"m0-1", span{at(29), at(32)}}}
 			for i := range max(1, c.count) {
 				r := &request{id: fmt.Sprint(i), route: "browse", key: c.key, sent: at(c.sent), limit: requestLimit}
 				if c.route != "" {
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -144,12 +144,6 @@
 	span   span
 }
 
-func (o *oracle) recordRestore(r restore) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.restores = append(o.restores, r)
-}
-
 // checkIdentity checks that a back end gets no key, and the tenant of the key only. A public route may have none.
 func (o *oracle) checkIdentity(r *request, a standin.ReceivedRequest) {
 	if a.Keyed {
