--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -17,7 +17,7 @@
 	quotaFactor = 1.1
 	quotaSlack  = 20
 	// quotasEnforced switches the check of quotas on; it is set with the code for quotas.
-	quotasEnforced = false
+	quotasEnforced = true
 )
 
 // namedSpan is a period in the life of a back end or a zone.
