--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -16,8 +16,6 @@
 	quotaWindow = 5 * time.Second
 	quotaFactor = 1.1
 	quotaSlack  = 20
-	// quotasEnforced switches the check of quotas on; it is set with the code for quotas.
-	quotasEnforced = true
 )
 
 // namedSpan is a period in the life of a back end or a zone.
@@ -55,9 +53,6 @@
 
 // checkQuota checks that the requests of a tenant with a quota stay within it. Retries count with their request.
 func (o *oracle) checkQuota() {
-	if !quotasEnforced {
-		return
-	}
 	var arrivals []time.Time
 	for _, r := range o.requests {
 		if tenantOf(r.key) == limitedTenant && len(r.arrivals) > 0 {
