freshness: ReadCheck in place of Doubt

The name, and those of its methods (Hear, Believes, Assure), did not say that the type decides whether a read of the store counts as proof. It is ReadCheck now, with Accepts, ObserveVersion and ObserveReply; its time is Schedule.ListenTime. proofKeeper is proofRenewal. The log line of a read that is not accepted says what the node does meanwhile. Metric labels stay.

--- a/freshness/queries.go
+++ b/freshness/queries.go
@@ -27,7 +27,7 @@
 const (
 	Renewed      Result = "renewed"       // the proof has become younger
 	NotYounger   Result = "not-younger"   // the proof of the other node is not younger
-	NewerVersion Result = "newer-version" // the other node has newer contracts, of which this node's proof would be none
+	NewerVersion Result = "newer-version" // the other node has newer contracts, for which its proof holds
 	Unproven     Result = "unproven"      // the other node has no proof
 	Unasked      Result = "unasked"       // no query with this number was sent to that node
 )
--- a/freshness/schedule.go
+++ b/freshness/schedule.go
@@ -30,9 +30,9 @@
 	// failure, up to maxStoreRetryShare, except at the first nodes of a zone: these find out for all when the store is back.
 	storeRetryShare    = 0.1
 	maxStoreRetryShare = 2
-	// doubtShare is the time for which a node without a fresh proof listens to other nodes before it believes a store that holds no
+	// listenShare is the time for which a node without a fresh proof listens to other nodes before it accepts a read of a store that holds no
 	// document as new as its own.
-	doubtShare = 0.2
+	listenShare = 0.2
 )
 
 const (
@@ -80,8 +80,9 @@
 // StoreTimeout returns the time after which a call of the store is given up.
 func (s *Schedule) StoreTimeout() time.Duration { return s.share(storeTimeoutShare) }
 
-// Doubt returns the time for which a node listens to others before it believes a store without a document as new as its own.
-func (s *Schedule) Doubt() time.Duration { return s.share(doubtShare) }
+// ListenTime returns the time for which a node without a fresh proof listens to others before it accepts a read of a store that may have
+// lost a version.
+func (s *Schedule) ListenTime() time.Duration { return s.share(listenShare) }
 
 // age returns the age of the proof for the schedule. A proof that was never made counts as due for renewal since the start, so that
 // nodes which start together do not all call the store at once.
@@ -107,7 +108,7 @@
 	age, pause := s.age(now), s.share(roundShare)
 	_, proven := s.proof.Age()
 	switch {
-	case !proven && now.Sub(s.since) < s.share(doubtShare):
+	case !proven && now.Sub(s.since) < s.share(listenShare):
 		pause = s.share(firstRoundShare)
 	case !proven, age >= s.share(urgentShare):
 		pause = s.share(urgentRoundShare)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -70,7 +70,7 @@
 	}()
 	go s.runDiscovery(ctx, client)
 	go s.pollContracts(ctx, client)
-	go s.keepProof(ctx)
+	go s.renewProof(ctx)
 }
 
 func (s *Sidecar) newStoreClient() *store.Client {
--- a/sidecar/freshness.go
+++ b/sidecar/freshness.go
@@ -29,13 +29,13 @@
 )
 
 var (
-	proofLostTotal      = metrics.Counter("magnoliawharf_sidecar_proof_lost_total")
-	staleRefusedTotal   = metrics.Counter("magnoliawharf_sidecar_proof_refusals_total")
-	renewedVerifyTotal  = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="unchanged"}`)
-	renewedReadTotal    = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="read"}`)
-	renewalDoubtedTotal = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="doubted"}`)
-	renewalFailedTotal  = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="failed"}`)
-	renewalsByReply     = map[freshness.Result]interface{ Inc() }{
+	proofLostTotal          = metrics.Counter("magnoliawharf_sidecar_proof_lost_total")
+	staleRefusedTotal       = metrics.Counter("magnoliawharf_sidecar_proof_refusals_total")
+	renewedVerifyTotal      = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="unchanged"}`)
+	renewedReadTotal        = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="read"}`)
+	renewalUnconfirmedTotal = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="doubted"}`)
+	renewalFailedTotal      = metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="store",result="failed"}`)
+	renewalsByReply         = map[freshness.Result]interface{ Inc() }{
 		freshness.Renewed:      metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="renewed"}`),
 		freshness.NotYounger:   metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="not-younger"}`),
 		freshness.NewerVersion: metrics.Counter(`magnoliawharf_sidecar_proof_renewals_total{source="peer",result="newer-version"}`),
@@ -44,28 +44,28 @@
 	}
 )
 
-// proofKeeper holds the proof that the contracts in force are the newest, and what its renewal needs. It is safe for concurrent use.
-type proofKeeper struct {
+// proofRenewal holds the proof that the contracts in force are the newest, and the state of its renewal. It is safe for concurrent use.
+type proofRenewal struct {
 	clock    freshness.Clock
 	proof    *freshness.Proof
 	schedule *freshness.Schedule
 	queries  *freshness.Queries
-	doubt    *freshness.Doubt
+	reads    *freshness.ReadCheck
 	claims   freshness.Claims
 	wake     chan struct{} // signals that contracts were adopted; capacity 1
 }
 
-func newProofKeeper(clock freshness.Clock, bound time.Duration) *proofKeeper {
+func newProofRenewal(clock freshness.Clock, bound time.Duration) *proofRenewal {
 	proof := freshness.NewProof(clock, bound)
 	schedule := freshness.NewSchedule(proof)
-	return &proofKeeper{
+	return &proofRenewal{
 		clock: clock, proof: proof, schedule: schedule, queries: freshness.NewQueries(proof),
-		doubt: freshness.NewDoubt(proof, schedule.Doubt()), wake: make(chan struct{}, 1),
+		reads: freshness.NewReadCheck(proof, schedule.ListenTime()), wake: make(chan struct{}, 1),
 	}
 }
 
 // contractsAdopted ends the wait for the next check, because the contracts may be the first ones with keys. The receiver may be nil.
-func (k *proofKeeper) contractsAdopted() {
+func (k *proofRenewal) contractsAdopted() {
 	if k == nil {
 		return
 	}
@@ -76,9 +76,9 @@
 }
 
 // heardVersion records that another node has a newer version than that in force. The receiver may be nil.
-func (k *proofKeeper) heardVersion(version uint64) {
+func (k *proofRenewal) heardVersion(version uint64) {
 	if k != nil {
-		k.doubt.Hear(version)
+		k.reads.ObserveVersion(version)
 	}
 }
 
@@ -87,7 +87,7 @@
 	if !s.Settings.Revocation.Strict {
 		return
 	}
-	s.proofs = newProofKeeper(freshness.BootTime, time.Duration(s.Settings.Revocation.Bound))
+	s.proofs = newProofRenewal(freshness.BootTime, time.Duration(s.Settings.Revocation.Bound))
 	s.socket.OnFreshnessQuery, s.socket.OnFreshnessReply = s.answerFreshnessQuery, s.handleFreshnessReply
 }
 
@@ -118,9 +118,9 @@
 	}
 }
 
-// keepProof renews the proof until ctx ends, while requests need one. Calls of the store run beside it, so that a slow store does not
+// renewProof renews the proof until ctx ends, while requests need one. Calls of the store run beside it, so that a slow store does not
 // delay the queries to other nodes.
-func (s *Sidecar) keepProof(ctx context.Context) {
+func (s *Sidecar) renewProof(ctx context.Context) {
 	if s.proofs == nil {
 		return
 	}
@@ -218,7 +218,7 @@
 	case freshness.NewerVersion:
 		s.handlePeerVersion(r.Version, from)
 	case freshness.Renewed, freshness.NotYounger, freshness.Unproven:
-		s.proofs.doubt.Assure(version)
+		s.proofs.reads.ObserveReply(version)
 	}
 }
 
@@ -266,7 +266,7 @@
 	if renewed {
 		renewedReadTotal.Inc()
 	} else {
-		renewalDoubtedTotal.Inc()
+		renewalUnconfirmedTotal.Inc()
 	}
 	return renewed
 }
@@ -310,8 +310,9 @@
 	if r.era.Ended() {
 		return false
 	}
-	if !s.believes(r, found, inForce.Version) {
-		s.Log.Info("document of the store is no proof before other nodes were heard", "in_force", inForce.Version, "version", found.version, "revision", found.revision)
+	if !s.accepts(r, found, inForce.Version) {
+		s.Log.Info("document in the store not accepted as proof yet, listening to other nodes",
+			"in_force", inForce.Version, "version", found.version, "revision", found.revision)
 		return false
 	}
 	k.claims.Set(freshness.Claim{Version: inForce.Version, Revision: found.revision, Era: era})
@@ -319,17 +320,17 @@
 	return true
 }
 
-// believes reports whether what the store holds proves that the version in force is the newest.
-func (s *Sidecar) believes(r storeReading, found storedDocument, inForce uint64) bool {
+// accepts reports whether what the store holds proves that the version in force is the newest.
+func (s *Sidecar) accepts(r storeReading, found storedDocument, inForce uint64) bool {
 	k := s.proofs
 	_, proven := k.proof.Age()
 	switch {
 	case !found.valid || found.version < r.inForce || k.claims.EraEnded():
-		return k.doubt.Believes(inForce)
+		return k.reads.Accepts(inForce)
 	case !proven && s.roster.HeardPeers() > 0:
-		return k.doubt.BelievesFirst(inForce, r.sentAt)
+		return k.reads.AcceptsFirst(inForce, r.sentAt)
 	}
-	k.doubt.Clear()
+	k.reads.Reset()
 	return true
 }
 
--- a/sidecar/freshness_internal_test.go
+++ b/sidecar/freshness_internal_test.go
@@ -58,7 +58,7 @@
 	n := &strictNode{Sidecar: provision(t, memory, 0, 0), now: freshness.Instant(time.Hour)}
 	n.storeClient = store.NewClient(memory.NewProcess(), 100, 100)
 	n.Platform.ContractsKey, n.Platform.DecodeContracts = keyedDocument, decodeKeyed
-	n.proofs = newProofKeeper(func() freshness.Instant { return n.now }, testBound)
+	n.proofs = newProofRenewal(func() freshness.Instant { return n.now }, testBound)
 	return n
 }
 
@@ -208,7 +208,7 @@
 				n.handleFreshnessReply(freshness.Reply{Number: 1, Version: test.version, Age: freshness.NoProof}, other)
 				assert.Equal(t, n.reasonOf("k"), test.want)
 			}
-			n.advance(n.proofs.schedule.Doubt())
+			n.advance(n.proofs.schedule.ListenTime())
 			assert.Equal(t, n.renewByStore(t.Context()), test.want == "")
 			assert.Equal(t, n.reasonOf("k"), test.want)
 		})
@@ -228,7 +228,7 @@
 	assert.Assert(t, !n.renewByStore(t.Context()))
 	assert.Equal(t, n.reasonOf("k"), caller.ContractsStale)
 	n.adopt(documentOf(t, 2, "k2"), "another node", "")
-	n.advance(n.proofs.schedule.Doubt())
+	n.advance(n.proofs.schedule.ListenTime())
 	assert.Assert(t, n.renewByStore(t.Context()))
 	assert.Equal(t, n.reasonOf("k"), caller.Unauthenticated)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -99,7 +99,7 @@
 	upstream       *upstreamconn.Client
 	fetchClient    *http.Client // fetches contracts from other nodes
 	reports        versionReports
-	proofs         *proofKeeper // nil unless revocation is strict
+	proofs         *proofRenewal // nil unless revocation is strict
 	compressed     compressedContracts
 	storeClient    *store.Client
 	storeReachable atomic.Bool   // whether this node reaches the store
@@ -155,7 +155,8 @@
 	})
 	s.roster = peer.NewRoster(peer.Options{
 		Zone: s.Settings.Zone, Address: s.socket.Addr(), Routing: peerRouting(s.Settings),
-		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.handleContact, Evacuations: s.evacuations, Log: s.Log,
+		Sender: s.socket, Self: localNode{s}, OnStoreReachable: s.peerReachedStore, OnContact: s.handleContact,
+		Evacuations: s.evacuations, Log: s.Log,
 	})
 	s.socket.Version, s.socket.OnVersion = s.contracts.Version, s.handlePeerVersion
 	s.socket.OnNotice = func(n quarantine.Notice) { s.suspects.Receive(time.Now(), n) }
@@ -185,13 +186,14 @@
 		{&s.registration, httpserver.Options{Name: "registration", Addr: s.Settings.Listen.Registration, MaxHeaderBytes: httpserver.CallerHeaderBytes, ControlTimeouts: true}},
 		{&s.ready, httpserver.Options{Name: "ready", Addr: s.Settings.Listen.Ready, MaxHeaderBytes: httpserver.CallerHeaderBytes, ControlTimeouts: true}},
 		{&s.operator, httpserver.Options{
-			Name: "operator", Addr: s.Settings.Listen.Operator, MaxHeaderBytes: httpserver.CallerHeaderBytes, MaxConnections: maxOperatorConnections, ControlTimeouts: true,
+			Name: "operator", Addr: s.Settings.Listen.Operator, MaxHeaderBytes: httpserver.CallerHeaderBytes,
+			MaxConnections: maxOperatorConnections, ControlTimeouts: true,
 		}},
 		{&s.metricsServer, httpserver.Options{Name: "metrics", Addr: s.Settings.Listen.Metrics, MaxHeaderBytes: httpserver.CallerHeaderBytes, ControlTimeouts: true}},
 	} {
 		l.options.Log = s.Log
 		if l.options.Addr == "" {
-			continue // of the operator
+			continue // the operator's listener is optional
 		}
 		if *l.server, err = httpserver.Listen(l.options); err != nil {
 			return fmt.Errorf("listener %s: %w", l.options.Name, err)
@@ -203,7 +205,8 @@
 func (s *Sidecar) setHandlers() {
 	s.dispatcher = entry.New(entry.Dispatcher{
 		Service: s.Settings.Upstream.Service, Roster: s.roster, Forward: &forwarder{localBoot: s.boot, proxy: s.proxy, remote: s.remote},
-		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio, HedgeRatio: s.hedgeRatio, HedgeByObjective: s.hedgeByObjective,
+		Budgets: caller.NewEmptyRetryBudgets(s.retryBurst), RetryRatio: s.retryRatio,
+		HedgeRatio: s.hedgeRatio, HedgeByObjective: s.hedgeByObjective,
 		Quarantine: s.suspects, Permit: s.permit, PreviewPermit: s.previewPermit, Quota: s.quota, Log: s.Log,
 	})
 	s.entry = &entryhttp.Handler{
@@ -227,8 +230,8 @@
 	}))
 }
 
-// writeGauges writes the age of the proof, the number of evacuated zones, and the rate limit and the cold rate of the upstream beside this node while they are
-// in force.
+// writeGauges writes the age of the proof, the number of evacuated zones, and the rate limit and the cold rate of the upstream
+// beside this node while they are in force.
 func (s *Sidecar) writeGauges(w io.Writer) {
 	s.writeProofAge(w)
 	fmt.Fprintf(w, "magnoliawharf_sidecar_zones_evacuated %d\n", s.evacuations.CountActive())
