quota: usual names for the open request and the averages

'ask', 'income' and 'reserve' were private words. The open request of a tenant is pendingRequest, the averages are rateAverage, and the fallback bucket is the field fallback; message kinds are kindQuotaRequest and kindQuotaReply. handleReply is split into the steps for waiting requests that get a token and for those that share the next request. Fields of bucket, choice and view that could not be understood from their names are commented.

--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -39,9 +39,9 @@
 	until     time.Time // end of the cold time by the latest report
 	// statedAt is the receipt of the last health report with a cold time, zero before the first one.
 	statedAt time.Time
-	// warmAnnounced is the number of successive announcements without a cold time since unknownAt and since the last report of one.
-	warmAnnounced int
-	unconfirmed   bool // the latest report is an announcement, although health reports state cold times
+	// warmAnnouncementCount is the number of successive announcements without a cold time since unknownAt and since the last report of one.
+	warmAnnouncementCount int
+	unconfirmed           bool // the latest report is an announcement, although health reports state cold times
 }
 
 // reset makes the state unknown.
@@ -69,9 +69,9 @@
 		c.unconfirmed = !c.statedAt.IsZero()
 		return
 	}
-	c.warmAnnounced++
+	c.warmAnnouncementCount++
 	decidedByHealth := !c.statedAt.IsZero() && now.Sub(c.statedAt) < coldReportValid
-	if c.warmAnnounced >= warmAnnouncements && !decidedByHealth {
+	if c.warmAnnouncementCount >= warmAnnouncements && !decidedByHealth {
 		c.observe(now, now, 0)
 	}
 }
@@ -79,7 +79,7 @@
 func (c *coldState) observe(sentAt, now time.Time, remaining time.Duration) {
 	c.known, c.warm, c.latest, c.until, c.unconfirmed = true, remaining <= 0, sentAt, now.Add(remaining), false
 	if !c.warm {
-		c.warmAnnounced = 0
+		c.warmAnnouncementCount = 0
 	}
 }
 
@@ -106,7 +106,8 @@
 	p.cold = coldState{unknownAt: now, latest: now}
 }
 
-// contractColdRate returns the cold rate of the service of the current incarnation, 0 for none. known is false while no contracts are known.
+// contractColdRate returns the cold rate of the service of the current incarnation, 0 for none. known is false while no
+// contracts are known.
 func (p *Proxy) contractColdRate() (perSecond float64, known bool) {
 	if p.options.ColdRate == nil || p.current.ID == "" {
 		return 0, true
@@ -140,7 +141,8 @@
 	return func() {
 		coldChangesTotal.Inc()
 		p.options.Log.Info("cold rate changed", "upstream", current.ID, "born", current.Born, "service", current.Service,
-			"from", previous.PerSecond, "to", next.PerSecond, "known", cold.known, "cold_ms", max(0, cold.until.Sub(now).Milliseconds()), "cause", cause)
+			"from", previous.PerSecond, "to", next.PerSecond, "known", cold.known,
+			"cold_ms", max(0, cold.until.Sub(now).Milliseconds()), "cause", cause)
 		if isNews {
 			p.options.OnStatusChange()
 		}
--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -14,8 +14,8 @@
 	// startTime is the time whose tokens the bucket of a new allocator starts with, and its share of one token: the previous allocator
 	// may have spent the burst.
 	startTime = 250 * time.Millisecond
-	// forgetLossAfter is the time after which an allocator that returns starts as a new one. One that returns earlier has no more
-	// than it had, so that a tenant whose allocator changes often doesn't gain by it.
+	// forgetLossAfter is the time after which a node that becomes the allocator again starts as a new one. Before, its bucket has no
+	// more tokens than when it lost the allocation, so that a tenant whose allocator changes often gets no additional tokens.
 	forgetLossAfter = 5 * time.Second
 	// minCapacity is the least capacity of an allocator's bucket, so that the tokens that come in during a round trip are not lost
 	// when a tenant has no burst. It is half of what the bound on a window allows to any tenant.
@@ -35,7 +35,7 @@
 	quota   contract.Quota
 	share   float64
 	empty   bool // this node is one of too many that would hold a token each
-	lost    bool
+	lost    bool // this node is no longer the allocator, or does not know whether it is
 	lostAt  time.Time
 }
 
@@ -67,8 +67,8 @@
 // choice is the allocator of a tenant in a view.
 type choice struct {
 	member   ranked
-	none     bool // no member that may allocate is known
-	in       *view
+	none     bool   // no member that may allocate is known
+	in       *view  // from which the choice follows
 	eligible bool   // this node may allocate
 	witness  ranked // is to confirm that this node is the allocator; the zero value when that needs no confirmation
 }
@@ -107,8 +107,8 @@
 	return c.isSelf() && (c.witness == ranked{} || now.Before(t.confirmedUntil))
 }
 
-// asks returns the member that is asked for tokens, or for the confirmation that this node is the allocator.
-func (c *choice) asks() netip.AddrPort {
+// target returns the address of the member that is asked for tokens, or for the confirmation that this node is the allocator.
+func (c *choice) target() netip.AddrPort {
 	if c.isSelf() {
 		return c.witness.addr
 	}
@@ -240,6 +240,7 @@
 	at    time.Time
 }
 
+// answerSlot spreads the replies over the slots by multiplicative hashing of the request's number and sender.
 func answerSlot(from netip.AddrPort, number uint32) uint32 {
 	return (number*2654435761 + uint32(from.Port())*40503 + uint32(from.Addr().As16()[15])*97) % answerSlots
 }
--- a/quota/describe.go
+++ b/quota/describe.go
@@ -13,7 +13,7 @@
 	defer t.mu.Unlock()
 	unused := t.tokens.count(now.Sub(n.start))
 	switch first := t.allocator(now); {
-	case now.Before(t.ask.holdUntil):
+	case now.Before(t.pending.holdUntil):
 		return fmt.Sprintf("refused: the allocator had no token; %d unused tokens here", unused)
 	case first.none:
 		return fmt.Sprintf("no allocator is known; %d unused tokens here", unused)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -107,7 +107,7 @@
 	adoptMu    sync.Mutex // serializes Adopt
 	viewMu     sync.Mutex // serializes changes of view and eligibleAt, and guards stopped
 	stopped    bool
-	refusing   *shard.Map[string, *tenant]
+	refusing   *shard.Map[string, *tenant] // tenants with an ongoing series of refusals
 }
 
 // notEligible is the eligibleAt of a node that does not know the others, or stops.
@@ -116,7 +116,8 @@
 // NewNode returns a node that knows no tenants and does not allocate until Start is called.
 func NewNode(o Options) *Node {
 	n := &Node{
-		Options: o, tenants: shard.NewString[string, *tenant](tenantShards), refusing: shard.NewString[string, *tenant](tenantShards), start: o.Now(),
+		Options: o, start: o.Now(),
+		tenants: shard.NewString[string, *tenant](tenantShards), refusing: shard.NewString[string, *tenant](tenantShards),
 	}
 	n.view.Store(newView(Member{Name: o.Name, Addr: o.Addr}, nil))
 	n.eligibleAt.Store(notEligible)
@@ -129,20 +130,20 @@
 	name string
 	hash uint64
 
-	mu     sync.Mutex
-	node   *Node
-	quota  contract.Quota
-	since  time.Time // when the tenant got a quota, as far as this node knows
-	tokens unusedTokens
-	demand demand
-	income demand // of tokens
-	ask    ask
-	first  choice
+	mu        sync.Mutex
+	node      *Node
+	quota     contract.Quota
+	since     time.Time // when the tenant got a quota, as far as this node knows
+	tokens    unusedTokens
+	demand    rateAverage
+	tokenRate rateAverage // of tokens
+	pending   pendingRequest
+	first     choice
 
 	confirmedUntil time.Time // another node has confirmed that this one is the allocator
 	bucket         *bucket   // nil until this node is the allocator for the first time
 	refusal        refusals
-	reserve        fallback
+	fallback       fallback
 }
 
 // Start lets the node allocate and use its fallback: it knows the other nodes.
@@ -268,8 +269,8 @@
 		t := n.tenants.GetOrCreate(name, func() *tenant { return &tenant{name: name, hash: xxhash.Sum64String(name), node: n, since: now} })
 		t.mu.Lock()
 		if t.quota != described.Quota {
-			t.tokens.keep(now, described.Quota)
-			t.quota, t.reserve = described.Quota, fallback{}
+			t.tokens.limitTo(described.Quota)
+			t.quota, t.fallback = described.Quota, fallback{}
 		}
 		t.mu.Unlock()
 	}
--- a/quota/refuse.go
+++ b/quota/refuse.go
@@ -30,7 +30,7 @@
 	exceededTotal.Inc()
 	t.countRefusal(now, caller.QuotaExceeded)
 	first := now.Add(wait)
-	income := max(t.income.current(now), t.quota.PerSecond/float64(t.node.view.Load().known))
+	income := max(t.tokenRate.current(now), t.quota.PerSecond/float64(t.node.view.Load().known))
 	gap := min(time.Duration(float64(time.Second)/income), returnSpread)
 	if t.refusal.returnAt.Before(first) {
 		t.refusal.returnAt = first.Add(rand.N(gap + 1))
@@ -53,7 +53,8 @@
 	}
 	t.refusal.ongoing = true
 	t.node.refusing.Set(t.name, t)
-	t.node.Log.Info("quota refuses requests of a tenant", "tenant", t.name, "reason", string(reason), "per_second", t.quota.PerSecond, "burst", t.quota.Burst)
+	t.node.Log.Info("quota refuses requests of a tenant", "tenant", t.name, "reason", string(reason),
+		"per_second", t.quota.PerSecond, "burst", t.quota.Burst)
 }
 
 // endRefusals logs the end of the refusals of tenants.
@@ -63,7 +64,7 @@
 		defer t.mu.Unlock()
 		if now.Sub(t.refusal.last) >= refusalsEndAfter {
 			n.refusing.Delete(name)
-			n.Log.Info("quota refuses no more requests of a tenant", "tenant", name, "refused", t.refusal.count)
+			n.Log.Info("quota no longer refuses requests of a tenant", "tenant", name, "refused", t.refusal.count)
 			t.refusal.ongoing, t.refusal.count = false, 0
 		}
 		return true
--- a/quota/ask.go
+++ b/quota/request.go
@@ -15,8 +15,8 @@
 const (
 	// repeatAfter is the time without a reply after which a request for tokens is repeated.
 	repeatAfter = 15 * time.Millisecond
-	// askTimeout is the time without a reply after which the fallback decides.
-	askTimeout = 40 * time.Millisecond
+	// requestTimeout is the time without a reply after which the fallback decides.
+	requestTimeout = 40 * time.Millisecond
 	// silentFor is the time for which a node that did not reply is not asked again.
 	silentFor = 100 * time.Millisecond
 	// minHold and maxHold bound the time for which a node refuses without asking after the allocator had too few tokens.
@@ -24,14 +24,14 @@
 	maxHold = 100 * time.Millisecond
 )
 
-// ask is the request for tokens that a node has open for a tenant, and what it knows from the last one.
-type ask struct {
+// pendingRequest is the request for tokens that a node has open for a tenant, and what it knows from the last one.
+type pendingRequest struct {
 	open        bool
 	number      uint32 // of the last request, also once it is closed
 	sentAt      time.Time
 	to          netip.AddrPort
 	first       netip.AddrPort // allocator in this node's view, to which the first request went
-	asked       int            // waiters that the request counts
+	waiting     int            // waiters that the request counts
 	wanted      int
 	redirected  bool
 	credited    bool // the reply to the last request has come
@@ -101,15 +101,15 @@
 			break
 		}
 		e.decide(done, t.spend(now))
-	case t.ask.open:
-		t.ask.waiters = append(t.ask.waiters, done)
-	case now.Before(t.ask.holdUntil):
-		e.decide(done, t.exceeded(now, t.ask.availableAt.Sub(now)))
-	case first.none, first.asks() == t.ask.silent && now.Before(t.ask.silentUntil):
+	case t.pending.open:
+		t.pending.waiters = append(t.pending.waiters, done)
+	case now.Before(t.pending.holdUntil):
+		e.decide(done, t.exceeded(now, t.pending.availableAt.Sub(now)))
+	case first.none, first.target() == t.pending.silent && now.Before(t.pending.silentUntil):
 		e.decide(done, t.fallBack(now))
 	default:
-		t.ask.waiters = append(t.ask.waiters, done)
-		return t.openAsk(now)
+		t.pending.waiters = append(t.pending.waiters, done)
+		return t.openRequest(now)
 	}
 	return e
 }
@@ -117,57 +117,58 @@
 // spend returns a token that was granted just now.
 func (t *tenant) spend(now time.Time) Outcome {
 	grantedTotal.Inc()
-	t.income.observe(now, 1)
+	t.tokenRate.observe(now, 1)
 	return Outcome{Token: Token{tenant: t, expires: expiry(now.Sub(t.node.start) + validity)}}
 }
 
-// openAsk asks the allocator for the tokens of the waiting requests and of the expected demand. It is called with the lock held,
+// openRequest asks the allocator for the tokens of the waiting requests and of the expected demand. It is called with the lock held,
 // while no request is open.
-func (t *tenant) openAsk(now time.Time) effects {
+func (t *tenant) openRequest(now time.Time) effects {
 	first := t.allocator(now)
 	if first.none || t.mayAllocate(now, first) {
 		return effects{node: t.node, tenant: t} // an allocator takes tokens one by one, from its own bucket
 	}
-	t.ask.redirected, t.ask.first = false, first.asks()
-	return t.sendAsk(now, t.ask.first)
+	t.pending.redirected, t.pending.first = false, first.target()
+	return t.sendRequest(now, t.pending.first)
 }
 
-func (t *tenant) sendAsk(now time.Time, to netip.AddrPort) effects {
-	waiting := min(len(t.ask.waiters), MaxTokens)
+func (t *tenant) sendRequest(now time.Time, to netip.AddrPort) effects {
+	waiting := min(len(t.pending.waiters), MaxTokens)
 	ahead := t.demand.expected(now) - float64(t.tokens.count(now.Sub(t.node.start)))
 	wanted := min(waiting+int(max(0, math.Ceil(ahead))), MaxTokens)
-	a := &t.ask
-	a.open, a.credited, a.number, a.sentAt, a.to, a.asked, a.wanted = true, false, t.node.lastNumber.Add(1), now, to, waiting, wanted
+	a := &t.pending
+	a.open, a.credited, a.number, a.sentAt, a.to, a.waiting, a.wanted = true, false, t.node.lastNumber.Add(1), now, to, waiting, wanted
 	request := t.request()
 	return effects{node: t.node, tenant: t, to: to, request: &request}
 }
 
 func (t *tenant) request() Request {
-	return Request{Number: t.ask.number, Tenant: t.name, Version: t.node.version.Load(), Waiting: t.ask.asked, Wanted: t.ask.wanted}
+	p := &t.pending
+	return Request{Number: p.number, Tenant: t.name, Version: t.node.version.Load(), Waiting: p.waiting, Wanted: p.wanted}
 }
 
 // repeat sends the request once more when it has no reply.
 func (t *tenant) repeat(number uint32) {
 	t.mu.Lock()
-	if !t.ask.open || t.ask.number != number {
+	if !t.pending.open || t.pending.number != number {
 		t.mu.Unlock()
 		return
 	}
-	request, to := t.request(), t.ask.to
+	request, to := t.request(), t.pending.to
 	t.mu.Unlock()
-	t.node.AfterFunc(askTimeout-repeatAfter, func() { t.timeOut(number) })
+	t.node.AfterFunc(requestTimeout-repeatAfter, func() { t.timeOut(number) })
 	t.node.Sender.SendQuotaRequest(to, request)
 }
 
 // timeOut lets the fallback decide on the waiting requests when there is no reply.
 func (t *tenant) timeOut(number uint32) {
 	t.mu.Lock()
-	if !t.ask.open || t.ask.number != number {
+	if !t.pending.open || t.pending.number != number {
 		t.mu.Unlock()
 		return
 	}
 	e := t.giveUp(t.node.Now())
-	e.silent = t.ask.to
+	e.silent = t.pending.to
 	t.mu.Unlock()
 	e.run()
 }
@@ -175,11 +176,11 @@
 // giveUp closes the request and lets the fallback decide on all waiting requests.
 func (t *tenant) giveUp(now time.Time) effects {
 	e := effects{node: t.node, tenant: t}
-	t.ask.open, t.ask.silent, t.ask.silentUntil = false, t.ask.first, now.Add(silentFor)
-	for _, done := range t.ask.waiters {
+	t.pending.open, t.pending.silent, t.pending.silentUntil = false, t.pending.first, now.Add(silentFor)
+	for _, done := range t.pending.waiters {
 		e.decide(done, t.fallBack(now))
 	}
-	t.ask.waiters = nil
+	t.pending.waiters = nil
 	return e
 }
 
@@ -196,7 +197,7 @@
 }
 
 func (t *tenant) handleReply(now time.Time, from netip.AddrPort, r Reply) effects {
-	a := &t.ask
+	a := &t.pending
 	e := effects{node: t.node, tenant: t}
 	if a.credited || a.number != r.Number || from != a.to {
 		return e // a datagram that was repeated, or is late
@@ -204,27 +205,16 @@
 	if !r.Allocator {
 		return t.redirect(now, r.Other)
 	}
-	a.credited, a.silentUntil, t.reserve = true, time.Time{}, fallback{}
+	a.credited, a.silentUntil, t.fallback = true, time.Time{}, fallback{}
 	elapsed := now.Sub(t.node.start)
-	t.income.observe(now, r.Granted)
+	t.tokenRate.observe(now, r.Granted)
 	t.tokens.add(elapsed, expiry(a.sentAt.Sub(t.node.start)+min(r.Valid, validity)), r.Granted)
 	if !a.open {
 		return e // the reply came late; its tokens are for the next requests
 	}
 	a.open = false
-	served := 0
-	for served < len(a.waiters) {
-		expires, ok := t.tokens.take(elapsed)
-		if !ok {
-			break
-		}
-		grantedTotal.Inc()
-		e.decide(a.waiters[served], Outcome{Token: Token{tenant: t, expires: expires}})
-		served++
-	}
-	left := a.waiters[served:]
-	a.waiters = nil
-	if r.Granted < a.asked {
+	left := t.serveWaiters(&e, elapsed)
+	if r.Granted < a.waiting {
 		hold := min(max(r.RetryAfter, minHold), maxHold)
 		a.holdUntil, a.availableAt = now.Add(hold), now.Add(max(hold, r.RetryAfter))
 		for _, done := range left {
@@ -232,24 +222,45 @@
 		}
 		return e
 	}
-	if len(left) > 0 { // they came after the request was sent, and share the next one
-		a.waiters = left
-		next := t.openAsk(now)
-		e.request, e.to = next.request, next.to
-		if next.request == nil { // this node has become the allocator
-			a.waiters = nil
-			for _, done := range left {
-				e.decide(done, t.fallBack(now))
-			}
-		}
+	if len(left) > 0 {
+		t.requestForRest(&e, now, left)
 	}
 	return e
 }
 
+// serveWaiters gives the unused tokens to waiting requests and returns those that are left without one, which no longer wait.
+func (t *tenant) serveWaiters(e *effects, elapsed time.Duration) []func(Outcome) {
+	waiters := t.pending.waiters
+	t.pending.waiters = nil
+	for i, done := range waiters {
+		expires, ok := t.tokens.take(elapsed)
+		if !ok {
+			return waiters[i:]
+		}
+		grantedTotal.Inc()
+		e.decide(done, Outcome{Token: Token{tenant: t, expires: expires}})
+	}
+	return nil
+}
+
+// requestForRest sends the next request for those that came after the last one was sent.
+func (t *tenant) requestForRest(e *effects, now time.Time, waiters []func(Outcome)) {
+	t.pending.waiters = waiters
+	next := t.openRequest(now)
+	e.request, e.to = next.request, next.to
+	if next.request != nil {
+		return
+	}
+	t.pending.waiters = nil // this node has become the allocator
+	for _, done := range waiters {
+		e.decide(done, t.fallBack(now))
+	}
+}
+
 // redirect follows a reply of a node that is not the allocator. If that is this node, it decides on the waiting requests. Else it asks
 // the member that the reply names, whether or not it takes that one as reachable, and gives up after a second such reply.
 func (t *tenant) redirect(now time.Time, other netip.AddrPort) effects {
-	if !t.ask.open {
+	if !t.pending.open {
 		return effects{node: t.node, tenant: t}
 	}
 	if first := t.allocator(now); other == t.node.Addr && first.isSelf() {
@@ -257,11 +268,11 @@
 		return t.decideWaiting(now, first.in)
 	}
 	isOther := func(m ranked) bool { return m.addr == other }
-	if t.ask.redirected || other == t.ask.to || other == t.node.Addr || !slices.ContainsFunc(t.node.view.Load().all, isOther) {
+	if t.pending.redirected || other == t.pending.to || other == t.node.Addr || !slices.ContainsFunc(t.node.view.Load().all, isOther) {
 		return t.giveUp(now)
 	}
-	t.ask.redirected = true
-	return t.sendAsk(now, other)
+	t.pending.redirected = true
+	return t.sendRequest(now, other)
 }
 
 // decideWaiting decides on all waiting requests by the bucket of this node, the allocator.
@@ -271,14 +282,14 @@
 	if begins {
 		e.begins = v
 	}
-	for _, done := range t.ask.waiters {
+	for _, done := range t.pending.waiters {
 		if granted, retryAfter := b.grant(now, 1, 1); granted == 0 {
 			e.decide(done, t.exceeded(now, retryAfter))
 			continue
 		}
 		e.decide(done, t.spend(now))
 	}
-	t.ask.open, t.ask.waiters = false, nil
+	t.pending.open, t.pending.waiters = false, nil
 	return e
 }
 
@@ -304,10 +315,10 @@
 func (t *tenant) fallBack(now time.Time) Outcome {
 	v := t.node.view.Load()
 	if t.node.eligible(now) {
-		if t.reserve.limiter == nil || t.reserve.known != v.known {
-			t.reserve.open(now, t, v)
+		if t.fallback.limiter == nil || t.fallback.known != v.known {
+			t.fallback.open(now, t, v)
 		}
-		if t.reserve.holder && t.reserve.limiter.AllowN(now, 1) {
+		if t.fallback.holder && t.fallback.limiter.AllowN(now, 1) {
 			fallbackTotal.Inc()
 			return t.spend(now)
 		}
--- a/quota/tokens.go
+++ b/quota/tokens.go
@@ -76,8 +76,8 @@
 	return total
 }
 
-// keep drops tokens beyond the burst of a new quota.
-func (u *unusedTokens) keep(_ time.Time, q contract.Quota) {
+// limitTo drops tokens beyond the burst of a new quota.
+func (u *unusedTokens) limitTo(q contract.Quota) {
 	left := int(min(MaxTokens, q.Burst))
 	for i := range u.lots {
 		u.lots[i].count = min(u.lots[i].count, left)
@@ -85,23 +85,23 @@
 	}
 }
 
-// demand estimates the requests a second of a tenant at this node, or its tokens.
-type demand struct {
+// rateAverage is a decaying average of the requests of a tenant at this node, or of its granted tokens, a second.
+type rateAverage struct {
 	perSecond float64
 	at        time.Time
 }
 
-func (d *demand) observe(now time.Time, count int) {
+func (d *rateAverage) observe(now time.Time, count int) {
 	d.perSecond = d.current(now) + float64(count)/demandTime.Seconds()
 	d.at = now
 }
 
-func (d *demand) current(now time.Time) float64 {
+func (d *rateAverage) current(now time.Time) float64 {
 	return d.perSecond * math.Exp(-max(0, now.Sub(d.at).Seconds())/demandTime.Seconds())
 }
 
 // expected returns the requests expected in the time of lookAhead, 0 when it is too few to ask in advance.
-func (d *demand) expected(now time.Time) float64 {
+func (d *rateAverage) expected(now time.Time) float64 {
 	if e := d.current(now) * lookAhead.Seconds(); e >= minLookAhead {
 		return e
 	}
@@ -119,8 +119,8 @@
 	}
 	t.demand.observe(now, 1)
 	expected := t.demand.expected(now)
-	if expected > 0 && !t.ask.open && !now.Before(t.ask.holdUntil) && float64(t.tokens.count(elapsed)) < refillShare*expected {
-		send := t.openAsk(now)
+	if expected > 0 && !t.pending.open && !now.Before(t.pending.holdUntil) && float64(t.tokens.count(elapsed)) < refillShare*expected {
+		send := t.openRequest(now)
 		t.mu.Unlock()
 		send.run()
 	} else {
--- a/quota/view.go
+++ b/quota/view.go
@@ -21,10 +21,10 @@
 type view struct {
 	self      ranked
 	known     int
-	settled   []ranked // this node included; these allocate, and count as reachable in the share of the quota
-	reachable []ranked // without this node
-	all       []ranked // those with a name, reachable or not
-	shrunkAt  time.Time
+	settled   []ranked  // this node included; these allocate, and count as reachable in the share of the quota
+	reachable []ranked  // without this node
+	all       []ranked  // those with a name, reachable or not
+	shrunkAt  time.Time // when a settled member was last lost
 }
 
 // ranked is a member with the hash of its name.
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -159,9 +159,9 @@
 		err = decodeMessage[freshnessReply](body, func(r freshness.Reply) { s.OnFreshnessReply(r, from) })
 	case kindEvacuations:
 		err = decodeMessage[evacuations](body, s.OnEvacuations)
-	case kindQuotaAsk:
+	case kindQuotaRequest:
 		err = decodeMessage[quotaRequest](body, func(r quota.Request) { s.OnVersion(r.Version, from); s.OnQuotaRequest(from, r) })
-	case kindQuotaTell:
+	case kindQuotaReply:
 		err = decodeMessage[quotaReply](body, func(r quota.Reply) { s.OnQuotaReply(from, r) })
 	case kindStop:
 		err = decodeMessage[stop](body, func(run peer.StoppedRun) { s.handleStop(from, run) })
--- a/transport/datagram/datagram_test.go
+++ b/transport/datagram/datagram_test.go
@@ -239,11 +239,11 @@
 		kindSuspects:       suspects{Records: []suspectRecord{{Fingerprint: 1, Crashes: []recordedCrash{{Crash: 1, AgeMs: 1}}}}},
 		kindDeparture:      departure{Boot: 1, Upstream: "u", Born: 1},
 		kindFreshnessQuery: freshnessQuery{Number: 1}, kindFreshnessReply: freshnessReply{Number: 1, ContractVersion: 1, AgeMs: 1},
-		kindEvacuations: evacuations{States: []evacuation{{Zone: "z", Active: true, Era: 1, Revision: 2}}},
-		kindQuotaAsk:    quotaRequest{Number: 1, Tenant: "t", Waiting: 1, Wanted: 2},
-		kindQuotaTell:   quotaReply{Number: 1, Tenant: "t", Granted: 1, ValidMs: 500, Allocator: true},
-		kindStop:        stop{Boot: 1, Address: make([]byte, addressSize)},
-		kindStatus:      newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
+		kindEvacuations:  evacuations{States: []evacuation{{Zone: "z", Active: true, Era: 1, Revision: 2}}},
+		kindQuotaRequest: quotaRequest{Number: 1, Tenant: "t", Waiting: 1, Wanted: 2},
+		kindQuotaReply:   quotaReply{Number: 1, Tenant: "t", Granted: 1, ValidMs: 500, Allocator: true},
+		kindStop:         stop{Boot: 1, Address: make([]byte, addressSize)},
+		kindStatus:       newStatusMessage(1, peer.StatusMessage{Status: peer.Status{Node: "n", Address: "10.0.0.1:80"}, ReplyRequested: true}),
 	} {
 		body, err := cbor.Marshal(message)
 		assert.NilError(f, err)
--- a/transport/datagram/odd_test.go
+++ b/transport/datagram/odd_test.go
@@ -35,7 +35,7 @@
 		"a float where a number is": {0x82, 0xfb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0, 0x00},
 		"trailing bytes":            {0x82, 0x01, 0x01, 0xff},
 	}
-	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, kindFreshnessQuery, kindFreshnessReply, kindEvacuations, kindQuotaAsk, kindQuotaTell, kindStop, kindProbe, 0, 255} {
+	for _, kind := range []byte{kindLoadQuery, kindLoadReply, kindStatus, kindNotice, kindStoreEra, kindDeparture, kindSuspects, kindRateLimit, kindFreshnessQuery, kindFreshnessReply, kindEvacuations, kindQuotaRequest, kindQuotaReply, kindStop, kindProbe, 0, 255} {
 		for name, body := range bodies {
 			t.Run(fmt.Sprintf("%q %s", kind, name), func(t *testing.T) {
 				s, r := startSocket(t, 1, peer.Load{})
--- a/transport/datagram/quota.go
+++ b/transport/datagram/quota.go
@@ -114,15 +114,16 @@
 
 // SendQuotaRequest implements quota.Sender.
 func (s *Socket) SendQuotaRequest(to netip.AddrPort, r quota.Request) {
-	s.send(to, kindQuotaAsk, quotaRequest{
+	s.send(to, kindQuotaRequest, quotaRequest{
 		Number: r.Number, Tenant: r.Tenant, ContractVersion: r.Version, Waiting: clampTokens(r.Waiting), Wanted: clampTokens(r.Wanted),
 	})
 }
 
 // SendQuotaReply implements quota.Sender.
 func (s *Socket) SendQuotaReply(to netip.AddrPort, r quota.Reply) {
-	s.send(to, kindQuotaTell, quotaReply{
-		Number: r.Number, Tenant: r.Tenant, Granted: clampTokens(r.Granted), ValidMs: clampMs(r.Valid), RetryAfterMs: clampMs(r.RetryAfter), Allocator: r.Allocator,
+	s.send(to, kindQuotaReply, quotaReply{
+		Number: r.Number, Tenant: r.Tenant, Granted: clampTokens(r.Granted),
+		ValidMs: clampMs(r.Valid), RetryAfterMs: clampMs(r.RetryAfter), Allocator: r.Allocator,
 		Other: encodeAddress(r.Other),
 	})
 }
--- a/transport/datagram/wire.go
+++ b/transport/datagram/wire.go
@@ -29,8 +29,8 @@
 	kindFreshnessQuery byte = 'f'
 	kindFreshnessReply byte = 'F'
 	kindEvacuations    byte = 'z'
-	kindQuotaAsk       byte = 'k'
-	kindQuotaTell      byte = 'K'
+	kindQuotaRequest   byte = 'k'
+	kindQuotaReply     byte = 'K'
 	kindStop           byte = 'b'
 	kindProbe          byte = 'p' // a loadQuery
 )
