entry, explain, peer, sidecar: shorter lines and functions, plainer comments

Lines of up to 180 characters are broken. The report of explain is written, and its split and nodes are collected, by functions of their own. Comments that used figurative words (a matter of chance, speak against, tell) say what the code does.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -93,7 +93,8 @@
 var Reasons = []Reason{
 	BadRequest, NoService, NoRoute, NoBundle, NoUpstream, Draining, ColdUpstream, NotReady,
 	StaleIncarnation, StaleBundle, QueueFull, DeadlineUnmeetable, DeadlinePassed, Cancelled,
-	Overload, RateLimited, Evacuated, Unauthenticated, ContractsStale, QuotaExceeded, QuotaUnavailable, DepthExceeded, Quarantined, KeyMissing, KeyInvalid, KeyExpired,
+	Overload, RateLimited, Evacuated, Unauthenticated, ContractsStale, QuotaExceeded, QuotaUnavailable, DepthExceeded,
+	Quarantined, KeyMissing, KeyInvalid, KeyExpired,
 	KeyInProgress, KeyUnknown, KeyAlreadyRun, NoKeeper, PeerUnreachable, PeerLost,
 	UpstreamUnreachable, UpstreamLost, KeptConnectionLost, UpstreamRejected, AnswerMismatch, BodyCut, BodyTooLarge,
 }
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -102,7 +102,7 @@
 	return f.refused(report)
 }
 
-// refused returns the error of a request that has no route or whose key is refused, nil otherwise.
+// refused returns the error for a request without a route or with a refused key, nil for any other.
 func (f *explainFlags) refused(report *explain.Report) error {
 	if report.Refusal == nil {
 		return nil
--- a/contract/tenant.go
+++ b/contract/tenant.go
@@ -41,8 +41,8 @@
 	return name != "" && len(name) <= maxNameBytes && strings.TrimSpace(name) == name && !strings.ContainsFunc(name, isControl)
 }
 
-// indexTenants validates the tenants and indexes them by their credentials. A key of two tenants would make the holder of a request
-// a matter of chance.
+// indexTenants validates the tenants and indexes them by their credentials. With a key of two tenants, the tenant of a request would be
+// ambiguous.
 func (c *Contracts) indexTenants() error {
 	c.byCredential = make(map[caller.Credential]*Tenant)
 	for name, tenant := range c.Tenants {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,8 @@
 // only when that holds for every attempt.
 func (e *Dispatcher) Dispatch(ctx context.Context, req *caller.Request, route *contract.Route) (*caller.Answer, error) {
 	c := &call{
-		Dispatcher: e, req: req, route: route, startedAt: time.Now(), estimate: e.estimates.forRoute(route), budget: e.Budgets.Of(req.Service), hedges: e.hedgeBudgets.of(req.Service),
+		Dispatcher: e, req: req, route: route, startedAt: time.Now(),
+		estimate: e.estimates.forRoute(route), budget: e.Budgets.Of(req.Service), hedges: e.hedgeBudgets.of(req.Service),
 		ran: caller.NotRun,
 	}
 	c.depositRetries()
@@ -261,7 +262,8 @@
 	req := *c.req
 	req.Attempt = number
 	req.Placement = &caller.Placement{
-		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream, Tenant: c.req.Tenant, Priority: c.route.Priority + c.req.PriorityOffset,
+		Host: c.req.Placement.Host, Origin: c.Service, Upstream: chosen.Status.Upstream,
+		Tenant: c.req.Tenant, Priority: c.route.Priority + c.req.PriorityOffset,
 		Objective: c.objectiveLeft(), Repeatable: c.route.Rule == bundle.Idempotent, Long: c.route.Long,
 	}
 	sentAt := time.Now()
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -191,7 +191,8 @@
 	defer func() {
 		if failure := recover(); failure != nil {
 			c.Log.Error("an attempt panicked", "id", c.req.ID, "peer", chosen.Status.Node, "cause", fmt.Sprint(failure), "stack", string(debug.Stack()))
-			o = outcome{chosen: chosen, attempt: number, refusal: caller.RefuseUncertain(caller.PeerLost, dispatchStep, chosen.Status.Node, errPanicked)}
+			refusal := caller.RefuseUncertain(caller.PeerLost, dispatchStep, chosen.Status.Node, errPanicked)
+			o = outcome{chosen: chosen, attempt: number, refusal: refusal}
 		}
 	}()
 	return c.send(ctx, chosen, number)
--- a/entry/hedgebudget.go
+++ b/entry/hedgebudget.go
@@ -68,7 +68,8 @@
 // init exports the counters with 0 before their first increment.
 func init() {
 	for _, reason := range []withheldReason{
-		hedgeBudgetUsed, retryBudgetUsed, hedgesNotWinning, routeSlow, candidateFull, candidateLimited, noCandidate, answeredMeanwhile, notPermitted,
+		hedgeBudgetUsed, retryBudgetUsed, hedgesNotWinning, routeSlow, candidateFull, candidateLimited,
+		noCandidate, answeredMeanwhile, notPermitted,
 	} {
 		hedgesWithheld[reason] = metrics.Counter(fmt.Sprintf(`magnoliawharf_entry_hedges_withheld_total{reason=%q}`, string(reason)))
 	}
--- a/explain/text.go
+++ b/explain/text.go
@@ -15,6 +15,18 @@
 // WriteText writes the report as aligned columns.
 func (r *Report) WriteText(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	r.writeRequest(t)
+	for i := range r.Services {
+		if i > 0 {
+			fmt.Fprintln(t)
+		}
+		r.Services[i].write(t)
+	}
+	return t.Flush()
+}
+
+// writeRequest writes what holds for the request whichever service is drawn.
+func (r *Report) writeRequest(t io.Writer) {
 	fmt.Fprintf(t, "node\t%s in zone %s\n", r.Node, r.Zone)
 	fmt.Fprintf(t, "contracts\tversion %d%s\n", r.Contracts.Version, r.Contracts.proof())
 	if route := r.Route; route != nil {
@@ -38,13 +50,6 @@
 	if len(r.Services) > 1 {
 		fmt.Fprintf(t, "split\tone of %d services is drawn for each request, by weight\n", len(r.Services))
 	}
-	for i := range r.Services {
-		if i > 0 {
-			fmt.Fprintln(t)
-		}
-		r.Services[i].write(t)
-	}
-	return t.Flush()
 }
 
 func (c Contracts) proof() string {
@@ -83,7 +88,8 @@
 
 // write writes the service and a table of its nodes. Columns of a table are aligned apart from those above it.
 func (s *Service) write(w io.Writer) {
-	fmt.Fprintf(w, "service\t%s, %.0f%% of the route, expected %s, answer within %s\n", s.Name, 100*s.Share, duration(s.ServiceTime), duration(s.AnswerWithin))
+	fmt.Fprintf(w, "service\t%s, %.0f%% of the route, expected %s, answer within %s\n",
+		s.Name, 100*s.Share, duration(s.ServiceTime), duration(s.AnswerWithin))
 	fmt.Fprintf(w, "outcome\t%s\n", s.outcome())
 	if s.Placement != Refuse {
 		hedge := "none: " + s.NoHedge
--- a/inbound/ratelimit.go
+++ b/inbound/ratelimit.go
@@ -73,7 +73,8 @@
 	return p.rateLimit(now)
 }
 
-// rateLimit returns the rate limit of the current incarnation: the lower of the one that it has named and the cold rate. It is called with the lock held.
+// rateLimit returns the rate limit of the current incarnation: the lower of the one that it has named and the cold rate. It is
+// called with the lock held.
 func (p *Proxy) rateLimit(now time.Time) peer.RateLimit {
 	if !p.limit.everNamed && !p.everColdLimited {
 		return peer.RateLimit{}
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -132,8 +132,10 @@
 	slots := p.current.Slots
 	p.mu.Unlock()
 	return upstream.AdmitRequest{
-		ID:       req.ID,
-		Class:    bundle.Class{Name: className(req), Priority: req.Placement.Priority, MaxQueue: maxQueuePerSlot * slots, Long: req.Placement.Long},
+		ID: req.ID,
+		Class: bundle.Class{
+			Name: className(req), Priority: req.Placement.Priority, MaxQueue: maxQueuePerSlot * slots, Long: req.Placement.Long,
+		},
 		Rules:    upstream.Rules{Aging: aging, LongShare: longShare},
 		Deadline: req.Deadline, Objective: time.Now().Add(req.Placement.Objective), Retried: req.Attempt > 1,
 	}
--- a/peer/candidates.go
+++ b/peer/candidates.go
@@ -53,10 +53,10 @@
 			return sampled
 		}
 	}
-	return pick(nodes.all(), maxCandidates, func(p *Peer) bool { return standing(p).usableAtLast() })
+	return pick(nodes.all(), maxCandidates, func(p *Peer) bool { return standing(p).usableAsLastResort() })
 }
 
-// Standing holds the reasons that speak against a node for a request.
+// Standing holds the reasons not to choose a node for a request.
 type Standing struct {
 	NotServing   bool // the status of the node says that its upstream accepts no work
 	Left         bool // the upstream has left, although the status of its node says otherwise
@@ -66,7 +66,7 @@
 	Excluded     bool // by Criteria.Exclude
 }
 
-// usable reports whether nothing speaks against the node.
+// usable reports whether there is no reason against the node.
 func (s Standing) usable() bool { return s == Standing{} }
 
 // usableBeyondLimit is usable for the case that the limits of all nodes are known from reports that are out of date.
@@ -75,10 +75,10 @@
 	return s.usable()
 }
 
-// usableAtLast is usable for the case that no node responds.
-func (s Standing) usableAtLast() bool { return !s.NotServing && !s.Evacuated && !s.Excluded }
+// usableAsLastResort is usable for the case that no node responds.
+func (s Standing) usableAsLastResort() bool { return !s.NotServing && !s.Evacuated && !s.Excluded }
 
-// standing returns what speaks against the node for the request. It modifies nothing.
+// standing returns the reasons not to choose the node for the request. It modifies nothing.
 func (r *Roster) standing(now time.Time, p *Peer, need Criteria) Standing {
 	standing := Standing{Excluded: need.Exclude != nil && need.Exclude(p), Evacuated: r.isEvacuated(p)}
 	p.mu.Lock()
--- a/peer/members.go
+++ b/peer/members.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Member is another node that takes part in what all nodes do together. It is one until it says that it stops, or has been silent for
-// removeAfter.
+// Member is another node that counts in the division of quotas. It is one until it reports that it stops, or
+// has been silent for removeAfter.
 type Member struct {
 	Name      string // "" while the node has not been heard of
 	Addr      netip.AddrPort
@@ -74,7 +74,7 @@
 	return Member{Name: p.status.Node, Addr: p.addr, Reachable: reachable, Settled: settled}, true
 }
 
-// StoppedRun is the run of a node that has said that it stops.
+// StoppedRun is the run of a node that has reported that it stops.
 type StoppedRun struct {
 	Addr netip.AddrPort
 	Boot uint64
@@ -94,8 +94,8 @@
 	}
 }
 
-// maxStopsTold bounds the stopped runs of which another node is told at once.
-const maxStopsTold = 8
+// maxStopsPerNode bounds the stopped runs reported to another node at once.
+const maxStopsPerNode = 8
 
 // StoppedRuns returns some of the runs that have stopped, for a node that does not know of them: it may find their addresses in the
 // store until their leases end.
@@ -110,15 +110,15 @@
 		return true
 	})
 	rand.Shuffle(len(runs), func(i, j int) { runs[i], runs[j] = runs[j], runs[i] })
-	return runs[:min(maxStopsTold, len(runs))]
+	return runs[:min(maxStopsPerNode, len(runs))]
 }
 
 const (
 	// probeAfter is the silence after which a member is probed, and maxProbes the number of members probed at once while all answer.
 	probeAfter = 200 * time.Millisecond
 	maxProbes  = 2
-	// maxDoubtProbes is the number probed at once while some do not answer: a link or a zone may have failed.
-	maxDoubtProbes = 256
+	// maxOutageProbes is the number probed at once while some do not answer: a link or a zone may have failed.
+	maxOutageProbes = 256
 )
 
 // Probe queries members that have been silent, the longest first, so that a node which gets no requests knows soon that others are out
@@ -139,7 +139,7 @@
 			return true // rounds of gossip try the unresponsive ones
 		}
 		if p.query.unanswered > 0 {
-			limit, silence = maxDoubtProbes, queryTimeout
+			limit, silence = maxOutageProbes, queryTimeout
 		}
 		list = append(list, silentPeer{p, now.Sub(p.lastHeard)})
 		return true
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -63,7 +63,7 @@
 	mu           sync.Mutex
 	status       Status
 	ended        endedRun
-	stopped      uint64           // boot of a run that has said that it stops, 0 for none
+	stopped      uint64           // boot of a run that has reported that it stops, 0 for none
 	silentAt     time.Time        // when Members last found it out of reach
 	previous     PreviousUpstream // kept until the node has an upstream again
 	departure    reportedDeparture
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -93,7 +93,8 @@
 // NewRoster returns a roster that knows only this node.
 func NewRoster(o Options) *Roster {
 	r := &Roster{
-		zone: o.Zone, sender: o.Sender, selfNode: o.Self, storeReached: o.OnStoreReachable, contacted: o.OnContact, evacuations: o.Evacuations, log: o.Log, changes: newChangeLog(o.Log),
+		zone: o.Zone, sender: o.Sender, selfNode: o.Self, storeReached: o.OnStoreReachable, contacted: o.OnContact,
+		evacuations: o.Evacuations, log: o.Log, changes: newChangeLog(o.Log),
 		peers:       shard.NewString[string, *Peer](rosterShards),
 		services:    shard.NewString[string, serviceNodes](rosterShards),
 		rebroadcast: make(chan struct{}, 1),
--- a/sidecar/explain.go
+++ b/sidecar/explain.go
@@ -96,18 +96,24 @@
 		report.Refusal = explainRefusal(found.Refusal)
 		return report, nil
 	}
+	report.Services = s.explainSplit(ctx, found.Route, req)
+	return report, nil
+}
+
+// explainSplit explains what would happen to the request at each service of the route's split.
+func (s *Sidecar) explainSplit(ctx context.Context, route *contract.Route, req *caller.Request) (services []explain.Service) {
 	total := 0
-	for _, part := range found.Route.Split {
+	for _, part := range route.Split {
 		total += part.Weight
 	}
-	for _, part := range found.Route.Split[:min(len(found.Route.Split), explain.MaxServices)] {
+	for _, part := range route.Split[:min(len(route.Split), explain.MaxServices)] {
 		forPart := *req
 		forPart.Service = part.Service
-		service := explainService(s.dispatcher.Explain(ctx, &forPart, found.Route))
+		service := explainService(s.dispatcher.Explain(ctx, &forPart, route))
 		service.Name, service.Weight, service.Share = part.Service, part.Weight, float64(part.Weight)/float64(max(1, total))
-		report.Services = append(report.Services, service)
+		services = append(services, service)
 	}
-	return report, nil
+	return services
 }
 
 // previewRequest returns the request that the question describes. Its body consists of zeros.
@@ -168,7 +174,6 @@
 	service := explain.Service{
 		ServiceTime: milliseconds(found.ServiceTime), AnswerWithin: milliseconds(found.AnswerWithin), Placement: explain.Refuse,
 		HedgeAfter: milliseconds(found.HedgeAfter), HedgeNode: found.HedgeNode, NoHedge: found.NoHedge,
-		Nodes: []explain.Node{},
 	}
 	chosen := found.Survey.Chosen
 	switch {
@@ -182,20 +187,26 @@
 	if found.Refusal == nil {
 		service.Chosen, service.Late = chosen.Status.Node, chosen.Cost > found.AnswerWithin
 	}
-	nodes := found.Survey.Nodes
-	if service.Omitted = max(0, len(nodes)-explain.MaxNodes); service.Omitted > 0 { // those of interest first
+	service.Nodes, service.Omitted = explainNodes(found.Survey.Nodes)
+	return service
+}
+
+// explainNodes describes up to explain.MaxNodes nodes, those that were compared first, and returns the number of the others.
+func explainNodes(nodes []peer.Surveyed) (described []explain.Node, omitted int) {
+	described = []explain.Node{} // encoded as an empty list, not as null
+	if omitted = max(0, len(nodes)-explain.MaxNodes); omitted > 0 {
 		nodes = slices.Clone(nodes)
-		slices.SortStableFunc(nodes, func(a, b peer.Surveyed) int { return interest(b) - interest(a) })
+		slices.SortStableFunc(nodes, func(a, b peer.Surveyed) int { return listRank(b) - listRank(a) })
 		nodes = nodes[:explain.MaxNodes]
 	}
 	for _, n := range nodes {
-		service.Nodes = append(service.Nodes, explainNode(n))
+		described = append(described, explainNode(n))
 	}
-	return service
+	return described, omitted
 }
 
-// interest ranks nodes where not all are listed.
-func interest(n peer.Surveyed) int {
+// listRank orders nodes where not all are listed: compared nodes have the higher rank.
+func listRank(n peer.Surveyed) int {
 	if n.Compared {
 		return 1
 	}
--- a/sidecar/quota.go
+++ b/sidecar/quota.go
@@ -39,7 +39,7 @@
 	s.socket.OnStop = func(run peer.StoppedRun) { s.roster.HandleStop(run) }
 }
 
-// handleContact tells another node what it may not know: suspects, and nodes that have stopped.
+// handleContact sends another node what it may not know: suspects, and nodes that have stopped.
 func (s *Sidecar) handleContact(addr netip.AddrPort) {
 	s.sendSuspects(addr)
 	s.socket.SendStops(addr, s.roster.StoppedRuns())
@@ -92,7 +92,7 @@
 	return converted
 }
 
-// settling tells when a node that has started knows the other nodes.
+// settling decides when a node that has started knows the other nodes.
 type settling struct {
 	known       <-chan struct{} // closed when the store has named the others, or one has been heard of
 	members     int
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -13,7 +13,8 @@
 	s.retries.Store(&next.Retries)
 	s.hedging.Store(&next.Hedging)
 	s.roster.SetRouting(peerRouting(next))
-	s.Log.Info("settings reloaded", "retries", next.Retries, "hedging", next.Hedging, "routing", next.Routing, "log_level", next.Runtime.LogLevel)
+	s.Log.Info("settings reloaded", "retries", next.Retries, "hedging", next.Hedging,
+		"routing", next.Routing, "log_level", next.Runtime.LogLevel)
 	var level slog.Level
 	if s.LogLevel == nil {
 		return
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -17,7 +17,8 @@
 // maxReads bounds the reads of one snapshot.
 const maxReads = 3
 
-// Read reads the entries below the prefix. It reads again when the era of the store changes meanwhile, since the entries may belong to either.
+// Read reads the entries below the prefix. It reads again when the era of the store changes meanwhile, since the entries
+// may belong to either era.
 func (c *Client) Read(ctx context.Context, prefix string) (Snapshot, error) {
 	for range maxReads {
 		era, readAt := c.Era(), time.Now()
--- a/store/within.go
+++ b/store/within.go
@@ -5,7 +5,8 @@
 // Within returns a view of s that is bound to an era, for calls that name a revision or a lease which was obtained after era
 // was read. Once the era has ended, Swap, Delete, RenewLease, RevokeLease and Verify return ErrEraEnded and are not sent. A write that
 // is confirmed after the end of the era returns ErrUncertain: its condition may have compared revisions of two eras, or the store
-// may have lost it. A Verify that is answered after the end of the era returns ErrEraEnded too. A view of a Client shares its rate limit, and a call checks the era after the wait for it.
+// may have lost it. A Verify that is answered after the end of the era returns ErrEraEnded too. A view of a Client
+// shares its rate limit, and a call checks the era after the wait for it.
 func Within(s Store, era EraStatus) Store {
 	if client, ok := s.(*Client); ok {
 		return client.within(era)
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -180,8 +180,8 @@
 	return uuid.NewString()
 }
 
-// header returns the fields that are forwarded, without those that only the node may set. Those of keyed contracts are for the node
-// alone.
+// header returns the fields that are forwarded, without those that only the node may set. While the contracts have keys, the
+// Authorization field is removed, since it is for the node alone.
 func (h *Handler) header(r *http.Request, keyed bool) http.Header {
 	out := transport.EndToEnd(r.Header)
 	for _, name := range []string{h.Dialect.Origin, h.Dialect.Expect, h.Dialect.TimeLimit, h.Dialect.Tenant} {
--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -48,8 +48,8 @@
 	o.longBodies.CloseIdleConnections()
 }
 
-// RoundTrip sends the request. An answer without a valid status line is an error. After an error, sent reports whether any byte of the request was
-// handed to a connection; when none was, the request certainly did not run.
+// RoundTrip sends the request. An answer without a valid status line is an error. After an error, sent reports whether any byte of the
+// request was handed to a connection; when none was, the request certainly did not run.
 func (o *Client) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
 	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
 	tracker.trace.GotConn, tracker.trace.Got1xxResponse = tracker.gotConn, tracker.interim.Check
--- a/upstream/admit.go
+++ b/upstream/admit.go
@@ -134,14 +134,14 @@
 	if !w.request.Retried || typical == 0 || float64(typical) > shortWorkShare*float64(occupying) {
 		return w.answerBy
 	}
-	patient := w.arrived.Add(occupying)
-	if patient.After(w.request.Deadline) {
-		patient = w.request.Deadline
+	extended := w.arrived.Add(occupying)
+	if extended.After(w.request.Deadline) {
+		extended = w.request.Deadline
 	}
-	if patient.Before(w.answerBy) {
+	if extended.Before(w.answerBy) {
 		return w.answerBy
 	}
-	return patient
+	return extended
 }
 
 // refuseUnmeetable refuses a request whose expected wait exceeds its deadline or the longest wait of its class.
