quota: tiny quotas, valid tokens and new tenants

A quota of 1e-11 a second made a wait overflow, become negative and panic with the lock of the tenant held; a document may hold such a quota. A lower quota dropped valid tokens, since expired ones counted against its burst. A tenant was visible for a moment before its quota, and its version before its tenants, so that a request of an earlier version was granted all it wanted.

--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -166,9 +166,18 @@
 	}
 	if granted < waiting {
 		missing := 1 - (level - float64(granted))
-		retryAfter = time.Duration(max(0, missing) / float64(b.limiter.Limit()) * float64(time.Second))
+		retryAfter = waitFor(missing, float64(b.limiter.Limit()), maxRetryAfter)
 	}
-	return granted, min(retryAfter, maxRetryAfter)
+	return granted, retryAfter
+}
+
+// waitFor returns the time in which the tokens come in at the rate, at most the longest one. With a tiny rate it would overflow a
+// time.Duration.
+func waitFor(tokens, perSecond float64, longest time.Duration) time.Duration {
+	if tokens >= perSecond*longest.Seconds() {
+		return longest
+	}
+	return time.Duration(max(0, tokens/perSecond) * float64(time.Second))
 }
 
 // HandleRequest answers a request of another node for tokens.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -254,7 +254,6 @@
 	now := n.Now()
 	n.adoptMu.Lock()
 	defer n.adoptMu.Unlock()
-	n.version.Store(c.Version)
 	n.tenants.Range(func(name string, t *tenant) bool {
 		if !c.Tenants[name].Quota.Limited() {
 			n.tenants.Delete(name)
@@ -266,14 +265,17 @@
 		if !described.Quota.Limited() {
 			continue
 		}
-		t := n.tenants.GetOrCreate(name, func() *tenant { return &tenant{name: name, hash: xxhash.Sum64String(name), node: n, since: now} })
+		t := n.tenants.GetOrCreate(name, func() *tenant {
+			return &tenant{name: name, hash: xxhash.Sum64String(name), node: n, since: now, quota: described.Quota}
+		})
 		t.mu.Lock()
 		if t.quota != described.Quota {
-			t.tokens.limitTo(described.Quota)
+			t.tokens.limitTo(now.Sub(n.start), described.Quota)
 			t.quota, t.fallback = described.Quota, fallback{}
 		}
 		t.mu.Unlock()
 	}
+	n.version.Store(c.Version) // a request of an earlier version for a tenant without a quota is granted from now on
 }
 
 // Token is the right of one request to reach an upstream. The zero value is that of a tenant without a quota.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -397,3 +397,11 @@
 		b.Run(fmt.Sprint(tenants), func(b *testing.B) { benchmarkAcquire(b, tenants) })
 	}
 }
+
+// Guards against a document with a tiny quota that ends a process: requests beyond it are refused like any others.
+func TestTinyQuotaIsKept(t *testing.T) {
+	f := newFleet(t, 5, contract.Quota{PerSecond: 1e-11, Burst: 1})
+	f.load(20, 3*time.Second)
+	f.run(4 * time.Second)
+	assert.Assert(t, len(f.granted) <= 20, "%d granted", len(f.granted))
+}
--- a/quota/refuse.go
+++ b/quota/refuse.go
@@ -31,7 +31,7 @@
 	t.countRefusal(now, caller.QuotaExceeded)
 	first := now.Add(wait)
 	income := max(t.tokenRate.current(now), t.quota.PerSecond/float64(t.node.view.Load().known))
-	gap := min(time.Duration(float64(time.Second)/income), returnSpread)
+	gap := waitFor(1, income, returnSpread)
 	if t.refusal.returnAt.Before(first) {
 		t.refusal.returnAt = first.Add(rand.N(gap + 1))
 	}
--- a/quota/tokens.go
+++ b/quota/tokens.go
@@ -76,10 +76,13 @@
 	return total
 }
 
-// limitTo drops tokens beyond the burst of a new quota.
-func (u *unusedTokens) limitTo(q contract.Quota) {
-	left := int(min(MaxTokens, q.Burst))
+// limitTo drops the valid tokens beyond the burst of a new quota.
+func (u *unusedTokens) limitTo(now time.Duration, q contract.Quota) {
+	left, present := int(min(MaxTokens, q.Burst)), expiry(now)
 	for i := range u.lots {
+		if u.lots[i].expires <= present {
+			continue
+		}
 		u.lots[i].count = min(u.lots[i].count, left)
 		left -= u.lots[i].count
 	}
