sockopt: a read reports the reset that a write got

What callers saw: an upstream answered a long upload at once with a 200 that has no length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as the whole answer.

Cause: the kernel reports the reset of a connection to one call only. When that is the write of the request, the read of the answer gets the end of the stream, and to an answer without a length this is its regular end. All clients of the project had the cause, since all read answers beside a goroutine that writes the request.

Change: connections of a Dialer keep the failure that a Write got, and return it from Read in place of the end of the stream. EPIPE is none, so that an answer which ended in order is delivered whatever follows.

A connection that times out may now tell both its reader and its writer; trackedConn counts it once.

--- a/sockopt/sockopt.go
+++ b/sockopt/sockopt.go
@@ -3,6 +3,7 @@
 package sockopt
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -17,18 +18,34 @@
 	keepAliveProbes   = 2
 )
 
-// Dialer returns a dialer for connections that are kept open between requests. Such a connection may stop carrying
-// packets without a reset. The kernel closes it when sent data stays unacknowledged for userTimeout, and when keepalive
-// probes stay unacknowledged while it is idle or waits for an answer.
-func Dialer(dialTimeout, userTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+// Dialer opens TCP connections that are kept open between requests. Such a connection may stop carrying packets without a
+// reset. The kernel closes it when sent data stays unacknowledged for the user timeout, and when keepalive probes stay
+// unacknowledged while it is idle or waits for an answer.
+//
+// A read from such a connection returns io.EOF only when the peer has ended its stream in order, which is the end of an answer
+// without a length. The error of a connection that was reset or has timed out is returned to the reader as well when a Write
+// got it first.
+type Dialer struct{ dialer net.Dialer }
+
+// NewDialer returns a dialer with the user timeout for sent data.
+func NewDialer(dialTimeout, userTimeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			setUserTimeout(raw, userTimeout)
 			return nil
 		},
+	}}
+}
+
+// DialContext connects to the TCP address. Its signature is that of http.Transport.DialContext.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	opened, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
+	return NewConn(opened), nil
 }
 
 // SetUserTimeout bounds how long sent data may stay unacknowledged on conn before the kernel closes it; 0 removes the
--- a/sockopt/sockopt_test.go
+++ b/sockopt/sockopt_test.go
@@ -14,21 +14,21 @@
 )
 
 // dialSilent returns a connection to a loopback listener that accepts it and never reads.
-func dialSilent(t *testing.T, userTimeout time.Duration) *net.TCPConn {
+func dialSilent(t *testing.T, userTimeout time.Duration) net.Conn {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	conn, err := sockopt.Dialer(time.Second, userTimeout).DialContext(context.Background(), "tcp", listener.Addr().String())
+	conn, err := sockopt.NewDialer(time.Second, userTimeout).DialContext(context.Background(), "tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	return conn.(*net.TCPConn)
+	return conn
 }
 
 // Guards against kept connections without keepalive probes, or with the default ones that need minutes to detect a
 // connection that no longer carries packets: requests were sent on it until then.
 func TestDialedConnectionIsProbed(t *testing.T) {
-	raw, err := dialSilent(t, 700*time.Millisecond).SyscallConn()
+	raw, err := dialSilent(t, 700*time.Millisecond).(syscall.Conn).SyscallConn()
 	assert.NilError(t, err)
 	const userTimeout = 0x12 // TCP_USER_TIMEOUT
 	for _, option := range []struct{ level, name, want int }{
--- a/store/kvhttp/client.go
+++ b/store/kvhttp/client.go
@@ -54,7 +54,7 @@
 		timeout = DefaultTimeout
 	}
 	transport := &http.Transport{
-		DialContext:         sockopt.Dialer(dialTimeout, userTimeout).DialContext,
+		DialContext:         sockopt.NewDialer(dialTimeout, userTimeout).DialContext,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     90 * time.Second,
--- a/transport/control.go
+++ b/transport/control.go
@@ -43,7 +43,7 @@
 
 func newControlTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:    sockopt.Dialer(controlDialTimeout, controlUserTimeout).DialContext,
+		DialContext:    sockopt.NewDialer(controlDialTimeout, controlUserTimeout).DialContext,
 		ReadBufferSize: controlBufferSize, WriteBufferSize: controlBufferSize, DisableCompression: true,
 		MaxResponseHeaderBytes: controlHeaderBytes,
 	}
--- a/transport/peerpools.go
+++ b/transport/peerpools.go
@@ -97,7 +97,7 @@
 
 // newTransport returns a pool whose connections call onTimeout when they time out.
 func (p PoolOptions) newTransport(onTimeout func(addr string, openedAt time.Time)) *http.Transport {
-	dialer := sockopt.Dialer(p.DialTimeout, p.UserTimeout)
+	dialer := sockopt.NewDialer(p.DialTimeout, p.UserTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -45,7 +45,7 @@
 // sockopt.Dialer.
 func NewMembershipMessenger(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *MembershipMessenger {
 	if dial == nil {
-		dial = sockopt.Dialer(memberDialTimeout, memberUserTimeout).DialContext
+		dial = sockopt.NewDialer(memberDialTimeout, memberUserTimeout).DialContext
 	}
 	return &MembershipMessenger{
 		transport: &http.Transport{
--- a/transport/trackedconn.go
+++ b/transport/trackedconn.go
@@ -39,7 +39,8 @@
 type trackedConn struct {
 	net.Conn
 	writes    atomic.Uint64
-	onTimeout func() // called when the kernel has closed the connection because the peer acknowledged no packets
+	timedOut  sync.Once // Read and Write may both return the error
+	onTimeout func()    // called when the kernel has closed the connection because the peer acknowledged no packets
 
 	mu          sync.Mutex
 	userTimeout time.Duration // as set on the connection; from the dialer at first
@@ -89,7 +90,7 @@
 
 func (c *trackedConn) observe(err error) {
 	if errors.Is(err, syscall.ETIMEDOUT) {
-		c.onTimeout()
+		c.timedOut.Do(c.onTimeout)
 	}
 }
 
--- a/transport/trackedconn_internal_test.go
+++ b/transport/trackedconn_internal_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -47,3 +48,25 @@
 	assert.NilError(t, err)
 	return limit
 }
+
+// timedOutConn is a connection that the kernel has closed because the peer acknowledged no packets.
+type timedOutConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (timedOutConn) Read([]byte) (int, error) { return 0, syscall.ETIMEDOUT }
+
+// Write implements net.Conn.
+func (timedOutConn) Write([]byte) (int, error) { return 0, syscall.ETIMEDOUT }
+
+// Guards against a connection that counts twice as timed out, since its reader and its writer both get the error.
+func TestTimeoutOfConnectionCountsOnce(t *testing.T) {
+	count := 0
+	conn := &trackedConn{Conn: timedOutConn{}, onTimeout: func() { count++ }}
+	for range 2 {
+		_, readErr := conn.Read(nil)
+		assert.ErrorIs(t, readErr, syscall.ETIMEDOUT)
+		_, writeErr := conn.Write(nil)
+		assert.ErrorIs(t, writeErr, syscall.ETIMEDOUT)
+	}
+	assert.Equal(t, count, 1)
+}
--- a/transport/upstreamconn/conn.go
+++ b/transport/upstreamconn/conn.go
@@ -198,7 +198,7 @@
 }
 
 func dial(ctx context.Context, addr string) (*pooledConn, error) {
-	raw, err := sockopt.Dialer(dialTimeout, userTimeout).DialContext(ctx, "tcp", addr)
+	raw, err := sockopt.NewDialer(dialTimeout, userTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
