--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -139,6 +139,10 @@
 		}
 		ahead := &aheadCaller{fleet: f, target: m, random: rand.New(rand.NewPCG(seed, uint64(aheadStream+m.index)))}
 		callers.Go(func() { ahead.run(ctx) })
+		if f.parts.uploads {
+			u := newUploader(f, m, seed)
+			callers.Go(func() { u.run(ctx) })
+		}
 	}
 	f.injectFaults(schedule)
 	if !f.awaitReady() {
--- /dev/null
+++ b/soak/uploads_test.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawharf/magnoliawharf/platform/standin"
+	"github.com/magnoliawharf/magnoliawharf/platform/wire"
+	"github.com/magnoliawharf/magnoliawharf/wait"
+)
+
+const (
+	uploadsStream = 1<<37 + 1995262
+	// uploaderStream is the first random stream of the uploaders, behind those of the other callers.
+	uploaderStream = 2000
+	uploadPause    = 200 * time.Millisecond // mean time between two uploads of an uploader
+	uploadSize     = 256 << 10
+	uploadPiece    = 4 << 10
+	maxPieceDelay  = 500 * time.Microsecond
+	// earlyShare is the share of uploads that a faulty back end answers early.
+	earlyShare = 0.6
+)
+
+// uploadAnswers are the sizes of the bodies of answers to uploads, in bytes. Of the longest a part has been passed on before its end.
+var uploadAnswers = [...]int{1 << 10, 60 << 10, 600 << 10}
+
+// answersEarly is a back end that answers some uploads before it has read them, with a part of the body and a reset, or with the
+// whole body and an end in order.
+var answersEarly = fault{"early answers", func(_ *fleet, m *machine, lasting time.Duration, draw uint64) {
+	m.failBackend([]standin.BackendFaults{{ResetEarly: earlyShare}, {EndEarly: earlyShare}, {ResetEarly: earlyShare, EndEarly: earlyShare}}[draw%3], lasting)
+}}
+
+// uploader sends long bodies slowly to one node, each on a connection of its own.
+type uploader struct {
+	fleet  *fleet
+	target *machine
+	random *rand.Rand
+	sent   int
+}
+
+func newUploader(f *fleet, m *machine, seed uint64) *uploader {
+	return &uploader{fleet: f, target: m, random: rand.New(rand.NewPCG(seed, uint64(uploaderStream+m.index)))}
+}
+
+// run sends uploads until ctx ends.
+func (u *uploader) run(ctx context.Context) {
+	for wait.For(ctx, time.Duration(u.random.ExpFloat64()*float64(uploadPause))) {
+		u.send()
+	}
+}
+
+// send sends one upload, with its length or in chunks, and records its outcome.
+func (u *uploader) send() *request {
+	u.sent++
+	body := bytes.Repeat([]byte{'a' + byte(u.sent%26)}, uploadSize)
+	r := &request{
+		id: fmt.Sprintf("%d-upload-%d", u.target.index, u.sent), route: "browse", kind: wire.KindIdempotent, machine: u.target.index,
+		method: http.MethodPost, limit: requestLimit, bodySum: xxhash.Sum64(body),
+		size: uploadAnswers[u.random.IntN(len(uploadAnswers))],
+	}
+	if u.random.IntN(2) == 0 {
+		r.route, r.kind = "reserve", wire.KindNotIdempotent
+	}
+	r.key, r.forged = u.fleet.operator.drawKey(u.random)
+	r.uri = fmt.Sprintf("/%s/%s?size=%d", r.route, r.id, r.size)
+	chunked, delay := u.random.IntN(2) == 0, time.Duration(u.random.Int64N(int64(maxPieceDelay)))
+
+	u.fleet.oracle.recordSent(r)
+	response, answer, err := u.exchange(r, body, chunked, delay)
+	u.fleet.oracle.recordEnd(r, time.Now(), func() {
+		if r.err = err; response != nil && err == nil {
+			r.answered(response, answer)
+		}
+	})
+	return r
+}
+
+// exchange sends the request with its body on a new connection and reads the answer meanwhile.
+func (u *uploader) exchange(r *request, body []byte, chunked bool, delay time.Duration) (*http.Response, []byte, error) {
+	conn, err := net.DialTimeout("tcp", u.target.address(callersPort), requestLimit)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(r.limit + responseWait))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		r.method, r.uri, host, wire.RequestIDField, r.id, wire.TimeLimitField, r.limit.Milliseconds())
+	for _, field := range r.identity() {
+		head += fmt.Sprintf("%s: %s\r\n", field[0], field[1])
+	}
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	defer conn.Close() // ends the write
+	writing.Go(func() {
+		if chunked {
+			_, _ = io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\n")
+		} else {
+			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", head, len(body))
+		}
+		for len(body) > 0 {
+			piece := body[:min(uploadPiece, len(body))]
+			body = body[len(piece):]
+			if chunked {
+				piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+			}
+			if _, err := conn.Write(piece); err != nil {
+				return
+			}
+			time.Sleep(delay)
+		}
+		if chunked {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+	})
+	return readResponse(bufio.NewReader(conn))
+}
+
+// awaitServed sends uploads until several in a row are served, of both kinds and in both framings.
+func (u *uploader) awaitServed() {
+	for served, end := 0, time.Now().Add(readyLimit); served < 10 && time.Now().Before(end); {
+		if served++; u.send().status != http.StatusOK {
+			served = 0
+		}
+	}
+}
+
+// Guards against an answer that reaches a caller in part, or with a body that is not the back end's, over the processes of one and of
+// two nodes, and against the loss of an answer that ends in order while the upload is still being written.
+func TestEarlyAnswersOverProcesses(t *testing.T) {
+	const uploads = 40 // to each node
+	for name, test := range map[string]struct {
+		faults standin.BackendFaults
+		whole  bool
+	}{
+		"reset":          {standin.BackendFaults{ResetEarly: 1}, false},
+		"ended in order": {standin.BackendFaults{EndEarly: 1}, true},
+		"none":           {standin.BackendFaults{}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			folder, err := os.MkdirTemp("", "soak-early-")
+			assert.NilError(t, err)
+			o := newOracle(serviceOf, startStallDetector(t))
+			f := newFleet(t, folder, o, parts{})
+			defer f.close()
+			assert.Assert(t, f.awaitReady(), "not all nodes are ready; logs in %s", folder)
+			var uploaders []*uploader
+			for _, m := range f.machines {
+				u := newUploader(f, m, rand.Uint64())
+				u.awaitServed()
+				uploaders = append(uploaders, u)
+			}
+			from := time.Now()
+			for _, m := range f.machines {
+				m.backend.SetFaults(test.faults)
+			}
+			var senders sync.WaitGroup
+			for _, u := range uploaders {
+				senders.Go(func() {
+					for range uploads {
+						u.send()
+					}
+				})
+			}
+			senders.Wait()
+			violations := o.finish()
+			t.Logf("outcomes %v", o.summary())
+			assert.Equal(t, len(violations), 0, "%v", violations[:min(len(violations), maxListed)])
+			if test.whole {
+				share, count := o.servedShare(span{from, time.Now()}, false)
+				assert.Assert(t, share == 1, "%v of %d uploads were answered with success", share, count)
+			}
+			assert.NilError(t, os.RemoveAll(folder))
+		})
+	}
+}
