answerhead: refuse answers with a field name that is no token

What callers saw: an answer whose head has a field name with a blank, such as "X Odd: 1" or "Transfer-Encoding : chunked", reached them with status 200, and with a body that is not the upstream's where the field would frame it.

Cause: net/http reads a name with blanks and keeps it under that name, so that it neither frames the body nor means anything else, while it refuses all other bytes that no token may hold. The check of the head looked at the status line only. The same answers were taken from other nodes, where "Magnoliawharf-Refusal : draining" made a refusal an answer, and from the store, and counted as health reports.

Change: each name of a head, also of interim answers, has to be a token (RFC 9110, section 5.1), by golang.org/x/net/http/httpguts. The attempt ends as one that may have run, and its connection with it; the counter of the upstream's faults has the reason "malformed", as for other invalid names.

--- a/sidecar/invalid_status_test.go
+++ b/sidecar/invalid_status_test.go
@@ -13,10 +13,13 @@
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
 )
 
-// Guards against an answer without a valid status line that reaches a caller over one or two nodes, and against a request that is lost by
+// Guards against an answer without a valid status line, or with an invalid field name, that reaches a caller over one or two nodes, and against a request that is lost by
 // it although another upstream could have run it.
-func TestInvalidStatusLinesReachNoCaller(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 +20 X", "HTTP/1.1 100 Continue", "HTTP/1.1 600 X", "HTTP/2.0 200 OK"} {
+func TestInvalidHeadsReachNoCaller(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 +20 X", "HTTP/1.1 100 Continue", "HTTP/1.1 600 X", "HTTP/2.0 200 OK",
+		"HTTP/1.1 200 OK\r\nX Odd: 1", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\r\nX\x01Odd: 1",
+	} {
 		t.Run(line, func(t *testing.T) {
 			memory := kvstore.NewMemory()
 			publish(t, memory, document{Version: 1, Service: "s"})
--- a/soak/uploads_test.go
+++ b/soak/uploads_test.go
@@ -137,9 +137,9 @@
 	}
 }
 
-// Guards against an answer that reaches a caller in part, or with a body that is not the back end's, over the processes of one and of
-// two nodes, and against the loss of an answer that ends in order while the upload is still being written.
-func TestEarlyAnswersOverProcesses(t *testing.T) {
+// Guards against an answer that reaches a caller in part, or with an invalid head or a body that is not the back end's, over the processes
+// of one and of two nodes, and against the loss of an answer that ends in order while the upload is still being written.
+func TestFaultyAnswersOverProcesses(t *testing.T) {
 	const uploads = 40 // to each node
 	for name, test := range map[string]struct {
 		faults standin.BackendFaults
@@ -147,10 +147,11 @@
 	}{
 		"reset":          {standin.BackendFaults{ResetEarly: 1}, false},
 		"ended in order": {standin.BackendFaults{EndEarly: 1}, true},
+		"invalid heads":  {standin.BackendFaults{Invalid: 1}, false},
 		"none":           {standin.BackendFaults{}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			folder, err := os.MkdirTemp("", "soak-early-")
+			folder, err := os.MkdirTemp("", "soak-answers-")
 			assert.NilError(t, err)
 			o := newOracle(serviceOf, startStallDetector(t))
 			f := newFleet(t, folder, o, parts{})
--- a/transport/answerhead/answerhead.go
+++ b/transport/answerhead/answerhead.go
@@ -1,5 +1,5 @@
-// Package answerhead checks the status lines of HTTP answers, which net/http reads leniently: it accepts every status of three characters
-// that parse as a number, and every protocol version.
+// Package answerhead checks the heads of HTTP answers, which net/http reads leniently: it accepts every status of three characters that
+// parse as a number, every protocol version, and blanks in the names of fields.
 package answerhead
 
 import (
@@ -9,11 +9,16 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInvalid is wrapped by the error of an answer that is no valid answer of HTTP/1.0 or HTTP/1.1. It says nothing of the request, and
-// whatever follows it on its connection is no answer either.
-var ErrInvalid = errors.New("invalid status line")
+// ErrInvalid and ErrFieldName are wrapped by the errors of answers that are no valid answers of HTTP/1.0 or HTTP/1.1. Such an answer says
+// nothing of the request, and whatever follows it on its connection is no answer either.
+var (
+	ErrInvalid   = errors.New("invalid status line")
+	ErrFieldName = errors.New("invalid field name")
+)
 
 const (
 	minStatus      = 100
@@ -22,7 +27,8 @@
 )
 
 // Check returns an error that wraps ErrInvalid unless the head is that of a final answer with a status from 200 to 599, or of an interim
-// answer (1xx) without a length, in HTTP/1.0 or HTTP/1.1. net/http itself refuses heads with two lengths that differ.
+// answer (1xx) without a length, in HTTP/1.0 or HTTP/1.1. It returns one that wraps ErrFieldName if the name of a field is no token
+// (RFC 9110, section 5.1). net/http itself refuses heads with two lengths that differ.
 func Check(response *http.Response) error {
 	if response.ProtoMajor != 1 || response.ProtoMinor > 1 {
 		return fmt.Errorf("%w: protocol version %d.%d", ErrInvalid, response.ProtoMajor, response.ProtoMinor)
@@ -33,7 +39,7 @@
 	case status < minFinalStatus:
 		return checkInterim(status, response.Header, len(response.TransferEncoding) > 0)
 	}
-	return nil
+	return checkNames(response.Header)
 }
 
 // CheckFinal is Check for an answer that is to be the final one. 101 is none, since no request asks for another protocol.
@@ -55,7 +61,8 @@
 // body as the next answer. Check is the Got1xxResponse of a trace.
 type Interim struct{ count int }
 
-// Check returns an error that wraps ErrInvalid for an interim answer with a length, and for one too many.
+// Check returns an error that wraps ErrInvalid for an interim answer with a length, and for one too many, and one that wraps ErrFieldName
+// for an interim answer with an invalid field name.
 func (i *Interim) Check(status int, header textproto.MIMEHeader) error {
 	if i.count++; i.count > maxInterim {
 		return fmt.Errorf("%w: more than %d interim answers", ErrInvalid, maxInterim)
@@ -67,6 +74,16 @@
 	if _, ok := header["Content-Length"]; ok || chunked {
 		return fmt.Errorf("%w: status %d with a length", ErrInvalid, status)
 	}
+	return checkNames(header)
+}
+
+// checkNames also covers fields that frame a body: one whose name ends with a blank, such as "Transfer-Encoding ", frames none for net/http.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: %q", ErrFieldName, name)
+		}
+	}
 	return nil
 }
 
--- a/transport/answerhead/answerhead_test.go
+++ b/transport/answerhead/answerhead_test.go
@@ -48,22 +48,48 @@
 	}
 }
 
+// Guards against a head with an invalid field name that is taken for a valid answer, and against a valid name that is refused, for each
+// byte that a name may hold.
+func TestFieldNames(t *testing.T) {
+	const tokenMarks = "!#$%&'*+-.^_`|~"
+	for c := range 256 {
+		for _, name := range []string{"X" + string([]byte{byte(c)}) + "Odd", "X-Odd" + string([]byte{byte(c)})} {
+			if c == '\n' || c == ':' {
+				continue // the name ends there
+			}
+			valid := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c > 0 && strings.IndexByte(tokenMarks, byte(c)) >= 0
+			for _, status := range []string{"200", "103", "503"} {
+				head := "HTTP/1.1 " + status + " X\r\nX-First: 1\r\n" + name + ": 1\r\n\r\n"
+				response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil)
+				if err == nil {
+					err = answerhead.Check(response)
+				}
+				assert.Assert(t, (err == nil) == valid, "%q: %v", head, err)
+			}
+		}
+	}
+}
+
 // Guards against an invalid answer that a client of net/http passes on, against its connection that is used again, with bytes on it that
 // follow the invalid answer, and against interim answers without end.
 func TestTransportEndsConnectionsOfInvalidAnswers(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	for name, answer := range map[string]string{
-		"600":                   "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
-		"600 with a body":       "HTTP/1.1 600 X\r\nContent-Length: 40\r\n\r\n" + good,
-		"099":                   "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n" + good,
-		"000":                   "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/2.0":              "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
-		"switched protocols":    "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
-		"interim with a length": "HTTP/1.1 100 Continue\r\nContent-Length: 40\r\n\r\n" + good,
-		"interim with chunks":   "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n" + good + "\r\n0\r\n\r\n",
-		"endless interim":       strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1000) + good,
-		"two lengths":           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
-		"interim, two lengths":  "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"600":                    "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+		"600 with a body":        "HTTP/1.1 600 X\r\nContent-Length: 40\r\n\r\n" + good,
+		"099":                    "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n" + good,
+		"000":                    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/2.0":               "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"switched protocols":     "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+		"interim with a length":  "HTTP/1.1 100 Continue\r\nContent-Length: 40\r\n\r\n" + good,
+		"interim with chunks":    "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n" + good + "\r\n0\r\n\r\n",
+		"endless interim":        strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1000) + good,
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+		"blank after a name":     "HTTP/1.1 200 OK\r\nContent-Length : 40\r\nContent-Length: 0\r\n\r\n",
+		"blank, interim":         "HTTP/1.1 103 X\r\nX Odd: 1\r\n\r\n" + good,
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 0\r\n\r\n",
+		"two lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"interim, two lengths":   "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr, accepted := startServer(t, answer, good)
--- a/transport/peerhttp/client_test.go
+++ b/transport/peerhttp/client_test.go
@@ -150,7 +150,10 @@
 		"1000": "HTTP/1.1 1000 X" + fields, "-1": "HTTP/1.1 -1 X" + fields, "letters": "HTTP/1.1 abc X" + fields,
 		"HTTP/2.0": "HTTP/2.0 200 OK" + fields, "HTTP/0.9": "HTTP/0.9 200 OK" + fields, "101": "HTTP/1.1 101 X" + fields,
 		"interim with a length": "HTTP/1.1 103 X" + fields + good, "refusal with 999": "HTTP/1.1 999 X" + refusal, "refusal in HTTP/2.0": "HTTP/2.0 503 X" + refusal,
-		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 1" + fields, "endless interim": strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1000) + good,
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Odd: 1" + fields, "blank in a name, interim": "HTTP/1.1 103 X\r\nX Odd: 1\r\n\r\n" + good,
+		"blank after the name of a refusal": "HTTP/1.1 503 X\r\nMagnoliawharf-Refusal : draining" + fields, "refusal with a blank in a name": "HTTP/1.1 503 X\r\nX Odd: 1" + refusal,
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Odd: 1" + fields,
+		"two lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 1" + fields, "endless interim": strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1000) + good,
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr := rawPeer(t, func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, answer) })
--- a/transport/upstreamconn/answer_fuzz_test.go
+++ b/transport/upstreamconn/answer_fuzz_test.go
@@ -20,8 +20,11 @@
 // validStatusLine matches the first line of whatever may lead to an answer.
 var validStatusLine = regexp.MustCompile(`^HTTP/1\.[01] +[1-5][0-9][0-9]( [^\n]*)?\r?(\n|$)`)
 
+// token matches a valid field name.
+var token = regexp.MustCompile("^[-!#$%&'*+.^_`|~0-9A-Za-z]+$")
+
 // Guards against bytes of an upstream that end the process, that reach a caller as the whole answer to a request although the
-// upstream did not echo its ID, or that reach it although their status line is invalid.
+// upstream did not echo its ID, or that reach it although their status line or the name of a field is invalid.
 func FuzzAnswer(f *testing.F) {
 	listener, err := net.Listen("tcp", countedAddr)
 	assert.NilError(f, err)
@@ -64,6 +67,9 @@
 		}
 		assert.Check(t, got.Status >= 200 && got.Status <= 599 && validStatusLine.Match(raw), "status %d", got.Status)
 		defer got.Body.Close()
+		for name := range got.Header {
+			assert.Check(t, token.MatchString(name), "field %q", name)
+		}
 		notRun := http.Header(got.Header).Get("X-Not-Run") != "" || got.Status == http.StatusMisdirectedRequest
 		assert.Check(t, http.Header(got.Header).Get("X-Id") == "r1" || notRun)
 		_, _ = io.Copy(io.Discard, got.Body)
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -115,7 +114,7 @@
 			return nil, headError(err)
 		}
 		if err := answerhead.Check(response); err != nil {
-			return nil, fmt.Errorf("%w: %w", invalidStatus, err)
+			return nil, invalidHeadError(err)
 		}
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
--- a/transport/upstreamconn/fault.go
+++ b/transport/upstreamconn/fault.go
@@ -10,6 +10,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"github.com/magnoliawharf/magnoliawharf/metrics"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 // fault is the error of an exchange in which the upstream sent bytes that are not the answer to the request. Its value is
@@ -105,3 +106,11 @@
 	}
 	return fmt.Errorf("%w: %w", malformed, err)
 }
+
+// invalidHeadError returns the error of a head that is read and not valid.
+func invalidHeadError(err error) error {
+	if errors.Is(err, answerhead.ErrFieldName) {
+		return fmt.Errorf("%w: %w", malformed, err)
+	}
+	return fmt.Errorf("%w: %w", invalidStatus, err)
+}
--- a/transport/upstreamconn/invalid_status_test.go
+++ b/transport/upstreamconn/invalid_status_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,7 +16,7 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 )
 
-// invalidHeads are heads of answers that are no valid final answer of HTTP/1.x. Each is followed by a body that is a valid answer, so that
+// invalidHeads are heads of answers that are no valid final answer of HTTP/1.x, with those of invalidNames. Each is followed by a body that is a valid answer, so that
 // reading on for an answer finds one.
 var invalidHeads = map[string]string{
 	"000":                       "HTTP/1.1 000 X\r\nX-Id: r1\r\nContent-Length: 54\r\n\r\n",
@@ -49,6 +50,23 @@
 	"refusal in HTTP/2.0":       "HTTP/2.0 421 X\r\nX-Id: r1\r\nContent-Length: 54\r\n\r\n",
 }
 
+// invalidNames are the names of a field in a head that is otherwise valid. RFC 9110 allows a token only.
+var invalidNames = []string{
+	"Content-Length ", "Transfer-Encoding ", "X Odd", "X-Odd ", "X-Not-Run ", "X-Id ", "Set-Cookie X", "X-Odd\t", "X\tOdd", "X\x00Odd", "X\x01Odd", "X\x7fOdd",
+	"X\x1b[0m", "X\rOdd", "X(Odd)", "X\"Odd", "X\xe9Odd", "",
+}
+
+func init() {
+	for _, name := range invalidNames {
+		invalidHeads[fmt.Sprintf("name %q first", name)] = "HTTP/1.1 200 OK\r\n" + name + ": 4\r\nX-Id: r1\r\nContent-Length: 54\r\n\r\n"
+		invalidHeads[fmt.Sprintf("name %q last", name)] = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 54\r\n" + name + ": 4\r\n\r\n"
+		invalidHeads[fmt.Sprintf("name %q without a length", name)] = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n" + name + ": chunked\r\n\r\n"
+		invalidHeads[fmt.Sprintf("name %q of an interim answer", name)] = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + name + ": 4\r\n\r\n"
+		invalidHeads[fmt.Sprintf("name %q of another request", name)] = "HTTP/1.1 200 OK\r\nX-Id: r0\r\n" + name + ": 4\r\nContent-Length: 0\r\n\r\n"
+		invalidHeads[fmt.Sprintf("name %q of a refusal", name)] = "HTTP/1.1 503 X\r\nX-Id: r1\r\n" + name + ": 4\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+}
+
 const (
 	hiddenAnswer = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 6\r\n\r\nhidden"
 	// attemptLimit is the time within which an invalid answer ends an attempt whose connection stays open. The deadline is later.
@@ -72,11 +90,12 @@
 	return addr, ended
 }
 
-// Guards against an answer without a valid status line that a caller gets or that states not-run, against one whose body is read as the
-// answer, and against an attempt that waits for its deadline after one.
+// Guards against an answer without a valid status line, or with an invalid field name, that a caller gets or that states not-run, against
+// one whose body is read as the answer, and against an attempt that waits for its deadline after one.
 func TestInvalidAnswersEndTheAttempt(t *testing.T) {
 	for name, head := range invalidHeads {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			addr, ended := startInvalid(t, head)
 			client := newClient(t)
 			ctx, cancel := context.WithTimeout(context.Background(), lateDeadline)
@@ -106,10 +125,11 @@
 	}
 }
 
-// Guards against an upstream that counts as healthy, or as the one expected, by a report without a valid status line.
+// Guards against an upstream that counts as healthy, or as the one expected, by a report without a valid head.
 func TestInvalidHealthReportsAreFaults(t *testing.T) {
 	for name, head := range invalidHeads {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			addr, _ := startInvalid(t, strings.ReplaceAll(head, "X-Id: r1\r\n", "X-Upstream: u-1\r\n"))
 			ctx, cancel := context.WithTimeout(context.Background(), promptly)
 			defer cancel()
@@ -140,3 +160,34 @@
 		assert.Equal(t, body, "ok", name)
 	}
 }
+
+// Guards against a valid field name that is refused, and against a trailer with an invalid name that is passed on, that takes the body of
+// its answer with it, or that is taken for a part of the next answer.
+func TestValidFieldNamesAreAccepted(t *testing.T) {
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for name, rest := range map[string]string{
+		"all characters of a token": "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok",
+		"blanks around the value":   "X-Odd: \t 1 \r\nContent-Length: 2\r\n\r\nok",
+		"blank in the value":        "X-Odd: a b\r\nContent-Length: 2\r\n\r\nok",
+		"no value":                  "X-Odd:\r\nContent-Length: 2\r\n\r\nok",
+		"trailer":                   chunks + "X-Odd: 1\r\n\r\n",
+		"trailer with a blank":      chunks + "X Odd: 1\r\nContent-Length : 4\r\n\r\n",
+	} {
+		addr, _ := startUpstream(t, func(c *net.TCPConn, _ int, r *http.Request) bool {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n"+rest)
+			return err == nil
+		})
+		client := newClient(t)
+		for _, id := range []string{"r1", "r2"} {
+			answer, err := client.Send(t.Context(), requestOf(id, true, ""), addr)
+			assert.NilError(t, err, name)
+			body, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err, name)
+			assert.NilError(t, answer.Body.Close())
+			assert.Equal(t, string(body), "ok", name)
+			for field := range answer.Header {
+				assert.Check(t, !strings.Contains(field, " "), "%s: field %q", name, field)
+			}
+		}
+	}
+}
