Check the head in all clients that read answers

What callers would see: with bundles (node), contents of the store, a claim of a key or a member's reply from an answer that is none; from the command explain, a report that the node did not give.

Cause: four clients of net/http had no check of the head that net/http reads leniently: the pooled one for control messages between nodes, the one for membership, the one for the store's gateway, and that of the command explain.

Change: all go through answerhead.Transport. The command explain uses the single-use client for control messages, whose connections also tell a reset from an end and whose heads are bounded.

The tests failed before, each with the same response behind a valid head accepted: TestControlClientsCheckTheHead with the pooled client took 7 of 7 invalid heads for a response; TestMembershipResponsesNeedAValidHead, TestStoreResponsesNeedAValidHead and TestExplainNeedsAValidHead took 5 of 7, all but 000 and 600, which they refused as statuses. The single-use client refused all before.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -17,6 +17,7 @@
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/explain"
+	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
 // Exit codes of the command "sidecar explain". An unknown key gives ExitKey.
@@ -148,10 +149,8 @@
 	if err != nil {
 		return nil, errors.New("the question cannot be encoded")
 	}
-	client := http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	client := transport.NewSingleUseClient()
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/explain"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 )
 
 // Guards against a wrong exit code, an error that is not in the form asked for, and a key that is printed.
@@ -71,3 +72,11 @@
 		}
 	}
 }
+
+// Guards against a report that is read from an answer without a valid head, as if the node had given it.
+func TestExplainNeedsAValidHead(t *testing.T) {
+	sockets.AssertInvalidHeadsRefused(t, "application/json", `{"node":"n1"}`, func(addr string) error {
+		_, err := askNode(t.Context(), addr, explain.Question{})
+		return err
+	})
+}
--- a/store/kvhttp/client.go
+++ b/store/kvhttp/client.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliawharf/magnoliawharf/sockopt"
 	"github.com/magnoliawharf/magnoliawharf/store"
 	"github.com/magnoliawharf/magnoliawharf/store/kvhttp/wire"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 const (
@@ -61,7 +62,8 @@
 
 		MaxResponseHeaderBytes: maxResponseHeader,
 	}
-	return &Client{base: sling.New().Base(base), endpoint: base, http: &http.Client{Transport: transport}, timeout: timeout}
+	client := &http.Client{Transport: answerhead.Transport{Transport: transport}}
+	return &Client{base: sling.New().Base(base), endpoint: base, http: client, timeout: timeout}
 }
 
 // Close closes idle connections.
--- a/store/kvhttp/client_test.go
+++ b/store/kvhttp/client_test.go
@@ -27,6 +27,17 @@
 	sockets.AssertProbed(t, func(ctx context.Context) { _, _ = client.Get(ctx, "/k") })
 }
 
+// Guards against contents of the store that are read from a response without a valid head.
+func TestStoreResponsesNeedAValidHead(t *testing.T) {
+	const found = `{"header":{"revision":"9"},"kvs":[{"mod_revision":"9","version":"1"}]}`
+	sockets.AssertInvalidHeadsRefused(t, "application/json", found, func(addr string) error {
+		client := kvhttp.NewClient("http://"+addr, 0)
+		t.Cleanup(client.Close)
+		_, err := client.Get(t.Context(), "/k")
+		return err
+	})
+}
+
 // Guards against a misinterpreted response of the gateway, above all a write that may have taken effect and
 // is reported as one that has not.
 func TestGatewayResponses(t *testing.T) {
--- a/transport/control.go
+++ b/transport/control.go
@@ -29,7 +29,7 @@
 func NewControlClient() *ControlClient {
 	pool := newControlTransport()
 	pool.MaxIdleConnsPerHost, pool.IdleConnTimeout = controlIdlePerPeer, controlIdleTimeout
-	return &ControlClient{Client: http.Client{Transport: pool}, pool: pool}
+	return &ControlClient{Client: http.Client{Transport: answerhead.Transport{Transport: pool}}, pool: pool}
 }
 
 // NewSingleUseClient returns a client that opens a connection for each request and closes it afterwards. It suits rare
--- a/transport/control_test.go
+++ b/transport/control_test.go
@@ -46,6 +46,17 @@
 	assert.ErrorIs(t, get(t.Context(), t, transport.NewSingleUseClient(), server.URL), answerhead.ErrInvalid)
 }
 
+// Guards against contracts, bundles, claims of keys and probes that a node reads from an answer without a valid head.
+func TestControlClientsCheckTheHead(t *testing.T) {
+	pooled := transport.NewControlClient()
+	t.Cleanup(pooled.Close)
+	for name, client := range map[string]*http.Client{"pooled": &pooled.Client, "single use": transport.NewSingleUseClient()} {
+		t.Run(name, func(t *testing.T) {
+			sockets.AssertInvalidHeadsRefused(t, "text/plain", "", func(addr string) error { return get(t.Context(), t, client, "http://"+addr) })
+		})
+	}
+}
+
 // get sends a request and returns its error.
 func get(ctx context.Context, t *testing.T, client *http.Client, url string) error {
 	t.Helper()
--- a/transport/peerrpc/membership_client.go
+++ b/transport/peerrpc/membership_client.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawharf/magnoliawharf/datacentre"
 	"github.com/magnoliawharf/magnoliawharf/shard"
 	"github.com/magnoliawharf/magnoliawharf/sockopt"
+	"github.com/magnoliawharf/magnoliawharf/transport/answerhead"
 )
 
 const (
@@ -71,7 +72,7 @@
 	}
 	return m.clients.GetOrCreate(addr, func() magnoliawharfv1connect.MembershipServiceClient {
 		return magnoliawharfv1connect.NewMembershipServiceClient(
-			&http.Client{Transport: memberMinimalHeaderTransport{m.transport}}, "http://"+addr,
+			&http.Client{Transport: memberMinimalHeaderTransport{answerhead.Transport{Transport: m.transport}}}, "http://"+addr,
 			connect.WithReadMaxBytes(memberMaxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil),
 		)
 	})
--- a/transport/peerrpc/membership_client_test.go
+++ b/transport/peerrpc/membership_client_test.go
@@ -37,3 +37,13 @@
 	_, err := messenger.Ping(t.Context(), strings.TrimPrefix(server.URL, "http://"), datacentre.PingRequest{})
 	assert.ErrorContains(t, err, "exceeded")
 }
+
+// Guards against a member that counts as reached by an answer without a valid head.
+func TestMembershipResponsesNeedAValidHead(t *testing.T) {
+	messenger := peerrpc.NewMembershipMessenger(nil)
+	t.Cleanup(messenger.Close)
+	sockets.AssertInvalidHeadsRefused(t, "application/proto", "", func(addr string) error {
+		_, err := messenger.Ping(t.Context(), addr, datacentre.PingRequest{})
+		return err
+	})
+}
