transport: reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: HTTP/1.0 has no chunks, so that net/http ends an answer without a length with the connection, and the handler's panic with http.ErrAbortHandler closes the connection in order. Callers of HTTP/1.1 and HTTP/2 were not concerned: their answers have chunks or frames, whose end is missing.

Change: the three handlers that stream answers call AbortAnswer, which resets the connection of a request in HTTP/1.0. The wrappers of accepted connections tell the connection that they wrap (NetConn), as those of crypto/tls do.

--- a/transport/answer.go
+++ b/transport/answer.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 
@@ -23,8 +24,8 @@
 	}
 }
 
-// WriteAnswer streams an answer and closes its body. After an error the handler must abort the
-// connection by panic(http.ErrAbortHandler), so that the receiver never takes a truncated body as complete.
+// WriteAnswer streams an answer and closes its body. After an error the handler must call AbortAnswer, so that the receiver never
+// takes a truncated body as complete.
 func WriteAnswer(w http.ResponseWriter, answer *caller.Answer) error {
 	defer answer.Body.Close()
 	header := w.Header()
@@ -37,3 +38,30 @@
 	w.WriteHeader(answer.Status)
 	return Stream(w, answer.Body)
 }
+
+// AbortAnswer ends the connection of an answer that is not complete. It panics with http.ErrAbortHandler and does not return. The end of
+// the connection ends an answer without a length in HTTP/1.0, which has no chunks, so that the connection is reset there.
+func AbortAnswer(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes the connection so that the peer gets a reset.
+func reset(conn net.Conn) {
+	inner := conn
+	for {
+		wrapper, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		inner = wrapper.NetConn()
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -61,7 +61,7 @@
 	w.Header().Set(transport.HeaderUpstream, answer.Upstream)
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		metrics.CountRefusal(caller.BodyCut)
-		panic(http.ErrAbortHandler)
+		transport.AbortAnswer(w, r)
 	}
 	answersTotal.Inc()
 }
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -75,7 +75,7 @@
 	}
 	if err := transport.WriteAnswer(w, answer); err != nil {
 		metrics.CountRefusal(caller.BodyCut)
-		panic(http.ErrAbortHandler)
+		transport.AbortAnswer(w, r)
 	}
 }
 
--- a/transport/httpserver/limit.go
+++ b/transport/httpserver/limit.go
@@ -54,6 +54,9 @@
 	return err
 }
 
+// NetConn returns the connection that c wraps.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite shuts down the sending direction. net/http calls it, where a connection has it, before it closes
 // a connection whose request it has not read completely. Without it the close resets the connection and the
 // answer is lost.
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -72,7 +72,7 @@
 		w.Header().Set(headerNotice, notice)
 	}
 	if err := transport.WriteAnswer(w, answer); err != nil {
-		panic(http.ErrAbortHandler)
+		transport.AbortAnswer(w, r)
 	}
 }
 
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -326,6 +326,9 @@
 	return nil
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite shuts down the sending direction. net/http calls it before it closes a connection whose request it has not read
 // completely.
 func (c *conn) CloseWrite() error {
