--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -44,7 +44,7 @@
 	data net.Conn // tells a reset from an end to the reader, so that it is not passed on as an end
 }
 
-func newSide(conn net.Conn) side { return side{conn.(*net.TCPConn), sockopt.NewConn(conn)} }
+func newSide(conn *net.TCPConn) side { return side{conn, sockopt.NewConn(conn)} }
 
 func startProxy(listen, target string) (*proxy, error) {
 	listener, err := net.Listen("tcp", listen)
@@ -120,7 +120,7 @@
 		_ = client.Close()
 		return
 	}
-	c := &proxiedConn{client: newSide(client), server: newSide(server)}
+	c := &proxiedConn{client: newSide(client), server: newSide(server.(*net.TCPConn))}
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
--- a/sockopt/conn.go
+++ b/sockopt/conn.go
@@ -21,10 +21,10 @@
 }
 
 // NewConn returns a connection that uses the TCP connection and whose reads report its failures, as those of a Dialer do.
-func NewConn(tcp net.Conn) net.Conn { return &conn{Conn: tcp} }
+func NewConn(tcp *net.TCPConn) net.Conn { return &conn{Conn: tcp} }
 
 // SyscallConn implements syscall.Conn.
-func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
--- a/sockopt/sockopt.go
+++ b/sockopt/sockopt.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(opened), nil
+	return NewConn(opened.(*net.TCPConn)), nil
 }
 
 // SetUserTimeout bounds how long sent data may stay unacknowledged on conn before the kernel closes it; 0 removes the
