--- a/transport/answerhead/answerhead.go
+++ b/transport/answerhead/answerhead.go
@@ -13,11 +13,11 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInvalid and ErrFieldName are wrapped by the errors of answers that are no valid answers of HTTP/1.0 or HTTP/1.1. Such an answer says
+// ErrStatusLine and ErrFieldName are wrapped by the errors of answers that are no valid answers of HTTP/1.0 or HTTP/1.1. Such an answer says
 // nothing of the request, and whatever follows it on its connection is no answer either.
 var (
-	ErrInvalid   = errors.New("invalid status line")
-	ErrFieldName = errors.New("invalid field name")
+	ErrStatusLine = errors.New("invalid status line")
+	ErrFieldName  = errors.New("invalid field name")
 )
 
 const (
@@ -26,16 +26,16 @@
 	maxStatus      = 599
 )
 
-// Check returns an error that wraps ErrInvalid unless the head is that of a final answer with a status from 200 to 599, or of an interim
+// Check returns an error that wraps ErrStatusLine unless the head is that of a final answer with a status from 200 to 599, or of an interim
 // answer (1xx) without a length, in HTTP/1.0 or HTTP/1.1. It returns one that wraps ErrFieldName if the name of a field is no token
 // (RFC 9110, section 5.1). net/http itself refuses heads with two lengths that differ.
 func Check(response *http.Response) error {
 	if response.ProtoMajor != 1 || response.ProtoMinor > 1 {
-		return fmt.Errorf("%w: protocol version %d.%d", ErrInvalid, response.ProtoMajor, response.ProtoMinor)
+		return fmt.Errorf("%w: protocol version %d.%d", ErrStatusLine, response.ProtoMajor, response.ProtoMinor)
 	}
 	switch status := response.StatusCode; {
 	case status < minStatus || status > maxStatus:
-		return fmt.Errorf("%w: status %d", ErrInvalid, status)
+		return fmt.Errorf("%w: status %d", ErrStatusLine, status)
 	case status < minFinalStatus:
 		return checkInterim(status, response.Header, len(response.TransferEncoding) > 0)
 	}
@@ -48,7 +48,7 @@
 		return err
 	}
 	if response.StatusCode < minFinalStatus {
-		return fmt.Errorf("%w: interim status %d of a final answer", ErrInvalid, response.StatusCode)
+		return fmt.Errorf("%w: interim status %d of a final answer", ErrStatusLine, response.StatusCode)
 	}
 	return nil
 }
@@ -61,18 +61,18 @@
 // body as the next answer. Check is the Got1xxResponse of a trace.
 type Interim struct{ count int }
 
-// Check returns an error that wraps ErrInvalid for an interim answer with a length, and for one too many, and one that wraps ErrFieldName
+// Check returns an error that wraps ErrStatusLine for an interim answer with a length, and for one too many, and one that wraps ErrFieldName
 // for an interim answer with an invalid field name.
 func (i *Interim) Check(status int, header textproto.MIMEHeader) error {
 	if i.count++; i.count > maxInterim {
-		return fmt.Errorf("%w: more than %d interim answers", ErrInvalid, maxInterim)
+		return fmt.Errorf("%w: more than %d interim answers", ErrStatusLine, maxInterim)
 	}
 	return checkInterim(status, http.Header(header), false)
 }
 
 func checkInterim(status int, header http.Header, chunked bool) error {
 	if _, ok := header["Content-Length"]; ok || chunked {
-		return fmt.Errorf("%w: status %d with a length", ErrInvalid, status)
+		return fmt.Errorf("%w: status %d with a length", ErrStatusLine, status)
 	}
 	return checkNames(header)
 }
--- a/transport/answerhead/answerhead_test.go
+++ b/transport/answerhead/answerhead_test.go
@@ -33,7 +33,7 @@
 				interim := accepted && status >= 100 && status <= 199 && !hasLength
 				err = answerhead.Check(response)
 				assert.Assert(t, (err == nil) == (final || interim), "%q: %v", head, err)
-				assert.Assert(t, err == nil || errors.Is(err, answerhead.ErrInvalid))
+				assert.Assert(t, err == nil || errors.Is(err, answerhead.ErrStatusLine))
 				assert.Assert(t, (answerhead.CheckFinal(response) == nil) == final, "%q", head)
 			}
 		}
--- a/transport/control_test.go
+++ b/transport/control_test.go
@@ -43,7 +43,7 @@
 		}
 	}))
 	t.Cleanup(server.Close)
-	assert.ErrorIs(t, get(t.Context(), t, transport.NewSingleUseClient(), server.URL), answerhead.ErrInvalid)
+	assert.ErrorIs(t, get(t.Context(), t, transport.NewSingleUseClient(), server.URL), answerhead.ErrStatusLine)
 }
 
 // Guards against contracts, bundles, claims of keys and probes that a node reads from an answer without a valid head.
