Tests: one raw server and one slow body for the tests of broken answers

Three tests of this change had a server and two a body of their own. On the code before the change the same 24 cases of TestEndOfAnswerDuringUpload, the 3 of TestEndOfAnswerDuringRequest and TestResetAnswerDuringUploadIsBroken fail with the shared ones.

--- a/standin/sockets/invalid.go
+++ b/standin/sockets/invalid.go
@@ -1,7 +1,6 @@
 package sockets
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -23,35 +22,14 @@
 // sends one request to the address and returns its error.
 func AssertInvalidHeadsRefused(t *testing.T, contentType, body string, do func(addr string) error) {
 	t.Helper()
-	respond := func(head string) (addr string) {
-		return startRaw(t, fmt.Sprintf("%sContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", head, contentType, len(body), body))
+	serve := func(head string) (addr string) {
+		return ServeRaw(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(conn, "%sContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", head, contentType, len(body), body)
+		})
 	}
-	assert.NilError(t, do(respond(validHead)))
+	assert.NilError(t, do(serve(validHead)))
 	for _, head := range invalidHeads {
-		assert.Check(t, do(respond(head)) != nil, "%q is taken for a response", head)
+		assert.Check(t, do(serve(head)) != nil, "%q is taken for a response", head)
 	}
 }
-
-// startRaw starts a server that sends the bytes in response to each request, and returns its address.
-func startRaw(t *testing.T, response string) (addr string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, response)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
--- a/transport/reset_answer_test.go
+++ b/transport/reset_answer_test.go
@@ -1,7 +1,6 @@
 package transport_test
 
 import (
-	"bufio"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -11,48 +10,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 	"github.com/magnoliawharf/magnoliawharf/transport"
 )
 
-// startEarlyServer starts a server that answers without a length before it has read the body of the request, and returns its URL. end
-// ends the connection.
-func startEarlyServer(t *testing.T, end func(*net.TCPConn)) (url string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-					time.Sleep(rand.N(5 * time.Millisecond))
-					end(conn.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
-}
-
-// slowBody is the body of a request that is written in small pieces.
-type slowBody struct{ left int }
-
-// Read implements io.Reader.
-func (b *slowBody) Read(p []byte) (int, error) {
-	if b.left == 0 {
-		return 0, io.EOF
-	}
-	time.Sleep(30 * time.Microsecond)
-	n := min(len(p), b.left, 4<<10)
-	b.left -= n
-	return n, nil
-}
+const requestSize = 256 << 10
 
 // Guards against a part of an answer from another node that is taken for the whole, since the reset of its connection was reported to
 // the writer of the request only, and against the loss of an answer that ended in order while the request was still being written.
@@ -76,11 +38,15 @@
 		for endName, end := range ends {
 			t.Run(clientName+"/"+endName, func(t *testing.T) {
 				t.Parallel()
-				url := startEarlyServer(t, end)
+				addr := sockets.ServeRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+					time.Sleep(rand.N(5 * time.Millisecond))
+					end(conn)
+				})
 				for range 200 {
-					request, err := http.NewRequest(http.MethodPost, url, io.NopCloser(&slowBody{256 << 10}))
+					request, err := http.NewRequest(http.MethodPost, "http://"+addr, sockets.SlowReader(requestSize))
 					assert.NilError(t, err)
-					request.ContentLength = 256 << 10
+					request.ContentLength = requestSize
 					var body []byte
 					response, err := do(request.WithContext(t.Context()))
 					if err == nil {
--- a/transport/upstreamconn/reset_answer_test.go
+++ b/transport/upstreamconn/reset_answer_test.go
@@ -15,17 +15,18 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 )
 
 const (
 	uploadSize = 256 << 10
 	// answerPart is what the upstream sends of the body of its answer.
 	answerPart = "the first part of the answer"
-	// writeTime is long enough for a released upload to be written, or to fail.
+	// writeTime is the time for a released upload to be written, or to fail.
 	writeTime = 30 * time.Millisecond
 )
 
-// upload is the body of a request. It pauses behind its first 8 KiB until go on is closed.
+// upload is the body of a request. It pauses behind its first 8 KiB until goOn is closed.
 type upload struct {
 	goOn chan struct{}
 	read int
@@ -55,11 +56,11 @@
 	return req
 }
 
-// earlyAnswers are answers to an upload by the way in which their body ends, with ends of their connections that leave them incomplete.
+// earlyAnswers are answers to an upload, by what tells the end of their body.
 var earlyAnswers = map[string]struct {
 	head, body string
-	whole      bool // the body is whole without the end of the connection
-	framed     bool // the body is not whole although the connection ends in order
+	whole      bool // the body is whole, however the connection ends
+	cut        bool // the body is not whole, however the connection ends
 }{
 	"no length":               {"HTTP/1.1 200 OK\r\n", answerPart, false, false},
 	"no length in HTTP/1.0":   {"HTTP/1.0 200 OK\r\n", answerPart, false, false},
@@ -137,7 +138,7 @@
 						began := time.Now()
 						got, err := io.ReadAll(response.Body)
 						assert.NilError(t, response.Body.Close())
-						whole := answer.whole || (end.inOrder && !answer.framed)
+						whole := answer.whole || (end.inOrder && !answer.cut)
 						assert.Equal(t, err == nil, whole, "body %q, error %v", got, err)
 						assert.Assert(t, !whole || string(got) == answerPart, "body %q", got)
 						assert.Check(t, time.Since(began) < attemptLimit, "the end took %v", time.Since(began))
@@ -148,20 +149,6 @@
 	}
 }
 
-// slowUpload is the body of a request that is written in small pieces.
-type slowUpload struct{ left int }
-
-// Read implements io.Reader.
-func (u *slowUpload) Read(p []byte) (int, error) {
-	if u.left == 0 {
-		return 0, io.EOF
-	}
-	time.Sleep(50 * time.Microsecond)
-	n := min(len(p), u.left, 4<<10)
-	u.left -= n
-	return n, nil
-}
-
 // Guards against the same where the upload and the reader of the answer compete for the report of the reset.
 func TestResetAnswerDuringUploadIsBroken(t *testing.T) {
 	for i := range 100 {
@@ -172,7 +159,7 @@
 			_ = c.SetLinger(0)
 			return false
 		})
-		got, refusal, err := send(t, newClient(t), addr, uploadRequest("r1", &slowUpload{uploadSize}, i%2 == 0))
+		got, refusal, err := send(t, newClient(t), addr, uploadRequest("r1", sockets.SlowReader(uploadSize), i%2 == 0))
 		assert.Assert(t, err != nil || refusal != nil, "body %q of an answer that was reset after %v is taken for the whole", got, pause)
 		assert.Assert(t, refusal == nil || refusal.Ran == caller.Unknown, "%v", refusal)
 	}
