Tests: shorter functions, one raw server for the tests of nodes too

The uploader of the soak wrote its body in the function that reads the answer, and the tests of the client for other nodes had a raw server of their own. No check changes; TestFaultyAnswersOverProcesses and the tests of transport/peerhttp pass as before.

--- a/soak/uploads_test.go
+++ b/soak/uploads_test.go
@@ -23,6 +23,7 @@
 )
 
 const (
+	// uploadsStream is the random stream of the part, as those of the other parts.
 	uploadsStream = 1<<37 + 1995262
 	// uploaderStream is the first random stream of the uploaders, behind those of the other callers.
 	uploaderStream = 2000
@@ -94,40 +95,37 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	defer conn.Close()
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	defer conn.Close() // ends the write
 	_ = conn.SetDeadline(time.Now().Add(r.limit + responseWait))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
 		r.method, r.uri, host, wire.RequestIDField, r.id, wire.TimeLimitField, r.limit.Milliseconds())
 	for _, field := range r.identity() {
 		head += fmt.Sprintf("%s: %s\r\n", field[0], field[1])
 	}
-	var writing sync.WaitGroup
-	defer writing.Wait()
-	defer conn.Close() // ends the write
 	writing.Go(func() {
 		if chunked {
-			_, _ = io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\n")
-		} else {
-			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", head, len(body))
-		}
-		for len(body) > 0 {
-			piece := body[:min(uploadPiece, len(body))]
-			body = body[len(piece):]
-			if chunked {
-				piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
-			}
-			if _, err := conn.Write(piece); err != nil {
-				return
-			}
-			time.Sleep(delay)
-		}
-		if chunked {
-			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			writeSlowly(conn, head+"Transfer-Encoding: chunked\r\n\r\n", body, delay, func(piece []byte) []byte {
+				return fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+			})
+			return
 		}
+		writeSlowly(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(body)), body, delay, func(piece []byte) []byte { return piece })
 	})
 	return readResponse(bufio.NewReader(conn))
 }
 
+// writeSlowly writes the head and the encoded pieces of the body, with a pause after each. An empty piece ends the body.
+func writeSlowly(conn net.Conn, head string, body []byte, delay time.Duration, encode func(piece []byte) []byte) {
+	_, err := io.WriteString(conn, head)
+	for last := false; err == nil && !last; time.Sleep(delay) {
+		piece := body[:min(uploadPiece, len(body))]
+		body, last = body[len(piece):], len(piece) == 0
+		_, err = conn.Write(encode(piece))
+	}
+}
+
 // awaitServed sends uploads until several in a row are served, of both kinds and in both framings.
 func (u *uploader) awaitServed() {
 	for served, end := 0, time.Now().Add(readyLimit); served < 10 && time.Now().Before(end); {
--- a/transport/peerhttp/client_test.go
+++ b/transport/peerhttp/client_test.go
@@ -1,7 +1,6 @@
 package peerhttp_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -22,24 +21,7 @@
 // rawPeer answers each connection's first request with what respond writes, then closes.
 func rawPeer(t *testing.T, respond func(w io.Writer, r *http.Request)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					respond(conn, request)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return sockets.ServeRaw(t, func(conn *net.TCPConn, r *http.Request) { respond(conn, r) })
 }
 
 func newRequest(body *caller.Body) *caller.Request {
