entry: a test resets its recorder under the lock

Cause: the test resets the record of the warm-up without the lock. An attempt that lost against its hedge may be the last to take the lock, and nothing orders it before the reset: the sleep before that lets it end, but the race detector knows no order from a sleep. Whether the last attempt is such a one depends on the draw.

--- a/entry/explain_test.go
+++ b/entry/explain_test.go
@@ -82,6 +82,13 @@
 	return nil, nil, caller.RefuseUncertain(caller.Cancelled, "forward", string(target.ID), ctx.Err())
 }
 
+// reset forgets the attempts so far. Later ones are never answered.
+func (f *recorder) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.after, f.nodes, f.times = 0, nil, nil
+}
+
 // loadSender answers load queries at once.
 type loadSender struct {
 	discardSender
@@ -124,7 +131,7 @@
 			}})
 		}
 	}
-	f.after, f.nodes, f.times = 0, nil, nil
+	f.reset()
 	return e, f
 }
 
