sidecar: the stand-in of a stop test says that it closes its connections

Cause: the stand-in closed its connection after each answer without saying so. The node kept the connection, and when the close was late the next request was lost on it (kept-connection-lost).

Evidence: with the close 3 ms late the test failed in 29 of 30 runs by that reason, and in 0 of 30 when the answers have Connection: close, as they now do. No check changes.

--- a/sidecar/http10_test.go
+++ b/sidecar/http10_test.go
@@ -73,11 +73,11 @@
 	var holding atomic.Bool
 	upstream := sockets.ServeRaw(t, func(conn *net.TCPConn, r *http.Request) {
 		if r.URL.Path == "/health" {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Upstream: u-n1\r\nX-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Upstream: u-n1\r\nX-Load: 0,0,4\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
 		if !holding.Load() {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
 			return
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s",
