httpserver: end requests whose client has left behind unread data

Cause: net/http notices the end of a connection only while nothing else is to be read there. The node beside the back end does not read the body of a request that may run once before it sends it, so that it did not notice that the entry node had given up; with longer bodies, or a request behind one in chunks, the entry node did not notice its caller either.

Change: the server checks the socket of each HTTP/1 request each 100 ms (sockopt.PeerClosed, by poll), which shows the end of the stream whatever is unread before it, and ends the context of the request. A node that gives up a request before its answer resets the connection to the next one, since the end of the stream would wait behind a body that is not taken.

--- a/sockopt/conn.go
+++ b/sockopt/conn.go
@@ -26,6 +26,9 @@
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
--- a/transport/answer.go
+++ b/transport/answer.go
@@ -1,11 +1,11 @@
 package transport
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/magnoliawharf/magnoliawharf/caller"
+	"github.com/magnoliawharf/magnoliawharf/sockopt"
 )
 
 // CloseDelimited reports whether the body of the response is delimited only by the end of the connection, so
@@ -44,24 +44,8 @@
 func AbortAnswer(w http.ResponseWriter, r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			reset(conn)
+			_ = sockopt.Reset(conn)
 		}
 	}
 	panic(http.ErrAbortHandler)
 }
-
-// reset closes the connection so that the peer gets a reset.
-func reset(conn net.Conn) {
-	inner := conn
-	for {
-		wrapper, ok := inner.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		inner = wrapper.NetConn()
-	}
-	if tcp, ok := inner.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
--- a/transport/httpserver/routes.go
+++ b/transport/httpserver/routes.go
@@ -52,7 +52,7 @@
 }
 
 // drainHandler asks HTTP/1 clients to close their connections once draining is set, so that they stop using
-// the connections before the listener closes.
+// the connections before the listener closes. It ends the context of a request whose client leaves.
 type drainHandler struct {
 	draining atomic.Bool
 	next     http.Handler
@@ -63,7 +63,9 @@
 	if d.draining.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	d.next.ServeHTTP(w, r)
+	watched, stop := watchClient(r)
+	defer stop()
+	d.next.ServeHTTP(w, watched)
 }
 
 // bodyLimiter limits the size of request bodies.
--- a/transport/httpserver/server.go
+++ b/transport/httpserver/server.go
@@ -73,6 +73,7 @@
 	s.cancelRequests = cancelRequests
 	s.server = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return requests },
+		ConnContext: withConn,
 		Handler:     s.handler, Protocols: protocols, ConnState: s.unused.observe,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: o.MaxHeaderBytes,
@@ -91,7 +92,9 @@
 // runAhead prepares the server to start repeatable requests ahead.
 func (s *Server) runAhead(listener net.Listener, repeatable func(*http.Request) bool) net.Listener {
 	s.pipeline = &pipeline.Pipeline{Name: s.name, Repeatable: repeatable}
-	s.server.ConnContext = s.pipeline.ConnContext
+	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return s.pipeline.ConnContext(withConn(ctx, conn), conn)
+	}
 	s.server.ConnState = func(conn net.Conn, state http.ConnState) {
 		s.unused.observe(conn, state)
 		s.pipeline.ConnState(conn, state)
--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -51,13 +51,14 @@
 // RoundTrip sends the request. An answer without a valid status line is an error. After an error, sent reports whether any byte of the
 // request was handed to a connection; when none was, the request certainly did not run.
 func (o *Client) RoundTrip(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
-	tracker := &writeTracker{userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
+	tracker := &writeTracker{ctx: ctx, userTimeout: UserTimeoutOf(request.ContentLength, o.userTimeout)}
 	tracker.trace.GotConn, tracker.trace.Got1xxResponse = tracker.gotConn, tracker.interim.Check
 	response, err = o.poolFor(request).RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, &tracker.trace)))
 	if err != nil {
 		tracker.stopTimer()
 		return nil, tracker.sent(), err
 	}
+	tracker.answered()
 	if err := answerhead.CheckFinal(response); err != nil {
 		tracker.closeConn()
 		_ = response.Body.Close()
@@ -79,6 +80,7 @@
 type writeTracker struct {
 	trace        httptrace.ClientTrace
 	interim      answerhead.Interim
+	ctx          context.Context
 	userTimeout  time.Duration // for the connection while it carries the request
 	acknowledged *time.Timer   // fires when the request has been acknowledged; nil before it has a connection
 	conn         *trackedConn  // connection that the request got last
@@ -95,10 +97,16 @@
 		return
 	}
 	w.writesBefore = w.conn.writes.Load()
-	conn, request := w.conn, w.conn.begin(w.userTimeout)
+	conn, request := w.conn, w.conn.begin(w.ctx, w.userTimeout)
 	w.acknowledged = time.AfterFunc(w.userTimeout+acknowledgementSlack, func() { conn.awaitAnswer(request) })
 }
 
+func (w *writeTracker) answered() {
+	if w.conn != nil {
+		w.conn.answered()
+	}
+}
+
 func (w *writeTracker) stopTimer() {
 	if w.acknowledged != nil {
 		w.acknowledged.Stop()
--- a/transport/trackedconn.go
+++ b/transport/trackedconn.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -43,15 +44,17 @@
 	onTimeout func()    // called when the kernel has closed the connection because the peer acknowledged no packets
 
 	mu          sync.Mutex
-	userTimeout time.Duration // as set on the connection; from the dialer at first
-	requests    uint64        // requests that the connection has carried
+	userTimeout time.Duration   // as set on the connection; from the dialer at first
+	requests    uint64          // requests that the connection has carried
+	awaited     context.Context // of the request that waits for its answer, nil without one
 }
 
-// begin sets the user timeout for the next request and returns the number of the request on this connection.
-func (c *trackedConn) begin(userTimeout time.Duration) (request uint64) {
+// begin sets the user timeout for the next request, whose context is ctx, and returns the number of the request on this connection.
+func (c *trackedConn) begin(ctx context.Context, userTimeout time.Duration) (request uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
+	c.awaited = ctx
 	c.setUserTimeout(userTimeout)
 	return c.requests
 }
@@ -66,6 +69,25 @@
 	}
 }
 
+// answered records that the answer to the request has begun.
+func (c *trackedConn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaited = nil
+}
+
+// Close implements net.Conn. When the request was given up before its answer, the connection is reset: the end of the stream would
+// wait behind a body that the peer does not read yet, and the peer would not learn that the request is no longer wanted.
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	givenUp := c.awaited != nil && c.awaited.Err() != nil
+	c.mu.Unlock()
+	if givenUp {
+		return sockopt.Reset(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
 func (c *trackedConn) setUserTimeout(limit time.Duration) {
 	if limit != c.userTimeout {
 		c.userTimeout = limit
