quarantine: the whole body identifies a request

Cause: longer bodies were not part of the fingerprint, so that all such requests of one caller to a path had the same one. The success of any of them cleared the crashes; without one, the others were refused in its place.

Change: the fingerprint covers the whole body, with the same value for each framing. A longer one is hashed as it streams by; until its end the request neither becomes a suspect nor clears one. The node beside the upstream decides at the end of the body and withholds the end from the upstream when the request is in quarantine. For upstreams that crash before the end it reads the rest, and the head becomes a suspect as well: while that is in quarantine, up to 1 MiB of the bodies of requests with that head is read first, which identifies them. New: the header Magnoliawharf-Open-Fingerprint between nodes, which earlier versions ignore, and reason body-unread of magnoliawharf_quarantine_connections_lost_total.

--- a/caller/body.go
+++ b/caller/body.go
@@ -1,10 +1,15 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ReplayLimit is the number of bytes of a request body that are buffered for another attempt.
@@ -18,25 +23,91 @@
 // request can be retried at another upstream. Reads of a closed attempt return an error.
 type Body struct {
 	mu        sync.Mutex
+	limit     int64 // bytes that are buffered
 	source    io.Reader
 	buffered  []byte
 	overflow  bool
 	sourceErr error // last error of source, including io.EOF
 	length    int64
+	read      int64 // bytes read from source
+	digest    xxhash.Digest
+	checkEnd  atomic.Pointer[func() error] // nil for none
+	hash      atomic.Pointer[uint64]       // of the whole body, nil until it was read to its end
 }
 
 // NewBody returns a body that reads from source. length is its size in bytes, -1 when unknown. A nil
 // source is an empty body.
 func NewBody(source io.Reader, length int64) *Body {
+	b := &Body{source: source, length: length, limit: ReplayLimit}
+	b.digest.Reset()
 	if source == nil {
-		return &Body{sourceErr: io.EOF}
+		b.sourceErr, b.length = io.EOF, 0
+		b.recordEnd()
 	}
-	return &Body{source: source, length: length}
+	return b
 }
 
 // Length returns the size in bytes, -1 when unknown.
 func (b *Body) Length() int64 { return b.length }
 
+// Hash returns the hash of the whole body. known is false until it was read to its end. It does not block.
+func (b *Body) Hash() (hash uint64, known bool) {
+	if end := b.hash.Load(); end != nil {
+		return *end, true
+	}
+	return 0, false
+}
+
+// CheckEnd calls check when the body has been read to its end, before an attempt gets the last bytes of it or the end of one of unknown
+// length. An error of check is that of the read, so that the upstream never gets the whole request. It has no effect once the
+// end was read.
+func (b *Body) CheckEnd(check func() error) { b.checkEnd.Store(&check) }
+
+// ReadFirst reads the body before the first attempt, so that its hash becomes known. It stops after limit bytes, all of which it buffers,
+// and at the end of ctx.
+func (b *Body) ReadFirst(ctx context.Context, limit int64) {
+	b.mu.Lock()
+	b.limit = max(b.limit, limit)
+	b.mu.Unlock()
+	b.readUntil(ctx, limit)
+}
+
+// ReadRest reads what the attempts have left of the body, for up to the given time, so that its hash becomes known.
+func (b *Body) ReadRest(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	b.readUntil(ctx, math.MaxInt64)
+}
+
+// readUntil reads the source up to its end or limit, or until ctx ends. A read that waits for the source then goes on until the source
+// is closed.
+func (b *Body) readUntil(ctx context.Context, limit int64) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil && b.readPart(limit) == nil {
+		}
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// partSize is the size in bytes of one read of a body without an attempt.
+const partSize = 16 << 10
+
+// readPart reads the next part of the source up to limit, where its error is ErrNotReplayable.
+func (b *Body) readPart(limit int64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.read >= limit {
+		return ErrNotReplayable
+	}
+	_, err := b.readSource(make([]byte, min(limit-b.read, partSize)))
+	return err
+}
+
 // Attempt returns a reader of the whole body for one attempt. Only the latest attempt may read
 // beyond the buffered bytes.
 func (b *Body) Attempt() (io.ReadCloser, error) {
@@ -63,8 +134,10 @@
 		n, err := io.ReadFull(b.source, b.buffered)
 		b.buffered = b.buffered[:n]
 		b.sourceErr = err
+		_, _ = b.digest.Write(b.buffered)
 		if err == nil {
 			b.sourceErr = io.EOF
+			b.recordEnd()
 		}
 	}
 	if b.sourceErr != io.EOF {
@@ -133,8 +206,19 @@
 		return 0, b.sourceErr
 	}
 	n, err := b.source.Read(p)
+	b.read += int64(n)
+	_, _ = b.digest.Write(p[:n])
+	if err == nil && b.read == b.length {
+		err = io.EOF
+	}
+	if err == io.EOF {
+		b.recordEnd()
+		if refused := b.refuseEnd(); refused != nil {
+			n, err = 0, refused
+		}
+	}
 	b.sourceErr = err
-	if len(b.buffered)+n > ReplayLimit {
+	if int64(len(b.buffered)+n) > b.limit {
 		b.overflow = true
 	}
 	if !b.overflow {
@@ -142,3 +226,18 @@
 	}
 	return n, err
 }
+
+// recordEnd records the hash of the body, which has been read to its end.
+func (b *Body) recordEnd() {
+	hash := b.digest.Sum64()
+	b.hash.Store(&hash)
+}
+
+// refuseEnd returns the error of checkEnd.
+func (b *Body) refuseEnd() error {
+	check := b.checkEnd.Load()
+	if check == nil {
+		return nil
+	}
+	return (*check)()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,14 +104,13 @@
 		ran: caller.NotRun,
 	}
 	c.depositRetries()
-	fingerprint := quarantine.Fingerprint(req.Fingerprint)
-	decision, retryAfter := e.Quarantine.Admit(time.Now(), fingerprint)
+	decision, retryAfter := e.Quarantine.AdmitRequest(time.Now(), req)
 	if refusal := quarantineRefusal(decision, retryAfter); refusal != nil {
 		return nil, c.log(nil, refusal)
 	}
 	answer, refusal := c.runWithinQuota(ctx)
 	if refusal != nil && refusal.Ran == caller.NotRun && decision == quarantine.Trial {
-		e.Quarantine.CancelTrial(fingerprint)
+		e.Quarantine.CancelTrial(quarantine.Fingerprint(req.Fingerprint))
 	}
 	if refusal != nil {
 		return nil, c.log(nil, refusal)
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -7,7 +7,6 @@
 	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/contract"
 	"github.com/magnoliawharf/magnoliawharf/peer"
-	"github.com/magnoliawharf/magnoliawharf/quarantine"
 )
 
 // Explanation is what Dispatch would do with a request, and why.
@@ -36,7 +35,7 @@
 	}
 	found := Explanation{AnswerWithin: c.answerWithin()}
 	found.ServiceTime, found.Bytes = c.estimate.get()
-	found.Refusal = quarantineRefusal(e.Quarantine.Preview(c.startedAt, quarantine.Fingerprint(req.Fingerprint)))
+	found.Refusal = quarantineRefusal(e.Quarantine.PreviewRequest(c.startedAt, req))
 	if found.Refusal == nil {
 		found.Refusal = c.permit()
 	}
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -115,7 +115,7 @@
 	if refusal := p.checkPlacement(req, boot); refusal != nil {
 		return Announcement{}, refusal
 	}
-	if refusal := p.crashes.Check(req); refusal != nil {
+	if refusal := p.crashes.Check(ctx, req); refusal != nil {
 		return Announcement{}, refusal
 	}
 	if ctx.Err() != nil {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -19,8 +19,7 @@
 
 // Dispatch implements CallDispatcher.
 func (g *QuarantineDispatcher) Dispatch(ctx context.Context, req *caller.Request) (*caller.Answer, error) {
-	fingerprint := quarantine.Fingerprint(req.Fingerprint)
-	decision, after := g.Suspects.Admit(time.Now(), fingerprint)
+	decision, after := g.Suspects.AdmitRequest(time.Now(), req)
 	if decision == quarantine.Refuse {
 		refusal := caller.Refuse(caller.Quarantined, quarantineStep, "")
 		refusal.RetryAfter = after
@@ -28,7 +27,7 @@
 	}
 	answer, err := g.Next.Dispatch(ctx, req)
 	if decision == quarantine.Trial && err != nil && asRefusal(ctx, err).Ran == caller.NotRun {
-		g.Suspects.CancelTrial(fingerprint)
+		g.Suspects.CancelTrial(quarantine.Fingerprint(req.Fingerprint))
 	}
 	return answer, err
 }
--- a/node/upstream_proxy.go
+++ b/node/upstream_proxy.go
@@ -51,7 +51,7 @@
 		release()
 		return nil, caller.Refuse(caller.NotReady, admitStep, p.ID)
 	}
-	if refusal := p.CrashMonitor.Check(req); refusal != nil {
+	if refusal := p.CrashMonitor.Check(ctx, req); refusal != nil {
 		release()
 		return nil, refusal
 	}
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -25,8 +25,9 @@
 )
 
 var (
-	lossesByCrash     = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="process-ended"}`)
-	lossesUnexplained = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="unexplained"}`)
+	lossesByCrash      = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="process-ended"}`)
+	lossesUnidentified = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="body-unread"}`)
+	lossesUnexplained  = metrics.Counter(`magnoliawharf_quarantine_connections_lost_total{reason="unexplained"}`)
 )
 
 // Outcome is the way in which a request to the upstream ended.
@@ -97,6 +98,17 @@
 	}
 }
 
+// UnidentifiedFinished records the end of a request that was sent to the upstream at began and whose body had not been read to its end. It
+// neither becomes a suspect nor clears one: it cannot be told from other requests.
+func (w *CrashDetector) UnidentifiedFinished(began time.Time, end Outcome) {
+	switch end {
+	case Answered:
+		w.ProcessAnswered(began)
+	case ConnectionLost:
+		lossesUnidentified.Inc()
+	}
+}
+
 // ProcessAnswered records a response to a request or health check sent at began. If the last process had ended by then,
 // another process has replaced it.
 func (w *CrashDetector) ProcessAnswered(began time.Time) {
--- a/transport/callerhttp/handler.go
+++ b/transport/callerhttp/handler.go
@@ -19,8 +19,13 @@
 
 const acceptStep = "accept"
 
-// maxKeyLength is the largest length of an idempotency key, in bytes.
-const maxKeyLength = 128
+const (
+	// maxKeyLength is the largest length of an idempotency key, in bytes.
+	maxKeyLength = 128
+	// maxBodyReadFirst is the size in bytes of the largest body that is read before the request is sent, so that one in quarantine is
+	// refused at once.
+	maxBodyReadFirst = 4 << 10
+)
 
 // Dispatcher sends a request to an upstream and returns its answer. The error is a *caller.Refusal.
 type Dispatcher interface {
@@ -114,15 +119,12 @@
 // connection, so that a caller that stops sending or reading is disconnected after the deadline.
 func prepare(w http.ResponseWriter, r *http.Request, req *caller.Request) *caller.Refusal {
 	transport.SetConnDeadlines(w, req.Deadline)
-	var shortBody []byte
-	if length := req.Body.Length(); length >= 0 && length <= caller.MaxFingerprintBody {
-		buffered, err := req.Body.Buffer()
-		if err != nil {
+	if length := req.Body.Length(); length >= 0 && length <= maxBodyReadFirst {
+		if _, err := req.Body.Buffer(); err != nil {
 			return transport.BodyRefusal(r, err, acceptStep)
 		}
-		shortBody = buffered
 	}
-	req.Fingerprint = caller.Fingerprint(req.Service, req.Method, req.Path, shortBody)
+	req.SetFingerprint(req.Service)
 	return nil
 }
 
--- a/transport/entryhttp/handler.go
+++ b/transport/entryhttp/handler.go
@@ -101,11 +101,11 @@
 	}
 	deadline := arrival.At.Add(h.TimeLimit(r, route))
 	transport.SetConnDeadlines(w, deadline)
-	body, fingerprinted, refusal := bufferBody(r)
+	body, refusal := bufferBody(r)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	req := h.newRequest(r, found, body, fingerprinted, deadline)
+	req := h.newRequest(r, found, body, deadline)
 	req.Service, req.Behind = h.Splits.Next(route), arrival.Behind
 	return req, route, nil
 }
@@ -153,23 +153,24 @@
 	if found.Refusal != nil {
 		return found, nil
 	}
-	body, fingerprinted, refusal := bufferBody(r)
+	body, refusal := bufferBody(r)
 	if found.Refusal = refusal; refusal != nil {
 		return found, nil
 	}
-	return found, h.newRequest(r, found, body, fingerprinted, time.Now().Add(h.TimeLimit(r, found.Route)))
+	return found, h.newRequest(r, found, body, time.Now().Add(h.TimeLimit(r, found.Route)))
 }
 
 // newRequest returns the request without its service.
-func (h *Handler) newRequest(r *http.Request, found Match, body *caller.Body, fingerprinted []byte, deadline time.Time) *caller.Request {
+func (h *Handler) newRequest(r *http.Request, found Match, body *caller.Body, deadline time.Time) *caller.Request {
 	contracts, route, holder, path := found.Contracts, found.Route, found.holder, r.URL.RequestURI()
-	return &caller.Request{
+	req := &caller.Request{
 		ID: h.requestID(r), Route: route.Name, Class: route.Name, Method: r.Method, Path: path,
 		Header: h.header(r, contracts.Keyed()), Body: body, Deadline: deadline, Attempt: 1, BundleVersion: contracts.Version,
 		Tenant: holder.tenant, PriorityOffset: holder.offset, Credential: holder.credential, Public: route.Public,
-		Placement:   &caller.Placement{Host: r.Host, Origin: h.Origin, Tenant: holder.tenant, Repeatable: route.Rule == bundle.Idempotent},
-		Fingerprint: caller.Fingerprint(route.Name+" "+h.Origin, r.Method, path, fingerprinted),
+		Placement: &caller.Placement{Host: r.Host, Origin: h.Origin, Tenant: holder.tenant, Repeatable: route.Rule == bundle.Idempotent},
 	}
+	req.SetFingerprint(route.Name + " " + h.Origin)
+	return req
 }
 
 // requestID returns the request ID that the caller sets. A request without one gets a random ID, for the logs only.
@@ -205,28 +206,26 @@
 	return limit
 }
 
-// bufferBody reads the body when it is short enough to be replayed. fingerprinted is the part of the request's fingerprint
-// that the body contributes; it is nil for a longer body.
-func bufferBody(r *http.Request) (body *caller.Body, fingerprinted []byte, refusal *caller.Refusal) {
+// bufferBody reads the body when it is short enough to be replayed.
+func bufferBody(r *http.Request) (*caller.Body, *caller.Refusal) {
 	if r.Body == http.NoBody || r.ContentLength == 0 {
-		return caller.NewBody(nil, 0), nil, nil
+		return caller.NewBody(nil, 0), nil
 	}
 	if r.ContentLength > caller.ReplayLimit {
-		return caller.NewBody(r.Body, r.ContentLength), nil, nil
+		return caller.NewBody(r.Body, r.ContentLength), nil
 	}
 	var buffer bytes.Buffer
 	n, err := io.CopyN(&buffer, r.Body, caller.ReplayLimit+1)
 	switch {
 	case err == nil:
-		return caller.NewBody(io.MultiReader(&buffer, r.Body), -1), nil, nil
+		return caller.NewBody(io.MultiReader(&buffer, r.Body), -1), nil
 	case errors.Is(err, io.EOF):
 	default:
-		return nil, nil, transport.BodyRefusal(r, err, acceptStep)
+		return nil, transport.BodyRefusal(r, err, acceptStep)
 	}
-	if n <= caller.MaxFingerprintBody {
-		fingerprinted = buffer.Bytes()
-	}
-	return caller.NewBody(bytes.NewReader(buffer.Bytes()), n), fingerprinted, nil
+	body := caller.NewBody(&buffer, n)
+	_, _ = body.Buffer() // fails for no body that fits
+	return body, nil
 }
 
 // statusOf returns the HTTP status of a refusal. 503 guarantees that the request has not run and will not run.
--- a/transport/outbound.go
+++ b/transport/outbound.go
@@ -141,7 +141,10 @@
 	if !f.Sent {
 		refusal.Reason, refusal.Ran = f.Unreachable, caller.NotRun
 	}
+	var refusedBody *caller.Refusal
 	switch cause := ctx.Err(); {
+	case errors.As(req.Body.Err(), &refusedBody):
+		refusal.Reason = refusedBody.Reason
 	case errors.Is(cause, context.DeadlineExceeded):
 		refusal.Reason = caller.DeadlinePassed
 	case req.Body.Err() != nil:
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -59,6 +59,9 @@
 		return nil, nil, caller.Refuse(caller.DeadlinePassed, forwardStep, peer)
 	}
 	outgoing.Header.Set(headerCall, encodeCall(req, c.self, target.Incarnation, now))
+	if req.OpenFingerprint {
+		outgoing.Header.Set(headerOpenFingerprint, openFingerprint)
+	}
 	if req.Placement != nil {
 		outgoing.Header.Set(headerPlacement, encodePlacement(req.Placement))
 	}
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -92,7 +92,7 @@
 		ID: call.id, Service: call.service, Route: call.route, Class: call.class, Key: call.key,
 		Method: r.Method, Path: strings.TrimPrefix(r.URL.RequestURI(), ForwardPrefix),
 		Header: transport.EndToEnd(r.Header), Body: bodyOf(r),
-		Fingerprint: call.fingerprint, Deadline: deadline,
+		Fingerprint: call.fingerprint, OpenFingerprint: r.Header.Get(headerOpenFingerprint) == openFingerprint, Deadline: deadline,
 		Attempt: call.attempt, Depth: call.depth, BundleVersion: call.bundleVersion,
 	}
 }
--- a/transport/peerhttp/wire.go
+++ b/transport/peerhttp/wire.go
@@ -26,8 +26,13 @@
 	headerWaited = "Magnoliawharf-Waited"
 	// headerNotice is what the upstream states about itself in the answer, omitted when it states nothing.
 	headerNotice = "Magnoliawharf-Notice"
+	// headerOpenFingerprint is present when the fingerprint of headerCall leaves out the body. Nodes of an earlier version ignore it.
+	headerOpenFingerprint = "Magnoliawharf-Open-Fingerprint"
 )
 
+// openFingerprint is the value of headerOpenFingerprint.
+const openFingerprint = "1"
+
 // ForwardPrefix is the path prefix of forwarded requests on the peer listener.
 const ForwardPrefix = "/forward"
 
--- a/transport/upstreamconn/client.go
+++ b/transport/upstreamconn/client.go
@@ -82,7 +82,7 @@
 	}
 	conn.setUserTimeout(dataTimeout)
 	start := time.Now()
-	x := &exchange{conn: conn, request: outgoing, wantID: wantID, dialect: &c.dialect}
+	x := &exchange{conn: conn, request: outgoing, body: req.Body, wantID: wantID, dialect: &c.dialect}
 	response, err := x.run(ctx, bodyLength(req))
 	if err != nil {
 		c.pool.observeFailure(addr, err)
--- a/transport/upstreamconn/exchange.go
+++ b/transport/upstreamconn/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -16,7 +17,8 @@
 type exchange struct {
 	conn    *pooledConn
 	request *http.Request
-	wantID  string // ID that the answer must echo; "" for a request without one
+	body    *caller.Body // of the request, nil for a health check
+	wantID  string       // ID that the answer must echo; "" for a request without one
 	dialect *caller.Dialect
 
 	sent         atomic.Bool // at least one byte of the request was handed to the connection
@@ -56,13 +58,23 @@
 	} else {
 		x.writeDone = make(chan error, 1)
 		go func() {
-			x.writeDone <- x.write()
+			err := x.write()
+			if x.bodyRefused() {
+				_ = x.conn.Close() // the upstream must not wait for the rest
+			}
+			x.writeDone <- err
 			close(x.writeDone)
 		}()
 	}
 	return x.readAnswer()
 }
 
+// bodyRefused reports whether the body of the request ended early since the request is refused.
+func (x *exchange) bodyRefused() bool {
+	var refusal *caller.Refusal
+	return x.body != nil && errors.As(x.body.Err(), &refusal)
+}
+
 func (x *exchange) write() error {
 	buffered := bufio.NewWriter(x)
 	if err := x.request.Write(buffered); err != nil {
