httpserver: close all connections in one way, which keeps the last answer

Cause: only a connection whose requests ahead were parsed was read on after its end. A request in chunks ends the parsing. The kernel answers a close with input unread by a reset and drops what it has not sent.

A stop waits for them within its grace period. The closing code of package pipeline is gone.

--- a/transport/httpserver/server.go
+++ b/transport/httpserver/server.go
@@ -45,12 +45,13 @@
 
 // Server is one listener with its HTTP server. It serves HTTP/1.1 and HTTP/2 in clear text.
 type Server struct {
-	name     string
-	listener net.Listener
-	server   *http.Server
-	handler  *drainHandler
-	unused   *unusedConns
-	pipeline *pipeline.Pipeline // nil without Options.Repeatable
+	name      string
+	listener  net.Listener
+	server    *http.Server
+	handler   *drainHandler
+	unused    *unusedConns
+	lingering *lingering
+	pipeline  *pipeline.Pipeline // nil without Options.Repeatable
 
 	cancelRequests context.CancelCauseFunc
 }
@@ -64,10 +65,11 @@
 	if o.MaxConnections > 0 {
 		listener = limitConnections(listener, o.MaxConnections)
 	}
+	s := &Server{name: o.Name, handler: &drainHandler{}, lingering: &lingering{}}
+	listener = &lingeringListener{listener, s.lingering}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &Server{name: o.Name, handler: &drainHandler{}}
 	s.unused = &unusedConns{conns: make(map[net.Conn]struct{})}
 	requests, cancelRequests := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancelRequests
@@ -139,23 +141,19 @@
 // write an answer.
 func (s *Server) CancelRequests(cause error) { s.cancelRequests(cause) }
 
-// Shutdown closes the listener and waits for requests in flight until ctx ends. The HTTP server would wait up to 5 s for a
-// connection on which no request has been sent.
+// Shutdown closes the listener and waits until ctx ends for requests in flight and for the clients to take their answers. The HTTP server
+// would wait up to 5 s for a connection on which no request has been sent.
 func (s *Server) Shutdown(ctx context.Context) error {
 	closing := time.AfterFunc(unusedTimeout, s.unused.closeAll)
 	defer closing.Stop()
 	err := s.server.Shutdown(ctx)
-	if s.pipeline != nil {
-		s.pipeline.Wait(ctx)
-	}
+	_ = s.lingering.conns.Wait(ctx) // the requests of these connections are complete
 	return err
 }
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
-	if s.pipeline != nil {
-		s.pipeline.Close()
-	}
+	s.lingering.closed.Store(true)
 	err := s.server.Close()
 	s.cancelRequests(nil)
 	// The HTTP server closes the listener only if Serve has been called.
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -28,10 +27,9 @@
 // take up its first parsed bytes; left and head are the rest of the request that is being passed on.
 type conn struct {
 	net.Conn
-	pipeline  *Pipeline
-	base      context.Context // of all requests of the connection
-	answers   quota           // bytes of answers kept until their turn
-	closeOnce sync.Once
+	pipeline *Pipeline
+	base     context.Context // of all requests of the connection
+	answers  quota           // bytes of answers kept until their turn
 
 	mu        sync.Mutex
 	buffer    []byte        // received, and not passed on
@@ -46,7 +44,6 @@
 	begun     uint64        // requests that were passed on, at least in part
 	ended     uint64        // requests that the HTTP server has ended
 	opaque    bool          // the ends of requests are not known any more; all bytes are passed on as they arrive
-	sentAhead bool          // the client has sent a request ahead
 	stopped   bool          // no request is started ahead any more
 }
 
@@ -215,7 +212,6 @@
 	if c.inService == nil || len(c.buffer) == 0 {
 		return
 	}
-	c.sentAhead = true
 	for !c.opaque && c.left == 0 && len(c.head) == 0 && c.waitingAt.IsZero() && len(c.ahead) < maxAhead {
 		rest := c.buffer[c.parsed:]
 		end := endOfHead(rest, 0)
@@ -302,28 +298,12 @@
 	c.ahead, c.buffer, c.parsed = nil, nil, 0
 }
 
-// Close implements net.Conn. A connection on which the client has sent requests ahead is closed for writing first, and read
-// until the client closes it: closing it with bytes unread would reset it, and the client could lose the last answer.
-func (c *conn) Close() (err error) {
-	c.closeOnce.Do(func() { err = c.close() })
-	return err
-}
-
-func (c *conn) close() error {
+// Close implements net.Conn.
+func (c *conn) Close() error {
 	c.mu.Lock()
-	sentAhead := c.sentAhead || len(c.buffer) > 0
 	c.discardAhead()
 	c.mu.Unlock()
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !sentAhead || !ok || c.pipeline.closed.Load() || half.CloseWrite() != nil {
-		return c.Conn.Close()
-	}
-	c.pipeline.lingering.Go(func() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.Conn)
-		_ = c.Conn.Close()
-	})
-	return nil
+	return c.Conn.Close()
 }
 
 // NetConn returns the connection that c wraps.
--- a/transport/pipeline/pipeline.go
+++ b/transport/pipeline/pipeline.go
@@ -12,9 +12,7 @@
 	"net"
 	"net/http"
 	"reflect"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 	"github.com/magnoliawharf/magnoliawharf/transport"
@@ -32,9 +30,6 @@
 	maxConnAnswers = 256 << 10
 	// maxAnswers is the number of bytes of answers that all connections keep until their turn.
 	maxAnswers = 16 << 20
-	// lingerTimeout is how long a closed connection is still read, so that requests which arrive on it do not reset it before
-	// the client has the last answer.
-	lingerTimeout = 500 * time.Millisecond
 )
 
 var (
@@ -49,10 +44,8 @@
 	// Repeatable reports whether a request may be started before earlier ones have ended.
 	Repeatable func(*http.Request) bool
 
-	draining  atomic.Bool
-	closed    atomic.Bool
-	answers   quota // bytes of answers kept for all connections
-	lingering sync.WaitGroup
+	draining atomic.Bool
+	answers  quota // bytes of answers kept for all connections
 }
 
 // Listener returns the listener with its connections prepared for the Pipeline.
@@ -94,22 +87,6 @@
 // further request is started ahead.
 func (p *Pipeline) Drain() { p.draining.Store(true) }
 
-// Wait returns when the connections that were closed with requests unread are gone, or when ctx ends.
-func (p *Pipeline) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		p.lingering.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-// Close makes the connections close at once.
-func (p *Pipeline) Close() { p.closed.Store(true) }
-
 // ServeHTTP implements http.Handler. It runs the request, or delivers its answer when it was started ahead.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
