inbound: the other nodes are not told of an unconfirmed upstream

A restarted node reported its unconfirmed upstream in its status.

Change: the status leaves out an unconfirmed upstream, so that what the others keep from before is not replaced by it either. An answer of the upstream that it is unhealthy or leaves counts for the whole confirmation, not only while it is the last one.

Evidence: TestUnconfirmedUpstreamIsNotReported and the row "some checks time out" of TestFirstAnnouncementAfterAStartIsConfirmed fail without the change.

--- a/inbound/confirm.go
+++ b/inbound/confirm.go
@@ -12,7 +12,7 @@
 type confirmation struct {
 	pending   bool
 	checks    int  // health checks since the first announcement, none of which confirmed the incarnation
-	unhealthy bool // the last check was answered by the incarnation, which is unhealthy or leaves
+	unhealthy bool // one of them was answered by the incarnation, which is unhealthy or leaves
 }
 
 // unhealthyConfirmFactor multiplies Options.ConfirmPeriod for an incarnation whose health check says that it is unhealthy or leaves.
@@ -46,7 +46,7 @@
 		p.mu.Unlock()
 		return
 	}
-	unhealthy := err == nil && report.UpstreamID == target.ID
+	unhealthy := p.confirmation.unhealthy || err == nil && report.UpstreamID == target.ID
 	isNews := p.confirmation.checks == 0 || unhealthy != p.confirmation.unhealthy
 	p.confirmation.checks++
 	p.confirmation.unhealthy = unhealthy
--- a/inbound/confirm_test.go
+++ b/inbound/confirm_test.go
@@ -35,6 +35,7 @@
 	for name, test := range map[string]struct {
 		report        inbound.HealthReport
 		err           error
+		errFrom       int           // number of announcements before the error
 		age           time.Duration // of the process
 		recalled      bool          // another node knows the upstream
 		announcements int           // one each 1.5 s
@@ -47,6 +48,7 @@
 		"leaves, its node runs for long":           {report: leaving, age: 11 * time.Second, announcements: 2},
 		"leaves, says so in a field of the answer": {report: leavingField("a"), announcements: 3},
 		"leaves, its checks time out":              {err: timeout, announcements: 5},
+		"leaves, some checks time out":             {report: leaving, err: timeout, errFrom: 4, announcements: 9},
 		"leaves, its checks are rejected":          {report: rejected, announcements: 5},
 		"another one runs":                         {report: healthyWithLoad("b", 100), announcements: 3},
 		"no process":                               {err: inbound.ErrRefused, announcements: 3},
@@ -60,13 +62,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := newConfirmingProxy(&fakeClient{report: test.report, checkErr: test.err})
+				c := &fakeClient{report: test.report}
+				p := newConfirmingProxy(c)
 				go p.Watch(t.Context())
 				if test.recalled {
 					p.Recall(peer.PreviousUpstream{Upstream: "a", Service: "s"})
 				}
 				time.Sleep(test.age)
 				for n := range test.announcements {
+					if n == test.errFrom {
+						c.update(func(c *fakeClient) { c.checkErr = test.err })
+					}
 					assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, uint64(n+1))))
 					assert.Assert(t, n > 0 || !p.Status().Serving)
 					time.Sleep(1500 * time.Millisecond)
@@ -111,3 +117,16 @@
 		assert.Assert(t, p.Status().Serving)
 	})
 }
+
+// Guards against an upstream that has left and that a restarted node takes for one that another node knew, since that node had heard of it
+// from the unconfirmed state of an earlier restart.
+func TestUnconfirmedUpstreamIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newConfirmingProxy(&fakeClient{report: inbound.HealthReport{UpstreamID: "a"}})
+		assert.NilError(t, p.Announce(time.Now(), announcement("a", 10, 1)))
+		assert.Equal(t, p.Status().Upstream, "")
+		p.Deregister(time.Now(), "a")
+		assert.Equal(t, p.Status().Upstream, "a")
+		assert.Equal(t, p.Departure().Upstream, "a")
+	})
+}
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -152,14 +152,18 @@
 	}
 }
 
-// Status implements peer.Self.
+// Status implements peer.Self. It leaves out an incarnation that is not confirmed: what the other nodes know of an upstream confirms it
+// after a restart of this one.
 func (p *Proxy) Status() peer.Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return peer.Status{
+	status := peer.Status{
 		Node: p.options.Node, Boot: p.options.Boot, Revision: p.revision, Address: p.options.Address, Zone: p.options.Zone,
-		Service: p.current.Service, Upstream: p.current.ID, Slots: p.current.Slots, Serving: p.acceptsWork(),
 	}
+	if !p.confirmation.pending {
+		status.Service, status.Upstream, status.Slots, status.Serving = p.current.Service, p.current.ID, p.current.Slots, p.acceptsWork()
+	}
+	return status
 }
 
 // acceptsWork reports whether new requests are admitted. It is called with the lock held.
