pipeline: find the end of requests in chunks

Requests that a caller had sent behind one in chunks were passed on with up to 1.9 s more than the caller would wait, and some were answered after their time limit: their wait on the connection was not counted.

Change: chunkScanner finds the end of a body in chunks that all parsers understand in the same way (no extensions, trailers or odd line ends, no length beside it). Anything else stays opaque as before. Requests behind are started ahead, or have their wait counted, as behind one with a length.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -40,7 +40,8 @@
 	next      *entry        // the request after it, once its beginning has been passed on; nil likewise
 	inService *http.Request // the request that the handler serves, nil between two requests
 	head      []byte        // beginning of the request that is being passed on, while its head is incomplete
-	left      int64         // bytes of the request that are still to be passed on, once its head is complete
+	left      int64         // bytes of the request that are still to be passed on, once its head is complete, without a body in chunks
+	chunks    *chunkScanner // of the request that is being passed on, nil unless its body is in chunks and has not ended
 	begun     uint64        // requests that were passed on, at least in part
 	ended     uint64        // requests that the HTTP server has ended
 	opaque    bool          // the ends of requests are not known any more; all bytes are passed on as they arrive
@@ -87,16 +88,19 @@
 
 // isServing reports whether the last request has been passed on to its end and is being served.
 func (c *conn) isServing() bool {
-	return !c.opaque && c.begun == c.ended+1 && c.left == 0 && len(c.head) == 0
+	return !c.opaque && c.begun == c.ended+1 && c.isBetweenRequests()
 }
 
+// isBetweenRequests reports whether the last request has been passed on to its end.
+func (c *conn) isBetweenRequests() bool { return c.left == 0 && c.chunks == nil && len(c.head) == 0 }
+
 // pass returns how many bytes of data belong to the current request, and begins the next one between two requests.
 func (c *conn) pass(data []byte) int {
 	if c.opaque || len(data) == 0 {
 		return len(data)
 	}
-	if c.left > 0 {
-		return c.passRest(len(data))
+	if c.left > 0 || c.chunks != nil {
+		return c.passRest(data)
 	}
 	before := len(c.head)
 	if before == 0 {
@@ -122,7 +126,10 @@
 		return len(data)
 	}
 	c.left = int64(end-before) + f.body
-	return c.passRest(len(data))
+	if f.chunked {
+		c.chunks = &chunkScanner{}
+	}
+	return c.passRest(data)
 }
 
 // endOfHead returns the length of the head, negative while it is incomplete. The end is not within the first searched bytes.
@@ -135,11 +142,22 @@
 	return from + end + len(headEnd)
 }
 
-// passRest returns how many of n bytes belong to the current request, whose head is complete.
-func (c *conn) passRest(n int) int {
-	passed := min(int64(n), c.left)
-	c.left -= passed
-	return int(passed)
+// passRest returns how many bytes of data belong to the current request, whose head is complete.
+func (c *conn) passRest(data []byte) int {
+	passed := int(min(int64(len(data)), c.left))
+	c.left -= int64(passed)
+	if c.chunks == nil || c.left > 0 {
+		return passed
+	}
+	n, ok := c.chunks.scan(data[passed:])
+	if !ok {
+		c.opaque, c.chunks = true, nil
+		return len(data)
+	}
+	if c.chunks.state == chunksEnded {
+		c.chunks = nil
+	}
+	return passed + n
 }
 
 // begin starts to pass on the next request.
@@ -158,7 +176,7 @@
 
 // passBuffered moves bytes of the current request from the buffer to p, and begins the next one between two requests.
 func (c *conn) passBuffered(p []byte) int {
-	if c.left == 0 && len(c.head) == 0 && len(c.ahead) > 0 {
+	if c.isBetweenRequests() && len(c.ahead) > 0 {
 		next := c.ahead[0]
 		if c.ahead = c.ahead[1:]; len(c.ahead) == 0 {
 			c.ahead = nil // keeps nothing for an idle connection
@@ -212,7 +230,7 @@
 	if c.inService == nil || len(c.buffer) == 0 {
 		return
 	}
-	for !c.opaque && c.left == 0 && len(c.head) == 0 && c.waitingAt.IsZero() && len(c.ahead) < maxAhead {
+	for !c.opaque && c.isBetweenRequests() && c.waitingAt.IsZero() && len(c.ahead) < maxAhead {
 		rest := c.buffer[c.parsed:]
 		end := endOfHead(rest, 0)
 		if end < 0 {
--- a/transport/pipeline/head.go
+++ b/transport/pipeline/head.go
@@ -17,9 +17,10 @@
 
 // framing tells where a request ends on its connection.
 type framing struct {
-	known bool  // false when the end of the request cannot be told from its head
-	body  int64 // bytes of the body
-	ahead bool  // the request has no body, and its head has no field that concerns the connection
+	chunked bool  // the body is in chunks
+	known   bool  // false when the end of the request cannot be told from its head
+	body    int64 // bytes of the body, unless it is in chunks
+	ahead   bool  // the request has no body, and its head has no field that concerns the connection
 }
 
 // frame reads the fields of a complete head that tell where the request ends. The HTTP server parses the head by itself; a
@@ -31,7 +32,7 @@
 		return framing{}
 	}
 	f := framing{known: true, ahead: string(method) == http.MethodGet || string(method) == http.MethodHead}
-	lengths, hosts := 0, 0
+	lengths, encodings, hosts := 0, 0, 0
 	for {
 		if line, rest, ok = cutLine(rest); !ok {
 			return framing{}
@@ -49,7 +50,12 @@
 				return framing{}
 			}
 			f.body, f.ahead = int64(length), false
-		case is(name, "Transfer-Encoding"), is(name, "Upgrade"):
+		case is(name, "Transfer-Encoding"):
+			if encodings++; !is(value, "chunked") || encodings > 1 {
+				return framing{}
+			}
+			f.chunked, f.ahead = true, false
+		case is(name, "Upgrade"):
 			return framing{}
 		case is(name, "Expect"), is(name, "Trailer"):
 			f.ahead = false
@@ -57,6 +63,9 @@
 			f.ahead = f.ahead && is(value, "keep-alive")
 		}
 	}
+	if lengths > 0 && f.chunked {
+		return framing{}
+	}
 	f.ahead = f.ahead && hosts == 1
 	return f
 }
