--- a/soak/ahead_test.go
+++ b/soak/ahead_test.go
@@ -20,6 +20,9 @@
 const (
 	aheadPause = 150 * time.Millisecond // mean time between two bursts of an aheadCaller
 	maxBurst   = 5                      // requests that are sent before the first answer is read
+	// chunkedShare is the share of bursts whose first request has a body in chunks, of up to maxChunkedBody bytes.
+	chunkedShare   = 0.3
+	maxChunkedBody = 8 << 10
 	// aheadStream is the first random stream of the aheadCallers, behind those of the other callers.
 	aheadStream = 1000
 )
@@ -53,12 +56,19 @@
 	for i := range requests {
 		r := c.draw()
 		requests[i] = r
-		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
-			r.uri, host, wire.RequestIDField, r.id, wire.TimeLimitField, r.limit.Milliseconds())
+		body := ""
+		if i == 0 && c.random.Float64() < chunkedShare {
+			body = c.chunk(r)
+		}
+		fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+			r.method, r.uri, host, wire.RequestIDField, r.id, wire.TimeLimitField, r.limit.Milliseconds())
 		for _, field := range r.identity() {
 			fmt.Fprintf(&text, "%s: %s\r\n", field[0], field[1])
 		}
-		text.WriteString("\r\n")
+		if r.chunked {
+			text.WriteString("Transfer-Encoding: chunked\r\n")
+		}
+		text.WriteString("\r\n" + body)
 		c.fleet.oracle.recordSent(r)
 	}
 	_ = conn.SetDeadline(time.Now().Add(requestLimit + responseWait))
@@ -83,6 +93,14 @@
 	return !closing
 }
 
+// chunk gives the request a body in chunks and a long answer, and returns the encoded body.
+func (c *aheadCaller) chunk(r *request) string {
+	body := strings.Repeat("c", 1+c.random.IntN(maxChunkedBody))
+	r.method, r.chunked, r.bodySum, r.size = http.MethodPost, true, xxhash.Sum64String(body), manualSize
+	r.uri = strings.Replace(r.uri, "size=0", fmt.Sprintf("size=%d", r.size), 1)
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+}
+
 func (c *aheadCaller) draw() *request {
 	c.sent++
 	r := &request{
--- a/soak/backends_test.go
+++ b/soak/backends_test.go
@@ -65,20 +65,35 @@
 	m.startBackend(service)
 }
 
-// withdrawAroundKill withdraws the back end, which serves on for a while. Its node is killed and started again, with those of all
-// machines if all is set, and then the last report of the back end arrives late.
-func (m *machine) withdrawAroundKill(service string, down time.Duration, all bool) {
+// withdrawal is how a back end is withdrawn around a restart of nodes.
+type withdrawal struct {
+	all         bool // the nodes of all machines are started again, not only its own
+	inOrder     bool // by SIGTERM
+	lateReports int  // that arrive afterwards
+}
+
+func drawWithdrawal(draw uint64) withdrawal {
+	return withdrawal{all: draw%3 == 0, inOrder: draw/3%3 == 0, lateReports: 1 + int(draw/9%3)}
+}
+
+// withdrawAroundRestart withdraws the back end, which serves on for a while. Nodes are started again, and then the last reports of the
+// back end arrive late.
+func (m *machine) withdrawAroundRestart(service string, down time.Duration, w withdrawal) {
 	m.backendMu.Lock()
 	defer m.backendMu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*grace)
 	defer cancel()
-	acked, ok, sendLate := m.backend.Withdraw(ctx)
+	acked, ok, sendLate := m.backend.Withdraw(ctx, w.lateReports)
 	if ok {
 		m.fleet.oracle.recordWithdrawal(m.backend.ID(), acked)
 	}
 	var kills sync.WaitGroup
 	for _, other := range m.fleet.machines {
-		if other == m || all {
+		switch {
+		case other != m && !w.all:
+		case w.inOrder:
+			kills.Go(other.stopNode)
+		default:
 			kills.Go(func() { other.killNode(down) })
 		}
 	}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -99,13 +99,13 @@
 }
 
 // sendCrashing sends a request that crashes the back end which runs it. Requests with the same name are equal to the
-// nodes.
-func (c *caller) sendCrashing(name string) {
+// nodes. Every second one has its body in chunks.
+func (c *caller) sendCrashing(name string, size int) {
 	c.deliver(&request{
 		id: fmt.Sprintf("%s-%d", name, c.index), route: "reserve", kind: wire.KindNotIdempotent, machine: c.target.index,
 		method: http.MethodPost, limit: requestLimit, uri: "/reserve/" + name + "?crash=1", crashes: name,
-		key: c.fleet.operator.lastKey(),
-	}, []byte(name), false)
+		key: c.fleet.operator.lastKey(), chunked: c.index%2 == 1,
+	}, bytes.Repeat([]byte("c"), size), false)
 }
 
 // deliver sends a request and records its outcome. With abandons, the caller gives up after a random time.
@@ -117,7 +117,9 @@
 		c.fleet.t.Error(err)
 		return
 	}
-	out.ContentLength = int64(len(body))
+	if !r.chunked {
+		out.ContentLength = int64(len(body))
+	}
 	out.Host = host
 	out.Header.Set(wire.RequestIDField, r.id)
 	out.Header.Set(wire.TimeLimitField, strconv.FormatInt(r.limit.Milliseconds(), 10))
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -117,12 +117,15 @@
 	}},
 }
 
+// crashingBodies are the sizes of the bodies of crashing requests, in bytes.
+var crashingBodies = [...]int{10, 6000, 200 << 10}
+
 // crashingRequest repeatedly sends a request that crashes each back end which runs it, to random machines.
 var crashingRequest = fault{"crashing request", func(f *fleet, _ *machine, _ time.Duration, draw uint64) {
 	random := rand.New(rand.NewPCG(draw, 0))
 	for range crashingSends {
 		c := newCaller(f, int(f.crashing.Add(1)), f.machines[random.IntN(machineCount)], random)
-		go c.sendCrashing(fmt.Sprintf("crash-%d", draw))
+		go c.sendCrashing(fmt.Sprintf("crash-%d", draw), crashingBodies[draw%uint64(len(crashingBodies))])
 		time.Sleep(crashingGap)
 	}
 }}
@@ -132,9 +135,9 @@
 	f.restoreStore(drawRestoredStore(draw))
 }}
 
-// withdrawnAroundKill is a back end that is withdrawn, whose node is killed, and whose last report arrives late.
+// withdrawnAroundKill is a back end that is withdrawn, whose node is killed or stopped, and whose last reports arrive late.
 var withdrawnAroundKill = fault{"back end withdrawn around a kill", func(_ *fleet, m *machine, lasting time.Duration, draw uint64) {
-	m.withdrawAroundKill(serviceOf(m.index), lasting/4, draw%3 == 0)
+	m.withdrawAroundRestart(serviceOf(m.index), lasting/4, drawWithdrawal(draw))
 }}
 
 // noticeKinds are the faults drawn from noticeStream.
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -34,6 +34,7 @@
 	kind                   string
 	bodySum                uint64
 	size                   int
+	chunked                bool // the body is sent in chunks
 	machine                int
 	sent                   time.Time
 	limit                  time.Duration
--- a/soak/uploads_test.go
+++ b/soak/uploads_test.go
@@ -31,6 +31,9 @@
 	uploadSize     = 256 << 10
 	uploadPiece    = 4 << 10
 	maxPieceDelay  = 500 * time.Microsecond
+	// leavingShare is the share of uploads whose caller leaves within maxUploadStay.
+	leavingShare  = 0.15
+	maxUploadStay = 400 * time.Millisecond
 	// earlyShare is the share of uploads that a faulty back end answers early.
 	earlyShare = 0.6
 )
@@ -59,12 +62,16 @@
 // run sends uploads until ctx ends.
 func (u *uploader) run(ctx context.Context) {
 	for wait.For(ctx, time.Duration(u.random.ExpFloat64()*float64(uploadPause))) {
-		u.send()
+		stay := time.Duration(0)
+		if u.random.Float64() < leavingShare {
+			stay = 1 + time.Duration(u.random.Int64N(int64(maxUploadStay)))
+		}
+		u.send(stay)
 	}
 }
 
-// send sends one upload, with its length or in chunks, and records its outcome.
-func (u *uploader) send() *request {
+// send sends one upload, with its length or in chunks, and records its outcome. The caller leaves after the given time, 0 for never.
+func (u *uploader) send(stay time.Duration) *request {
 	u.sent++
 	body := bytes.Repeat([]byte{'a' + byte(u.sent%26)}, uploadSize)
 	r := &request{
@@ -80,8 +87,12 @@
 	chunked, delay := u.random.IntN(2) == 0, time.Duration(u.random.Int64N(int64(maxPieceDelay)))
 
 	u.fleet.oracle.recordSent(r)
-	response, answer, err := u.exchange(r, body, chunked, delay)
+	response, answer, left, err := u.exchange(r, body, chunked, delay, stay)
 	u.fleet.oracle.recordEnd(r, time.Now(), func() {
+		if left {
+			r.abandoned = time.Now()
+			return
+		}
 		if r.err = err; response != nil && err == nil {
 			r.answered(response, answer)
 		}
@@ -89,11 +100,16 @@
 	return r
 }
 
-// exchange sends the request with its body on a new connection and reads the answer meanwhile.
-func (u *uploader) exchange(r *request, body []byte, chunked bool, delay time.Duration) (*http.Response, []byte, error) {
+// exchange sends the request with its body on a new connection and reads the answer meanwhile. left reports whether the caller has closed
+// the connection before, which it does after stay unless that is 0.
+func (u *uploader) exchange(r *request, body []byte, chunked bool, delay, stay time.Duration) (response *http.Response, answer []byte, left bool, err error) {
 	conn, err := net.DialTimeout("tcp", u.target.address(callersPort), requestLimit)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, false, err
+	}
+	if stay > 0 {
+		leaving := time.AfterFunc(stay, func() { _ = conn.Close() })
+		defer func() { left = !leaving.Stop() }()
 	}
 	var writing sync.WaitGroup
 	defer writing.Wait()
@@ -113,7 +129,8 @@
 		}
 		writeSlowly(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(body)), body, delay, func(piece []byte) []byte { return piece })
 	})
-	return readResponse(bufio.NewReader(conn))
+	response, answer, err = readResponse(bufio.NewReader(conn))
+	return response, answer, false, err
 }
 
 // writeSlowly writes the head and the encoded pieces of the body, with a pause after each. An empty piece ends the body.
@@ -129,7 +146,7 @@
 // awaitServed sends uploads until several in a row are served, of both kinds and in both framings.
 func (u *uploader) awaitServed() {
 	for served, end := 0, time.Now().Add(readyLimit); served < 10 && time.Now().Before(end); {
-		if served++; u.send().status != http.StatusOK {
+		if served++; u.send(0).status != http.StatusOK {
 			served = 0
 		}
 	}
@@ -182,7 +199,7 @@
 			for _, u := range uploaders {
 				senders.Go(func() {
 					for range uploads {
-						u.send()
+						u.send(0)
 					}
 				})
 			}
