sockopt: two answers of the kernel show that the peer has closed

Callers: where the kernel is emulated and lacks one answer, requests of callers that have left begin at a back end.

Cause: the watch of callers hung on one call, poll with POLLRDHUP alone.

--- /dev/null
+++ b/sockopt/signs_internal_test.go
@@ -0,0 +1,51 @@
+package sockopt
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a peer whose end only one of the two answers of the kernel shows: the other one may be missing where the kernel is emulated.
+func TestEachSignShowsTheEndOfThePeer(t *testing.T) {
+	for name, test := range map[string]struct {
+		end    func(*net.TCPConn) error
+		closed bool
+	}{
+		"open":        {func(*net.TCPConn) error { return nil }, false},
+		"closed":      {func(c *net.TCPConn) error { return c.Close() }, true},
+		"half-closed": {func(c *net.TCPConn) error { return c.CloseWrite() }, true},
+		"reset":       {func(c *net.TCPConn) error { return Reset(c) }, true},
+	} {
+		for _, data := range []string{"", "unread"} {
+			t.Run(name+" "+data, func(t *testing.T) {
+				server, client := tcpPair(t)
+				_, err := client.Write([]byte(data))
+				assert.NilError(t, err)
+				assert.NilError(t, test.end(client))
+				time.Sleep(20 * time.Millisecond)
+				control(server, func(fd int) {
+					assert.Check(t, endPolled(fd) == test.closed, "by the events of the socket")
+					assert.Check(t, endReceived(fd) == test.closed, "by the state of the connection")
+				})
+			})
+		}
+	}
+}
+
+// tcpPair returns both ends of a TCP connection.
+func tcpPair(t *testing.T) (server, client *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = dialed.Close() })
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
+}
