inbound, entry: look at the caller's connection before a request is sent

Callers: a request that waits for its slot begins up to 100 ms after its caller has left at each of two nodes, since the connection is looked at in that interval only, and not in the moment in which the slot is given.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -241,6 +241,9 @@
 		Objective: c.objectiveLeft(), Repeatable: c.route.Rule == bundle.Idempotent, Long: c.route.Long,
 	}
 	sentAt := time.Now()
+	if caller.HasLeft(ctx) {
+		return outcome{chosen: chosen, attempt: number, refusal: caller.Refuse(caller.Cancelled, dispatchStep, "")}
+	}
 	answer, _, err := c.Forward.Forward(ctx, &req, instance.Record{
 		ID: instance.ID(chosen.Status.Node), Incarnation: chosen.Status.Boot, PeerAddr: chosen.Status.Address,
 	})
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -104,7 +104,7 @@
 // retryAllowed reports whether the outcome of the attempt, the rule of the route and the limits allow a retry, whatever the
 // budget.
 func (c *call) retryAllowed(ctx context.Context, answer *caller.Answer, refusal *caller.Refusal) bool {
-	if ctx.Err() != nil || len(c.triedNodes) >= maxNodesTried || !c.req.Body.Replayable() || !c.hasTimeLeft() {
+	if ctx.Err() != nil || caller.HasLeft(ctx) || len(c.triedNodes) >= maxNodesTried || !c.req.Body.Replayable() || !c.hasTimeLeft() {
 		return false
 	}
 	if refusal == nil {
--- a/inbound/serve.go
+++ b/inbound/serve.go
@@ -118,7 +118,7 @@
 	if refusal := p.crashes.Check(ctx, req); refusal != nil {
 		return Announcement{}, refusal
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || caller.HasLeft(ctx) {
 		return Announcement{}, caller.Refuse(caller.Cancelled, serveStep, p.options.Node)
 	}
 	p.mu.Lock()
