peerhttp: read short bodies of all requests ahead, not of repeatable ones only

Callers: a request that may run once, with a body, begins although its caller has left, where the look at the socket does not show the end.

Cause: net/http notices the end of a connection by itself only once the body is read, and bodies were read ahead for repeatable requests only.

Change: bodies of up to 64 KiB are read ahead for all, so that the read of net/http is a sign of its own for them.

--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -55,9 +55,7 @@
 	defer cancel()
 	req := requestOf(r, call, deadline)
 	req.Placement = placement
-	if placement != nil && placement.Repeatable {
-		readAhead(req.Body)
-	}
+	readAhead(req.Body)
 	answer, err := s.Proxy.Serve(ctx, req, call.incarnation)
 	if err != nil {
 		s.addReport(w, received)
@@ -105,7 +103,7 @@
 }
 
 // readAhead reads a body that can be buffered while the request waits for a slot. Until a body is read to its end, net/http
-// does not notice that the other node has closed the connection, and a cancelled hedge would still run.
+// does not notice that the other node has closed the connection, and the request would run although it was given up there.
 func readAhead(body *caller.Body) {
 	if body.Length() == 0 || !body.Shareable() {
 		return
