peerhttp: a node tells the other one that it has given up a request

Callers: a request whose caller has left goes on at the node beside the back end, waits for its slot and begins, where the end of the connection between the nodes does not arrive: behind a proxy, or behind a body that is not read.

Cause: the end of the connection was the only word from the entry node.

Change: a request that is given up before its answer is cancelled by a message of its own (POST /cancel between nodes, with the metadata of the request), for which the other node looks among the requests that it holds. Nodes of an earlier version answer 404, and the connection tells them as before.

--- a/node/node.go
+++ b/node/node.go
@@ -76,9 +76,11 @@
 		Bundles: n.Bundles, Upstream: up, Client: n.upstreamClient,
 	}
 	routes := &httpserver.Routes{}
-	routes.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{
+	forwarded := &peerhttp.Server{
 		Proxy: n.proxy, Version: func() uint64 { return versionOf(n.Bundles) }, OnVersion: n.versionSeen,
-	})
+	}
+	routes.Handle(peerhttp.ForwardPrefix+"/", forwarded)
+	routes.Handle(peerhttp.CancelPath, forwarded)
 	var err error
 	if n.controlPlane, err = newControlPlane(n, routes); err != nil {
 		return err
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -222,7 +222,9 @@
 	}
 	s.callers.Handle(s.trackRequests(s.entry))
 	routes := &httpserver.Routes{}
-	routes.Handle(peerhttp.ForwardPrefix+"/", &peerhttp.Server{Proxy: s.proxy})
+	forwarded := &peerhttp.Server{Proxy: s.proxy}
+	routes.Handle(peerhttp.ForwardPrefix+"/", forwarded)
+	routes.Handle(peerhttp.CancelPath, forwarded)
 	routes.Handle(contractsPath, http.HandlerFunc(s.serveContracts))
 	s.peers.Handle(routes)
 	s.registration.Handle(s.Platform.Registration(recordingRegistrar{s.proxy, s.departures}))
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -58,7 +58,8 @@
 	if req.Deadline.Sub(now) <= hopMargin {
 		return nil, nil, caller.Refuse(caller.DeadlinePassed, forwardStep, peer)
 	}
-	outgoing.Header.Set(headerCall, encodeCall(req, c.self, target.Incarnation, now))
+	call := encodeCall(req, c.self, target.Incarnation, now)
+	outgoing.Header.Set(headerCall, call)
 	if req.OpenFingerprint {
 		outgoing.Header.Set(headerOpenFingerprint, openFingerprint)
 	}
@@ -67,6 +68,9 @@
 	}
 	response, sent, err := c.outbound.RoundTrip(ctx, outgoing)
 	if err != nil {
+		if sent && errors.Is(ctx.Err(), context.Canceled) {
+			go c.cancel(target.PeerAddr, call)
+		}
 		failure := transport.Failure{
 			Step: forwardStep, Peer: peer, Sent: sent, Unreachable: caller.PeerUnreachable, Lost: caller.PeerLost,
 		}
--- a/transport/peerhttp/server.go
+++ b/transport/peerhttp/server.go
@@ -24,17 +24,22 @@
 	Report() link.Report
 }
 
-// Server is the http.Handler of forwarded requests.
+// Server is the http.Handler of forwarded requests and of their cancellations.
 type Server struct {
 	Proxy     UpstreamProxy
 	Version   func() uint64   // returns the current bundle version, sent with each answer; nil sends none
 	OnVersion VersionObserver // called with the bundle version of each request; may be nil
 
 	reportPacer link.ReportPacer
+	calls       calls
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == CancelPath {
+		s.serveCancellation(w, r)
+		return
+	}
 	call, err := decodeCall(r.Header.Get(headerCall))
 	var placement *caller.Placement
 	if err == nil {
@@ -53,6 +58,7 @@
 	transport.SetConnDeadlines(w, deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	defer s.calls.begin(call, cancel)()
 	req := requestOf(r, call, deadline)
 	req.Placement = placement
 	readAhead(req.Body)
