httpserver: a closed connection stays open until its client has the last answer

Callers: an answer is reset on its way when its connection is closed, as in a planned stop, and the caller takes it slowly and goes on sending, or has sent over 1 MiB that nobody reads.

Cause: a closed connection was read on for 5 s and 1 MiB at most, whether or not the client was still taking the answer; the close behind unread input, or input after it, resets the connection. And whether all had arrived hung on one call, the length of the send queue, which counted as empty where the kernel does not tell it.

Change: the connection lingers as long as the client takes something at least each 5 s, for a minute at most. At the limit of bytes (64 MiB, for a client that sends its whole body before it reads) nothing is read any more, and the connection is closed only when the client has all. The state of the connection tells whether the end has arrived, beside the send queue; where neither does, it counts as not arrived.

Tests that failed on: TestLastAnswerArrivesWhole, "refused early, the body is far longer", both listeners; TestSlowReaderThatGoesOnSendingGetsTheLastAnswer, "over eight seconds". Rows that held before too: announced bodies (Expect), HTTP/1.0, a slow reader within 5 s.

--- a/sockopt/signs_internal_test.go
+++ b/sockopt/signs_internal_test.go
@@ -49,3 +49,35 @@
 	t.Cleanup(func() { _ = accepted.Close() })
 	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
 }
+
+// Guards against a connection that is taken for delivered while the peer has not received all, and against one that is never.
+func TestUndelivered(t *testing.T) {
+	server, client := tcpPair(t)
+	checkUndelivered(t, server, false)
+	const size = 8 << 20 // more than the buffers of both ends
+	written := make(chan error, 1)
+	go func() {
+		_, err := server.Write(make([]byte, size))
+		if err == nil {
+			err = server.CloseWrite()
+		}
+		written <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	checkUndelivered(t, server, true)
+	for read := 0; read < size; {
+		n, err := client.Read(make([]byte, 1<<20))
+		assert.NilError(t, err)
+		read += n
+	}
+	assert.NilError(t, <-written)
+	time.Sleep(50 * time.Millisecond)
+	checkUndelivered(t, server, false)
+}
+
+func checkUndelivered(t *testing.T, conn net.Conn, want bool) {
+	t.Helper()
+	bytes, undelivered := Undelivered(conn)
+	assert.Equal(t, undelivered, want)
+	assert.Equal(t, bytes > 0, want)
+}
--- a/transport/httpserver/linger.go
+++ b/transport/httpserver/linger.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -15,11 +16,16 @@
 const (
 	// lingerTimeout is how long a closed connection on which nothing is left to send waits for the client to close it.
 	lingerTimeout = 500 * time.Millisecond
-	// maxLingerTime is how long a closed connection waits for a client that reads slowly.
-	maxLingerTime = 5 * time.Second
-	// maxLingerBytes is the number of bytes that are read from a closed connection. A client that sends more is reset.
-	maxLingerBytes = 1 << 20
-	lingerReadSize = 4 << 10
+	// maxLingerPause is how long a closed connection waits for a client that takes nothing of what is left, or that goes on sending
+	// when nothing is left. maxLingerTime bounds the wait for a client that reads slowly.
+	maxLingerPause = 5 * time.Second
+	maxLingerTime  = time.Minute
+	// maxLingerBytes is the number of bytes that are read from a closed connection: a client may send its whole body before it reads the
+	// answer. Nothing is read beyond, and the client gets a reset once it has taken what is left.
+	maxLingerBytes = 64 << 20
+	lingerReadSize = 16 << 10
+	// lingerPollInterval is the time between two looks at a connection of which nothing is read any more.
+	lingerPollInterval = 50 * time.Millisecond
 )
 
 // lingering holds the connections that are closed for writing and still read. The kernel answers a close with input unread, and input
@@ -79,19 +85,53 @@
 
 // discardInput reads the connection to its end, within the limits.
 func (c *lingeringConn) discardInput() {
-	var buffer [lingerReadSize]byte
-	end := time.Now().Add(maxLingerTime)
-	for read := 0; read < maxLingerBytes && time.Now().Before(end); {
+	buffer := make([]byte, lingerReadSize)
+	delivery := newDelivery(c.Conn)
+	for read := 0; delivery.inTime(); {
+		if read >= maxLingerBytes {
+			if delivery.isComplete() {
+				return
+			}
+			time.Sleep(lingerPollInterval)
+			continue
+		}
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		n, err := c.Conn.Read(buffer[:])
+		n, err := c.Conn.Read(buffer)
 		read += n
-		isSending := errors.Is(err, os.ErrDeadlineExceeded) && sockopt.Unacknowledged(c.Conn) > 0
-		if err != nil && !isSending {
+		if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || delivery.isComplete()) {
 			return
 		}
 	}
 }
 
+// delivery follows what the client takes of the data on a closed connection.
+type delivery struct {
+	conn       net.Conn
+	began      time.Time
+	progressAt time.Time // when the client was last seen to have taken something
+	left       int       // bytes that it had not taken then
+}
+
+func newDelivery(conn net.Conn) *delivery {
+	now := time.Now()
+	return &delivery{conn: conn, began: now, progressAt: now, left: math.MaxInt}
+}
+
+// inTime reports whether the wait for the client goes on.
+func (d *delivery) inTime() bool {
+	now := time.Now()
+	if left, _ := sockopt.Undelivered(d.conn); left < d.left {
+		d.left, d.progressAt = left, now
+	}
+	return now.Sub(d.progressAt) < maxLingerPause && now.Sub(d.began) < maxLingerTime
+}
+
+// isComplete reports whether the client has received all.
+func (d *delivery) isComplete() bool {
+	_, undelivered := sockopt.Undelivered(d.conn)
+	return !undelivered
+}
+
 // CloseWrite shuts down the sending direction. net/http calls it before it closes a connection whose request it has not read
 // completely.
 func (c *lingeringConn) CloseWrite() error {
