peerhttp, sockopt: fewer messages and system calls for callers that leave

Cause: each hedge that another attempt superseded was cancelled by a message of its own, and each look at a caller's socket made two system calls.

Change: a superseded attempt ends by its connection alone, as before; the message is for requests that were given up. The state of a connection is asked for only when something is to be read, the end of the stream included.

--- a/caller/presence.go
+++ b/caller/presence.go
@@ -1,6 +1,12 @@
 package caller
 
-import "context"
+import (
+	"context"
+	"errors"
+)
+
+// ErrSuperseded is the cause with which the context of an attempt ends when another attempt has answered the request.
+var ErrSuperseded = errors.New("another attempt has answered the request")
 
 type presenceKey struct{}
 
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -133,7 +133,7 @@
 type hedgedCall struct {
 	*call
 	outcomes chan outcome // buffered, so that no attempt blocks on sending its outcome
-	cancels  []context.CancelFunc
+	cancels  []context.CancelCauseFunc
 	sent     []time.Time
 	targets  []peer.Candidate
 	running  int
@@ -175,7 +175,7 @@
 
 // launch starts an attempt in its own goroutine.
 func (h *hedgedCall) launch(ctx context.Context, chosen peer.Candidate) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	h.cancels, h.sent, h.targets = append(h.cancels, cancel), append(h.sent, time.Now()), append(h.targets, chosen)
 	h.running++
 	h.countAttempt(chosen)
@@ -207,10 +207,10 @@
 	}
 	answer, refusal := h.recordOutcome(o)
 	if answer == nil || isComplete(answer) {
-		h.cancels[o.attempt-1]()
+		h.cancels[o.attempt-1](nil)
 		return answer, refusal
 	}
-	answer.Body = inflight.OnClose(answer.Body, h.cancels[o.attempt-1])
+	answer.Body = inflight.OnClose(answer.Body, func() { h.cancels[o.attempt-1](nil) })
 	return answer, nil
 }
 
@@ -230,7 +230,7 @@
 	if refusal == nil || refusal.Ran == caller.Unknown {
 		h.ran = caller.Unknown
 	}
-	h.cancels[o.attempt-1]()
+	h.cancels[o.attempt-1](nil)
 }
 
 // cancelOthers cancels the attempts other than the winner and closes their answers when they arrive. The time that they
@@ -248,7 +248,7 @@
 		if i == 0 {
 			h.recordLatency(took)
 		}
-		cancel()
+		cancel(caller.ErrSuperseded)
 	}
 	if h.running == 0 {
 		return
--- a/sockopt/closed.go
+++ b/sockopt/closed.go
@@ -12,19 +12,25 @@
 // another kind.
 //
 // Both the events of the socket and the state of the connection tell, and either is enough: where the kernel is emulated, one of the two may
-// be missing.
+// be missing. The state is not asked for while nothing is to be read, not even the end of the stream.
 func PeerClosed(conn net.Conn) bool {
 	closed := false
-	control(conn, func(fd int) { closed = endPolled(fd) || endReceived(fd) })
+	control(conn, func(fd int) {
+		ended, idle := pollEnd(fd)
+		closed = ended || !idle && endReceived(fd)
+	})
 	return closed
 }
 
-// endPolled reports whether the events of the socket show the end of the peer's stream. An emulated kernel may report POLLRDHUP only when
-// POLLIN is asked for as well.
-func endPolled(fd int) bool {
+// pollEnd reports whether the events of the socket show the end of the peer's stream, and whether they show that nothing is to be read. An
+// emulated kernel may report POLLRDHUP only when POLLIN is asked for as well.
+func pollEnd(fd int) (ended, idle bool) {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 	n, err := unix.Poll(polled, 0)
-	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	if err != nil || n == 0 {
+		return false, err == nil
+	}
+	return polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, false
 }
 
 // endReceived reports whether the state of the connection shows the end of the peer's stream.
--- a/sockopt/signs_internal_test.go
+++ b/sockopt/signs_internal_test.go
@@ -27,7 +27,9 @@
 				assert.NilError(t, test.end(client))
 				time.Sleep(20 * time.Millisecond)
 				control(server, func(fd int) {
-					assert.Check(t, endPolled(fd) == test.closed, "by the events of the socket")
+					ended, idle := pollEnd(fd)
+					assert.Check(t, ended == test.closed, "by the events of the socket")
+					assert.Check(t, idle == (data == "" && !test.closed), "something is to be read")
 					assert.Check(t, endReceived(fd) == test.closed, "by the state of the connection")
 				})
 			})
--- a/transport/peerhttp/cancel.go
+++ b/transport/peerhttp/cancel.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/magnoliawharf/magnoliawharf/caller"
 	"github.com/magnoliawharf/magnoliawharf/instance"
 	"github.com/magnoliawharf/magnoliawharf/metrics"
 )
@@ -23,6 +25,12 @@
 	cancelledByPeer      = metrics.Counter("magnoliawharf_cancellations_applied_total")
 )
 
+// isGivenUp reports whether the request was given up, so that it must not begin. An attempt that another one has superseded may begin: that
+// costs work, but a message for each costs more.
+func isGivenUp(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), caller.ErrSuperseded)
+}
+
 // cancel tells the node at addr that the request with the metadata call was given up. It does not report a failure: the end of the
 // connection of the request tells the same.
 func (c *Client) cancel(addr, call string) {
--- a/transport/peerhttp/client.go
+++ b/transport/peerhttp/client.go
@@ -68,7 +68,7 @@
 	}
 	response, sent, err := c.outbound.RoundTrip(ctx, outgoing)
 	if err != nil {
-		if sent && errors.Is(ctx.Err(), context.Canceled) {
+		if sent && isGivenUp(ctx) {
 			go c.cancel(target.PeerAddr, call)
 		}
 		failure := transport.Failure{
