--- a/inbound/probe.go
+++ b/inbound/probe.go
@@ -24,6 +24,8 @@
 			return
 		case now := <-ticker.C:
 			p.probe(now)
+		case <-p.recordAnswered:
+			p.probe(time.Now())
 		}
 	}
 }
--- a/inbound/proxy.go
+++ b/inbound/proxy.go
@@ -108,6 +108,7 @@
 	state            state
 	confirmation     confirmation      // of the current incarnation
 	recordSearch     chan Announcement // incarnations whose departure may be recorded; capacity 1
+	recordAnswered   chan struct{}     // signals that the records have no departure of an unconfirmed incarnation; capacity 1
 	lastSeen         time.Time         // last contact with the current incarnation
 	announcedAt      time.Time         // last announcement of the current incarnation
 	superseded       Announcement      // incarnation that one with the same ID and an earlier start has replaced, if any
@@ -157,6 +158,7 @@
 		upstream:         upstream.NewWithOptions(upstream.Options{TimeToLive: o.LivenessTimeout, SlotShare: o.SlotShare}),
 		crashes:          &quarantine.CrashMonitor{Suspects: o.Suspects, Detector: quarantine.NewCrashDetector(o.Suspects, run)},
 		recordSearch:     make(chan Announcement, 1),
+		recordAnswered:   make(chan struct{}, 1),
 		departed:         make(map[string]int64),
 		recalledServices: make(map[string]string),
 		unreadableCold:   rate.Sometimes{Interval: unreadableLogInterval},
--- a/inbound/recorded.go
+++ b/inbound/recorded.go
@@ -73,8 +73,17 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.current.sameIncarnation(target) {
+	if p.current.sameIncarnation(target) && p.confirmation.pending {
 		p.confirmation.searched = true
+		p.probeNow()
 	}
 	return true
 }
+
+// probeNow lets Watch check the health of the upstream without waiting for its interval.
+func (p *Proxy) probeNow() {
+	select {
+	case p.recordAnswered <- struct{}{}:
+	default:
+	}
+}
