--- a/soak/backends_test.go
+++ b/soak/backends_test.go
@@ -70,10 +70,11 @@
 	all         bool // the nodes of all machines are started again, not only its own
 	inOrder     bool // by SIGTERM
 	lateReports int  // that arrive afterwards
+	passesCheck bool // the health check passes all the while, so that the store alone knows of the departure once all nodes have ended
 }
 
 func drawWithdrawal(draw uint64) withdrawal {
-	return withdrawal{all: draw%3 == 0, inOrder: draw/3%3 == 0, lateReports: 1 + int(draw/9%3)}
+	return withdrawal{all: draw%3 == 0, inOrder: draw/3%3 == 0, lateReports: 1 + int(draw/9%3), passesCheck: draw/27%2 == 0}
 }
 
 // withdrawAroundRestart withdraws the back end, which serves on for a while. Nodes are started again, and then the last reports of the
@@ -83,6 +84,11 @@
 	defer m.backendMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*grace)
 	defer cancel()
+	if w.passesCheck {
+		m.fleet.storeFaults.Lock()
+		defer m.fleet.storeFaults.Unlock()
+		m.backend.SetFaults(standin.BackendFaults{PassesCheck: true})
+	}
 	acked, ok, sendLate := m.backend.Withdraw(ctx, w.lateReports)
 	if ok {
 		m.fleet.oracle.recordWithdrawal(m.backend.ID(), acked)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -101,7 +101,7 @@
 		case 3:
 			f.degradeStore(lasting, standin.StoreFaults{}, kvstore.Faults{Delay: 300 * time.Millisecond})
 		default:
-			f.store.Memory.ExpireAllLeases()
+			f.expireLeases()
 			f.degradeStore(lasting, standin.StoreFaults{}, kvstore.Faults{DropEvents: true})
 		}
 	}},
@@ -156,6 +156,8 @@
 
 // degradeStore injects the faults into the store for the duration.
 func (f *fleet) degradeStore(lasting time.Duration, calls standin.StoreFaults, memory kvstore.Faults) {
+	f.storeFaults.RLock()
+	defer f.storeFaults.RUnlock()
 	from := time.Now()
 	f.store.SetFaults(calls)
 	f.store.Memory.SetFaults(memory)
@@ -165,6 +167,12 @@
 	f.oracle.recordStoreDisturbance(span{from, time.Now()})
 }
 
+func (f *fleet) expireLeases() {
+	f.storeFaults.RLock()
+	defer f.storeFaults.RUnlock()
+	f.store.Memory.ExpireAllLeases()
+}
+
 // plannedFault is one fault of a run's schedule.
 type plannedFault struct {
 	fault   fault
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -76,6 +76,10 @@
 	machines []*machine
 	operator *operator
 	crashing atomic.Int64 // number of crashing requests sent
+
+	// storeFaults is held for reading while calls to the store may fail or their effects be lost, and for writing while the store alone
+	// knows of something.
+	storeFaults sync.RWMutex
 }
 
 // machine is one node, the back end beside it, and the proxies on the node's connections.
@@ -277,6 +281,10 @@
 
 // degradeLink sets the behaviour of one of the machine's proxies for the duration.
 func (m *machine) degradeLink(link string, b behaviour, lasting time.Duration) {
+	if link == "store" {
+		m.fleet.storeFaults.RLock()
+		defer m.fleet.storeFaults.RUnlock()
+	}
 	from := time.Now()
 	m.links[link].set(b)
 	time.Sleep(lasting)
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -78,6 +78,8 @@
 
 // restoreStore copies the store, and later restores that copy.
 func (f *fleet) restoreStore(r restoredStore) {
+	f.storeFaults.RLock()
+	defer f.storeFaults.RUnlock()
 	copied := time.Now()
 	older := f.store.Memory.Copy()
 	time.Sleep(r.age)
