sockopt: one test of the end of the peer

TestPeerClosed and TestEachSignShowsTheEndOfThePeer had the same rows. One test checks both answers of the kernel and PeerClosed itself, for the same rows.

--- a/sockopt/signs_internal_test.go
+++ b/sockopt/closed_internal_test.go
@@ -8,8 +8,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a peer whose end only one of the two answers of the kernel shows: the other one may be missing where the kernel is emulated.
-func TestEachSignShowsTheEndOfThePeer(t *testing.T) {
+// Guards against a peer that has left and is not noticed while data of it is unread, or because one of the two answers of the kernel is
+// missing, as where it is emulated, and against one that is taken for gone too early.
+func TestPeerClosed(t *testing.T) {
 	for name, test := range map[string]struct {
 		end    func(*net.TCPConn) error
 		closed bool
@@ -26,6 +27,7 @@
 				assert.NilError(t, err)
 				assert.NilError(t, test.end(client))
 				time.Sleep(20 * time.Millisecond)
+				assert.Equal(t, PeerClosed(server), test.closed)
 				control(server, func(fd int) {
 					ended, idle := pollEnd(fd)
 					assert.Check(t, ended == test.closed, "by the events of the socket")
