entry: a request that is not sent takes back its placement

A request whose caller has left before it is sent stayed in the counted load of the node that was chosen for it. A closed connection reads with a buffer on the stack again: 16 KiB for each would be 26 MB for all connections of callers.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,6 +242,7 @@
 	}
 	sentAt := time.Now()
 	if caller.HasLeft(ctx) {
+		chosen.CancelPlacement()
 		return outcome{chosen: chosen, attempt: number, refusal: caller.Refuse(caller.Cancelled, dispatchStep, "")}
 	}
 	answer, _, err := c.Forward.Forward(ctx, &req, instance.Record{
--- a/transport/httpserver/linger.go
+++ b/transport/httpserver/linger.go
@@ -23,7 +23,7 @@
 	// maxLingerBytes is the number of bytes that are read from a closed connection: a client may send its whole body before it reads the
 	// answer. Nothing is read beyond, and the client gets a reset once it has taken what is left.
 	maxLingerBytes = 64 << 20
-	lingerReadSize = 16 << 10
+	lingerReadSize = 4 << 10
 	// lingerPollInterval is the time between two looks at a connection of which nothing is read any more.
 	lingerPollInterval = 50 * time.Millisecond
 )
@@ -85,7 +85,7 @@
 
 // discardInput reads the connection to its end, within the limits.
 func (c *lingeringConn) discardInput() {
-	buffer := make([]byte, lingerReadSize)
+	var buffer [lingerReadSize]byte
 	delivery := newDelivery(c.Conn)
 	for read := 0; delivery.inTime(); {
 		if read >= maxLingerBytes {
@@ -96,7 +96,7 @@
 			continue
 		}
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		n, err := c.Conn.Read(buffer)
+		n, err := c.Conn.Read(buffer[:])
 		read += n
 		if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || delivery.isComplete()) {
 			return
