sidecar: the upstream of a crash test keeps its port while it is down

The stand-in gave its port up while it was down, and the kernel gave it to an outgoing connection of another process meanwhile. It has a reserved port now.

--- a/sidecar/crashing_body_test.go
+++ b/sidecar/crashing_body_test.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliawharf/magnoliawharf/inbound"
 	"github.com/magnoliawharf/magnoliawharf/sidecar"
 	"github.com/magnoliawharf/magnoliawharf/standin/kvstore"
+	"github.com/magnoliawharf/magnoliawharf/standin/sockets"
 )
 
 const (
@@ -42,7 +43,7 @@
 
 func startCrashingUpstream(t *testing.T, early bool) *crashingUpstream {
 	t.Helper()
-	u := &crashingUpstream{addr: "127.0.0.1:0", early: early}
+	u := &crashingUpstream{addr: sockets.ReservePort(t), early: early}
 	u.listen(t)
 	t.Cleanup(func() { u.stop() })
 	return u
