--- a/review/stand-3/crash.go
+++ b/review/stand-3/crash.go
@@ -18,12 +18,12 @@
 	leaveTime     = 100 * time.Millisecond
 	backAfter     = 2 * time.Second
 	crashMachines = 6
-	crashPath     = "/reserve/saw?crash=1&work=400ms"
+	crashPath     = "/reserve/tools/saw?crash=1&work=400ms"
 
 	// usualWorkers send other requests on each machine, one each usualEvery.
 	usualWorkers = 4
 	usualEvery   = 250 * time.Millisecond
-	usualPath    = "/reserve/drill?work=140ms&number="
+	usualPath    = "/reserve/tools/drill?work=140ms&number="
 	reserveLimit = 1200 * time.Millisecond
 )
 
@@ -34,13 +34,18 @@
 	4950 * time.Millisecond, 5200 * time.Millisecond,
 }
 
-func reserveManifest() map[string]any {
-	return map[string]any{
-		"version": 1,
-		"routes": map[string]any{"r-reserve": map[string]any{
-			"host": shopHost, "pathPrefix": "/reserve/", "kind": "non_idempotent", "timeoutMs": 1200, "targetLatencyMs": 200, "priority": 1,
+// reserveManifest returns a manifest with a route to one service for each of the path prefixes, by the names of the routes.
+func reserveManifest(version int, prefixes map[string]string) map[string]any {
+	routes := make(map[string]any)
+	for name, prefix := range prefixes {
+		routes[name] = map[string]any{
+			"host": shopHost, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 1200, "targetLatencyMs": 200, "priority": 1,
 			"service": "reservations", "maxAttempts": 2,
-		}},
+		}
+	}
+	return map[string]any{
+		"version":  version,
+		"routes":   routes,
 		"services": map[string]any{"reservations": map[string]any{"healthPath": healthPath, "maxConnections": 220}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
@@ -56,7 +61,7 @@
 // crashBehindARequesterThatLeft sends a request that crashes each back end which runs it, again and again at different machines. With the
 // disruption its requesters leave before the back end has ended.
 func crashBehindARequesterThatLeft(f *fleet, trouble bool) (string, error) {
-	f.publish(reserveManifest())
+	f.publish(reserveManifest(1, map[string]string{"r-reserve": "/reserve/"}))
 	for i := range crashMachines {
 		if _, err := f.addMachine("reservations", fmt.Sprintf("zone-%d", i%3), 12); err != nil {
 			return "", err
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,6 +16,7 @@
 	"answer-behind-a-slow-one":           answerBehindASlowOne,
 	"short-freeze-of-the-allocator":      shortFreezeOfTheAllocator,
 	"crash-behind-a-requester-that-left": crashBehindARequesterThatLeft,
+	"crash-again-after-an-added-route":   crashAgainAfterAddedRoute,
 	"crash-again-after-a-restart":        crashAgainAfterRestart,
 }
 
--- a/review/stand-3/recrash.go
+++ b/review/stand-3/recrash.go
@@ -18,7 +18,28 @@
 // crashAgainAfterRestart sends a request that crashes each back end which runs it at several machines at once, and later again. With the
 // disruption the processes of all nodes are killed in between.
 func crashAgainAfterRestart(f *fleet, trouble bool) (string, error) {
-	f.publish(reserveManifest())
+	return f.crashAgainAfter(func() error {
+		if !trouble {
+			return nil
+		}
+		return f.killAllNodes()
+	})
+}
+
+// crashAgainAfterAddedRoute is crashAgainAfterRestart with a manifest in between that adds a route for a part of the paths of the first one,
+// to the same service.
+func crashAgainAfterAddedRoute(f *fleet, trouble bool) (string, error) {
+	return f.crashAgainAfter(func() error {
+		if trouble {
+			f.publish(reserveManifest(2, map[string]string{"r-reserve": "/reserve/", "r-tools": "/reserve/tools/"}))
+		}
+		return nil
+	})
+}
+
+// crashAgainAfter sends a request that crashes each back end which runs it at several machines at once, and again after the event.
+func (f *fleet) crashAgainAfter(event func() error) (string, error) {
+	f.publish(reserveManifest(1, map[string]string{"r-reserve": "/reserve/"}))
 	for i := range crashMachines {
 		if _, err := f.addMachine("reservations", fmt.Sprintf("zone-%d", i%3), 12); err != nil {
 			return "", err
@@ -33,10 +54,8 @@
 	}
 	f.sendCrashingAtOnce("early", firstCrashes)
 	time.Sleep(backAfter + 2*time.Second)
-	if trouble {
-		if err := f.killAllNodes(); err != nil {
-			return "", err
-		}
+	if err := event(); err != nil {
+		return "", err
 	}
 	if err := f.awaitReady(); err != nil {
 		return "", err
