--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -147,9 +147,18 @@
 		rendered = "$1"
 	}
 	filled := section.ReplaceAll(template, []byte(rendered))
-	return placeholder.ReplaceAllFunc(filled, func(found []byte) []byte {
-		return []byte(values[strings.Trim(string(found), "{}")])
-	}), nil
+	unknown := ""
+	filled = placeholder.ReplaceAllFunc(filled, func(found []byte) []byte {
+		value, ok := values[strings.Trim(string(found), "{}")]
+		if !ok {
+			unknown = string(found)
+		}
+		return []byte(value)
+	})
+	if unknown != "" {
+		return nil, fmt.Errorf("the template has the unknown placeholder %s", unknown)
+	}
+	return filled, nil
 }
 
 // startNode starts the process of the node with the command of the deploy file.
